Start the package: the vocabulary of calls and the settings' sections

Cause: nothing existed. Change: identifiers, levels, verdicts, frames and the settings' shape, so that modules can be built beside each other.

--- /dev/null
+++ b/src/call/mod.rs
@@ -0,0 +1,15 @@
+//! The vocabulary of a call: identifiers, priority, verdicts and the frames nodes exchange.
+//!
+//! Nothing here does I/O or reads a clock.
+
+pub mod frame;
+pub mod id;
+pub mod key;
+pub mod level;
+pub mod verdict;
+
+pub use frame::{AnswerFrame, CallFrame, HttpAnswer, HttpRequest, LoadReport, Message, TraceContext};
+pub use id::{AttemptId, NodeId, RootId};
+pub use key::Key;
+pub use level::{ArmId, ClassRank, Level};
+pub use verdict::{Doubt, Refusal, RefusalReason, Verdict};
--- /dev/null
+++ b/src/config/class.rs
@@ -0,0 +1,24 @@
+//! Classes of calls.
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+/// One class of calls.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct ClassSettings {
+    /// The name callers and reports use.
+    pub name: String,
+    /// Its place in the order of shedding; the lowest rank is shed first. Unique.
+    pub rank: u8,
+    /// Whether a request of this class must run at most once.
+    #[serde(default)]
+    pub at_most_once: bool,
+    /// The deadline of a request that names none, in milliseconds.
+    pub deadline_ms: u64,
+    /// The longest deadline a caller may ask for, in milliseconds.
+    pub deadline_max_ms: u64,
+    /// The share of a target's limit that lower classes leave free for this class, from 0 to 1.
+    #[serde(default)]
+    pub reserved_share: f64,
+}
--- /dev/null
+++ b/src/config/mod.rs
@@ -0,0 +1,55 @@
+//! Settings: one base file, overlays that change only what differs, one file per section.
+
+pub mod arm;
+pub mod class;
+pub mod node;
+pub mod platform;
+pub mod policy;
+pub mod route;
+pub mod service;
+pub mod telemetry;
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+pub use arm::ArmSettings;
+pub use class::ClassSettings;
+pub use node::NodeSettings;
+pub use platform::PlatformSettings;
+pub use policy::{LimitRule, PolicySettings, RetryRule, TargetChoice};
+pub use route::RouteSettings;
+pub use service::ServiceSettings;
+pub use telemetry::TelemetrySettings;
+
+/// Everything one node reads at its start: what all nodes of a site share, and what is its own.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// The name of the site.
+    pub site: String,
+    /// What this node alone is told.
+    pub node: NodeSettings,
+    /// Where the platform's services are.
+    pub platform: PlatformSettings,
+    /// Logs, metrics and traces.
+    #[serde(default)]
+    pub telemetry: TelemetrySettings,
+    /// What may be changed while the site runs.
+    pub rules: Rules,
+}
+
+/// The part of the settings that is submitted, accepted and spread while the site runs.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Rules {
+    /// Classes of calls, in any order; their ranks decide which is shed first.
+    pub classes: Vec<ClassSettings>,
+    /// Which calls belong to which class; the first route that fits decides.
+    pub routes: Vec<RouteSettings>,
+    /// The services of the site.
+    pub services: Vec<ServiceSettings>,
+    /// The policies that run side by side.
+    pub arms: Vec<ArmSettings>,
+    /// The policies the arms refer to.
+    pub policies: Vec<PolicySettings>,
+}
--- /dev/null
+++ b/src/config/platform.rs
@@ -0,0 +1,35 @@
+//! Where the platform's table service and object store are.
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+/// Addresses of the platform's services and how they are used.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct PlatformSettings {
+    /// The table service's base URL.
+    pub table_url: String,
+    /// The object store's base URL.
+    pub objects_url: String,
+    /// How long to wait for one answer of either.
+    #[serde(default = "default_timeout_ms")]
+    pub timeout_ms: u64,
+    /// How often the node reads the configuration's version and the lists of services it calls.
+    #[serde(default = "default_poll_ms")]
+    pub poll_ms: u64,
+    /// How often the node writes its own row.
+    #[serde(default = "default_announce_ms")]
+    pub announce_ms: u64,
+}
+
+fn default_timeout_ms() -> u64 {
+    2_000
+}
+
+fn default_poll_ms() -> u64 {
+    12_000
+}
+
+fn default_announce_ms() -> u64 {
+    60_000
+}
--- /dev/null
+++ b/src/config/route.rs
@@ -0,0 +1,24 @@
+//! Which calls belong to which class.
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+/// One rule that gives calls a class.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct RouteSettings {
+    /// The service the call is for.
+    pub service: String,
+    /// The method, or any where absent.
+    #[serde(default)]
+    pub method: Option<String>,
+    /// What the path begins with.
+    #[serde(default = "default_path_prefix")]
+    pub path_prefix: String,
+    /// The class of calls that fit.
+    pub class: String,
+}
+
+fn default_path_prefix() -> String {
+    "/".to_owned()
+}
--- /dev/null
+++ b/src/config/telemetry.rs
@@ -0,0 +1,22 @@
+//! Logs and traces.
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+/// Where logs and traces go, and how many.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct TelemetrySettings {
+    /// The least severe level that is logged: `error`, `warning`, `info` or `debug`.
+    pub log_level: String,
+    /// Where spans are sent by OTLP over HTTP; none are made where this is absent.
+    pub otlp_url: Option<String>,
+    /// The share of roots whose spans are recorded, from 0 to 1.
+    pub sample_share: f64,
+}
+
+impl Default for TelemetrySettings {
+    fn default() -> Self {
+        Self { log_level: "info".to_owned(), otlp_url: None, sample_share: 0.01 }
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,9 @@
+//! Overload control for service call graphs: one small node beside each target.
+//!
+//! The decisions are plain state machines without I/O or clock (`call`, `admission`, `routing`,
+//! `retry`, `once`, `membership`, `configuration`, joined in `node`). The threads that move events
+//! and carry out actions are in `duty`.
+
+pub mod call;
+pub mod clock;
+pub mod config;
