--- a/src/call/mod.rs
+++ b/src/call/mod.rs
@@ -8,7 +8,9 @@
 pub mod level;
 pub mod verdict;
 
-pub use frame::{AnswerFrame, CallFrame, HttpAnswer, HttpRequest, LoadReport, Message, TraceContext};
+pub use frame::{
+    AnswerFrame, CallFrame, HttpAnswer, HttpRequest, LoadReport, Message, TraceContext,
+};
 pub use id::{AttemptId, NodeId, RootId};
 pub use key::Key;
 pub use level::{ArmId, ClassRank, Level};
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod arm;
 pub mod class;
+pub mod lookup;
 pub mod node;
 pub mod platform;
 pub mod policy;
