--- a/src/duty/web.rs
+++ b/src/duty/web.rs
@@ -3,6 +3,7 @@
 //! Rocket reads nothing from the environment or from files here, installs no signal handlers and
 //! prints nothing. Each listener runs in its own thread with its own runtime.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::mpsc;
 use std::thread::JoinHandle;
@@ -61,12 +62,14 @@
     /// Rocket's settings, every one of them stated.
     pub fn rocket_config(&self) -> Config {
         let grace_s = self.grace_ms.div_ceil(1_000) as u32;
-        let mut shutdown = ShutdownConfig::default();
-        shutdown.ctrlc = false;
-        shutdown.signals.clear();
-        shutdown.grace = grace_s;
-        shutdown.mercy = 1;
-        shutdown.force = false;
+        let shutdown = ShutdownConfig {
+            ctrlc: false,
+            signals: HashSet::new(),
+            grace: grace_s,
+            mercy: 1,
+            force: false,
+            ..ShutdownConfig::default()
+        };
         let body_max = ByteUnit::from(self.body_max_bytes);
         let limits = Limits::new()
             .limit("bytes", body_max)
