Admit calls by static limits with an ordered queue

Cause: the receiving side had no admission; other modules need its types. Change: the whole interface of the admission as a pure state machine. Limits none and static (gradient and delay act as static for now), slots divided between arms, a short queue by level, deadline and arrival, expiry, cancellation, warm-up, and downstream floors that fade. Ruled out: a queue with a sorted vector; an operator may set a long queue, and inserts would then cost more than a tree's. Not yet: floors of its own, adaptive limits, reserved slots, prediction of expiry.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! `retry`, `once`, `membership`, `configuration`, joined in `node`). The threads that move events
 //! and carry out actions are in `duty`.
 
+pub mod admission;
 pub mod call;
 pub mod clock;
 pub mod config;
