--- /dev/null
+++ b/src/event.rs
@@ -0,0 +1,369 @@
+//! Numbered log events: the one enum, how they are written, and how a flood of them is cut.
+//!
+//! A number is never given to another event; `docs/EVENTS.md` lists all of them for operators.
+
+mod field;
+mod flood;
+mod log;
+
+use std::net::SocketAddr;
+
+use slog::{KV, Level as Severity, Record};
+
+use self::field::ToLog;
+use crate::call::{ArmId, AttemptId, ClassRank, Key, Level, NodeId, RootId};
+
+pub use self::flood::FloodGate;
+pub use self::log::EventLog;
+
+/// What the catalogue says about one kind of event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EventKind {
+    /// The stable number.
+    pub number: u16,
+    /// The name, as in the enum.
+    pub name: &'static str,
+    /// How severe it is.
+    pub severity: Severity,
+    /// The names of its fields, in order.
+    pub fields: &'static [&'static str],
+}
+
+/// Declares the enum together with its numbers, severities and fields, so that they cannot differ.
+macro_rules! log_events {
+    ($($(#[$doc:meta])* $number:literal $severity:ident $name:ident {
+        $($(#[$field_doc:meta])* $field:ident: $kind:ty,)*
+    })*) => {
+        /// Something an operator may want to know.
+        #[derive(Clone, Debug, PartialEq)]
+        pub enum LogEvent {
+            $($(#[$doc])* $name { $($(#[$field_doc])* $field: $kind,)* },)*
+        }
+
+        /// All kinds of events, in the order of the enum.
+        pub const EVENT_KINDS: &[EventKind] = &[
+            $(EventKind {
+                number: $number,
+                name: stringify!($name),
+                severity: Severity::$severity,
+                fields: &[$(stringify!($field)),*],
+            },)*
+        ];
+
+        impl LogEvent {
+            /// The stable number.
+            pub fn number(&self) -> u16 {
+                match self {
+                    $(Self::$name { .. } => $number,)*
+                }
+            }
+        }
+
+        impl KV for LogEvent {
+            fn serialize(
+                &self,
+                record: &Record<'_>,
+                serializer: &mut dyn slog::Serializer,
+            ) -> slog::Result {
+                match self {
+                    $(Self::$name { $($field),* } => {
+                        $(slog::Value::serialize(
+                            &$field.to_log(), record, stringify!($field), serializer)?;)*
+                    })*
+                }
+                Ok(())
+            }
+        }
+    };
+}
+
+log_events! {
+    /// The process is up and its listeners are bound.
+    100 Info NodeStarted {
+        /// This life of the node.
+        node: NodeId,
+        /// The name that stays the same over restarts.
+        node_name: String,
+        /// The service whose target stands beside the node.
+        service: String,
+        /// The failure domain of the VM.
+        failure_domain: String,
+        /// The version of the program.
+        version: &'static str,
+    }
+    /// The node could not start, or gave up.
+    101 Critical NodeFailed {
+        /// What went wrong.
+        detail: String,
+    }
+    /// A listener is bound.
+    102 Info ListenerStarted {
+        /// Which listener.
+        listener: &'static str,
+        /// Its address.
+        address: SocketAddr,
+    }
+    /// The node began to leave: it takes no new work.
+    110 Info LeavingStarted {
+        /// Who asked for it: `signal`, `operator` or `target`.
+        asked_by: &'static str,
+        /// Calls running or waiting at that moment.
+        in_flight: u64,
+    }
+    /// The node has left; the process ends.
+    111 Info LeavingFinished {
+        /// How long it took, in milliseconds.
+        took_ms: u64,
+        /// Calls that were still running when the node stopped waiting.
+        cut_off: u64,
+    }
+    /// The thread of a duty panicked.
+    120 Critical DutyPanicked {
+        /// The duty.
+        duty: &'static str,
+        /// What is done about it: `restart` or `exit`.
+        consequence: &'static str,
+    }
+    /// A ring between two threads was full, and an entry was refused.
+    121 Warning RingFull {
+        /// The ring.
+        ring: &'static str,
+        /// How many entries it holds.
+        entries: u64,
+    }
+    /// Bodies held in memory reached their limit, and a call was refused.
+    122 Warning MemoryFull {
+        /// Bytes of bodies held.
+        held_bytes: u64,
+        /// The limit, in bytes.
+        limit_bytes: u64,
+    }
+    /// A sender took too long for its request and was cut off.
+    123 Info SlowSenderCut {
+        /// Which listener.
+        listener: &'static str,
+        /// How many connections were cut at once.
+        connections: u64,
+    }
+    /// The target beside the node announced itself.
+    200 Info TargetAnnounced {
+        /// Its URL.
+        url: String,
+        /// Its service.
+        service: String,
+        /// How many calls it can run at once.
+        slots: u32,
+        /// How many connections it accepts.
+        connections: u32,
+    }
+    /// The target has been silent for too long.
+    201 Error TargetGone {
+        /// Its URL.
+        url: String,
+        /// How long nothing was heard of it, in milliseconds.
+        silent_ms: u64,
+    }
+    /// The target refuses connections, or breaks them off.
+    202 Warning TargetUnreachable {
+        /// Its URL.
+        url: String,
+        /// What went wrong.
+        detail: String,
+    }
+    /// A connection to another node is up.
+    300 Debug PeerLinkUp {
+        /// The other node.
+        peer: NodeId,
+        /// Its address.
+        address: SocketAddr,
+    }
+    /// A connection to another node was lost or fell silent.
+    301 Warning PeerLinkLost {
+        /// The other node.
+        peer: NodeId,
+        /// Its address.
+        address: SocketAddr,
+        /// Attempts whose outcome has to be asked for.
+        unsettled: u64,
+        /// What was noticed.
+        detail: String,
+    }
+    /// A node became known.
+    310 Info MemberAdded {
+        /// The node.
+        member: NodeId,
+        /// Its service.
+        service: String,
+        /// Its address for other nodes.
+        address: SocketAddr,
+        /// Where it was learned from: `table`, `gossip` or `seed`.
+        learned_from: &'static str,
+    }
+    /// A node is taken as gone.
+    311 Warning MemberGone {
+        /// The node.
+        member: NodeId,
+        /// Its service.
+        service: String,
+        /// Why: `silent`, `left`, `replaced` or `expired`.
+        reason: &'static str,
+    }
+    /// The node was paused for longer than its peers wait, and takes no work until it is fresh.
+    312 Warning NodeWasPaused {
+        /// How long, in milliseconds.
+        paused_ms: u64,
+    }
+    /// The platform's service stopped answering.
+    400 Error StoreAway {
+        /// `table` or `objects`.
+        store: &'static str,
+        /// What went wrong.
+        detail: String,
+    }
+    /// The platform's service answers again.
+    401 Info StoreBack {
+        /// `table` or `objects`.
+        store: &'static str,
+        /// How long it was away, in milliseconds.
+        away_ms: u64,
+    }
+    /// A write may or may not have taken effect, and is being settled by reading.
+    402 Warning StoreWriteUnknown {
+        /// The row.
+        row: String,
+    }
+    /// Calls are being refused: the floor of an arm rose from zero.
+    500 Warning OverloadEntered {
+        /// The arm.
+        arm: ArmId,
+        /// Calls below this level are refused.
+        floor: Level,
+        /// The lowest class of which some calls are still taken.
+        class: ClassRank,
+        /// Calls waiting.
+        queued: u32,
+        /// How many calls may run at once.
+        limit: u32,
+    }
+    /// No call is refused any more: the floor of an arm is back at zero.
+    501 Info OverloadLeft {
+        /// The arm.
+        arm: ArmId,
+        /// How long calls were refused, in milliseconds.
+        lasted_ms: u64,
+        /// Calls refused in that time.
+        refused: u64,
+    }
+    /// A call was not tried again because the allowance of its root is used up.
+    600 Info RetryRefusedByAllowance {
+        /// The root.
+        root: RootId,
+        /// The arm.
+        arm: ArmId,
+    }
+    /// A call was not tried again because the node's own budget is used up.
+    601 Warning RetryRefusedByBudget {
+        /// The service that was called.
+        service: String,
+        /// The arm.
+        arm: ArmId,
+    }
+    /// A call was not tried again because the entry node did not answer.
+    602 Warning RetryRefusedByEntryAway {
+        /// The root.
+        root: RootId,
+        /// The entry node.
+        entry: NodeId,
+    }
+    /// It is known what became of an attempt whose connection was lost.
+    610 Info FenceSettled {
+        /// The attempt.
+        attempt: AttemptId,
+        /// `answered`, `not_run` or `may_have_run`.
+        outcome: &'static str,
+        /// How long it took, in milliseconds.
+        took_ms: u64,
+    }
+    /// It could not be found out whether an attempt ran; its caller was told so.
+    611 Error FenceUnsettled {
+        /// The attempt.
+        attempt: AttemptId,
+        /// The node that could not be asked.
+        peer: NodeId,
+    }
+    /// An idempotency key was handed to another node for ever.
+    620 Info KeyDelegated {
+        /// The key.
+        key: Key,
+        /// The node that may run it now.
+        to: NodeId,
+    }
+    /// A caller's own idempotency key could not be claimed because the table service is away.
+    621 Error KeyUnclaimed {
+        /// The service that was called.
+        service: String,
+    }
+    /// A configuration is in force.
+    700 Info ConfigInForce {
+        /// Its version.
+        config_version: u64,
+        /// Where it was learned from: `start`, `table`, `gossip` or `operator`.
+        learned_from: &'static str,
+    }
+    /// An operator's configuration was accepted.
+    701 Info ConfigAccepted {
+        /// Its version.
+        config_version: u64,
+    }
+    /// An operator's configuration lost to another one, or was refused as it stood.
+    702 Warning ConfigRefused {
+        /// The version it was meant to replace.
+        expected_version: u64,
+        /// `conflict` or `invalid`.
+        reason: &'static str,
+        /// How many problems it had.
+        problems: u64,
+    }
+    /// An older configuration arrived and was not taken.
+    703 Warning ConfigOlderIgnored {
+        /// The version in force.
+        config_version: u64,
+        /// The version that arrived.
+        older_version: u64,
+    }
+    /// Somebody without the operators' key asked for something.
+    800 Warning OperatorRefused {
+        /// Where the request came from.
+        remote: String,
+    }
+    /// The environment variable of the operators' key is not set; everything is refused.
+    801 Warning OperatorKeyUnset {
+        /// The name of the variable.
+        variable: String,
+    }
+    /// Spans could not be delivered to the collector.
+    900 Warning CollectorAway {
+        /// What went wrong.
+        detail: String,
+        /// Spans dropped by this.
+        spans: u64,
+    }
+    /// The collector takes spans again.
+    901 Info CollectorBack {
+        /// Spans dropped since it was away.
+        dropped_spans: u64,
+    }
+}
+
+impl LogEvent {
+    /// The entry of the catalogue.
+    pub fn kind(&self) -> &'static EventKind {
+        &EVENT_KINDS[self.index()]
+    }
+
+    /// The place in the catalogue.
+    pub(crate) fn index(&self) -> usize {
+        let number = self.number();
+        EVENT_KINDS.iter().position(|kind| kind.number == number).unwrap_or(0)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,3 +9,5 @@
 pub mod clock;
 pub mod config;
 pub mod duty;
+pub mod event;
+pub mod logging;
