Choose targets and bound retries by pure state machines

Change: Router picks among a bounded subset of a service's targets by utilisation, latency against the service's median and errors; floors told on answers fade, so that the calls just below them are the probes. RootAllowances counts the extra attempts of a root at its entry node, RetryBudget those of a node, next_step maps a verdict to a step.

sent() takes the arm, and Router::new the own node: outstanding attempts of one arm must not steer another's choice, and the subset is drawn from the own node's identity.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,3 +11,5 @@
 pub mod duty;
 pub mod event;
 pub mod logging;
+pub mod retry;
+pub mod routing;
