Carry messages between nodes over raw nng sockets

Cause: nodes have no way to talk to each other yet.

Ruled out by trial (debug build, loopback): - Cooked REQ: it repeats requests by itself. - Raw REQ/REP as it is: the raw REP socket queues 64 messages for each connection and silently drops the rest.

Change: one raw REQ socket for each peer and one raw REP listener. Replies under way on a connection are bounded by a window of 48 that the receiver confirms; what does not fit waits in a bounded ring. A socket has exactly one connection in its life, and goes with it, so nothing queued leaves later. Silence is judged by pings only while nothing else is received. Messages that wait for a connection that cannot be made are given back. Messages are encoded by postcard behind a version byte.

Conclusion: 1200 calls of three callers answered in shuffled order all reach their own caller; a successor listener gets nothing twice.

--- a/src/duty/mod.rs
+++ b/src/duty/mod.rs
@@ -1,4 +1,5 @@
 //! The threads that move events and carry out actions.
 
+pub mod peer;
 pub mod problem;
 pub mod web;
--- /dev/null
+++ b/tests/peer_support/mod.rs
@@ -0,0 +1,220 @@
+//! What the tests of the transport have in common.
+
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::time::Duration;
+
+use aspenspring::call::{
+    AnswerFrame, ArmId, AttemptId, CallFrame, ClassRank, HttpRequest, Level, LoadReport, Message,
+    NodeId, RefusalReason, RootId, TraceContext, Verdict,
+};
+use aspenspring::clock::Clock;
+use aspenspring::duty::peer::{
+    self, PeerDuty, PeerEvent, PeerHandle, PeerOptions, ReturnPath, SendError,
+};
+use crossbeam_channel::{Receiver, unbounded};
+
+/// The longest body in these tests.
+pub const BODY_MAX_BYTES: usize = 1 << 20;
+/// When a test gives up waiting; far beyond anything that is expected.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// A running transport whose events wait to be read.
+pub struct Node {
+    /// The transport.
+    duty: PeerDuty,
+    /// What it reported.
+    events: Receiver<PeerEvent>,
+}
+
+/// Settings of one transport.
+pub struct Options {
+    /// The node's number.
+    pub node: u64,
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// How many messages may wait on a connection.
+    pub ring_entries: usize,
+    /// The longest message, in bytes.
+    pub message_max_bytes: usize,
+}
+
+impl Options {
+    /// Listens at a given address.
+    pub fn listen_at(mut self, listen: SocketAddr) -> Self {
+        self.listen = listen;
+        self
+    }
+}
+
+/// The usual settings of node `number`.
+pub fn options(number: u64) -> Options {
+    Options {
+        node: number,
+        listen: loopback(0),
+        ring_entries: 2_048,
+        message_max_bytes: BODY_MAX_BYTES + 65_536,
+    }
+}
+
+/// Starts a transport.
+pub fn start(options: Options) -> Node {
+    let (sender, events) = unbounded();
+    let settings = PeerOptions::builder()
+        .listen(options.listen)
+        .node(node(options.node))
+        .body_max_bytes(BODY_MAX_BYTES)
+        .message_max_bytes(options.message_max_bytes)
+        .ring_entries(options.ring_entries)
+        .ping_every_ms(20)
+        .idle_ping_every_ms(40)
+        .silent_after_ms(200)
+        .build();
+    let sink = move |event| {
+        let _ = sender.send(event);
+    };
+    let duty = peer::start(settings, Clock::start(), sink).expect("the transport starts");
+    Node { duty, events }
+}
+
+impl Node {
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.duty.address()
+    }
+
+    /// A handle to send with.
+    pub fn handle(&self) -> PeerHandle {
+        self.duty.handle()
+    }
+
+    /// Stops it.
+    pub fn stop(self) {
+        self.duty.stop();
+    }
+
+    /// Sends, again while the ring is full.
+    pub fn send_patiently(&self, peer: SocketAddr, message: &Message) {
+        self.until(|| match self.handle().send(peer, message) {
+            Ok(()) => Some(()),
+            Err(SendError::RingFull) => None,
+            Err(error) => panic!("{error}"),
+        });
+    }
+
+    /// Tries until there is a result.
+    pub fn until<T>(&self, mut attempt: impl FnMut() -> Option<T>) -> T {
+        const PAUSE: Duration = Duration::from_millis(1);
+        let tries = PATIENCE.as_millis() / PAUSE.as_millis();
+        for _ in 0..tries {
+            if let Some(result) = attempt() {
+                return result;
+            }
+            std::thread::sleep(PAUSE);
+        }
+        panic!("no result in a very long time");
+    }
+
+    /// Waits for the first event that `is_wanted`; the ones before it are thrown away.
+    pub fn wait_for(&self, what: &str, is_wanted: impl Fn(&PeerEvent) -> bool) -> PeerEvent {
+        loop {
+            let event = self.events.recv_timeout(PATIENCE);
+            let event = event.unwrap_or_else(|_| panic!("no {what} in a very long time"));
+            if is_wanted(&event) {
+                return event;
+            }
+        }
+    }
+
+    /// Waits for `count` requests.
+    pub fn collect_requests(&self, count: usize) -> Vec<(ReturnPath, Message)> {
+        let mut requests = Vec::with_capacity(count);
+        while requests.len() < count {
+            let event =
+                self.wait_for("request", |event| matches!(event, PeerEvent::Request { .. }));
+            let PeerEvent::Request { path, message } = event else { continue };
+            requests.push((path, message));
+        }
+        requests
+    }
+
+    /// Waits for `count` answers.
+    pub fn collect_answers(&self, count: usize) -> Vec<Message> {
+        let is_answer = |event: &PeerEvent| {
+            matches!(event, PeerEvent::Reply { message: Message::Answer(_), .. })
+        };
+        let mut answers = Vec::with_capacity(count);
+        while answers.len() < count {
+            let PeerEvent::Reply { message, .. } = self.wait_for("answer", is_answer) else {
+                continue;
+            };
+            answers.push(message);
+        }
+        answers
+    }
+}
+
+/// Node `number`.
+pub fn node(number: u64) -> NodeId {
+    NodeId(number)
+}
+
+/// A port of loopback.
+pub fn loopback(port: u16) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, port))
+}
+
+/// An address at which nobody listens.
+pub fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind(loopback(0)).expect("loopback has a free port");
+    listener.local_addr().expect("a bound socket has an address")
+}
+
+/// Call number `sequence` of node `origin`, with a body of 1 KiB.
+pub fn call(origin: u64, sequence: u64) -> Message {
+    call_with_body(origin, sequence, 1_024)
+}
+
+/// Call number `sequence` of node `origin`, with a body of `body_bytes`.
+pub fn call_with_body(origin: u64, sequence: u64, body_bytes: usize) -> Message {
+    let class = ClassRank(1);
+    let root = RootId(u128::from(sequence));
+    Message::Call(Box::new(CallFrame {
+        attempt: AttemptId { origin: node(origin), sequence, nonce: 7 },
+        root,
+        entry: Some(node(origin)),
+        class,
+        level: Level::new(class, root),
+        arm: ArmId(0),
+        remaining_us: 5_000_000,
+        depth: 0,
+        retry: 0,
+        service: "souq-stock".to_owned(),
+        key: None,
+        trace: TraceContext { trace_id: root.0, parent_span_id: 1, sampled: false },
+        request: HttpRequest {
+            method: "GET".to_owned(),
+            path: "/items/1".to_owned(),
+            headers: vec![("accept".to_owned(), "application/json".to_owned())],
+            body: vec![b'x'; body_bytes].into(),
+        },
+    }))
+}
+
+/// The answer of node `from` to `attempt`.
+pub fn answer(attempt: AttemptId, from: u64) -> Message {
+    Message::Answer(AnswerFrame {
+        attempt,
+        node: node(from),
+        verdict: Verdict::not_run(RefusalReason::Shed, 10),
+        load: LoadReport::default(),
+    })
+}
+
+/// The attempt that a call or an answer belongs to.
+pub fn attempt_of(message: &Message) -> AttemptId {
+    match message {
+        Message::Call(call) => call.attempt,
+        Message::Answer(answer) => answer.attempt,
+        other => panic!("{other:?} belongs to no attempt"),
+    }
+}
--- /dev/null
+++ b/tests/peer_transport.rs
@@ -0,0 +1,96 @@
+//! Messages between two transports over loopback.
+
+mod peer_support;
+
+use std::collections::HashMap;
+
+use aspenspring::call::Message;
+use aspenspring::duty::peer::{PeerEvent, SendError};
+use peer_support::{answer, attempt_of, call, node, options, start};
+use rand::SeedableRng;
+use rand::seq::SliceRandom;
+
+#[test]
+fn answers_in_any_order_reach_their_caller() {
+    const CALLERS: u64 = 3;
+    const CALLS: u64 = 400;
+    let server = start(options(100));
+    let callers: Vec<_> = (0..CALLERS).map(|index| start(options(index))).collect();
+    for (index, caller) in callers.iter().enumerate() {
+        for sequence in 0..CALLS {
+            caller.send_patiently(server.address(), &call(index as u64, sequence));
+        }
+    }
+    let mut asked = server.collect_requests((CALLERS * CALLS) as usize);
+    let mut rng = rand::rngs::SmallRng::seed_from_u64(7);
+    asked.shuffle(&mut rng);
+    for (path, message) in &asked {
+        let reply = answer(attempt_of(message), 100);
+        server.handle().reply(*path, &reply).expect("the ring has room for every call");
+    }
+    for (index, caller) in callers.iter().enumerate() {
+        let mut seen = HashMap::new();
+        for message in caller.collect_answers(CALLS as usize) {
+            let attempt = attempt_of(&message);
+            assert_eq!(attempt.origin, node(index as u64));
+            *seen.entry(attempt.sequence).or_insert(0) += 1;
+        }
+        assert_eq!(seen.len() as u64, CALLS);
+        assert!(seen.values().all(|&count| count == 1));
+    }
+}
+
+#[test]
+fn a_dead_listener_loses_the_link_and_its_successor_gets_nothing_again() {
+    const CALLS: u64 = 50;
+    let server = start(options(1));
+    let address = server.address();
+    let caller = start(options(2));
+    for sequence in 0..CALLS {
+        caller.send_patiently(address, &call(2, sequence));
+    }
+    let first: Vec<_> = server.collect_requests(CALLS as usize);
+    assert_eq!(first.len() as u64, CALLS);
+    caller.wait_for("link up", |event| matches!(event, PeerEvent::LinkUp { .. }));
+    server.stop();
+    caller.wait_for("link lost", |event| matches!(event, PeerEvent::LinkLost { .. }));
+    let successor = start(options(3).listen_at(address));
+    caller.wait_for("link up again", |event| matches!(event, PeerEvent::LinkUp { .. }));
+    let last = call(2, CALLS);
+    caller.send_patiently(address, &last);
+    let (_, message) = successor.collect_requests(1).remove(0);
+    assert_eq!(message, last, "only what is new reaches the successor");
+}
+
+#[test]
+fn a_message_to_nobody_is_given_back() {
+    let caller = start(options(1));
+    let nobody = peer_support::free_address();
+    let message = call(1, 1);
+    caller.handle().send(nobody, &message).expect("it waits for the connection");
+    let event = caller.wait_for("unsent", |event| matches!(event, PeerEvent::Unsent { .. }));
+    assert_eq!(event, PeerEvent::Unsent { peer: nobody, message: message.clone() });
+    caller.wait_for("link lost", |event| matches!(event, PeerEvent::LinkLost { .. }));
+    let refused = caller.handle().send(nobody, &message);
+    assert_eq!(refused, Err(SendError::Unreachable));
+}
+
+#[test]
+fn a_reply_on_a_closed_connection_is_refused() {
+    let server = start(options(1));
+    let caller = start(options(2));
+    caller.send_patiently(server.address(), &call(2, 1));
+    let (path, message) = server.collect_requests(1).remove(0);
+    caller.stop();
+    let reply = answer(attempt_of(&message), 1);
+    let refused = server.until(|| server.handle().reply(path, &reply).err());
+    assert_eq!(refused, SendError::PathGone);
+}
+
+#[test]
+fn a_message_that_is_too_long_is_refused_at_once() {
+    let caller = start(options(1));
+    let long = Message::Gossip(vec![0; peer_support::BODY_MAX_BYTES + 1].into());
+    let refused = caller.handle().send(peer_support::free_address(), &long);
+    assert!(matches!(refused, Err(SendError::Codec(_))));
+}
