Add stand-ins for the platform, targets and the collector

Cause: nothing could be called, announced to or kept anywhere, so no path could be run as a product.

Change: a table service and an object store with faults (down, slow, lost answers), a target with slots, first-come queue, lanes per policy arm, cancellation, deadline, drain, faults and a count of runs per idempotency key, and a collector of OTLP spans.

Ruled out: rocket's typed routes, since a fault must be able to close the connection whatever the route; binding a free port beforehand, since the server's configuration holds the bound port at liftoff. Truncated answers first lost their status line as well: the server drops what it has not flushed when a body ends early, so the cut body now waits before its end.

Found on the way: rocket 0.5 runs a handler on a task of its own and does not drop it when the caller goes away.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod once;
 pub mod retry;
 pub mod routing;
+pub mod standin;
--- /dev/null
+++ b/src/standin/target/cancel.rs
@@ -0,0 +1,75 @@
+//! Calls that can be cancelled by the handle their node gave them.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use tokio::sync::watch;
+
+/// The calls under way, by handle. A handle may have more than one call.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Cancellations(Arc<Mutex<HashMap<String, Entry>>>);
+
+/// The calls of one handle.
+#[derive(Debug)]
+struct Entry {
+    /// Turns true when they are cancelled.
+    cancelled: watch::Sender<bool>,
+    /// How many calls there are.
+    calls: usize,
+}
+
+/// A call's registration, ended when dropped.
+#[derive(Debug)]
+pub(super) struct Registration {
+    /// Where the call is registered.
+    cancellations: Cancellations,
+    /// Its handle.
+    handle: String,
+    /// Turns true when the call is cancelled.
+    cancelled: watch::Receiver<bool>,
+}
+
+impl Cancellations {
+    /// Registers a call.
+    pub(super) fn register(&self, handle: &str) -> Registration {
+        let mut entries = self.lock();
+        let entry = entries
+            .entry(handle.to_owned())
+            .or_insert_with(|| Entry { cancelled: watch::Sender::new(false), calls: 0 });
+        entry.calls += 1;
+        let cancelled = entry.cancelled.subscribe();
+        Registration { cancellations: self.clone(), handle: handle.to_owned(), cancelled }
+    }
+
+    /// Cancels the calls of a handle and tells whether there were any.
+    pub(super) fn cancel(&self, handle: &str) -> bool {
+        let entries = self.lock();
+        let Some(entry) = entries.get(handle) else { return false };
+        entry.cancelled.send_replace(true);
+        true
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<String, Entry>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Registration {
+    /// Returns when the call is cancelled, and never otherwise.
+    pub(super) async fn cancelled(&mut self) {
+        if self.cancelled.wait_for(|cancelled| *cancelled).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
+impl Drop for Registration {
+    fn drop(&mut self) {
+        let mut entries = self.cancellations.lock();
+        let Some(entry) = entries.get_mut(&self.handle) else { return };
+        entry.calls -= 1;
+        if entry.calls == 0 {
+            entries.remove(&self.handle);
+        }
+    }
+}
--- /dev/null
+++ b/src/standin/target/children.rs
@@ -0,0 +1,91 @@
+//! The calls a target makes to other services, by way of its own node.
+
+use std::net::SocketAddr;
+
+use reqwest::{Client, Method};
+
+use super::call::Call;
+use crate::standin::answer::Answer;
+
+/// Header that ties a target's own calls to the call it is serving.
+const CALL_HEADER: &str = "aspenspring-call";
+/// Headers of the call that its own calls carry on.
+const PASSED_ON: [&str; 2] = [CALL_HEADER, "content-type"];
+/// The status of a target whose own call was refused or timed out.
+const UNAVAILABLE: u16 = 503;
+/// The status of a target whose own call got no usable answer.
+const BAD_GATEWAY: u16 = 502;
+
+/// Why a call to another service gave no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct ChildError {
+    /// The status the target answers with.
+    pub(super) status: u16,
+}
+
+/// Calls every service of `services`, all at once or one after the other, and stops at an error.
+pub(super) async fn call_all(
+    client: &Client,
+    node: SocketAddr,
+    services: &[String],
+    parallel: bool,
+    call: &Call,
+) -> Result<Vec<Answer>, ChildError> {
+    let mut answers = Vec::new();
+    if !parallel {
+        for service in services {
+            answers.push(call_one(client, node, service, call).await?);
+        }
+        return Ok(answers);
+    }
+    let mut running = Vec::new();
+    for service in services {
+        let (client, service, call) = (client.clone(), service.clone(), call.clone());
+        let child = async move { call_one(&client, node, &service, &call).await };
+        running.push(AbortOnDrop(tokio::spawn(child)));
+    }
+    for child in &mut running {
+        let joined = (&mut child.0).await;
+        answers.push(joined.unwrap_or(Err(ChildError { status: BAD_GATEWAY }))?);
+    }
+    Ok(answers)
+}
+
+/// A task that ends with the call it works for.
+struct AbortOnDrop<T>(tokio::task::JoinHandle<T>);
+
+impl<T> Drop for AbortOnDrop<T> {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// Calls one service with the request of the call that is being served.
+async fn call_one(
+    client: &Client,
+    node: SocketAddr,
+    service: &str,
+    call: &Call,
+) -> Result<Answer, ChildError> {
+    let bad_gateway = ChildError { status: BAD_GATEWAY };
+    let method = Method::from_bytes(call.method.as_bytes()).map_err(|_| bad_gateway)?;
+    let url = format!("http://{node}/{service}{}", call.path);
+    let mut request = client.request(method, url).body(call.body.clone());
+    for name in PASSED_ON {
+        let Some(value) = call.header(name) else { continue };
+        request = request.header(name, value);
+    }
+    let answer = request.send().await.map_err(|_| bad_gateway)?;
+    let status = answer.status().as_u16();
+    if matches!(status, 429 | 503 | 504) {
+        return Err(ChildError { status: UNAVAILABLE });
+    }
+    if status != 200 {
+        return Err(bad_gateway);
+    }
+    let answer = answer.json::<Answer>().await.map_err(|_| bad_gateway)?;
+    if answer.service != service {
+        return Err(bad_gateway);
+    }
+    Ok(answer)
+}
