Give the configuration a message of its own between nodes

Cause: membership and configuration each encode their own messages, and one variant could not tell them apart. Change: Message::Configuration. Ruled out: a tag byte inside Gossip, which every reader would have to strip.

--- a/src/call/frame.rs
+++ b/src/call/frame.rs
@@ -135,8 +135,10 @@
         /// Whether one more attempt may be made.
         granted: bool,
     },
-    /// A message of the membership or the configuration, encoded by its own module.
+    /// A message of the membership, encoded by its own module.
     Gossip(Bytes),
+    /// A message of the configuration, encoded by its own module.
+    Configuration(Bytes),
     /// Sent to see whether a connection still carries anything.
     Ping {
         /// The sender, so that the receiver can tell who is there.
