--- a/src/call/codec.rs
+++ b/src/call/codec.rs
@@ -80,7 +80,7 @@
             Verdict::Answered(http) => http.body.len(),
             Verdict::NotRun(_) | Verdict::MayHaveRun(_) => 0,
         },
-        Message::Gossip(payload) => payload.len(),
+        Message::Gossip(payload) | Message::Configuration(payload) => payload.len(),
         Message::Cancel(_)
         | Message::Fence { .. }
         | Message::AskRetry { .. }
--- a/src/duty/peer/link.rs
+++ b/src/duty/peer/link.rs
@@ -394,6 +394,7 @@
         | Message::Cancel(_)
         | Message::RetryGrant { .. }
         | Message::Gossip(_)
+        | Message::Configuration(_)
         | Message::Ping { .. }
         | Message::Pong { .. } => None,
     }
