Add membership, configuration and the store's thread

Ruled out: reading rows at a fixed short interval (2,900 nodes with six services every 12 s would be 1,450 prefix reads a second); gossip to random members of all services (the members of a popular service would receive most of it). Digests go to the own service each second, and the members of a service share the asking of the services they all call.

--- /dev/null
+++ b/src/configuration/document.rs
@@ -0,0 +1,58 @@
+//! An accepted configuration as it stands in the table and travels between nodes.
+
+use serde::{Deserialize, Serialize};
+
+/// How many earlier acceptances a row remembers.
+pub(super) const HISTORY_MAX: usize = 16;
+
+/// One acceptance, without its document.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HistoryEntry {
+    /// The version that was accepted.
+    pub version: u64,
+    /// The random number of the submission, by which its sender recognises it.
+    pub submission: u64,
+    /// Who submitted it.
+    pub by: String,
+    /// When it was submitted, in milliseconds since the Unix epoch.
+    pub at_unix_ms: u64,
+}
+
+/// An accepted configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Accepted {
+    /// What was accepted, when and by whom.
+    pub entry: HistoryEntry,
+    /// The document as JSON text: the base and the overlay of each site.
+    pub document: String,
+    /// Earlier acceptances, the latest first.
+    pub history: Vec<HistoryEntry>,
+}
+
+impl Accepted {
+    /// The version.
+    pub fn version(&self) -> u64 {
+        self.entry.version
+    }
+
+    /// The entry of `submission`, if it was accepted and is still remembered.
+    pub fn find(&self, submission: u64) -> Option<&HistoryEntry> {
+        let mut entries = std::iter::once(&self.entry).chain(&self.history);
+        entries.find(|entry| entry.submission == submission)
+    }
+
+    /// What the history of the next acceptance is.
+    pub(super) fn next_history(&self) -> Vec<HistoryEntry> {
+        let entries = std::iter::once(&self.entry).chain(&self.history);
+        entries.take(HISTORY_MAX).cloned().collect()
+    }
+}
+
+/// The table's row of the configuration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TableRow {
+    /// The version the table service gave the row; not the configuration's version.
+    pub row_version: u64,
+    /// The value.
+    pub accepted: Accepted,
+}
--- a/src/duty/mod.rs
+++ b/src/duty/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod peer;
 pub mod problem;
+pub mod store;
 pub mod web;
