Add the demonstration script and a checking fetch

Cause: the README's first command must bring up a whole site. Change: scripts/demo.sh starts the platform's stand-ins, six nodes and six targets as processes of their own from one base file, one overlay and one generated overlay each, and ends them by process id. 'standin fetch' makes one call and fails unless the answer is whole. Ruled out: checking the answer with curl and grep, which cannot tell a wrong echo.

--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,174 @@
+#!/usr/bin/env bash
+# Builds the project, runs a small site on loopback and serves two calls through it.
+#
+# usage: scripts/demo.sh [--once] [--debug] [--port N]
+#   --once   end after the two calls; fails unless both answers are whole
+#   --debug  build without optimisation
+#   --port   the first of the ports it takes (21000)
+#
+# Every node, target and platform service is a process of its own, started and ended by this script.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+once=false
+profile=release
+port=21000
+while [ $# -gt 0 ]; do
+    case $1 in
+        --once) once=true ;;
+        --debug) profile=debug ;;
+        --port) port=$2; shift ;;
+        *) sed -n '2,9s/^# \{0,1\}//p' "$0" >&2; exit 2 ;;
+    esac
+    shift
+done
+
+# How long the site is given to come up, in tenths of a second.
+readonly START_TENTHS=300
+# The ports a node takes, one after the other: caller, target, peer, operator, then its target's own.
+readonly PORTS_PER_NODE=10
+
+scripts/setup.sh
+if [ "$profile" = release ]; then
+    cargo build --release --locked --quiet
+else
+    cargo build --locked --quiet
+fi
+program=${CARGO_TARGET_DIR:-target}/$profile/aspenspring
+
+work=$(mktemp -d)
+pids=()
+names=()
+
+# Ends everything this script started, in the reverse order, and waits for it.
+finish() {
+    trap '' INT TERM
+    local i
+    for ((i = ${#pids[@]} - 1; i >= 0; i--)); do
+        kill -TERM "${pids[i]}" 2>/dev/null || true
+    done
+    local failed=0 status
+    for ((i = ${#pids[@]} - 1; i >= 0; i--)); do
+        status=0
+        wait "${pids[i]}" || status=$?
+        if [ "$status" != 0 ]; then
+            echo "${names[i]} ended with $status; its last lines:" >&2
+            tail -n 5 "$work/${names[i]}.log" >&2
+            failed=1
+        fi
+    done
+    pids=()
+    rm -rf "$work"
+    return "$failed"
+}
+trap 'finish || true' EXIT
+trap 'exit 130' INT
+trap 'exit 143' TERM
+
+# start NAME ARGUMENTS..: runs the program in the background and remembers its process id.
+start() {
+    local name=$1
+    shift
+    "$program" "$@" >"$work/$name.log" 2>&1 &
+    pids+=($!)
+    names+=("$name")
+}
+
+# Fails when a process has ended that should be running.
+check_running() {
+    local i
+    for i in "${!pids[@]}"; do
+        kill -0 "${pids[i]}" 2>/dev/null && continue
+        echo "${names[i]} has ended; its last lines:" >&2
+        tail -n 20 "$work/${names[i]}.log" >&2
+        exit 1
+    done
+}
+
+# node SERVICE NAME DOMAIN SERVICE_MS [CALLS]: one node and the target beside it.
+next_port=$((port + 10))
+node() {
+    local service=$1 name=$2 domain=$3 service_ms=$4 calls=${5:-}
+    local at=$next_port
+    next_port=$((next_port + PORTS_PER_NODE))
+    cat >"$work/$name.json" <<JSON
+{
+  "node": {
+    "name": "$name",
+    "failure_domain": "$domain",
+    "service": "$service",
+    "caller_listen": "127.0.0.1:$at",
+    "target_listen": "127.0.0.1:$((at + 1))",
+    "peer_listen": "127.0.0.1:$((at + 2))",
+    "operator_listen": "127.0.0.1:$((at + 3))"
+  }
+}
+JSON
+    start "node-$name" node --settings scripts/demo/base.json --settings "$work/site.json" \
+        --settings "$work/$name.json"
+    start "target-$name" standin target --service "$service" --name "$name" \
+        --listen "127.0.0.1:$((at + 4))" --node "127.0.0.1:$((at + 1))" \
+        --service-ms "$service_ms" --seed "$at" --calls "$calls"
+}
+
+sed "s/:21000/:$port/; s/:21001/:$((port + 1))/" scripts/demo/site.json >"$work/site.json"
+ASPENSPRING_OPERATOR_KEY=$(od -An -N16 -tx1 /dev/urandom | tr -d ' \n')
+export ASPENSPRING_OPERATOR_KEY
+
+start table standin table --listen "127.0.0.1:$port"
+start objects standin objects --listen "127.0.0.1:$((port + 1))"
+entry=127.0.0.1:$next_port
+node souq-catalogue catalogue-a amman-hall-a 4 souq-stock
+operator=127.0.0.1:$((port + 13))
+node souq-catalogue catalogue-b amman-hall-b 4 souq-stock
+node souq-stock stock-a amman-hall-a 3 souq-ledger
+node souq-stock stock-b amman-hall-b 3 souq-ledger
+node souq-orders orders-a amman-hall-a 5 souq-stock
+node souq-ledger ledger-a amman-hall-a 2
+
+fetch_page() {
+    "$program" standin fetch --url "http://$entry/souq-catalogue/pages/1" --depth 3
+}
+
+echo "Waiting for ${#pids[@]} processes .."
+tenths=0
+until fetch_page >"$work/fetch.log" 2>&1; do
+    check_running
+    tenths=$((tenths + 1))
+    if [ "$tenths" -ge "$START_TENTHS" ]; then
+        echo "no whole answer within $((START_TENTHS / 10)) s:" >&2
+        cat "$work/fetch.log" >&2
+        exit 1
+    fi
+    sleep 0.1
+done
+
+echo
+echo "A catalogue page, through three services:"
+fetch_page
+echo
+echo "An order confirmation, which runs at most once:"
+"$program" standin fetch --url "http://$entry/souq-orders/orders/7/confirm" --depth 3 \
+    --method POST --body '{"order":7}'
+check_running
+
+if [ "$once" = true ]; then
+    trap - EXIT
+    finish
+    echo
+    echo "Everything has ended."
+    exit 0
+fi
+cat <<TEXT
+
+The site is up. By hand:
+  curl -i http://$entry/souq-catalogue/pages/1
+  curl -i -X POST -H 'aspenspring-deadline-ms: 1000' -d '{"order":8}' http://$entry/souq-orders/orders/8/confirm
+  curl -s -H "Authorization: Bearer $ASPENSPRING_OPERATOR_KEY" http://$operator/metrics
+Settings and logs of the processes are in $work.
+Ctrl-C ends all ${#pids[@]} processes.
+TEXT
+while true; do
+    check_running
+    sleep 1
+done
--- a/src/standin/cli.rs
+++ b/src/standin/cli.rs
@@ -6,8 +6,11 @@
 
 use argh::FromArgs;
 use eyre::{Result, WrapErr, eyre};
+use reqwest::{Method, Url};
 use tokio::signal::unix::{SignalKind, signal};
 
+use super::client::client;
+use super::fetch::Fetch;
 use super::target::{Target, TargetSettings};
 use super::{Server, collector, platform};
 
@@ -36,6 +39,8 @@
     Target(TargetArgs),
     /// The collector of traces.
     Collector(CollectorArgs),
+    /// One call of an outside caller.
+    Fetch(FetchArgs),
 }
 
 /// the platform's table service, in memory
@@ -110,6 +115,30 @@
     pub cold_ms: u64,
 }
 
+/// one call of an outside caller; fails unless the answer is whole and correct
+#[derive(FromArgs, Debug, PartialEq)]
+#[argh(subcommand, name = "fetch")]
+pub struct FetchArgs {
+    /// where: http://caller_listen/service/path
+    #[argh(option)]
+    pub url: Url,
+    /// the method (GET)
+    #[argh(option, default = "Method::GET")]
+    pub method: Method,
+    /// the body (empty)
+    #[argh(option, default = "String::new()")]
+    pub body: String,
+    /// a header as name=value; may be repeated
+    #[argh(option)]
+    pub header: Vec<String>,
+    /// how many services deep the answer must be (1)
+    #[argh(option, default = "1")]
+    pub depth: usize,
+    /// how long to wait, in milliseconds (10000)
+    #[argh(option, default = "10_000")]
+    pub timeout_ms: u64,
+}
+
 /// Names between commas.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Names(pub Vec<String>);
@@ -157,6 +186,7 @@
             run_server(&runtime, "collector", collector::start(args.listen)?)
         }
         StandinKind::Target(args) => run_target(&runtime, args),
+        StandinKind::Fetch(args) => runtime.block_on(run_fetch(args)),
     }
 }
 
@@ -196,6 +226,29 @@
     })
 }
 
+/// Makes one call and prints who worked for its answer.
+async fn run_fetch(args: &FetchArgs) -> Result<()> {
+    let mut headers = Vec::new();
+    for header in &args.header {
+        let Some((name, value)) = header.split_once('=') else {
+            return Err(eyre!("{header:?} is not name=value"));
+        };
+        headers.push((name.to_owned(), value.to_owned()));
+    }
+    let (method, url) = (args.method.clone(), args.url.clone());
+    let fetch = Fetch { method, url, body: args.body.clone().into_bytes(), headers };
+    let client = client(Duration::from_millis(args.timeout_ms))?;
+    let fetched = fetch.run(&client).await?;
+    let depth = fetched.answer.depth();
+    if depth < args.depth {
+        return Err(eyre!("the answer is {depth} services deep, not {}", args.depth));
+    }
+    println!("{} {}", args.method, args.url);
+    println!("  whole and correct after {:.1} ms", fetched.took.as_secs_f64() * 1_000.0);
+    println!("  by {}", fetched.answer.targets().join(" -> "));
+    Ok(())
+}
+
 /// Returns when the process is told to stop.
 async fn told_to_stop() -> Result<()> {
     let mut interrupt = signal(SignalKind::interrupt()).wrap_err("cannot listen for SIGINT")?;
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -8,6 +8,7 @@
 pub mod client;
 pub mod collector;
 pub mod exchange;
+pub mod fetch;
 pub mod platform;
 pub mod server;
 pub mod target;
