--- a/src/standin/cli.rs
+++ b/src/standin/cli.rs
@@ -4,7 +4,7 @@
 use std::str::FromStr;
 use std::time::Duration;
 
-use argh::FromArgs;
+use argh::{ArgsInfo, FromArgs};
 use eyre::{Result, WrapErr, eyre};
 use reqwest::{Method, Url};
 use tokio::signal::unix::{SignalKind, signal};
@@ -19,7 +19,7 @@
 
 /// run a small stand-in for something around a site: the platform's services, targets, the
 /// collector of traces
-#[derive(FromArgs, Debug, PartialEq)]
+#[derive(FromArgs, ArgsInfo, Debug, PartialEq)]
 #[argh(subcommand, name = "standin")]
 pub struct StandinArgs {
     /// which one
@@ -28,7 +28,7 @@
 }
 
 /// Which stand-in to run.
-#[derive(FromArgs, Debug, PartialEq)]
+#[derive(FromArgs, ArgsInfo, Debug, PartialEq)]
 #[argh(subcommand)]
 pub enum StandinKind {
     /// The table service.
@@ -44,7 +44,7 @@
 }
 
 /// the platform's table service, in memory
-#[derive(FromArgs, Debug, PartialEq)]
+#[derive(FromArgs, ArgsInfo, Debug, PartialEq)]
 #[argh(subcommand, name = "table")]
 pub struct TableArgs {
     /// where to listen, as ip:port
@@ -53,7 +53,7 @@
 }
 
 /// the platform's object store, in memory
-#[derive(FromArgs, Debug, PartialEq)]
+#[derive(FromArgs, ArgsInfo, Debug, PartialEq)]
 #[argh(subcommand, name = "objects")]
 pub struct ObjectsArgs {
     /// where to listen, as ip:port
@@ -62,7 +62,7 @@
 }
 
 /// the operators' collector of traces (OTLP over HTTP in JSON)
-#[derive(FromArgs, Debug, PartialEq)]
+#[derive(FromArgs, ArgsInfo, Debug, PartialEq)]
 #[argh(subcommand, name = "collector")]
 pub struct CollectorArgs {
     /// where to listen, as ip:port
@@ -71,7 +71,7 @@
 }
 
 /// one target of a service
-#[derive(FromArgs, Debug, PartialEq)]
+#[derive(FromArgs, ArgsInfo, Debug, PartialEq)]
 #[argh(subcommand, name = "target")]
 pub struct TargetArgs {
     /// the service it belongs to
@@ -116,7 +116,7 @@
 }
 
 /// one call of an outside caller; fails unless the answer is whole and correct
-#[derive(FromArgs, Debug, PartialEq)]
+#[derive(FromArgs, ArgsInfo, Debug, PartialEq)]
 #[argh(subcommand, name = "fetch")]
 pub struct FetchArgs {
     /// where: http://caller_listen/service/path
