--- a/src/duty/mod.rs
+++ b/src/duty/mod.rs
@@ -1,5 +1,6 @@
 //! The threads that move events and carry out actions.
 
+pub mod operator;
 pub mod peer;
 pub mod problem;
 pub mod store;
--- a/src/duty/problem.rs
+++ b/src/duty/problem.rs
@@ -103,6 +103,10 @@
 
 fn catch_any<'r>(status: Status, request: &'r Request<'_>) -> catcher::BoxFuture<'r> {
     let title = status.reason().unwrap_or("Error");
-    let answer = Problem::new(status.code, title).respond_to(request);
+    let mut problem = Problem::new(status.code, title);
+    if status == Status::Unauthorized {
+        problem = problem.header("www-authenticate", "Bearer");
+    }
+    let answer = problem.respond_to(request);
     Box::pin(async move { answer })
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod retry;
 pub mod routing;
 pub mod standin;
+pub mod telemetry;
--- /dev/null
+++ b/src/telemetry/metrics/calls.rs
@@ -0,0 +1,328 @@
+//! The handles of the thread that decides about calls, cached by their labels.
+
+use std::collections::HashMap;
+
+use ::metrics::{Counter, Gauge, Histogram};
+
+use super::{Metrics, names};
+use crate::call::{ArmId, ClassRank, Level, LoadReport};
+use crate::clock::US_PER_S;
+use crate::config::Rules;
+
+/// The label of a class or an arm that the rules in force do not know.
+const UNKNOWN: &str = "unknown";
+
+/// The names that stand for ranks and numbers in labels.
+#[derive(Clone, Debug, Default)]
+pub struct LabelNames {
+    classes: HashMap<ClassRank, String>,
+    arms: HashMap<ArmId, String>,
+}
+
+impl LabelNames {
+    /// The names in `rules`.
+    pub fn new(rules: &Rules) -> Self {
+        let mut names = Self::default();
+        for class in &rules.classes {
+            names.classes.insert(ClassRank(class.rank), class.name.clone());
+        }
+        for arm in &rules.arms {
+            names.arms.insert(ArmId(arm.id), arm.name.clone());
+        }
+        names
+    }
+
+    fn class(&self, class: ClassRank) -> &str {
+        self.classes.get(&class).map_or(UNKNOWN, String::as_str)
+    }
+
+    fn arm(&self, arm: ArmId) -> &str {
+        self.arms.get(&arm).map_or(UNKNOWN, String::as_str)
+    }
+}
+
+/// Where a whole call came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum CallSource {
+    /// An outside caller.
+    Caller,
+    /// The target beside the node.
+    Target,
+}
+
+impl CallSource {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Caller => "caller",
+            Self::Target => "target",
+        }
+    }
+}
+
+/// What became of a call, as its names appear in headers and bodies.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Outcome {
+    /// `answered`, `not-run` or `may-have-run`.
+    pub verdict: &'static str,
+    /// The reason of a refusal or a doubt; the class of the status (`2xx`) for an answer.
+    pub reason: &'static str,
+}
+
+/// What became of the wish for one more attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum RetryOutcome {
+    /// It was made.
+    Granted,
+    /// The allowance of the root is used up.
+    Allowance,
+    /// The node's own budget is used up.
+    Budget,
+    /// The entry node, which holds the allowance, did not answer.
+    EntryAway,
+    /// There was not enough time left.
+    Deadline,
+    /// The attempt may have run, and the call is not idempotent.
+    MayHaveRun,
+}
+
+impl RetryOutcome {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Granted => "granted",
+            Self::Allowance => "allowance",
+            Self::Budget => "budget",
+            Self::EntryAway => "entry_away",
+            Self::Deadline => "deadline",
+            Self::MayHaveRun => "may_have_run",
+        }
+    }
+}
+
+/// The load of one arm at the target beside the node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ArmLoad {
+    /// Calls the target is running.
+    pub running: u32,
+    /// Calls waiting.
+    pub queued: u32,
+    /// How many calls may run at once.
+    pub limit: u32,
+    /// Calls below this level are refused.
+    pub floor: Level,
+}
+
+impl From<LoadReport> for ArmLoad {
+    fn from(report: LoadReport) -> Self {
+        let LoadReport { running, queued, limit, floor, .. } = report;
+        Self { running, queued, limit, floor }
+    }
+}
+
+/// The gauges of one arm.
+#[derive(Debug)]
+struct ArmGauges {
+    running: Gauge,
+    queued: Gauge,
+    limit: Gauge,
+    floor: Gauge,
+}
+
+/// The counter and the histogram of whole calls.
+type CallKey = (CallSource, ClassRank, ArmId);
+type ServiceKey<T> = (ArmId, T);
+
+/// Counts calls and attempts; owned by the thread that decides about them.
+#[derive(Debug)]
+pub struct CallMetrics {
+    metrics: Metrics,
+    names: LabelNames,
+    calls: HashMap<(CallKey, Outcome), Counter>,
+    durations: HashMap<CallKey, Histogram>,
+    added: HashMap<ArmId, Histogram>,
+    /// By service, so that a look-up needs no owned name.
+    attempts: HashMap<String, HashMap<ServiceKey<Outcome>, Counter>>,
+    retries: HashMap<String, HashMap<ServiceKey<RetryOutcome>, Counter>>,
+    received: HashMap<(ClassRank, ArmId, Outcome), Counter>,
+    busy: HashMap<(ClassRank, ArmId), Counter>,
+    wasted: HashMap<(ClassRank, ArmId), Counter>,
+    loads: HashMap<ArmId, ArmGauges>,
+    members: HashMap<String, Gauge>,
+    config_version: Gauge,
+}
+
+impl CallMetrics {
+    pub(super) fn new(metrics: Metrics, names: LabelNames) -> Self {
+        let config_version = metrics.gauge(names::CONFIG_VERSION);
+        Self {
+            metrics,
+            names,
+            calls: HashMap::new(),
+            durations: HashMap::new(),
+            added: HashMap::new(),
+            attempts: HashMap::new(),
+            retries: HashMap::new(),
+            received: HashMap::new(),
+            busy: HashMap::new(),
+            wasted: HashMap::new(),
+            loads: HashMap::new(),
+            members: HashMap::new(),
+            config_version,
+        }
+    }
+
+    /// Takes the names of a new configuration; what is counted from now on carries them.
+    pub fn set_config(&mut self, config_version: u64, names: LabelNames) {
+        // An arm that is no longer in force has no load; its last one must not stay on view.
+        for gauges in self.loads.values() {
+            gauges.set(&ArmLoad { running: 0, queued: 0, limit: 0, floor: Level::LOWEST });
+        }
+        *self = Self::new(self.metrics.clone(), names);
+        self.config_version.set(config_version as f64);
+    }
+
+    /// Counts a whole call that has ended.
+    pub fn call_ended(
+        &mut self,
+        from: CallSource,
+        class: ClassRank,
+        arm: ArmId,
+        outcome: Outcome,
+        took_us: u64,
+    ) {
+        let Self { metrics, names, .. } = self;
+        let labels =
+            || [("from", from.label()), ("class", names.class(class)), ("arm", names.arm(arm))];
+        let key = (from, class, arm);
+        let calls = self.calls.entry((key, outcome)).or_insert_with(|| {
+            let [from, class, arm] = labels();
+            let Outcome { verdict, reason } = outcome;
+            let labels = [from, class, arm, ("verdict", verdict), ("reason", reason)];
+            metrics.counter_with(names::CALLS_TOTAL, &labels)
+        });
+        calls.increment(1);
+        let durations = self
+            .durations
+            .entry(key)
+            .or_insert_with(|| metrics.histogram_with(names::CALL_DURATION_SECONDS, &labels()));
+        durations.record(seconds(took_us));
+    }
+
+    /// Records the time that was added to an answered call.
+    pub fn latency_added(&mut self, arm: ArmId, added_us: u64) {
+        let Self { metrics, names, .. } = self;
+        let added = self.added.entry(arm).or_insert_with(|| {
+            metrics.histogram_with(names::ADDED_LATENCY_SECONDS, &[("arm", names.arm(arm))])
+        });
+        added.record(seconds(added_us));
+    }
+
+    /// Counts an attempt that was sent and has ended.
+    pub fn attempt_ended(&mut self, service: &str, arm: ArmId, outcome: Outcome) {
+        let Self { metrics, names, .. } = self;
+        let attempts = of_service(&mut self.attempts, service);
+        let attempts = attempts.entry((arm, outcome)).or_insert_with(|| {
+            let Outcome { verdict, reason } = outcome;
+            let labels = [
+                ("service", service),
+                ("arm", names.arm(arm)),
+                ("verdict", verdict),
+                ("reason", reason),
+            ];
+            metrics.counter_with(names::ATTEMPTS_TOTAL, &labels)
+        });
+        attempts.increment(1);
+    }
+
+    /// Counts the wish for one more attempt.
+    pub fn retry_decided(&mut self, service: &str, arm: ArmId, outcome: RetryOutcome) {
+        let Self { metrics, names, .. } = self;
+        let retries = of_service(&mut self.retries, service);
+        let retries = retries.entry((arm, outcome)).or_insert_with(|| {
+            let labels =
+                [("service", service), ("arm", names.arm(arm)), ("outcome", outcome.label())];
+            metrics.counter_with(names::RETRIES_TOTAL, &labels)
+        });
+        retries.increment(1);
+    }
+
+    /// Counts an attempt that was received and has ended.
+    pub fn received_ended(&mut self, class: ClassRank, arm: ArmId, outcome: Outcome) {
+        let Self { metrics, names, .. } = self;
+        let received = self.received.entry((class, arm, outcome)).or_insert_with(|| {
+            let Outcome { verdict, reason } = outcome;
+            let labels = [
+                ("class", names.class(class)),
+                ("arm", names.arm(arm)),
+                ("verdict", verdict),
+                ("reason", reason),
+            ];
+            metrics.counter_with(names::RECEIVED_TOTAL, &labels)
+        });
+        received.increment(1);
+    }
+
+    /// Adds the time the target spent on a call, and whether it was spent in vain.
+    pub fn target_ended(&mut self, class: ClassRank, arm: ArmId, took_us: u64, wasted: bool) {
+        let Self { metrics, names, .. } = self;
+        let labels = || [("class", names.class(class)), ("arm", names.arm(arm))];
+        let busy = self.busy.entry((class, arm)).or_insert_with(|| {
+            metrics.counter_with(names::TARGET_BUSY_MICROSECONDS_TOTAL, &labels())
+        });
+        busy.increment(took_us);
+        if !wasted {
+            return;
+        }
+        let lost = self.wasted.entry((class, arm)).or_insert_with(|| {
+            metrics.counter_with(names::TARGET_WASTED_MICROSECONDS_TOTAL, &labels())
+        });
+        lost.increment(took_us);
+    }
+
+    /// Shows the load of an arm; to be called now and then, not for each call.
+    pub fn arm_load(&mut self, arm: ArmId, load: &ArmLoad) {
+        let Self { metrics, names, .. } = self;
+        let gauges = self.loads.entry(arm).or_insert_with(|| {
+            let labels = [("arm", names.arm(arm))];
+            ArmGauges {
+                running: metrics.gauge_with(names::RUNNING, &labels),
+                queued: metrics.gauge_with(names::QUEUED, &labels),
+                limit: metrics.gauge_with(names::LIMIT, &labels),
+                floor: metrics.gauge_with(names::FLOOR, &labels),
+            }
+        });
+        gauges.set(load);
+    }
+
+    /// Shows how many nodes of a service are known.
+    pub fn members(&mut self, service: &str, members: usize) {
+        if !self.members.contains_key(service) {
+            let gauge = self.metrics.gauge_with(names::MEMBERS, &[("service", service)]);
+            self.members.insert(service.to_owned(), gauge);
+        }
+        self.members[service].set(members as f64);
+    }
+}
+
+impl ArmGauges {
+    fn set(&self, load: &ArmLoad) {
+        self.running.set(f64::from(load.running));
+        self.queued.set(f64::from(load.queued));
+        self.limit.set(f64::from(load.limit));
+        self.floor.set(f64::from(load.floor.0));
+    }
+}
+
+/// The inner map of a service, without an owned name where it is there already.
+fn of_service<'a, K>(
+    by_service: &'a mut HashMap<String, HashMap<K, Counter>>,
+    service: &str,
+) -> &'a mut HashMap<K, Counter> {
+    if !by_service.contains_key(service) {
+        by_service.insert(service.to_owned(), HashMap::new());
+    }
+    by_service.get_mut(service).expect("was inserted just now")
+}
+
+fn seconds(duration_us: u64) -> f64 {
+    duration_us as f64 / US_PER_S as f64
+}
