--- a/src/duty/problem.rs
+++ b/src/duty/problem.rs
@@ -26,6 +26,14 @@
     /// When asking again makes sense, in milliseconds; also sent as `Retry-After` in whole seconds.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub retry_after_ms: Option<u64>,
+    /// What only some problems have; boxed to keep results small.
+    #[serde(flatten)]
+    pub extra: Box<ProblemExtra>,
+}
+
+/// What only some problems have.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct ProblemExtra {
     /// Further members of the body.
     #[serde(flatten)]
     pub members: Map<String, Value>,
@@ -43,8 +51,7 @@
             status,
             detail: None,
             retry_after_ms: None,
-            members: Map::new(),
-            headers: Vec::new(),
+            extra: Box::default(),
         }
     }
 
@@ -68,13 +75,13 @@
 
     /// Adds a member to the body.
     pub fn member(mut self, name: impl Into<String>, value: impl Into<Value>) -> Self {
-        self.members.insert(name.into(), value.into());
+        self.extra.members.insert(name.into(), value.into());
         self
     }
 
     /// Adds a header to the answer.
     pub fn header(mut self, name: impl Into<String>, value: impl Into<String>) -> Self {
-        self.headers.push((name.into(), value.into()));
+        self.extra.headers.push((name.into(), value.into()));
         self
     }
 }
@@ -89,7 +96,7 @@
             let retry_after_s = retry_after_ms.div_ceil(MS_PER_S);
             builder.header(Header::new("retry-after", retry_after_s.to_string()));
         }
-        for (name, value) in self.headers {
+        for (name, value) in self.extra.headers {
             builder.header(Header::new(name, value));
         }
         Ok(builder.sized_body(body.len(), std::io::Cursor::new(body)).finalize())
--- a/tests/telemetry_metrics.rs
+++ b/tests/telemetry_metrics.rs
@@ -50,9 +50,7 @@
     );
     has(
         &text,
-        concat!(
-            "aspenspring_target_wasted_microseconds_total{class=\"unknown\",arm=\"unknown\"} 1500"
-        ),
+        "aspenspring_target_wasted_microseconds_total{class=\"unknown\",arm=\"unknown\"} 1500",
     );
     has(&text, "aspenspring_added_latency_seconds_bucket{arm=\"unknown\",le=\"0.0014\"} 0");
     has(&text, "aspenspring_added_latency_seconds_bucket{arm=\"unknown\",le=\"0.0018\"} 1");
