Give each target its turn unless another is clearly better

Cause: the better of two random targets ran hotter than plain turns among equal targets.

Change: the target in turn is kept unless one drawn at random undercuts its cost by 15%; reports of other senders' load are smoothed; a target within 1.5 times the usual is taken to be well, since small differences decide every comparison between idle targets and starved it. Errors are measured against the least of the service, so that one good target among many bad ones is found. Calls below the floor of all targets in good standing no longer go to an ejected one, whose floor is low only because it is not asked.

Faults found by the property test: a target put again with another failure domain lost its lost connection and was picked; a call exactly at a fading floor was refused. Both were seen to fail first.

--- a/src/routing/arms.rs
+++ b/src/routing/arms.rs
@@ -25,8 +25,7 @@
     pub fn new(rules: &Rules) -> Self {
         let mut policies = Vec::with_capacity(rules.arms.len());
         for arm in &rules.arms {
-            let Some(policy) = rules.policies.iter().find(|policy| policy.name == arm.policy)
-            else {
+            let Some(policy) = rules.policy(&arm.policy) else {
                 continue;
             };
             policies.push(ArmPolicy {
@@ -47,10 +46,15 @@
         Self(policies)
     }
 
-    /// The place of `arm` among the arms. An arm of rules that this node does not have yet is
-    /// treated like the first one.
+    /// The place of `arm` among the arms, if it is in force.
+    pub fn place(&self, arm: ArmId) -> Option<usize> {
+        self.0.iter().position(|policy| policy.id == arm)
+    }
+
+    /// The place of the arm whose policy decides for `arm`: the first one where `arm` is not in
+    /// force here.
     pub fn index(&self, arm: ArmId) -> usize {
-        self.0.iter().position(|policy| policy.id == arm).unwrap_or(0)
+        self.place(arm).unwrap_or(0)
     }
 
     /// The policy at `index`.
@@ -67,7 +71,7 @@
     pub fn places_in(&self, old: &ArmPolicies) -> Vec<Option<usize>> {
         let mut places = Vec::with_capacity(self.0.len());
         for policy in &self.0 {
-            places.push(old.0.iter().position(|before| before.id == policy.id));
+            places.push(old.place(policy.id));
         }
         places
     }
--- a/src/routing/cost.rs
+++ b/src/routing/cost.rs
@@ -10,6 +10,10 @@
 const NEAR_BONUS_ENDS: f64 = 0.8;
 /// How much a target that always fails is made to look worse, beside being ejected.
 const ERROR_FACTOR: f64 = 3.0;
+/// A target that is worse than usual by no more than this factor is taken to be well.
+const ILLNESS_TOLERANCE: f64 = 1.5;
+/// By what part of its cost a target must be undercut to lose its turn.
+const CLEAR_MARGIN: f64 = 0.15;
 /// The share a target gets at the very beginning of its warm-up.
 const WARM_UP_START: f64 = 0.1;
 /// The share a target gets at first when it is let in again.
@@ -22,7 +26,7 @@
 pub(super) struct Usual {
     /// The median of the smoothed latencies, in microseconds; 0 where there is none.
     pub latency_us: f32,
-    /// The median of the smoothed shares of errors.
+    /// The least of the smoothed shares of errors.
     pub errors: f32,
 }
 
@@ -64,8 +68,8 @@
         let arm_slots = f64::from(target.slots) * terms.arm_share;
         let capacity = record.capacity(terms.now_us, arm_slots);
         let utilisation = record.load(terms.now_us) / capacity;
-        let degradation = slowness(record, terms) * unreliability(record, terms)
-            / (warmth(target, terms) * ramp(record, terms.now_us));
+        let degradation =
+            illness(record, terms) / (warmth(target, terms) * ramp(record, terms.now_us));
         let total = (utilisation + 1.0 / capacity) * degradation;
         Self { total, utilisation, degradation, near: target.near }
     }
@@ -80,6 +84,12 @@
         self.total - self.near_bonus() < other.total - other.near_bonus()
     }
 
+    /// Whether a target of this cost is better by more than the reports can be trusted.
+    pub fn clearly_beats(&self, other: &Cost) -> bool {
+        let margin = CLEAR_MARGIN * other.total;
+        self.total - self.near_bonus() < other.total - other.near_bonus() - margin
+    }
+
     /// What nearness is worth: less the busier the target is, and nothing for one that is ill.
     fn near_bonus(&self) -> f64 {
         if !self.near {
@@ -91,6 +101,15 @@
     }
 }
 
+/// How much worse than usual the target has been, at least 1.
+///
+/// Small differences are noise, and count nothing: between idle targets they would decide every
+/// time, and the one that looked a little worse would get no call that could show otherwise.
+fn illness(record: &ArmRecord, terms: &Terms) -> f64 {
+    let seen = slowness(record, terms) * unreliability(record, terms) / ILLNESS_TOLERANCE;
+    1.0 + (seen - 1.0).max(0.0) * record.memory(terms.now_us)
+}
+
 /// The latency as a multiple of the usual one, at least 1.
 fn slowness(record: &ArmRecord, terms: &Terms) -> f64 {
     let usual_us = terms.usual.latency_us;
--- a/src/routing/floor.rs
+++ b/src/routing/floor.rs
@@ -86,12 +86,12 @@
 
     /// How long until the faded floor no longer exceeds `level`.
     fn opens_in_us(&self, now_us: u64, level: Level) -> u64 {
-        if level >= self.level {
+        if level >= self.faded(now_us) {
             return 0;
         }
         let missing = u64::from(self.level.0 - level.0);
         let sunk_us = (missing * FADE_US).div_ceil(u64::from(self.level.0));
         let opens_us = self.at_us + HOLD_US + sunk_us;
-        opens_us.saturating_sub(now_us)
+        opens_us.saturating_sub(now_us).max(1)
     }
 }
--- a/src/routing/health.rs
+++ b/src/routing/health.rs
@@ -8,10 +8,14 @@
 const STRAGGLER_RATIO: f32 = 3.0;
 /// Differences of latency below this never make a straggler, in microseconds.
 const STRAGGLER_EXCESS_US: f32 = 2_000.0;
-/// A share of errors this far above the usual one is too much.
-const ERROR_EXCESS: f32 = 0.3;
+/// A share of errors this far above the least one is too much. Smoothed shares of targets that all
+/// fail half of their calls differ by less.
+const ERROR_EXCESS: f32 = 0.5;
 /// Fewer answers than this do not judge a latency.
 const SAMPLES_MIN: u8 = 2;
+/// Silence of a target ejects it only while at least so many attempts wait for it; a single one may
+/// just be a long one.
+const SILENT_ATTEMPTS_MIN: u32 = 3;
 /// A probe answered within this many times the usual latency is a good one.
 const GOOD_PROBE_RATIO: f32 = 2.0;
 /// Good probes in a row that let a target in again.
@@ -73,7 +77,7 @@
         return;
     }
     readmit(record, now_us);
-    record.latency_us = latency_us as f32;
+    record.latency_us = usual.latency_us.min(latency_us as f32);
 }
 
 /// Lets a target in again with a clean record.
@@ -98,26 +102,31 @@
 
 /// The latency as a multiple of the one that makes a straggler.
 fn lateness(record: &ArmRecord, now_us: u64, usual: Usual) -> f32 {
-    let judged = record.samples >= SAMPLES_MIN || record.outstanding > 0;
-    if !judged || usual.latency_us <= 0.0 {
+    if usual.latency_us <= 0.0 {
         return 0.0;
     }
     let limit_us = (usual.latency_us * STRAGGLER_RATIO).max(usual.latency_us + STRAGGLER_EXCESS_US);
-    record.apparent_latency_us(now_us) / limit_us
+    if record.outstanding >= SILENT_ATTEMPTS_MIN {
+        return record.apparent_latency_us(now_us) / limit_us;
+    }
+    if record.samples >= SAMPLES_MIN { record.latency_us / limit_us } else { 0.0 }
 }
 
-/// What is usual among `records`: the lower medians, so that with two targets the better one is
-/// the measure.
+/// What is usual among `records`: the lower median of latencies, so that with two targets the better
+/// one is the measure, and the least errors, so that one good target among many bad ones is found.
 pub(super) fn usual<'a>(records: impl Iterator<Item = &'a ArmRecord>) -> Usual {
     let mut latencies_us = Vec::new();
-    let mut errors = Vec::new();
+    let mut errors = f32::MAX;
     for record in records {
-        errors.push(record.errors);
+        errors = errors.min(record.errors);
         if record.samples > 0 {
             latencies_us.push(record.latency_us);
         }
     }
-    Usual { latency_us: lower_median(&mut latencies_us), errors: lower_median(&mut errors) }
+    Usual {
+        latency_us: lower_median(&mut latencies_us),
+        errors: if errors < f32::MAX { errors } else { 0.0 },
+    }
 }
 
 /// The lower median of `values`, or 0 where there is none.
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -10,6 +10,7 @@
 mod observe;
 mod pick;
 mod record;
+mod review;
 mod router;
 mod subset;
 mod target;
--- a/src/routing/observe.rs
+++ b/src/routing/observe.rs
@@ -11,8 +11,12 @@
 
 impl Router {
     /// Counts an attempt of `arm` that is sent to `node`.
+    ///
+    /// Attempts of arms that are not in force here are neither counted nor learnt from.
     pub fn sent(&mut self, now_us: u64, node: NodeId, arm: ArmId) {
-        let arm = self.policies.index(arm);
+        let Some(arm) = self.policies.place(arm) else {
+            return;
+        };
         let arms = self.policies.len();
         if let Some(target) = self.target_mut(node) {
             target.record_mut(arm, arms).sent(now_us);
@@ -21,7 +25,13 @@
 
     /// Takes in how an attempt that was sent to `node` was settled.
     pub fn observed(&mut self, now_us: u64, node: NodeId, seen: &Observation) {
-        let arm = self.policies.index(seen.arm);
+        let leaving = seen.load.is_some_and(|load: LoadReport| load.leaving);
+        if leaving || seen.outcome == Outcome::Refused(RefusalReason::Leaving) {
+            self.set_leaving(node);
+        }
+        let Some(arm) = self.policies.place(seen.arm) else {
+            return;
+        };
         let arms = self.policies.len();
         let Some(&slot) = self.slots.get(&node) else {
             return;
@@ -62,10 +72,6 @@
                 }
             }
         }
-        let leaving = seen.load.is_some_and(|load: LoadReport| load.leaving);
-        if leaving || seen.outcome == Outcome::Refused(RefusalReason::Leaving) {
-            self.set_leaving(node);
-        }
     }
 
     /// What operators see, in the order of services and nodes.
--- a/src/routing/pick.rs
+++ b/src/routing/pick.rs
@@ -4,18 +4,13 @@
 
 use super::arms::ArmPolicy;
 use super::cost::{Cost, Terms};
-use super::health::{self, Ejection};
-use super::record::ArmRecord;
+use super::health::Ejection;
 use super::router::{Pick, Router, Service};
 use super::target::Target;
 use crate::call::{ArmId, ClassRank, Level, NodeId, Refusal, RefusalReason};
 use crate::clock::US_PER_MS;
 use crate::config::TargetChoice;
 
-/// The time after which what is usual is worked out again.
-const REVIEW_US: u64 = 20 * US_PER_MS;
-/// The number of settled attempts after which what is usual is worked out again.
-const REVIEW_ATTEMPTS: u32 = 8;
 /// A probe this late is made by any call, also by one that must run at most once.
 const PROBE_OVERDUE_US: u64 = 2_000 * US_PER_MS;
 /// The least Retry-After, in milliseconds.
@@ -72,12 +67,40 @@
         if !self.policies.get(arm).refuse_early {
             return Level::LOWEST;
         }
-        let mut lowest = None;
+        let service = &self.services[place];
+        let targets = self.active_targets(service);
+        let well = targets.filter(|target| !is_ejected(target, arm));
+        if let Some(floor) = well.map(|target| floor_of(target, now_us, arm, class)).min() {
+            return floor;
+        }
+        let floors =
+            self.active_targets(service).map(|target| floor_of(target, now_us, arm, class));
+        floors.min().unwrap_or(Level::LOWEST)
+    }
+
+    /// Whether a target is known that would take the attempt now.
+    pub fn may_pick(&self, now_us: u64, ask: &Pick<'_>) -> bool {
+        let Some(&place) = self.service_places.get(ask.service) else {
+            return false;
+        };
+        let arm = self.policies.index(ask.arm);
+        let policy = self.policies.get(arm);
         for target in self.active_targets(&self.services[place]) {
-            let floor = floor_of(target, now_us, arm, class);
-            lowest = Some(lowest.map_or(floor, |lowest: Level| lowest.min(floor)));
+            let avoided = ask.avoid.contains(&target.node);
+            if !avoided && closed_for_us(target, now_us, arm, policy, ask) == 0 {
+                return true;
+            }
         }
-        lowest.unwrap_or(Level::LOWEST)
+        false
+    }
+
+    /// The median of what the targets of `service` take for a call, in microseconds; 0 where
+    /// nothing is known yet.
+    pub fn usual_latency_us(&self, service: &str, arm: ArmId) -> u64 {
+        let Some(&place) = self.service_places.get(service) else {
+            return 0;
+        };
+        self.services[place].arms[self.policies.index(arm)].usual.latency_us as u64
     }
 
     /// The targets of `service` that may be used.
@@ -107,7 +130,7 @@
         let mut opens_in_us = None;
         for _ in 0..count {
             let cursor = service.arms[arm].cursor % count;
-            service.arms[arm].cursor = cursor + 1;
+            service.arms[arm].cursor = cursor.wrapping_add(1);
             let slot = service.active[cursor];
             let Some(target) = &self.targets[slot] else {
                 continue;
@@ -136,7 +159,9 @@
     ) -> Result<usize, Option<u64>> {
         let mut candidates = std::mem::take(&mut self.candidates);
         let scan = self.scan(now_us, place, arm, policy, ask, &mut candidates);
-        let service = &self.services[place];
+        let service = &mut self.services[place];
+        let turn = service.arms[arm].cursor;
+        service.arms[arm].cursor = turn.wrapping_add(1);
         let terms = Terms {
             now_us,
             arm,
@@ -144,7 +169,7 @@
             warm_up_us: service.warm_up_us,
             usual: service.arms[arm].usual,
         };
-        let best = self.best_of_sample(&candidates, &terms, rng);
+        let best = self.best_of_sample(&candidates, turn, &terms, rng);
         self.candidates = candidates;
         if let Some(slot) = scan.probe {
             self.note_probe(now_us, slot, arm);
@@ -154,7 +179,10 @@
     }
 
     /// Puts the targets that may take the call into `candidates`: those in good standing or, where
-    /// there is none, the ejected ones.
+    /// no target at all is in good standing, the ejected ones.
+    ///
+    /// Calls that are below the floor of every target in good standing must not all go to an ejected
+    /// one, whose floor is low only because nobody asks it.
     fn scan(
         &self,
         now_us: u64,
@@ -167,6 +195,7 @@
         candidates.clear();
         let mut scan = Scan::default();
         let mut ejected = Vec::new();
+        let mut any_well = false;
         for &slot in &self.services[place].active {
             let Some(target) = &self.targets[slot] else {
                 continue;
@@ -174,12 +203,14 @@
             if ask.avoid.contains(&target.node) {
                 continue;
             }
+            let ejection = target.record(arm).and_then(|record| record.ejection);
+            any_well |= ejection.is_none();
             let wait_us = closed_for_us(target, now_us, arm, policy, ask);
             if wait_us > 0 {
                 scan.opens_in_us = sooner(scan.opens_in_us, wait_us);
                 continue;
             }
-            let Some(ejection) = target.record(arm).and_then(|record| record.ejection) else {
+            let Some(ejection) = ejection else {
                 candidates.push(slot);
                 continue;
             };
@@ -188,7 +219,7 @@
                 scan.probe = Some(slot);
             }
         }
-        if candidates.is_empty() {
+        if !any_well {
             candidates.append(&mut ejected);
         }
         scan
@@ -212,25 +243,35 @@
         }
     }
 
-    /// The cheapest of one near target and two of all.
+    /// The target whose turn it is, unless one drawn at random is clearly cheaper; then the better of
+    /// that and the near target whose turn it is.
+    ///
+    /// Turns spread the calls of one sender evenly, which two random targets would not; comparing
+    /// finds out those that are busier or worse than the others. The margin keeps senders that see
+    /// the same reports from going to the same target all at once.
     fn best_of_sample<R: Rng>(
         &self,
         candidates: &[usize],
+        turn: usize,
         terms: &Terms,
         rng: &mut R,
     ) -> Option<usize> {
-        let (first, second) = two_of(candidates, rng)?;
-        let mut best = first;
-        let mut best_cost = self.cost(first, terms);
-        let near = self.one_near(candidates, rng);
-        for slot in [Some(second), near].into_iter().flatten() {
-            let cost = self.cost(slot, terms);
-            if cost.beats(&best_cost) {
-                best = slot;
-                best_cost = cost;
-            }
+        let count = candidates.len();
+        if count == 0 {
+            return None;
+        }
+        let mut best = candidates[turn % count];
+        let mut best_cost = self.cost(best, terms);
+        let drawn = candidates[rng.random_range(0..count)];
+        let drawn_cost = self.cost(drawn, terms);
+        if drawn_cost.clearly_beats(&best_cost) {
+            best = drawn;
+            best_cost = drawn_cost;
         }
-        Some(best)
+        let Some(near) = self.near_in_turn(candidates, turn) else {
+            return Some(best);
+        };
+        if self.cost(near, terms).beats(&best_cost) { Some(near) } else { Some(best) }
     }
 
     /// The cost of the target in `slot`.
@@ -241,78 +282,24 @@
         }
     }
 
-    /// One of the candidates in the own failure domain.
-    fn one_near<R: Rng>(&self, candidates: &[usize], rng: &mut R) -> Option<usize> {
-        let mut chosen = None;
-        let mut seen = 0u32;
-        for &slot in candidates {
-            if !self.targets[slot].as_ref().is_some_and(|target| target.near) {
-                continue;
-            }
-            seen += 1;
-            if rng.random_ratio(1, seen) {
-                chosen = Some(slot);
-            }
-        }
-        chosen
-    }
-
-    /// Works out again what is usual, and which targets get only probes, when that is due.
-    fn review_if_due(&mut self, now_us: u64, place: usize, arm: usize) {
-        let state = &mut self.services[place].arms[arm];
-        let old = now_us.saturating_sub(state.reviewed_us) >= REVIEW_US;
-        if !old && state.unreviewed < REVIEW_ATTEMPTS {
-            return;
-        }
-        state.reviewed_us = now_us;
-        state.unreviewed = 0;
-        let records = self.active_targets(&self.services[place]);
-        let usual = health::usual(records.filter_map(|target| target.record(arm)));
-        self.services[place].arms[arm].usual = usual;
-        self.review_ejections(now_us, place, arm);
-    }
-
-    /// Ejects the worst targets, but never more than half.
-    fn review_ejections(&mut self, now_us: u64, place: usize, arm: usize) {
-        let service = &self.services[place];
-        let usual = service.arms[arm].usual;
-        let most = service.active.len() / 2;
-        let mut ejected = Vec::new();
-        let mut bad = Vec::new();
-        for &slot in &service.active {
-            let Some(record) = self.targets[slot].as_ref().and_then(|target| target.record(arm))
-            else {
-                continue;
-            };
-            let badness = health::badness(record, now_us, usual);
-            if record.ejection.is_some() {
-                ejected.push((badness, slot));
-            } else if badness > 1.0 {
-                bad.push((badness, slot));
-            }
-        }
-        bad.sort_by(|left, right| right.0.total_cmp(&left.0));
-        bad.truncate(most.saturating_sub(ejected.len()));
-        for (_, slot) in bad {
-            self.change_record(slot, arm, |record| record.ejection = Some(Ejection::start(now_us)));
-        }
-        ejected.sort_by(|left, right| right.0.total_cmp(&left.0));
-        for &(_, slot) in ejected.iter().skip(most) {
-            self.change_record(slot, arm, |record| health::readmit(record, now_us));
+    /// The candidate in the own failure domain whose turn it is.
+    fn near_in_turn(&self, candidates: &[usize], turn: usize) -> Option<usize> {
+        let is_near = |slot: &usize| self.targets[*slot].as_ref().is_some_and(|target| target.near);
+        let count = candidates.iter().copied().filter(|slot| is_near(slot)).count();
+        if count == 0 {
+            return None;
         }
+        candidates.iter().copied().filter(|slot| is_near(slot)).nth(turn % count)
     }
+}
 
-    /// Changes the record of the target in `slot`.
-    fn change_record(&mut self, slot: usize, arm: usize, change: impl FnOnce(&mut ArmRecord)) {
-        let record = self.targets[slot].as_mut().and_then(|target| target.records.get_mut(arm));
-        if let Some(record) = record {
-            change(record);
-        }
-    }
+/// Whether `target` gets only probes.
+fn is_ejected(target: &Target, arm: usize) -> bool {
+    target.record(arm).is_some_and(|record| record.ejection.is_some())
 }
 
 /// The floor of `target` for calls of `class`.
-pub(super) fn floor_of(target: &Target, now_us: u64, arm: usize, class: ClassRank) -> Level {
+fn floor_of(target: &Target, now_us: u64, arm: usize, class: ClassRank) -> Level {
     target.record(arm).map_or(Level::LOWEST, |record| record.floors.level(now_us, class))
 }
 
@@ -335,17 +322,6 @@
     Some(known_us.map_or(wait_us, |known_us| known_us.min(wait_us)))
 }
 
-/// Two different candidates drawn at random, or twice the same where there is only one.
-fn two_of<R: Rng>(candidates: &[usize], rng: &mut R) -> Option<(usize, usize)> {
-    let count = candidates.len();
-    if count == 0 {
-        return None;
-    }
-    let first = rng.random_range(0..count);
-    let step = if count > 1 { rng.random_range(1..count) } else { 0 };
-    Some((candidates[first], candidates[(first + step) % count]))
-}
-
 /// A refusal whose Retry-After is drawn around the wait, so that callers refused together do not
 /// come back together.
 fn refusal<R: Rng>(reason: RefusalReason, wait_us: u64, rng: &mut R) -> Refusal {
--- a/src/routing/record.rs
+++ b/src/routing/record.rs
@@ -9,9 +9,16 @@
 const LATENCY_WEIGHT: f32 = 0.2;
 /// The weight of one outcome in the smoothed share of errors.
 const ERROR_WEIGHT: f32 = 0.125;
+/// The weight of one report in the smoothed load of other senders. A single report is old by the
+/// time of the next pick, and senders that all follow the latest one all go to the same target.
+const REPORT_WEIGHT: f32 = 0.2;
 /// After this time a reported load no longer counts.
 const REPORT_FADE_US: u64 = 1_000 * US_PER_MS;
 
+/// The time without news in which a bad record is forgiven. Without it a target that looked a
+/// little worse than the others once would never be tried again while there is little to do.
+const FORGIVE_US: u64 = 3_000 * US_PER_MS;
+
 /// The state of one target in one arm.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ArmRecord {
@@ -25,8 +32,8 @@
     pub samples: u8,
     /// The smoothed share of attempts that failed, from 0 to 1.
     pub errors: f32,
-    /// Calls of other senders that the target ran or queued at its last report.
-    pub others: u32,
+    /// Calls of other senders that the target runs or queues, smoothed over its reports.
+    pub others: f32,
     /// The limit of the last report.
     pub limit: u32,
     /// When the last report came.
@@ -57,7 +64,8 @@
     /// Takes in the load of a report.
     pub fn report(&mut self, now_us: u64, load: &LoadReport) {
         let total = load.running.saturating_add(load.queued);
-        self.others = total.saturating_sub(self.outstanding);
+        let others = total.saturating_sub(self.outstanding) as f32;
+        self.others += REPORT_WEIGHT * (others - self.others);
         self.limit = load.limit;
         self.reported_us = now_us;
     }
@@ -94,6 +102,15 @@
         self.latency_us.max(silent_us)
     }
 
+    /// How much the latency and the errors still count, from 1 while there is news to 0.
+    pub fn memory(&self, now_us: u64) -> f64 {
+        if self.outstanding > 0 {
+            return 1.0;
+        }
+        let age_us = now_us.saturating_sub(self.progress_us).min(FORGIVE_US);
+        1.0 - age_us as f64 / FORGIVE_US as f64
+    }
+
     /// Calls at the target now, as far as this sender can tell.
     pub fn load(&self, now_us: u64) -> f64 {
         f64::from(self.outstanding) + f64::from(self.others) * self.freshness(now_us)
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -194,20 +194,16 @@
     }
 
     /// Adds a target or takes in what changed about it.
+    ///
+    /// A target that was leaving stays so, and a lost connection stays lost until [`Self::link_up`]:
+    /// a node that comes back does so under a new identity.
     pub fn put(&mut self, _now_us: u64, peer: Peer) {
+        let known = self.take_out(peer.node);
         let service = self.service_place(&peer.service);
-        let near = peer.failure_domain == self.own_failure_domain;
-        let known = self.slots.get(&peer.node).copied();
-        let moved = known.and_then(|slot| self.targets[slot].as_ref()).is_some_and(|target| {
-            target.service != service || target.near != near || target.address != peer.address
-        });
-        if moved {
-            self.take_out(peer.node);
-        }
-        let target = Target {
+        let mut target = Target {
             node: peer.node,
             service,
-            near,
+            near: peer.failure_domain == self.own_failure_domain,
             address: peer.address,
             slots: peer.slots.max(1),
             leaving: peer.leaving,
@@ -215,17 +211,18 @@
             link: Link::Up,
             records: Vec::new(),
         };
-        match known.filter(|_| !moved).and_then(|slot| self.targets[slot].as_mut()) {
-            Some(present) => present.refresh(target),
-            None => self.add(target),
+        if let Some(known) = known {
+            self.choose_active(known.service);
+            target.keep(known);
         }
+        self.add(target);
         self.choose_active(service);
     }
 
     /// Forgets a target.
     pub fn remove(&mut self, _now_us: u64, node: NodeId) {
-        if let Some(service) = self.take_out(node) {
-            self.choose_active(service);
+        if let Some(target) = self.take_out(node) {
+            self.choose_active(target.service);
         }
     }
 
@@ -350,8 +347,8 @@
         self.targets[slot] = Some(target);
     }
 
-    /// Takes a target out and returns the place of its service.
-    fn take_out(&mut self, node: NodeId) -> Option<usize> {
+    /// Takes a target out.
+    fn take_out(&mut self, node: NodeId) -> Option<Target> {
         let slot = self.slots.remove(&node)?;
         let target = self.targets[slot].take()?;
         self.free.push(slot);
@@ -362,7 +359,7 @@
         let service = &mut self.services[target.service];
         service.ranking.remove(target.near, Ranked { order, slot });
         service.active.retain(|active| *active != slot);
-        Some(target.service)
+        Some(target)
     }
 
     /// Chooses again which targets of a service are used.
--- a/src/routing/target.rs
+++ b/src/routing/target.rs
@@ -46,12 +46,12 @@
         !self.leaving && self.link == Link::Up
     }
 
-    /// Takes in what the membership says anew. A target that was leaving stays so: a node that
-    /// comes back does so under a new identity.
-    pub fn refresh(&mut self, told: Target) {
-        self.slots = told.slots;
-        self.leaving |= told.leaving;
-        self.first_seen_us = self.first_seen_us.min(told.first_seen_us);
+    /// Keeps what was known about the same target before the membership told it anew.
+    pub fn keep(&mut self, known: Target) {
+        self.leaving |= known.leaving;
+        self.first_seen_us = self.first_seen_us.min(known.first_seen_us);
+        self.link = known.link;
+        self.records = known.records;
     }
 
     /// The record of the arm at `arm`, made where there is none yet.
