Test the ledgers together under faults, with each mechanism taken away

Change: a proptest state machine over three nodes and two senders (seed fixed, 4,000 cases of up to 250 steps) checks after each step that no key runs twice, no attempt told 'not run' ran or runs, the holder of a key does not deny its run, and no request is told 'not run' after an attempt of it ran. Ten flaws take one mechanism away each; each is found to break the rule it stands for, and the same steps pass with the mechanism.

--- /dev/null
+++ b/examples/once_cost.rs
@@ -0,0 +1,139 @@
+//! Measures what the ledger and the attempt book cost: `cargo run --release --example once_cost`.
+
+use std::alloc::{GlobalAlloc, Layout, System};
+use std::hint::black_box;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Instant;
+
+use aspenspring::call::{AttemptId, HttpAnswer, Key, NodeId, Verdict};
+use aspenspring::once::{
+    Arrival, AttemptBook, AttemptBookOptions, Fingerprint, Ledger, LedgerOptions, Offer, ReturnPath,
+};
+
+/// Counts the bytes that are allocated now.
+struct Counting;
+
+static ALLOCATED_BYTES: AtomicUsize = AtomicUsize::new(0);
+
+// SAFETY: every call is passed on to the system's allocator unchanged.
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        ALLOCATED_BYTES.fetch_add(layout.size(), Ordering::Relaxed);
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, pointer: *mut u8, layout: Layout) {
+        ALLOCATED_BYTES.fetch_sub(layout.size(), Ordering::Relaxed);
+        unsafe { System.dealloc(pointer, layout) }
+    }
+}
+
+#[global_allocator]
+static ALLOCATOR: Counting = Counting;
+
+const OWNER: NodeId = NodeId(1);
+const START_UNIX_MS: u64 = 1_700_000_000_000;
+const CALLS: u64 = 100_000;
+const BODY_BYTES: usize = 300;
+
+fn main() {
+    println!("part,entries,answers,ns_new,ns_repeat,bytes_per_entry,approx_per_entry");
+    for entries in [10_000, 50_000, 200_000, 400_000] {
+        for keeps_answers in [false, true] {
+            measure_ledger(entries, keeps_answers);
+        }
+    }
+    for entries in [1_000, 10_000, 30_000] {
+        for keeps_answers in [false, true] {
+            measure_book(entries, keeps_answers);
+        }
+    }
+}
+
+/// Spreads a counter over all bits.
+fn scramble(number: u64) -> u64 {
+    number.wrapping_mul(0x9e37_79b9_7f4a_7c15).rotate_left(29).wrapping_mul(0xbf58_476d_1ce4_e5b9)
+}
+
+fn key(number: u64) -> Key {
+    let minted_unix_ms = START_UNIX_MS + number / 50;
+    Key { owner: OWNER, minted_unix_ms, nonce: scramble(number) }
+}
+
+fn attempt(sequence: u64) -> AttemptId {
+    AttemptId { origin: NodeId(sequence % 100), sequence, nonce: scramble(sequence) as u32 }
+}
+
+fn answer(keeps_answers: bool) -> Verdict {
+    let length = if keeps_answers { BODY_BYTES } else { 0 };
+    let headers = vec![("content-type".to_string(), "application/json".to_string())];
+    Verdict::Answered(HttpAnswer { status: 200, headers, body: vec![7; length].into() })
+}
+
+fn answers_max_bytes(keeps_answers: bool) -> usize {
+    if keeps_answers { usize::MAX } else { 0 }
+}
+
+/// Offers and finishes the keys from `first` to `last`.
+fn run_keys(ledger: &mut Ledger, first: u64, last: u64, keeps_answers: bool) {
+    for number in first..last {
+        let offer = ledger.offer(START_UNIX_MS, key(number), Fingerprint(number), attempt(number));
+        assert_eq!(offer, Offer::Run);
+        black_box(ledger.finished(key(number), attempt(number), &answer(keeps_answers)));
+    }
+}
+
+fn measure_ledger(entries: u64, keeps_answers: bool) {
+    let options = LedgerOptions::builder()
+        .entries_max(usize::MAX)
+        .skew_max_ms(1 << 40)
+        .answers_max_bytes(answers_max_bytes(keeps_answers))
+        .build();
+    let before_bytes = ALLOCATED_BYTES.load(Ordering::Relaxed);
+    let mut ledger = Ledger::new(OWNER, options);
+    run_keys(&mut ledger, 0, entries, keeps_answers);
+    let bytes = (ALLOCATED_BYTES.load(Ordering::Relaxed) - before_bytes) as u64 / entries;
+    let approx = ledger.approx_bytes() as u64 / entries;
+    let begin = Instant::now();
+    run_keys(&mut ledger, entries, entries + CALLS, keeps_answers);
+    let new_ns = begin.elapsed().as_nanos() as u64 / CALLS;
+    let begin = Instant::now();
+    for number in 0..CALLS {
+        let known = scramble(number) % entries;
+        let fingerprint = Fingerprint(known);
+        black_box(ledger.offer(START_UNIX_MS, key(known), fingerprint, attempt(number)));
+    }
+    let repeat_ns = begin.elapsed().as_nanos() as u64 / CALLS;
+    println!("ledger,{entries},{keeps_answers},{new_ns},{repeat_ns},{bytes},{approx}");
+}
+
+/// Lets the attempts from `first` to `last` arrive and settles them.
+fn run_attempts(book: &mut AttemptBook, first: u64, last: u64, keeps_answers: bool) {
+    for number in first..last {
+        let arrival = book.arrive(number, attempt(number), number, ReturnPath(number));
+        assert_eq!(arrival, Arrival::New);
+        black_box(book.settle(number, attempt(number), &answer(keeps_answers)));
+    }
+}
+
+fn measure_book(entries: u64, keeps_answers: bool) {
+    let options = AttemptBookOptions::builder()
+        .entries_max(usize::MAX)
+        .answers_max_bytes(answers_max_bytes(keeps_answers))
+        .build();
+    let before_bytes = ALLOCATED_BYTES.load(Ordering::Relaxed);
+    let mut book = AttemptBook::new(options);
+    run_attempts(&mut book, 0, entries, keeps_answers);
+    let bytes = (ALLOCATED_BYTES.load(Ordering::Relaxed) - before_bytes) as u64 / entries;
+    let approx = book.approx_bytes() as u64 / entries;
+    let begin = Instant::now();
+    run_attempts(&mut book, entries, entries + CALLS, keeps_answers);
+    let new_ns = begin.elapsed().as_nanos() as u64 / CALLS;
+    let begin = Instant::now();
+    for number in 0..CALLS {
+        let known = scramble(number) % entries;
+        black_box(book.arrive(entries, attempt(known), entries, ReturnPath(0)));
+    }
+    let repeat_ns = begin.elapsed().as_nanos() as u64 / CALLS;
+    println!("book,{entries},{keeps_answers},{new_ns},{repeat_ns},{bytes},{approx}");
+}
--- a/src/once/mod.rs
+++ b/src/once/mod.rs
@@ -11,9 +11,11 @@
 mod keyspace;
 mod ledger;
 mod outcome;
+mod sender_book;
 
 pub use attempt_book::{Arrival, AttemptBook, AttemptBookOptions, FenceReply, ReturnPath};
 pub use fingerprint::Fingerprint;
 pub use handover::{AdoptError, Handover, HandoverError};
 pub use ledger::{DelegateError, Ledger, LedgerOptions, Offer};
-pub use outcome::{Outcome, outward};
+pub use outcome::{Outcome, Scope, outward};
+pub use sender_book::{CallToken, GivenUp, SenderBook};
--- a/src/once/outcome.rs
+++ b/src/once/outcome.rs
@@ -2,6 +2,38 @@
 
 use crate::call::{AttemptId, Doubt, Refusal, RefusalReason, Verdict};
 
+/// What a "not run" for a request with an idempotency key speaks about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    /// Only this request was not run; an earlier one with the same key may have been.
+    Request,
+    /// No request with this key had run when the holder decided it. A repeated verdict speaks of the
+    /// time of the decision, and so does one that was long on its way.
+    Key,
+}
+
+impl Scope {
+    /// The scope of `reason`, told by the holder of the key (`from_holder`) or by anybody else.
+    ///
+    /// The holder asks its ledger before it admits anything, so its refusals cover the key, but for
+    /// those it gives without looking at the key.
+    pub fn of(reason: RefusalReason, from_holder: bool) -> Self {
+        if !from_holder {
+            return Self::Request;
+        }
+        match reason {
+            RefusalReason::Fenced
+            | RefusalReason::NodeFull
+            | RefusalReason::NotReady
+            | RefusalReason::Malformed
+            | RefusalReason::KeyDelegated(_)
+            | RefusalReason::KeyInherited(_)
+            | RefusalReason::KeyMismatch => Self::Request,
+            _ => Self::Key,
+        }
+    }
+}
+
 /// What is known about the attempts of one request, at the place that made them.
 ///
 /// A request was not run only if each of its attempts was not run: a refusal of the last attempt
--- /dev/null
+++ b/tests/once_faults.rs
@@ -0,0 +1,146 @@
+//! At most one run and truthful "not run", under any order of losses, repeats, crashes, freezes,
+//! delegations and handovers; and each mechanism shown to be needed.
+
+mod once_world;
+
+use std::cell::Cell;
+
+use once_world::{End, Flaw, Op, Rule, Tally, Trace, play};
+use proptest::prelude::*;
+use proptest::test_runner::{RngSeed, TestError, TestRunner};
+
+const CASES: u32 = 4_000;
+const FLAWED_CASES: u32 = 40_000;
+
+fn runner(cases: u32, seed: u64) -> TestRunner {
+    TestRunner::new(ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })
+}
+
+const FLAWS: [Flaw; 10] = [
+    Flaw::SameIdentity,
+    Flaw::EmptyHandover,
+    Flaw::OpenAfterHandover,
+    Flaw::ForgottenDelegation,
+    Flaw::LedgerForgets,
+    Flaw::BookForgets,
+    Flaw::NoTombstone,
+    Flaw::RunsAnyKey,
+    Flaw::RefusesUnseen,
+    Flaw::LastRefusalWins,
+];
+
+#[test]
+fn rules_hold_under_faults() {
+    let total = Cell::new(Tally::default());
+    let result = runner(CASES, 52).run(&ops(), |ops| {
+        let (tally, _) = play(None, &ops).map_err(fail)?;
+        let mut sum = total.get();
+        add(&mut sum, tally);
+        total.set(sum);
+        Ok(())
+    });
+    if let Err(error) = result {
+        panic!("{error}");
+    }
+    let total = total.get();
+    println!("{CASES} cases: {total:?}");
+    let counts = [
+        total.runs,
+        total.runs_of_delegated,
+        total.runs_of_inherited,
+        total.joined,
+        total.recorded_answers,
+        total.fenced,
+        total.delegated,
+        total.adopted,
+        total.keys_refused,
+        total.expired_keys,
+        total.forgotten_attempts,
+        total.elsewhere,
+        total.dropped_answers,
+    ];
+    assert!(counts.iter().all(|count| *count >= 100), "hardly put to the test: {total:?}");
+}
+
+#[test]
+fn each_mechanism_is_needed() {
+    for flaw in FLAWS {
+        let ops = find(flaw).unwrap_or_else(|| panic!("{flaw:?} breaks no rule"));
+        assert_eq!(play(Some(flaw), &ops).err(), Some(flaw.breaks()), "{flaw:?}");
+        let (_, stated) = play(None, &ops).expect("the same steps with the mechanism in place");
+        let about = format!("Without its mechanism ({flaw:?}) it breaks {:?}.", flaw.breaks());
+        let trace = Trace { about, flaw: Some(flaw), stated, ops };
+        println!("{}", serde_json::to_string(&trace).unwrap());
+    }
+}
+
+/// The shortest steps found that break the rule without the mechanism.
+fn find(flaw: Flaw) -> Option<Vec<Op>> {
+    let result = runner(FLAWED_CASES, 53)
+        .run(&ops(), |ops| play(Some(flaw), &ops).map(|_| ()).map_err(fail));
+    match result {
+        Ok(()) => None,
+        Err(TestError::Fail(_, ops)) => Some(ops),
+        Err(TestError::Abort(reason)) => panic!("{reason}"),
+    }
+}
+
+fn fail(rule: Rule) -> TestCaseError {
+    TestCaseError::fail(format!("{rule:?}"))
+}
+
+/// Adds `other` to `sum`.
+fn add(sum: &mut Tally, other: Tally) {
+    sum.runs += other.runs;
+    sum.runs_of_delegated += other.runs_of_delegated;
+    sum.runs_of_inherited += other.runs_of_inherited;
+    sum.joined += other.joined;
+    sum.recorded_answers += other.recorded_answers;
+    sum.fenced += other.fenced;
+    sum.delegated += other.delegated;
+    sum.adopted += other.adopted;
+    sum.keys_refused += other.keys_refused;
+    sum.expired_keys += other.expired_keys;
+    sum.forgotten_attempts += other.forgotten_attempts;
+    sum.elsewhere += other.elsewhere;
+    sum.dropped_answers += other.dropped_answers;
+}
+
+/// Steps in a mixture that lets requests get somewhere.
+fn ops() -> impl Strategy<Value = Vec<Op>> {
+    let end = prop_oneof![
+        4 => Just(End::Answered),
+        1 => Just(End::Broke),
+        2 => Just(End::Declined),
+    ];
+    let astray = prop_oneof![4 => Just(0u8), 1 => 1u8..4];
+    let wait_ms = prop_oneof![4 => 0u16..2_000, 1 => 20_000u16..61_000];
+    let (node, any) = (0u8..3, any::<u8>());
+    let op = prop_oneof![
+        2 => node.clone().prop_map(|node| Op::Mint { node }),
+        12 => (0u8..2, any, astray)
+            .prop_map(|(sender, key, astray)| Op::Send { sender, key, astray }),
+        40 => (any, prop::bool::weighted(0.2))
+            .prop_map(|(message, doubled)| Op::Deliver { message, doubled }),
+        3 => any.prop_map(|message| Op::Lose { message }),
+        12 => (node.clone(), any).prop_map(|(node, call)| Op::Start { node, call }),
+        3 => (node.clone(), any).prop_map(|(node, call)| Op::Refuse { node, call }),
+        3 => (node.clone(), any, node.clone())
+            .prop_map(|(node, call, to)| Op::Delegate { node, call, to }),
+        12 => (node.clone(), any, end)
+            .prop_map(|(node, call, end)| Op::Finish { node, call, end }),
+        4 => any.prop_map(|attempt| Op::Fence { attempt }),
+        1 => node.clone().prop_map(|node| Op::Crash { node }),
+        2 => (node.clone(), prop::bool::weighted(0.3))
+            .prop_map(|(node, frozen)| Op::Freeze { node, frozen }),
+        2 => (node.clone(), node.clone()).prop_map(|(node, heir)| Op::Leave { node, heir }),
+        5 => wait_ms.prop_map(|ms| Op::Wait { ms }),
+        3 => node.prop_map(|node| Op::Expire { node }),
+    ];
+    prop::collection::vec(op, 1..250)
+}
--- /dev/null
+++ b/tests/once_world/mod.rs
@@ -0,0 +1,556 @@
+//! Several nodes with their ledgers and attempt books, a network that loses, doubles and reorders,
+//! and the rules that must hold after each step. A [`Flaw`] takes one mechanism away.
+
+mod step;
+
+use std::collections::{HashMap, HashSet};
+
+use aspenspring::call::{
+    AttemptId, Doubt, HttpAnswer, Key, NodeId, Refusal, RefusalReason, Verdict,
+};
+use aspenspring::once::{
+    Arrival, AttemptBook, AttemptBookOptions, CallToken, FenceReply, Fingerprint, Handover, Ledger,
+    LedgerOptions, Offer, Outcome, ReturnPath, Scope, SenderBook,
+};
+
+pub use step::{End, Flaw, Op, Rule, Stated, Tally, Trace};
+
+const START_UNIX_MS: u64 = 1_000_000_000;
+const TTL_MS: u64 = 60_000;
+const SKEW_MAX_MS: u64 = 1_000;
+const MARGIN_US: u64 = 2_000_000;
+const CALL_US: u64 = 1_000_000;
+const HANDOVER_MAX_BYTES: usize = 4_096;
+const REQUEST: Fingerprint = Fingerprint(1);
+/// How far the clock of each node is off, in milliseconds.
+const CLOCK_OFFSETS_MS: [u64; 3] = [0, 400, 900];
+const NO_PATH: ReturnPath = ReturnPath(0);
+
+#[derive(Clone, Debug)]
+enum Message {
+    Call { to: NodeId, attempt: AttemptId, key: Key },
+    Fence { to: NodeId, attempt: AttemptId },
+    Answer { from: NodeId, attempt: AttemptId, verdict: Verdict },
+    Handover { to: NodeId, bytes: Vec<u8> },
+}
+
+/// An attempt that holds a key.
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    attempt: AttemptId,
+    key: Key,
+}
+
+struct Node {
+    id: NodeId,
+    ledger: Ledger,
+    book: AttemptBook,
+    queue: Vec<Held>,
+    running: Vec<Held>,
+    seen: HashSet<AttemptId>,
+    frozen: bool,
+}
+
+impl Node {
+    fn new(id: NodeId) -> Self {
+        Self {
+            id,
+            ledger: new_ledger(id),
+            book: new_book(),
+            queue: Vec::new(),
+            running: Vec::new(),
+            seen: HashSet::new(),
+            frozen: false,
+        }
+    }
+}
+
+fn new_ledger(owner: NodeId) -> Ledger {
+    let options = LedgerOptions::builder()
+        .key_ttl_ms(TTL_MS)
+        .skew_max_ms(SKEW_MAX_MS)
+        .entries_max(6)
+        .answers_max_bytes(400)
+        .waiters_max(2)
+        .build();
+    Ledger::new(owner, options)
+}
+
+fn new_book() -> AttemptBook {
+    let options = AttemptBookOptions::builder()
+        .margin_us(MARGIN_US)
+        .entries_max(12)
+        .answers_max_bytes(400)
+        .build();
+    AttemptBook::new(options)
+}
+
+/// One request of a caller and the attempts made for it.
+struct Request {
+    sender: usize,
+    root: usize,
+    attempts: Vec<(AttemptId, NodeId, Key)>,
+    outcome: Outcome,
+    told: Option<String>,
+}
+
+pub struct World {
+    flaw: Option<Flaw>,
+    /// The only rule that counts; none where all do.
+    only: Option<Rule>,
+    pub tally: Tally,
+    now_us: u64,
+    ids: u64,
+    nodes: Vec<Node>,
+    senders: Vec<(NodeId, u64, SenderBook)>,
+    network: Vec<Message>,
+    keys: Vec<Key>,
+    runs: Vec<u32>,
+    requests: Vec<Request>,
+    request_of: HashMap<AttemptId, usize>,
+    ran: HashSet<AttemptId>,
+    told_not_run: HashSet<AttemptId>,
+}
+
+type Checked = Result<(), Rule>;
+
+impl World {
+    pub fn new(flaw: Option<Flaw>) -> Self {
+        let nodes = (0..3).map(|index| Node::new(NodeId(100 + index))).collect();
+        let sender = |index| (NodeId(index), 0, SenderBook::default());
+        let mut world = Self {
+            flaw,
+            only: flaw.map(Flaw::breaks),
+            tally: Tally::default(),
+            now_us: 0,
+            ids: 200,
+            nodes,
+            senders: (1..3).map(sender).collect(),
+            network: Vec::new(),
+            keys: Vec::new(),
+            runs: Vec::new(),
+            requests: Vec::new(),
+            request_of: HashMap::new(),
+            ran: HashSet::new(),
+            told_not_run: HashSet::new(),
+        };
+        world.mint(0);
+        world.mint(1);
+        world
+    }
+
+    /// Makes one step and checks the rules that it touches.
+    pub fn step(&mut self, op: Op) -> Checked {
+        match op {
+            Op::Mint { node } => self.mint(usize::from(node)),
+            Op::Send { sender, key, astray } => self.send(sender, key, astray),
+            Op::Deliver { message, doubled } => return self.deliver(message, doubled),
+            Op::Lose { message } => {
+                if let Some(index) = pick(message, self.network.len()) {
+                    self.network.swap_remove(index);
+                }
+            }
+            Op::Start { node, call } => return self.start(node, call),
+            Op::Refuse { node, call } => return self.refuse(node, call, None),
+            Op::Delegate { node, call, to } => return self.refuse(node, call, Some(to)),
+            Op::Finish { node, call, end } => return self.finish(node, call, end),
+            Op::Fence { attempt } => self.fence(attempt),
+            Op::Crash { node } => self.crash(usize::from(node) % 3),
+            Op::Freeze { node, frozen } => self.nodes[usize::from(node) % 3].frozen = frozen,
+            Op::Leave { node, heir } => self.leave(node, heir),
+            Op::Wait { ms } => self.now_us += u64::from(ms) * 1_000,
+            Op::Expire { node } => self.expire(usize::from(node) % 3),
+        }
+        Ok(())
+    }
+
+    /// Ends everything that is queued or running; then no attempt may be left without a verdict.
+    pub fn drain(&mut self) -> Checked {
+        for node in 0..3 {
+            self.nodes[node].frozen = false;
+            while !self.nodes[node].queue.is_empty() {
+                self.refuse(node as u8, 0, None)?;
+            }
+            while !self.nodes[node].running.is_empty() {
+                self.finish(node as u8, 0, End::Answered)?;
+            }
+            if self.nodes[node].book.in_progress() > 0 {
+                self.broken(Rule::EveryAttemptIsSettled)?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Reports a broken rule, unless another one is looked for.
+    fn broken(&self, rule: Rule) -> Checked {
+        match self.only {
+            Some(only) if only != rule => Ok(()),
+            _ => Err(rule),
+        }
+    }
+
+    fn unix_ms(&self, node: usize) -> u64 {
+        START_UNIX_MS + self.now_us / 1_000 + CLOCK_OFFSETS_MS[node]
+    }
+
+    fn mint(&mut self, node: usize) {
+        let node = node % 3;
+        self.ids += 1;
+        let owner = self.nodes[node].id;
+        let key = Key { owner, minted_unix_ms: self.unix_ms(node), nonce: self.ids };
+        self.runs.push(0);
+        self.keys.push(key);
+    }
+
+    fn send(&mut self, sender: u8, key: u8, astray: u8) {
+        let sender = usize::from(sender) % self.senders.len();
+        let root = usize::from(key) % self.keys.len();
+        let key = self.keys[root];
+        let to = match astray {
+            0 => key.owner,
+            other => self.nodes[usize::from(other) % 3].id,
+        };
+        let outcome = Outcome::default();
+        self.requests.push(Request { sender, root, attempts: Vec::new(), outcome, told: None });
+        self.attempt(self.requests.len() - 1, to, key);
+    }
+
+    fn attempt(&mut self, request: usize, to: NodeId, key: Key) {
+        let (origin, sequence, book) = &mut self.senders[self.requests[request].sender];
+        *sequence += 1;
+        let attempt = AttemptId { origin: *origin, sequence: *sequence, nonce: 0 };
+        book.sent(attempt, to, CallToken(request as u64), self.now_us + CALL_US);
+        self.requests[request].attempts.push((attempt, to, key));
+        self.request_of.insert(attempt, request);
+        self.network.push(Message::Call { to, attempt, key });
+    }
+
+    fn fence(&mut self, attempt: u8) {
+        let attempts: Vec<(AttemptId, NodeId)> =
+            self.requests.iter().flat_map(|r| &r.attempts).map(|(a, to, _)| (*a, *to)).collect();
+        let Some(index) = pick(attempt, attempts.len()) else { return };
+        let (attempt, to) = attempts[index];
+        self.network.push(Message::Fence { to, attempt });
+    }
+
+    fn crash(&mut self, node: usize) {
+        self.ids += 1;
+        let id = match self.flaw {
+            Some(Flaw::SameIdentity) => self.nodes[node].id,
+            _ => NodeId(self.ids),
+        };
+        self.nodes[node] = Node::new(id);
+    }
+
+    fn leave(&mut self, node: u8, heir: u8) {
+        let (node, heir) = (usize::from(node) % 3, usize::from(heir) % 3);
+        let to = self.nodes[heir].id;
+        let flaw = self.flaw;
+        let leaver = &mut self.nodes[node];
+        if leaver.frozen {
+            return;
+        }
+        let bytes = match flaw {
+            Some(Flaw::EmptyHandover) if leaver.ledger.running() == 0 => {
+                new_ledger(leaver.id).hand_over(to, HANDOVER_MAX_BYTES)
+            }
+            Some(Flaw::OpenAfterHandover) if leaver.ledger.running() == 0 => {
+                let mut copy = new_ledger(leaver.id);
+                copy.hand_over(to, HANDOVER_MAX_BYTES)
+            }
+            _ => leaver.ledger.hand_over(to, HANDOVER_MAX_BYTES),
+        };
+        if let Ok(bytes) = bytes {
+            self.network.push(Message::Handover { to, bytes });
+        }
+    }
+
+    fn expire(&mut self, node: usize) {
+        let (now_us, unix_ms, flaw) = (self.now_us, self.unix_ms(node), self.flaw);
+        let node = &mut self.nodes[node];
+        if node.frozen {
+            return;
+        }
+        match flaw {
+            Some(Flaw::LedgerForgets) if node.ledger.running() == 0 => {
+                node.ledger = new_ledger(node.id);
+            }
+            Some(Flaw::BookForgets) if node.book.in_progress() == 0 => node.book = new_book(),
+            _ => {}
+        }
+        node.ledger.expire(unix_ms);
+        node.book.expire(now_us);
+    }
+
+    fn deliver(&mut self, message: u8, doubled: bool) -> Checked {
+        let Some(index) = pick(message, self.network.len()) else { return Ok(()) };
+        let message = self.network[index].clone();
+        let to = match &message {
+            Message::Call { to, .. } | Message::Fence { to, .. } => Some(*to),
+            Message::Handover { to, .. } => Some(*to),
+            Message::Answer { .. } => None,
+        };
+        let node = self.nodes.iter().position(|node| Some(node.id) == to);
+        if node.is_some_and(|node| self.nodes[node].frozen) {
+            return Ok(());
+        }
+        if !doubled {
+            self.network.swap_remove(index);
+        }
+        match (message, node) {
+            (Message::Call { attempt, key, .. }, Some(node)) => self.arrive(node, attempt, key),
+            (Message::Fence { attempt, .. }, Some(node)) => self.fence_arrives(node, attempt),
+            (Message::Handover { bytes, .. }, Some(node)) => {
+                let unix_ms = self.unix_ms(node);
+                let handover = Handover::decode(&bytes).map_err(|_| Rule::HandoverIsReadable)?;
+                let adopted = self.nodes[node].ledger.adopt(unix_ms, handover);
+                self.tally.adopted += u32::from(adopted.is_ok());
+                Ok(())
+            }
+            (Message::Answer { from, attempt, verdict }, _) => {
+                self.answer_arrives(from, attempt, verdict)
+            }
+            (_, None) => Ok(()),
+        }
+    }
+
+    fn arrive(&mut self, index: usize, attempt: AttemptId, key: Key) -> Checked {
+        let (now_us, unix_ms, flaw) = (self.now_us, self.unix_ms(index), self.flaw);
+        let node = &mut self.nodes[index];
+        node.seen.insert(attempt);
+        match node.book.arrive(now_us, attempt, now_us + CALL_US, NO_PATH) {
+            Arrival::New => {}
+            Arrival::InProgress => return Ok(()),
+            Arrival::Repeat(verdict) => {
+                let is_forgotten = verdict == Verdict::MayHaveRun(Doubt::AnswerForgotten);
+                self.tally.forgotten_attempts += u32::from(is_forgotten);
+                return self.tell(index, attempt, verdict);
+            }
+            Arrival::Refused(refusal) => {
+                return self.tell(index, attempt, Verdict::NotRun(refusal));
+            }
+        }
+        if flaw == Some(Flaw::RefusesUnseen) && !node.queue.is_empty() {
+            let refusal = Verdict::not_run(RefusalReason::QueueFull, 0);
+            node.book.settle(now_us, attempt, &refusal);
+            return self.tell(index, attempt, refusal);
+        }
+        let offered = match flaw {
+            Some(Flaw::RunsAnyKey) => Key { owner: node.id, ..key },
+            _ => key,
+        };
+        match node.ledger.offer(unix_ms, offered, REQUEST, attempt) {
+            Offer::Run => node.queue.push(Held { attempt, key: offered }),
+            Offer::Joined => self.tally.joined += 1,
+            Offer::Settled(verdict) => {
+                node.book.settle(now_us, attempt, &verdict);
+                match &verdict {
+                    Verdict::Answered(_) => self.tally.recorded_answers += 1,
+                    Verdict::MayHaveRun(Doubt::KeyElsewhere) => self.tally.elsewhere += 1,
+                    Verdict::MayHaveRun(Doubt::KeyExpired) => self.tally.expired_keys += 1,
+                    _ => {}
+                }
+                return self.tell(index, attempt, verdict);
+            }
+        }
+        Ok(())
+    }
+
+    fn fence_arrives(&mut self, index: usize, attempt: AttemptId) -> Checked {
+        let node = &mut self.nodes[index];
+        let has_no_tombstone = self.flaw == Some(Flaw::NoTombstone);
+        let reply = match has_no_tombstone && !node.seen.contains(&attempt) {
+            true => FenceReply::NowFenced,
+            false => node.book.fence(self.now_us, attempt, self.now_us + CALL_US, NO_PATH),
+        };
+        match reply {
+            FenceReply::InProgress => Ok(()),
+            FenceReply::Settled(verdict) => self.tell(index, attempt, verdict),
+            FenceReply::NowFenced => {
+                self.tally.fenced += 1;
+                self.tell(index, attempt, Verdict::not_run(RefusalReason::Fenced, 0))
+            }
+        }
+    }
+
+    fn start(&mut self, node: u8, call: u8) -> Checked {
+        let index = usize::from(node) % 3;
+        let node = &mut self.nodes[index];
+        let Some(call) = pick(call, node.queue.len()) else { return Ok(()) };
+        if node.frozen {
+            return Ok(());
+        }
+        let held = node.queue.remove(call);
+        node.running.push(held);
+        let is_inherited = held.key.owner != node.id;
+        self.tally.runs += 1;
+        self.tally.runs_of_inherited += u32::from(is_inherited);
+        self.ran.insert(held.attempt);
+        if self.told_not_run.contains(&held.attempt) {
+            self.broken(Rule::RefusedAttemptStaysRefused)?;
+        }
+        let root = self.root_of(held.attempt);
+        self.runs[root] += 1;
+        self.tally.runs_of_delegated += u32::from(held.key != self.keys[root]);
+        match self.runs[root] {
+            1 => Ok(()),
+            _ => self.broken(Rule::OneRunOfKey),
+        }
+    }
+
+    fn refuse(&mut self, node: u8, call: u8, delegate_to: Option<u8>) -> Checked {
+        let index = usize::from(node) % 3;
+        let unix_ms = self.unix_ms(index);
+        let to = delegate_to.map(|to| self.nodes[usize::from(to) % 3].id);
+        let is_remembered = self.flaw != Some(Flaw::ForgottenDelegation);
+        let node = &mut self.nodes[index];
+        let Some(call) = pick(call, node.queue.len()) else { return Ok(()) };
+        if node.frozen {
+            return Ok(());
+        }
+        let Held { attempt, key } = node.queue.remove(call);
+        let mut told = vec![attempt];
+        told.extend(node.ledger.refused(key, attempt));
+        let mut reason = RefusalReason::Shed;
+        if let Some(to) = to.filter(|to| *to != node.id) {
+            if !is_remembered || node.ledger.delegate(unix_ms, key, to).is_ok() {
+                reason = RefusalReason::KeyDelegated(to);
+                self.tally.delegated += 1;
+            }
+        }
+        self.settle_all(index, told, Verdict::not_run(reason, 0))
+    }
+
+    fn finish(&mut self, node: u8, call: u8, end: End) -> Checked {
+        let index = usize::from(node) % 3;
+        let node = &mut self.nodes[index];
+        let Some(call) = pick(call, node.running.len()) else { return Ok(()) };
+        if node.frozen {
+            return Ok(());
+        }
+        let Held { attempt, key } = node.running.remove(call);
+        let root = self.root_of(attempt);
+        let verdict = match end {
+            End::Answered => Verdict::Answered(answer_of(root)),
+            End::Broke => Verdict::MayHaveRun(Doubt::TargetBroke),
+            End::Declined => {
+                // The target did nothing, so this was no run.
+                self.runs[root] -= 1;
+                self.ran.remove(&attempt);
+                Verdict::not_run(RefusalReason::TargetDeclined, 0)
+            }
+        };
+        let mut told = vec![attempt];
+        told.extend(self.nodes[index].ledger.finished(key, attempt, &verdict));
+        self.settle_all(index, told, verdict)
+    }
+
+    /// The key that the request of `attempt` was made with, before any delegation.
+    fn root_of(&self, attempt: AttemptId) -> usize {
+        self.requests[self.request_of[&attempt]].root
+    }
+
+    fn settle_all(&mut self, index: usize, told: Vec<AttemptId>, verdict: Verdict) -> Checked {
+        for attempt in told {
+            self.nodes[index].book.settle(self.now_us, attempt, &verdict);
+            self.tell(index, attempt, verdict.clone())?;
+        }
+        Ok(())
+    }
+
+    /// A node tells what became of an attempt.
+    fn tell(&mut self, index: usize, attempt: AttemptId, verdict: Verdict) -> Checked {
+        if let Verdict::NotRun(Refusal { reason, .. }) = verdict {
+            if self.ran.contains(&attempt) {
+                self.broken(Rule::RunIsNotDenied)?;
+            }
+            // A repeated verdict is as old as the decision, and the key may have run since.
+            let is_decision = self.told_not_run.insert(attempt);
+            let request = &self.requests[self.request_of[&attempt]];
+            if is_decision && Scope::of(reason, true) == Scope::Key {
+                self.tally.keys_refused += 1;
+                if self.runs[request.root] > 0 {
+                    self.broken(Rule::RunOfKeyIsNotDenied)?;
+                }
+            }
+        }
+        let from = self.nodes[index].id;
+        self.network.push(Message::Answer { from, attempt, verdict });
+        Ok(())
+    }
+
+    fn answer_arrives(&mut self, from: NodeId, attempt: AttemptId, verdict: Verdict) -> Checked {
+        let index = self.request_of[&attempt];
+        let sender = self.requests[index].sender;
+        let Some(token) = self.senders[sender].2.answered(from, attempt) else {
+            self.tally.dropped_answers += 1;
+            return Ok(());
+        };
+        let request = &mut self.requests[token.0 as usize];
+        let (_, _, key) = *request.attempts.iter().find(|(sent, ..)| *sent == attempt).unwrap();
+        request.outcome.record(attempt, &verdict);
+        let request = &self.requests[token.0 as usize];
+        if let Verdict::Answered(answer) = &verdict {
+            if *answer != answer_of(request.root) {
+                self.broken(Rule::OwnAnswer)?;
+            }
+        }
+        let concluded = match self.flaw {
+            Some(Flaw::LastRefusalWins) => verdict.clone(),
+            _ => request.outcome.conclude(verdict.clone()),
+        };
+        let told = match &concluded {
+            Verdict::Answered(_) => "answered".to_string(),
+            Verdict::NotRun(refusal) => format!("not run: {:?}", refusal.reason),
+            Verdict::MayHaveRun(doubt) => format!("may have run: {doubt:?}"),
+        };
+        let has_run = request.attempts.iter().any(|(sent, ..)| self.ran.contains(sent));
+        if concluded.is_not_run() && has_run {
+            self.broken(Rule::RunOfRequestIsNotDenied)?;
+        }
+        self.requests[token.0 as usize].told = Some(told);
+        let Verdict::NotRun(Refusal { reason, .. }) = verdict else {
+            // The caller of a doubtful request tries again, if it is not hopeless.
+            return self.try_again(token, verdict, key);
+        };
+        match reason {
+            RefusalReason::KeyDelegated(to) => {
+                self.attempt(token.0 as usize, to, key.delegated_to(to));
+            }
+            RefusalReason::KeyInherited(to) => self.attempt(token.0 as usize, to, key),
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn try_again(&mut self, token: CallToken, verdict: Verdict, key: Key) -> Checked {
+        let index = token.0 as usize;
+        let is_doubted = matches!(verdict, Verdict::MayHaveRun(_));
+        if is_doubted && self.requests[index].attempts.len() < 3 {
+            self.attempt(index, key.owner, key);
+        }
+        Ok(())
+    }
+}
+
+/// The answer that only the run of the key `root` gives.
+fn answer_of(root: usize) -> HttpAnswer {
+    let body = format!("run of key {root}").into_bytes().into();
+    HttpAnswer { status: 200, headers: Vec::new(), body }
+}
+
+/// Chooses one of `count` things.
+fn pick(choice: u8, count: usize) -> Option<usize> {
+    (count > 0).then(|| usize::from(choice) % count.max(1))
+}
+
+/// Runs all steps and drains.
+pub fn play(flaw: Option<Flaw>, ops: &[Op]) -> Result<(Tally, Stated), Rule> {
+    let mut world = World::new(flaw);
+    for op in ops {
+        world.step(*op)?;
+    }
+    world.drain()?;
+    let told_to_requests = world.requests.into_iter().map(|request| request.told).collect();
+    Ok((world.tally, Stated { runs_of_keys: world.runs, told_to_requests }))
+}
