Let unrelated nodes refer to each other and bound the gossip's rate

Cause: a node whose seeds belong to other services never found its own, callees had no way to push a new configuration to their callers, and a late outcome of one write could settle another submission. Change: contacts and leads; digests get rarer with the members cared about; write outcomes carry the submission; a conflict with the very version a submission is based on is read again, not reported as lost.

--- a/src/configuration/document.rs
+++ b/src/configuration/document.rs
@@ -48,6 +48,38 @@
     }
 }
 
+/// The value of the table's row.
+#[derive(Serialize, Deserialize)]
+struct RowValue {
+    #[serde(flatten)]
+    entry: HistoryEntry,
+    /// The base and the overlays, as JSON.
+    document: serde_json::Value,
+    #[serde(default)]
+    history: Vec<HistoryEntry>,
+}
+
+impl Accepted {
+    /// The value of the table's row; none if the document is not JSON.
+    pub fn to_value(&self) -> Option<serde_json::Value> {
+        let value = RowValue {
+            entry: self.entry.clone(),
+            document: serde_json::from_str(&self.document).ok()?,
+            history: self.history.clone(),
+        };
+        serde_json::to_value(value).ok()
+    }
+}
+
+impl TableRow {
+    /// The row in a value of the table, or none where it makes no sense.
+    pub fn parse(value: &serde_json::Value, row_version: u64) -> Option<Self> {
+        let RowValue { entry, document, history } = RowValue::deserialize(value).ok()?;
+        let accepted = Accepted { entry, document: document.to_string(), history };
+        Some(Self { row_version, accepted })
+    }
+}
+
 /// The table's row of the configuration.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TableRow {
--- a/src/configuration/event.rs
+++ b/src/configuration/event.rs
@@ -95,7 +95,12 @@
     /// The row was read.
     TableRead(RowRead),
     /// The row was written, or not.
-    TableWritten(RowWrite),
+    TableWritten {
+        /// The random number of the submission, from the value that was to be written.
+        submission: u64,
+        /// What came of it.
+        write: RowWrite,
+    },
     /// A peer has told its version.
     PeerHas(PeerVersion),
     /// A message of this module arrived from a peer.
--- a/src/configuration/state.rs
+++ b/src/configuration/state.rs
@@ -46,14 +46,14 @@
     #[builder(default = 10 * US_PER_S)]
     pub store_timeout_us: u64,
     /// A pause between two events that counts as a freeze of the process, in microseconds.
-    #[builder(default = 10 * US_PER_S)]
+    #[builder(default = 5 * US_PER_S)]
     pub freeze_us: u64,
 }
 
 /// The nodes of a site up to which every node reads the row at the plain interval.
 const SMALL_SITE_NODES: u64 = 20;
 /// How much less often a node of a large site reads the row, at most.
-const READ_STRETCH_MAX: u64 = 5;
+const READ_STRETCH_MAX: u64 = 10;
 /// The first backoff while the table service is away, in microseconds.
 const BACKOFF_US: u64 = US_PER_S;
 
@@ -146,7 +146,9 @@
         self.notice_freeze(now_us);
         match event {
             ConfigurationEvent::TableRead(read) => self.take_read(now_us, &read, rng, out),
-            ConfigurationEvent::TableWritten(write) => self.take_write(now_us, &write, out),
+            ConfigurationEvent::TableWritten { submission, write } => {
+                self.take_write(now_us, submission, &write, out);
+            }
             ConfigurationEvent::PeerHas(peer) => self.take_peer(now_us, &peer),
             ConfigurationEvent::Peer(bytes) => self.take_message(now_us, bytes, out),
             ConfigurationEvent::Submit(submit) => self.submit(now_us, submit, out),
@@ -201,9 +203,8 @@
             RowRead::Failed => {}
         }
         self.plan_read(now_us, matches!(read, RowRead::Failed), rng);
-        let version = self.version();
         let Some(submission) = &mut self.submission else { return };
-        let outcome = submission.take_read(now_us, read, version, out);
+        let outcome = submission.take_read(now_us, read, self.accepted.as_deref(), out);
         self.finish(now_us, outcome, out);
     }
 
@@ -228,11 +229,18 @@
         self.take(&row.accepted, out);
     }
 
-    fn take_write(&mut self, now_us: u64, write: &RowWrite, out: &mut Vec<ConfigurationAction>) {
+    fn take_write(
+        &mut self,
+        now_us: u64,
+        number: u64,
+        write: &RowWrite,
+        out: &mut Vec<ConfigurationAction>,
+    ) {
         if let RowWrite::Conflict { present: Some(row) } = write {
             self.take_row(now_us, row, out);
         }
-        let Some(submission) = &mut self.submission else { return };
+        let submission = self.submission.as_mut().filter(|present| present.number() == number);
+        let Some(submission) = submission else { return };
         let outcome = submission.take_write(now_us, write);
         self.finish(now_us, outcome, out);
     }
@@ -288,11 +296,15 @@
             out.push(ConfigurationAction::Submitted { submission, outcome });
             return;
         }
-        if let Err(cause) = (self.build)(&submit.document) {
-            let outcome = SubmitOutcome::Invalid { cause };
-            out.push(ConfigurationAction::Submitted { submission, outcome });
-            return;
-        }
+        let checked = (self.build)(&submit.document).and_then(|_| canonical(&submit.document));
+        let submit = match checked {
+            Ok(document) => Submit { document, ..submit },
+            Err(cause) => {
+                let outcome = SubmitOutcome::Invalid { cause };
+                out.push(ConfigurationAction::Submitted { submission, outcome });
+                return;
+            }
+        };
         self.submission = Some(Submission::new(submit, now_us + self.options.submit_us));
         out.push(ConfigurationAction::ReadTable);
     }
@@ -358,3 +370,9 @@
         table_away && cold_us >= self.options.cold_start_us
     }
 }
+
+/// The document as it comes back from the table, or why it is no JSON.
+fn canonical(document: &str) -> Result<String, String> {
+    let value: serde_json::Value = serde_json::from_str(document).map_err(|e| e.to_string())?;
+    Ok(value.to_string())
+}
--- a/src/configuration/submission.rs
+++ b/src/configuration/submission.rs
@@ -59,12 +59,12 @@
         self.written.as_ref()
     }
 
-    /// Takes a row that was read; `in_force` is the version this node has.
+    /// Takes a row that was read; `in_force` is what this node has.
     pub(super) fn take_read(
         &mut self,
         now_us: u64,
         read: &RowRead,
-        in_force: u64,
+        in_force: Option<&Accepted>,
         out: &mut Vec<ConfigurationAction>,
     ) -> Option<SubmitOutcome> {
         if self.step != Step::Reading {
@@ -83,16 +83,17 @@
     fn take_row(
         &mut self,
         row: Option<&TableRow>,
-        in_force: u64,
+        in_force: Option<&Accepted>,
         out: &mut Vec<ConfigurationAction>,
     ) -> Option<SubmitOutcome> {
         let present = row.map(|row| &row.accepted);
         if let Some(entry) = present.and_then(|accepted| accepted.find(self.number())) {
             return Some(SubmitOutcome::Accepted { version: entry.version });
         }
-        let version = present.map_or(0, Accepted::version);
-        if version.max(in_force) != self.submit.based_on {
-            return Some(SubmitOutcome::Conflict { lost_to: present.map(|a| a.entry.clone()) });
+        // A table that was restored may stand behind what is in force.
+        let newest = present.into_iter().chain(in_force).max_by_key(|a| a.version());
+        if newest.map_or(0, Accepted::version) != self.submit.based_on {
+            return Some(SubmitOutcome::Conflict { lost_to: newest.map(|a| a.entry.clone()) });
         }
         let accepted = Arc::new(self.next(present));
         self.written = Some(accepted.clone());
@@ -147,6 +148,11 @@
         if let Some(entry) = row.accepted.find(self.number()) {
             return Some(SubmitOutcome::Accepted { version: entry.version });
         }
+        if row.accepted.version() <= self.submit.based_on {
+            // The row that was read was not the latest; nothing has come in between.
+            self.step = Step::Waiting(now_us);
+            return None;
+        }
         Some(SubmitOutcome::Conflict { lost_to: Some(row.accepted.entry.clone()) })
     }
 
--- a/src/membership/event.rs
+++ b/src/membership/event.rs
@@ -36,8 +36,10 @@
     },
     /// The node's own row was not written because another version stands there.
     RowConflict {
-        /// The row that stands there, or none.
-        present: Option<MemberRow>,
+        /// The version that stands there, or none where there is no row.
+        version: Option<u64>,
+        /// The member that stands there, or none where the row is missing or makes no sense.
+        present: Option<Member>,
     },
     /// Writing the node's own row failed; it may have taken effect all the same.
     WriteFailed,
--- a/src/membership/member.rs
+++ b/src/membership/member.rs
@@ -71,6 +71,14 @@
     pub version: u64,
 }
 
+impl MemberRow {
+    /// The row in a value of the table, or none where it makes no sense.
+    pub fn parse(value: &serde_json::Value, version: u64) -> Option<Self> {
+        let member = Member::deserialize(value).ok()?;
+        Some(Self { member, version })
+    }
+}
+
 /// The key of the row of the node called `name`.
 pub fn row_key(service: &str, name: &str) -> String {
     format!("member:{service}:{name}")
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -6,6 +6,7 @@
 //! both sides care about. Only a member itself raises its `beat`; whoever sees a beat rise knows
 //! that the member was alive a known time ago. No clocks of different VMs are compared.
 
+mod contact;
 mod event;
 mod interest;
 mod member;
--- a/src/membership/options.rs
+++ b/src/membership/options.rs
@@ -16,9 +16,16 @@
     /// peers works, rows are read `READ_STRETCH` times less often.
     #[builder(default = 12 * US_PER_S)]
     pub poll_us: u64,
-    /// How often a digest is sent to a peer, in microseconds.
+    /// How often a digest is sent to a peer, in microseconds, on a small site.
     #[builder(default = US_PER_S)]
     pub gossip_us: u64,
+    /// The least time between two digests for each member this node cares about, in microseconds.
+    /// It bounds the bytes a second whatever the number of members.
+    #[builder(default = 15 * US_PER_MS)]
+    pub gossip_per_member_us: u64,
+    /// The longest time between two digests, in microseconds.
+    #[builder(default = 4 * US_PER_S)]
+    pub gossip_max_us: u64,
     /// How often a member raises its beat, in microseconds, in a small service.
     #[builder(default = 5 * US_PER_S)]
     pub beat_us: u64,
@@ -52,7 +59,7 @@
     #[builder(default)]
     pub seeds: Vec<SocketAddr>,
     /// The most signs of life in one digest.
-    #[builder(default = 128)]
+    #[builder(default = 256)]
     pub signs_max: usize,
     /// The most full records in one message.
     #[builder(default = 64)]
@@ -71,6 +78,12 @@
         self.beat_us.max(self.beat_per_member_us * members as u64)
     }
 
+    /// How often a node that cares about `members` members sends a digest.
+    pub fn gossip_interval_us(&self, members: usize) -> u64 {
+        let wanted_us = self.gossip_us.max(self.gossip_per_member_us * members as u64);
+        wanted_us.min(self.gossip_max_us)
+    }
+
     /// After how long without a sign of life a member of such a service is gone.
     pub fn age_out_us(&self, members: usize) -> u64 {
         self.beat_interval_us(members) * self.beats_missed
--- a/src/membership/rows.rs
+++ b/src/membership/rows.rs
@@ -66,7 +66,7 @@
     empty_reads: u32,
     /// The version of the node's own row, as far as is known.
     pub(super) own_version: Option<u64>,
-    still: BTreeMap<NodeId, Still>,
+    still: BTreeMap<String, BTreeMap<NodeId, Still>>,
 }
 
 impl Rows {
@@ -223,19 +223,28 @@
         self.next_read_us = now_us + wait_us;
     }
 
-    /// Notes one row; true once it has stood unchanged for so long that its owner must be dead.
-    pub(super) fn is_dead(
+    /// Notes the rows of a service; returns those that have stood unchanged for so long that their
+    /// owners must be dead.
+    pub(super) fn dead<'a>(
         &mut self,
         now_us: u64,
-        row: &MemberRow,
+        service: &str,
+        rows: &'a [MemberRow],
         options: &MembershipOptions,
-    ) -> bool {
-        let fresh = Still { version: row.version, since_us: now_us };
-        let still = self.still.entry(row.member.node).or_insert(fresh);
-        if still.version != row.version {
-            *still = Still { version: row.version, since_us: now_us };
+    ) -> Vec<&'a MemberRow> {
+        let before = self.still.remove(service).unwrap_or_default();
+        let mut after = BTreeMap::new();
+        let mut dead = Vec::new();
+        for row in rows {
+            let same = before.get(&row.member.node).filter(|still| still.version == row.version);
+            let since_us = same.map_or(now_us, |still| still.since_us);
+            after.insert(row.member.node, Still { version: row.version, since_us });
+            if now_us.saturating_sub(since_us) >= options.row_dead_us {
+                dead.push(row);
+            }
         }
-        now_us.saturating_sub(still.since_us) >= options.row_dead_us
+        self.still.insert(service.to_owned(), after);
+        dead
     }
 
     /// Pulls the next read forward, after a freeze.
--- a/src/membership/state.rs
+++ b/src/membership/state.rs
@@ -9,6 +9,7 @@
 use crate::call::NodeId;
 use crate::clock::US_PER_S;
 
+use super::contact::Contacts;
 use super::event::{MembershipAction, MembershipEvent};
 use super::interest::{Interests, ServiceTag};
 use super::member::{Member, MemberRow, MemberState};
@@ -26,6 +27,8 @@
 const WANTED_MAX: usize = 64;
 /// One in so many rounds also asks a seed or a member that is gone.
 const PROBE_ROUNDS: u32 = 4;
+/// The most leads in one reply.
+const LEADS_MAX: usize = 4;
 
 /// What a node tells about itself at its start.
 #[derive(Clone, Debug)]
@@ -60,6 +63,7 @@
     /// When a peer was last heard.
     last_peer_us: Option<u64>,
     superseded: bool,
+    contacts: Contacts,
 }
 
 impl Membership {
@@ -97,6 +101,7 @@
             last_event_us: now_us,
             last_peer_us: None,
             superseded: false,
+            contacts: Contacts::default(),
             options,
         }
     }
@@ -123,8 +128,8 @@
             MembershipEvent::RowWritten { version } => {
                 self.rows.written(now_us, version, &self.options, rng);
             }
-            MembershipEvent::RowConflict { present } => {
-                self.take_conflict(now_us, present, rng, out);
+            MembershipEvent::RowConflict { version, present } => {
+                self.take_conflict(now_us, version, present.as_ref(), rng, out);
             }
             MembershipEvent::WriteFailed => self.rows.write_failed(now_us, &self.options, rng),
             MembershipEvent::Gossip { bytes } => self.take_gossip(now_us, bytes, out),
@@ -230,6 +235,7 @@
     fn send_urgent(&self, body: Body, rng: &mut SmallRng, out: &mut Vec<MembershipAction>) {
         let bytes = self.message(body).encode();
         let mut peers = self.peer_addresses(|_| true);
+        peers.extend(self.contacts.addresses());
         if peers.is_empty() {
             peers.clone_from(&self.options.seeds);
         }
@@ -246,8 +252,6 @@
         rng: &mut SmallRng,
         out: &mut Vec<MembershipAction>,
     ) {
-        let one_in = self.view.size(ServiceTag::new(service)).max(1);
-        let mut may_delete = rng.random_ratio(1, u32::try_from(one_in).unwrap_or(u32::MAX));
         for row in rows {
             if row.member.service != service || !self.interests.has_service(service) {
                 continue;
@@ -259,13 +263,8 @@
             }
             // Nobody knows when the row was written, so its member is given the full time to age out.
             self.view.take(now_us, &row.member, now_us, &self.options, out);
-            let dead = self.rows.is_dead(now_us, row, &self.options);
-            if dead && may_delete && self.view.get(row.member.node).is_none() {
-                may_delete = false;
-                let key = row.member.row_key();
-                out.push(MembershipAction::DeleteRow { key, version: row.version });
-            }
         }
+        self.delete_dead(now_us, service, rows, rng, out);
         let fresh = self.is_kept_fresh(now_us);
         let own = self.interests.own();
         let empty =
@@ -273,6 +272,27 @@
         self.rows.read(now_us, service, fresh, empty, &self.options, rng);
     }
 
+    /// Deletes one row of a member that is long dead. Many nodes see the same rows, so each of them
+    /// deletes only now and then.
+    fn delete_dead(
+        &mut self,
+        now_us: u64,
+        service: &str,
+        rows: &[MemberRow],
+        rng: &mut SmallRng,
+        out: &mut Vec<MembershipAction>,
+    ) {
+        let sharers = u32::try_from(self.view.size(self.interests.own()) + 1).unwrap_or(u32::MAX);
+        let mut dead = self.rows.dead(now_us, service, rows, &self.options);
+        dead.retain(|row| self.view.get(row.member.node).is_none());
+        dead.retain(|row| !row.member.same_place(&self.own));
+        let Some(row) = dead.choose(rng) else { return };
+        if rng.random_ratio(1, sharers) {
+            let key = row.member.row_key();
+            out.push(MembershipAction::DeleteRow { key, version: row.version });
+        }
+    }
+
     /// Whether peers were heard of late, so that the table is only the second source.
     fn is_kept_fresh(&self, now_us: u64) -> bool {
         let limit_us = 4 * self.options.beat_us;
@@ -282,13 +302,13 @@
     fn take_conflict(
         &mut self,
         now_us: u64,
-        present: Option<MemberRow>,
+        version: Option<u64>,
+        present: Option<&Member>,
         rng: &mut SmallRng,
         out: &mut Vec<MembershipAction>,
     ) {
-        let version = present.as_ref().map(|row| row.version);
-        if let Some(row) = &present {
-            self.meet_namesake(now_us, &row.member, out);
+        if let Some(member) = present {
+            self.meet_namesake(now_us, member, out);
         }
         self.rows.conflicted(now_us, version, rng);
     }
@@ -321,10 +341,14 @@
         out.push(MembershipAction::PeerConfiguration { peer: address, mark: configuration });
         match message.body {
             Body::Digest { own, own_service, groups } => {
+                if !self.interests.has(own_service) {
+                    self.contacts.note(now_us, address, own_service);
+                }
                 let body = self.reply(now_us, own, own_service, &groups);
                 self.send(address, body, out);
             }
-            Body::Reply { signs, records, wanted } => {
+            Body::Reply { signs, records, wanted, leads } => {
+                self.contacts.follow(&leads, self.own.peer_address);
                 self.take_records(now_us, &records, out);
                 for sign in &signs {
                     self.take_sign(now_us, sign);
@@ -366,11 +390,15 @@
         let mut signs = Vec::new();
         let mut records = Vec::new();
         let mut wanted = Vec::new();
+        let mut leads = Vec::new();
         if self.interests.has(own_service) && !self.take_sign(now_us, &own) {
             wanted.push(NodeId(own.node));
         }
         for group in groups {
             if !self.interests.has(group.service) {
+                if group.whole && group.signs.is_empty() {
+                    leads.extend(self.contacts.leads(group.service));
+                }
                 continue;
             }
             for sign in &group.signs {
@@ -381,7 +409,8 @@
             }
             self.offer(now_us, own.node, group, &mut signs, &mut records);
         }
-        Body::Reply { signs, records, wanted }
+        leads.truncate(LEADS_MAX);
+        Body::Reply { signs, records, wanted, leads }
     }
 
     /// Collects what the sender of `group` lacks.
@@ -452,7 +481,8 @@
         if now_us >= self.next_gossip_us {
             self.view.age(now_us, &self.options, out);
             self.gossip(now_us, rng, out);
-            self.next_gossip_us = now_us + jitter(self.options.gossip_us, rng);
+            let interval_us = self.options.gossip_interval_us(self.view.len());
+            self.next_gossip_us = now_us + jitter(interval_us, rng);
         }
         if self.superseded {
             return;
@@ -485,14 +515,21 @@
             let digest = self.digest(now_us, vec![tag], rng);
             self.send(*to, digest, out);
         }
-        if self.view.len() == 0 || rng.random_ratio(1, PROBE_ROUNDS) {
+        self.contacts.age(now_us);
+        if self.lacks_members() || rng.random_ratio(1, PROBE_ROUNDS) {
             self.probe(now_us, rng, out);
         }
     }
 
-    /// Asks a seed or a member that is gone, so that parts that lost each other meet again.
-    fn probe(&self, now_us: u64, rng: &mut SmallRng, out: &mut Vec<MembershipAction>) {
+    /// Whether some service this node cares about has no known member.
+    fn lacks_members(&self) -> bool {
+        self.interests.tags().iter().any(|tag| self.view.size(*tag) == 0)
+    }
+
+    /// Asks a lead, a seed or a member that is gone, so that parts that lost each other meet again.
+    fn probe(&mut self, now_us: u64, rng: &mut SmallRng, out: &mut Vec<MembershipAction>) {
         let mut addresses = self.view.lost_addresses();
+        addresses.extend(self.contacts.take_lead());
         let known = self.peer_addresses(|_| true);
         let seeds = self.options.seeds.iter().copied();
         addresses.extend(seeds.filter(|seed| *seed != self.own.peer_address));
--- a/src/membership/wire.rs
+++ b/src/membership/wire.rs
@@ -88,6 +88,8 @@
         records: Vec<Record>,
         /// Members the replying node lacks.
         wanted: Vec<NodeId>,
+        /// Nodes that may know members of services of which the asker knows none.
+        leads: Vec<SocketAddr>,
     },
     /// Whole members.
     Records(Vec<Record>),
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -5,8 +5,9 @@
 #![allow(dead_code)]
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Instant;
 
 use aspenspring::call::NodeId;
 use aspenspring::config::Rules;
@@ -33,7 +34,7 @@
     Rows(String, Option<Vec<MemberRow>>),
     OwnRow(OwnRow),
     Read(RowRead),
-    Write(RowWrite),
+    Write(u64, RowWrite),
 }
 
 #[derive(Clone, Debug)]
@@ -51,11 +52,14 @@
     pub frozen: bool,
     /// What routing would believe: state by node.
     pub routed: BTreeMap<NodeId, MemberState>,
+    /// Nodes it has ever seen leaving.
+    left: BTreeSet<NodeId>,
     pub in_force: Vec<u64>,
     pub outcomes: Vec<SubmitOutcome>,
     pub superseded: bool,
     pub sent_bytes: u64,
     pub sent_messages: u64,
+    pub received_bytes: u64,
     started_us: u64,
     missed: Vec<Parcel>,
     wake_us: u64,
@@ -84,6 +88,14 @@
     pub writes: u64,
     pub deletes: u64,
     pub wakes: u64,
+    /// When rows were read and written.
+    pub read_at_us: Vec<u64>,
+    pub write_at_us: Vec<u64>,
+    /// What the membership's and the configuration's handling took, for figures only.
+    pub membership_ns: u64,
+    pub membership_events: u64,
+    pub configuration_ns: u64,
+    pub configuration_events: u64,
     by_address: BTreeMap<SocketAddr, usize>,
     queue: BinaryHeap<Reverse<(u64, u64, usize)>>,
     parcels: BTreeMap<u64, Parcel>,
@@ -118,6 +130,12 @@
             writes: 0,
             deletes: 0,
             wakes: 0,
+            read_at_us: vec![],
+            write_at_us: vec![],
+            membership_ns: 0,
+            membership_events: 0,
+            configuration_ns: 0,
+            configuration_events: 0,
             by_address: BTreeMap::new(),
             queue: BinaryHeap::new(),
             parcels: BTreeMap::new(),
@@ -175,11 +193,13 @@
             up: true,
             frozen: false,
             routed: BTreeMap::new(),
+            left: BTreeSet::new(),
             in_force: vec![],
             outcomes: vec![],
             superseded: false,
             sent_bytes: 0,
             sent_messages: 0,
+            received_bytes: 0,
             started_us: self.now_us,
             missed: vec![],
             wake_us: u64::MAX,
@@ -195,7 +215,10 @@
     pub fn tell(&mut self, index: usize, event: MembershipEvent<'_>) {
         let node = &mut self.nodes[index];
         let mut out = Vec::new();
+        let began = Instant::now();
         node.membership.handle(self.now_us - node.started_us, event, &mut self.rng, &mut out);
+        self.membership_ns += began.elapsed().as_nanos() as u64;
+        self.membership_events += 1;
         for action in out {
             self.act(index, action);
         }
@@ -206,7 +229,10 @@
     pub fn configure(&mut self, index: usize, event: ConfigurationEvent<'_>) {
         let node = &mut self.nodes[index];
         let mut out = Vec::new();
+        let began = Instant::now();
         node.configuration.handle(self.now_us - node.started_us, event, &mut self.rng, &mut out);
+        self.configuration_ns += began.elapsed().as_nanos() as u64;
+        self.configuration_events += 1;
         for action in out {
             self.act_configuration(index, action);
         }
@@ -283,8 +309,12 @@
                 self.configure(index, ConfigurationEvent::Tick);
                 self.tell(index, MembershipEvent::Tick);
             }
-            Parcel::Gossip(bytes) => self.tell(index, MembershipEvent::Gossip { bytes: &bytes }),
+            Parcel::Gossip(bytes) => {
+                self.nodes[index].received_bytes += bytes.len() as u64;
+                self.tell(index, MembershipEvent::Gossip { bytes: &bytes });
+            }
             Parcel::Configuration(bytes) => {
+                self.nodes[index].received_bytes += bytes.len() as u64;
                 self.configure(index, ConfigurationEvent::Peer(&bytes));
             }
             Parcel::Rows(service, Some(rows)) => {
@@ -297,11 +327,15 @@
                 self.tell(index, MembershipEvent::RowWritten { version });
             }
             Parcel::OwnRow(OwnRow::Conflict(present)) => {
-                self.tell(index, MembershipEvent::RowConflict { present });
+                let version = present.as_ref().map(|row| row.version);
+                let present = present.map(|row| row.member);
+                self.tell(index, MembershipEvent::RowConflict { version, present });
             }
             Parcel::OwnRow(OwnRow::Failed) => self.tell(index, MembershipEvent::WriteFailed),
             Parcel::Read(read) => self.configure(index, ConfigurationEvent::TableRead(read)),
-            Parcel::Write(write) => self.configure(index, ConfigurationEvent::TableWritten(write)),
+            Parcel::Write(submission, write) => {
+                self.configure(index, ConfigurationEvent::TableWritten { submission, write });
+            }
         }
     }
 
@@ -348,6 +382,7 @@
         match action {
             MembershipAction::WriteRow { member, expected } => {
                 self.writes += 1;
+                self.write_at_us.push(self.now_us);
                 let parcel = self.write_member(member, expected);
                 self.answer(index, Parcel::OwnRow(parcel));
             }
@@ -360,6 +395,7 @@
             }
             MembershipAction::ReadRows { service } => {
                 self.reads += 1;
+                self.read_at_us.push(self.now_us);
                 let rows = self.member_rows.values().filter(|r| r.member.service == service);
                 let rows = (self.table != Table::Down).then(|| rows.cloned().collect());
                 self.answer(index, Parcel::Rows(service, rows));
@@ -369,7 +405,13 @@
                 self.send(index, to, Parcel::Gossip(bytes), length);
             }
             MembershipAction::Added(member) | MembershipAction::Changed(member) => {
-                self.nodes[index].routed.insert(member.node, member.state);
+                let node = &mut self.nodes[index];
+                if member.state == MemberState::Leaving {
+                    node.left.insert(member.node);
+                }
+                let back = node.left.contains(&member.node) && member.state == MemberState::Serving;
+                assert!(!back, "a leaving member is serving again");
+                node.routed.insert(member.node, member.state);
             }
             MembershipAction::Gone(node) => {
                 self.nodes[index].routed.remove(&node);
@@ -405,6 +447,7 @@
         match action {
             ConfigurationAction::ReadTable => {
                 self.reads += 1;
+                self.read_at_us.push(self.now_us);
                 let read = match (self.table, self.row.clone()) {
                     (Table::Down, _) => RowRead::Failed,
                     (_, Some(row)) => RowRead::Present(row),
@@ -414,7 +457,7 @@
             }
             ConfigurationAction::WriteTable { expected, accepted } => {
                 let write = self.write_configuration(&accepted, expected);
-                self.answer(index, Parcel::Write(write));
+                self.answer(index, Parcel::Write(accepted.entry.submission, write));
             }
             ConfigurationAction::SendPeer { to, bytes } => {
                 let length = bytes.len();
