--- a/src/standin/collector.rs
+++ b/src/standin/collector.rs
@@ -6,7 +6,8 @@
 use serde_json::Value;
 
 use super::exchange::{Exchange, Reply};
-use super::server::{Server, StartError};
+use super::server::Server;
+use crate::duty::web::WebError;
 
 /// Where spans are sent.
 const TRACES_PATH: &str = "/v1/traces";
@@ -18,7 +19,7 @@
 const SPANS_MAX: usize = 200_000;
 
 /// Starts a collector.
-pub fn start(listen: SocketAddr) -> Result<Server, StartError> {
+pub fn start(listen: SocketAddr) -> Result<Server, WebError> {
     let spans = Arc::new(Mutex::new(Vec::new()));
     Server::start(listen, 1, move |exchange| {
         let spans = spans.clone();
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -13,4 +13,4 @@
 pub mod server;
 pub mod target;
 
-pub use server::{Server, StartError};
+pub use server::Server;
--- a/src/standin/platform/mod.rs
+++ b/src/standin/platform/mod.rs
@@ -16,7 +16,8 @@
 use self::objects::Objects;
 use self::rows::Tables;
 use super::exchange::{Exchange, Reply};
-use super::server::{Server, StartError};
+use super::server::Server;
+use crate::duty::web::WebError;
 
 /// Worker threads of a stand-in of the platform.
 const WORKERS: usize = 2;
@@ -48,17 +49,17 @@
 }
 
 /// Starts a table service.
-pub fn start_table(listen: SocketAddr) -> Result<Server, StartError> {
+pub fn start_table(listen: SocketAddr) -> Result<Server, WebError> {
     start(listen, Contents::Tables(Tables::default()))
 }
 
 /// Starts an object store.
-pub fn start_objects(listen: SocketAddr) -> Result<Server, StartError> {
+pub fn start_objects(listen: SocketAddr) -> Result<Server, WebError> {
     start(listen, Contents::Objects(Objects::default()))
 }
 
 /// Starts a stand-in over its contents.
-fn start(listen: SocketAddr, contents: Contents) -> Result<Server, StartError> {
+fn start(listen: SocketAddr, contents: Contents) -> Result<Server, WebError> {
     let state = State { contents, fault: Fault::default(), reads: 0, writes: 0 };
     let state = Arc::new(Mutex::new(state));
     Server::start(listen, WORKERS, move |exchange| answer(state.clone(), exchange))
--- a/src/standin/target/mod.rs
+++ b/src/standin/target/mod.rs
@@ -32,7 +32,8 @@
 use self::shared::Shared;
 use super::client::client;
 use super::exchange::{Exchange, Reply};
-use super::server::{Server, StartError};
+use super::server::Server;
+use crate::duty::web::WebError;
 
 /// Worker threads of a target.
 const WORKERS: usize = 2;
@@ -46,7 +47,7 @@
 pub enum TargetError {
     /// Its server did not start.
     #[error(transparent)]
-    Server(#[from] StartError),
+    Server(#[from] WebError),
     /// Its HTTP client could not be made.
     #[error("cannot make the HTTP client of a target")]
     Client(#[from] reqwest::Error),
