--- a/src/standin/cli.rs
+++ b/src/standin/cli.rs
@@ -1,5 +1,7 @@
 //! The command line of the stand-ins.
 
+mod load;
+
 use std::net::SocketAddr;
 use std::str::FromStr;
 use std::time::Duration;
@@ -9,6 +11,8 @@
 use reqwest::{Method, Url};
 use tokio::signal::unix::{SignalKind, signal};
 
+pub use self::load::LoadArgs;
+
 use super::client::client;
 use super::fetch::Fetch;
 use super::target::{Target, TargetSettings};
@@ -41,6 +45,8 @@
     Collector(CollectorArgs),
     /// One call of an outside caller.
     Fetch(FetchArgs),
+    /// Many calls of outside callers.
+    Load(LoadArgs),
 }
 
 /// the platform's table service, in memory
@@ -187,6 +193,7 @@
         }
         StandinKind::Target(args) => run_target(&runtime, args),
         StandinKind::Fetch(args) => runtime.block_on(run_fetch(args)),
+        StandinKind::Load(args) => load::run_load(args),
     }
 }
 
--- a/src/standin/fetch.rs
+++ b/src/standin/fetch.rs
@@ -1,12 +1,18 @@
 //! One call, whose answer is checked for being whole and correct.
 
+use std::fmt;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
+use reqwest::header::HeaderMap;
 use reqwest::{Client, Method, Url};
 use thiserror::Error;
 
 use super::answer::{Answer, Echo};
 
+/// The status of every answer of a stand-in target that did its work.
+const OK: u16 = 200;
+
 /// One call of an outside caller to a stand-in target behind a node.
 #[derive(Clone, Debug)]
 pub struct Fetch {
@@ -25,10 +31,38 @@
 pub struct Fetched {
     /// The answer.
     pub answer: Answer,
+    /// The HTTP answer it came in.
+    pub reply: Reply,
     /// From the first byte sent to the last received.
     pub took: Duration,
 }
 
+/// An HTTP answer, whatever it holds.
+#[derive(Clone, Debug, Default)]
+pub struct Reply {
+    /// The status.
+    pub status: u16,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+impl Reply {
+    /// The first header of this name; empty where it is absent.
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or("")
+    }
+}
+
+impl fmt::Display for Reply {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let verdict = self.header("aspenspring-verdict");
+        let body = String::from_utf8_lossy(&self.body);
+        write!(f, "status {}, verdict {verdict:?}: {body}", self.status)
+    }
+}
+
 /// Why a call gave no whole and correct answer.
 #[derive(Debug, Error)]
 pub enum FetchError {
@@ -39,20 +73,11 @@
     #[error("the exchange broke off: {0}")]
     Broken(#[from] reqwest::Error),
     /// An error was answered.
-    #[error("status {status}, verdict {verdict:?}, retry-after {retry_after:?}: {body}")]
-    Refused {
-        /// The status.
-        status: u16,
-        /// The header `aspenspring-verdict`.
-        verdict: Option<String>,
-        /// The header `retry-after`.
-        retry_after: Option<String>,
-        /// The body.
-        body: String,
-    },
+    #[error("{0}")]
+    Refused(Reply),
     /// The answer was not a target's, or a target's to another call.
     #[error("the answer is not whole or not to this call: {0}")]
-    Wrong(String),
+    Wrong(Reply),
 }
 
 impl Fetch {
@@ -79,24 +104,20 @@
         for (name, value) in &self.headers {
             request = request.header(name, value);
         }
-        let response = request.send().await?;
+        let mut response = request.send().await?;
         let status = response.status().as_u16();
-        let header = |name: &str| {
-            let value = response.headers().get(name)?;
-            Some(String::from_utf8_lossy(value.as_bytes()).into_owned())
-        };
-        let (verdict, retry_after) = (header("aspenspring-verdict"), header("retry-after"));
-        let body = response.bytes().await?;
+        let headers = std::mem::take(response.headers_mut());
+        let reply = Reply { status, headers, body: response.bytes().await? };
         let took = begun.elapsed();
-        let text = || String::from_utf8_lossy(&body).into_owned();
-        if status != 200 {
-            return Err(FetchError::Refused { status, verdict, retry_after, body: text() });
+        if status != OK {
+            return Err(FetchError::Refused(reply));
         }
-        let answer = serde_json::from_slice::<Answer>(&body);
-        let answer = answer.map_err(|_| FetchError::Wrong(text()))?;
+        let Ok(answer) = serde_json::from_slice::<Answer>(&reply.body) else {
+            return Err(FetchError::Wrong(reply));
+        };
         if !answer.is_whole(&service, &echo) {
-            return Err(FetchError::Wrong(text()));
+            return Err(FetchError::Wrong(reply));
         }
-        Ok(Fetched { answer, took })
+        Ok(Fetched { answer, reply, took })
     }
 }
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -9,6 +9,7 @@
 pub mod collector;
 pub mod exchange;
 pub mod fetch;
+pub mod load;
 pub mod platform;
 pub mod server;
 pub mod target;
