--- /dev/null
+++ b/tests/retry_tree.rs
@@ -0,0 +1,298 @@
+//! The bounds on extra attempts over whole call trees, whatever fails in them.
+
+use aspenspring::call::{Doubt, HttpAnswer, RefusalReason, RootId, Verdict};
+use aspenspring::config::RetryRule;
+use aspenspring::retry::{Failure, RetryBudget, RetryStep, RootAllowances, backoff_us, next_step};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+const DEPTH_MAX: usize = 9;
+const FAN_OUT_MAX: usize = 4;
+const DEADLINE_US: u64 = 60_000_000;
+/// A tree with branches is cut off here, so that a case stays small.
+const ATTEMPTS_MAX: u64 = 30_000;
+
+/// What fails at the hops of one depth, as shares of all attempts.
+#[derive(Clone, Copy, Debug)]
+struct Faults {
+    refused: f64,
+    lost: f64,
+    failed: f64,
+}
+
+/// One root on its way through a tree of services; each depth is one node with its own budget.
+struct Tree<'a> {
+    rule: &'a RetryRule,
+    depth: usize,
+    fan_out: usize,
+    faults: &'a [Faults],
+    at_most_once: bool,
+    allowances: &'a mut RootAllowances,
+    budgets: &'a mut [RetryBudget],
+    successes: &'a mut [u64],
+    taken: &'a mut [u64],
+    rng: &'a mut SmallRng,
+    root: RootId,
+    now_us: u64,
+    attempts: u64,
+    extra: u64,
+    runs_at_end: u64,
+}
+
+impl Tree<'_> {
+    /// Makes one call at `depth`, with all its attempts.
+    fn call(&mut self, depth: usize) -> Verdict {
+        let mut retry = 0;
+        loop {
+            let verdict = self.attempt(depth);
+            if matches!(&verdict, Verdict::Answered(answer) if answer.status < 500) {
+                self.budgets[depth].on_success(self.now_us);
+                self.successes[depth] += 1;
+                return verdict;
+            }
+            let failure = Failure::builder()
+                .verdict(&verdict)
+                .at_most_once(self.at_most_once)
+                .retry(retry)
+                .now_us(self.now_us)
+                .deadline_us(DEADLINE_US)
+                .expected_latency_us(0)
+                .other_target_open(true)
+                .build();
+            let backoff_us = match next_step(self.rule, &failure, self.rng) {
+                RetryStep::Never => return verdict,
+                RetryStep::After { backoff_us } => backoff_us,
+                RetryStep::AfterGrant { backoff_us } if self.granted(depth) => backoff_us,
+                RetryStep::AfterGrant { .. } => return verdict,
+            };
+            assert!(self.now_us + backoff_us < DEADLINE_US, "retried past the deadline");
+            self.now_us += backoff_us;
+            self.extra += 1;
+            retry += 1;
+        }
+    }
+
+    fn granted(&mut self, depth: usize) -> bool {
+        if !self.budgets[depth].try_take(self.now_us) {
+            return false;
+        }
+        self.taken[depth] += 1;
+        self.allowances.take(self.now_us, self.root)
+    }
+
+    fn attempt(&mut self, depth: usize) -> Verdict {
+        self.attempts += 1;
+        self.now_us += 10;
+        let faults = self.faults[depth];
+        if self.rng.random_bool(faults.refused) {
+            return Verdict::not_run(RefusalReason::TargetUnreachable, 0);
+        }
+        let lost = self.rng.random_bool(faults.lost);
+        let status = self.run(depth);
+        if lost {
+            return Verdict::MayHaveRun(Doubt::ConnectionLost);
+        }
+        Verdict::Answered(HttpAnswer { status, headers: Vec::new(), body: Default::default() })
+    }
+
+    /// Runs one attempt at its target, with all calls further down.
+    fn run(&mut self, depth: usize) -> u16 {
+        if depth + 1 == self.depth {
+            self.runs_at_end += 1;
+        }
+        let cut_off = self.fan_out > 1 && self.attempts > ATTEMPTS_MAX;
+        let children = if depth + 1 < self.depth && !cut_off { self.fan_out } else { 0 };
+        for _ in 0..children {
+            let verdict = self.call(depth + 1);
+            if !matches!(&verdict, Verdict::Answered(answer) if answer.status < 500) {
+                return 503;
+            }
+        }
+        if self.rng.random_bool(self.faults[depth].failed) { 503 } else { 200 }
+    }
+}
+
+/// What a number of roots did, one after the other.
+#[derive(Debug, Default)]
+struct Totals {
+    extra_most: u64,
+    attempts: u64,
+    runs_at_end: u64,
+    good: u64,
+    successes: Vec<u64>,
+    taken: Vec<u64>,
+}
+
+fn run_roots(
+    rule: &RetryRule,
+    (depth, fan_out): (usize, usize),
+    faults: &[Faults],
+    at_most_once: bool,
+    roots: u128,
+    seed: u64,
+) -> Totals {
+    let (allowance, share) = match rule {
+        RetryRule::Bounded { allowance, budget_share, .. } => (*allowance, *budget_share),
+        _ => (0, 0.0),
+    };
+    let mut allowances = RootAllowances::new();
+    let mut budgets = vec![RetryBudget::new(share); DEPTH_MAX];
+    let mut totals =
+        Totals { successes: vec![0; DEPTH_MAX], taken: vec![0; DEPTH_MAX], ..Totals::default() };
+    let mut rng = SmallRng::seed_from_u64(seed);
+    for number in 0..roots {
+        let root = RootId(number);
+        allowances.open(0, root, allowance, DEADLINE_US);
+        let mut tree = Tree {
+            rule,
+            depth,
+            fan_out,
+            faults,
+            at_most_once,
+            allowances: &mut allowances,
+            budgets: &mut budgets,
+            successes: &mut totals.successes,
+            taken: &mut totals.taken,
+            rng: &mut rng,
+            root,
+            now_us: 0,
+            attempts: 0,
+            extra: 0,
+            runs_at_end: 0,
+        };
+        let verdict = tree.call(0);
+        totals.good +=
+            u64::from(matches!(verdict, Verdict::Answered(answer) if answer.status < 500));
+        totals.extra_most = totals.extra_most.max(tree.extra);
+        totals.attempts += tree.attempts;
+        totals.runs_at_end += tree.runs_at_end;
+        allowances.close(root);
+    }
+    assert!(allowances.is_empty());
+    totals
+}
+
+fn bounded(allowance: u8, budget_share: f64) -> RetryRule {
+    RetryRule::Bounded { allowance, budget_share, backoff_ms: 5, backoff_max_ms: 100 }
+}
+
+fn faults() -> impl Strategy<Value = Faults> {
+    (0.0..1.0f64, 0.0..1.0f64, 0.0..1.0f64, 0.0..1.0f64).prop_map(|(refused, lost, failed, all)| {
+        Faults { refused: refused * all, lost: lost * all, failed: failed * all }
+    })
+}
+
+fn config(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(42),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config(96))]
+
+    #[test]
+    fn extra_attempts_stay_within_allowance_and_budget(
+        depth in 1..=DEPTH_MAX,
+        fan_out in 1..=FAN_OUT_MAX,
+        faults in prop::collection::vec(faults(), DEPTH_MAX),
+        allowance in 0..6u8,
+        share in 0.0..1.0f64,
+        at_most_once in any::<bool>(),
+        seed in any::<u64>(),
+    ) {
+        let rule = bounded(allowance, share);
+        let totals = run_roots(&rule, (depth, fan_out), &faults, at_most_once, 8, seed);
+        prop_assert!(totals.extra_most <= u64::from(allowance));
+        // The free retry grows back in 10 s; a root takes less than a second here.
+        let regrown = 8.0 * DEADLINE_US as f64 / 10e6;
+        for (taken, successes) in totals.taken.iter().zip(&totals.successes) {
+            prop_assert!(*taken as f64 <= share * *successes as f64 + 1.0 + regrown);
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(config(256))]
+
+    #[test]
+    fn a_budget_never_gives_more_than_it_earned(
+        share in 0.0..1.0f64,
+        steps in prop::collection::vec((0..3u8, 0..300_000u64), 1..400),
+    ) {
+        let mut budget = RetryBudget::new(share);
+        let (mut now_us, mut successes, mut taken) = (0, 0.0, 0.0);
+        for (step, wait_us) in steps {
+            now_us += wait_us;
+            if step == 0 {
+                budget.on_success(now_us);
+                successes += 1.0;
+            } else if budget.try_take(now_us) {
+                taken += 1.0;
+            }
+            prop_assert!(taken <= share * successes + 1.0 + now_us as f64 / 10e6 + 1e-3);
+        }
+    }
+
+    #[test]
+    fn backoff_stays_within_its_bounds_and_honours_retry_after(
+        least_ms in 0..50u64,
+        longest_ms in 0..500u64,
+        retry in any::<u8>(),
+        retry_after_ms in 0..10_000u32,
+        seed in any::<u64>(),
+    ) {
+        let rule = RetryRule::Bounded {
+            allowance: 3, budget_share: 0.1, backoff_ms: least_ms, backoff_max_ms: longest_ms,
+        };
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let waited_us = backoff_us(&rule, retry, retry_after_ms, &mut rng);
+        let drawn_us = waited_us - u64::from(retry_after_ms) * 1_000;
+        let doubled_ms = least_ms.saturating_mul(2u64.saturating_pow(u32::from(retry) + 1));
+        prop_assert!(drawn_us >= least_ms * 1_000);
+        prop_assert!(drawn_us <= doubled_ms.min(longest_ms.max(least_ms)) * 1_000);
+    }
+}
+
+#[test]
+fn a_chain_of_nine_makes_no_more_than_the_allowance_where_naive_retries_multiply() {
+    let mut faults = [Faults { refused: 0.0, lost: 0.0, failed: 0.0 }; DEPTH_MAX];
+    faults[DEPTH_MAX - 1].failed = 1.0;
+    let naive = RetryRule::Naive { retries: 3 };
+    let naive = run_roots(&naive, (DEPTH_MAX, 1), &faults, false, 1, 1);
+    let rule = bounded(3, 0.1);
+    let bounded = run_roots(&rule, (DEPTH_MAX, 1), &faults, false, 1, 1);
+    println!(
+        "chain of 9, the last always fails: runs of the last naive {}, bounded {}; attempts in all \
+         {} and {}",
+        naive.runs_at_end, bounded.runs_at_end, naive.attempts, bounded.attempts
+    );
+    assert_eq!(bounded.extra_most, 3);
+    assert!(bounded.attempts <= 9 + 3 * 9);
+}
+
+#[test]
+fn a_few_losses_are_mended_with_few_extra_attempts() {
+    for (lost, good_least, attempts_most) in
+        [(0.001, 0.999, 1.02), (0.01, 0.995, 1.1), (0.05, 0.95, 1.35)]
+    {
+        let faults = [Faults { refused: 0.0, lost, failed: 0.0 }; DEPTH_MAX];
+        let least = (DEPTH_MAX * 2_000) as f64;
+        for (name, rule) in [
+            ("none", RetryRule::None),
+            ("naive", RetryRule::Naive { retries: 3 }),
+            ("bounded", bounded(3, 0.1)),
+        ] {
+            let totals = run_roots(&rule, (DEPTH_MAX, 1), &faults, false, 2_000, 7);
+            let good = totals.good as f64 / 2_000.0;
+            let ratio = totals.attempts as f64 / least;
+            println!("lost {lost} at each of 9 hops, {name}: good {good:.4}, attempts {ratio:.3}");
+            assert!(name != "bounded" || (good >= good_least && ratio <= attempts_most));
+        }
+    }
+}
