--- a/src/standin/cli/load.rs
+++ b/src/standin/cli/load.rs
@@ -23,7 +23,7 @@
     /// a node's base URL, http://caller_listen; may be repeated, calls go to them in turn
     #[argh(option)]
     pub node: Vec<Url>,
-    /// a kind of calls, 'NAME WEIGHT METHOD /SERVICE/PATH [own|minted]' with {{n}} for the call's
+    /// a kind of calls, 'NAME WEIGHT METHOD /SERVICE/PATH [own|minted]' with {n} for the call's
     /// number and where its idempotency key comes from; may be repeated
     #[argh(option)]
     pub call: Vec<CallKind>,
--- a/src/standin/load/client.rs
+++ b/src/standin/load/client.rs
@@ -43,7 +43,7 @@
 /// The answer of a node that mints a key.
 #[derive(Deserialize)]
 struct MintedKey {
-    key: String,
+    idempotency_key: String,
 }
 
 impl Clients {
@@ -111,7 +111,7 @@
                 let path = format!("/_aspenspring/keys/{}", kind.service());
                 let url = self.node(number).join(&path).ok()?;
                 let minted = self.http.post(url).send().await.ok()?;
-                Some(minted.json::<MintedKey>().await.ok()?.key)
+                Some(minted.json::<MintedKey>().await.ok()?.idempotency_key)
             }
         }
     }
