End the demonstration in order on Ctrl-C

Cause: Ctrl-C reached every process at once and the script ended with 130. Change: process groups of their own; the script ends them one by one and fails when one did not end well.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -62,15 +62,26 @@
     return "$failed"
 }
 trap 'finish || true' EXIT
-trap 'exit 130' INT
-trap 'exit 143' TERM
+trap 'stop' INT TERM
+
+# Ends everything and this script, which fails when a process did not end well.
+stop() {
+    trap - EXIT
+    echo
+    finish || exit 1
+    echo "Everything has ended."
+    exit 0
+}
 
 # start NAME ARGUMENTS..: runs the program in the background and remembers its process id.
 start() {
     local name=$1
     shift
+    # A process group of its own, so that Ctrl-C reaches this script alone, which ends the rest.
+    set -m
     "$program" "$@" >"$work/$name.log" 2>&1 &
     pids+=($!)
+    set +m
     names+=("$name")
 }
 
@@ -153,11 +164,7 @@
 check_running
 
 if [ "$once" = true ]; then
-    trap - EXIT
-    finish
-    echo
-    echo "Everything has ended."
-    exit 0
+    stop
 fi
 cat <<TEXT
 
@@ -170,5 +177,5 @@
 TEXT
 while true; do
     check_running
-    sleep 1
+    sleep 0.5
 done
