--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -125,6 +125,7 @@
 sed "s/:21000/:$port/; s/:21001/:$((port + 1))/" scripts/demo/site.json >"$work/site.json"
 ASPENSPRING_OPERATOR_KEY=$(od -An -N16 -tx1 /dev/urandom | tr -d ' \n')
 export ASPENSPRING_OPERATOR_KEY
+echo "$ASPENSPRING_OPERATOR_KEY" >"$work/operator-key"
 
 start table standin table --listen "127.0.0.1:$port"
 start objects standin objects --listen "127.0.0.1:$((port + 1))"
@@ -171,7 +172,7 @@
 The site is up. By hand:
   curl -i http://$entry/souq-catalogue/pages/1
   curl -i -X POST -H 'aspenspring-deadline-ms: 1000' -d '{"order":8}' http://$entry/souq-orders/orders/8/confirm
-  curl -s -H "Authorization: Bearer $ASPENSPRING_OPERATOR_KEY" http://$operator/metrics
+  curl -s -H "Authorization: Bearer \$(cat $work/operator-key)" http://$operator/metrics
 Settings and logs of the processes are in $work.
 Ctrl-C ends all ${#pids[@]} processes.
 TEXT
