Load settings as a base and overlays, and refuse every fault at once

Cause: nothing read settings yet. Deserialization alone stops at the first error and knows neither files nor contradictions.

Ruled out: RFC 7396 for lists, since an overlay would have to repeat all classes to change one. Ruled out: the crate jsonschema, which brings some 40 further crates into a node and calls a wrong member of a tagged value only "not valid under any of the schemas". Ruled out: checking after deserialization only, which hides contradictions behind a wrong type.

Change: a reader that keeps file and place of each value and refuses members given twice; a merge by RFC 7396 in which lists with a key merge item by item; a walk of value and generated schema that goes on after an error; checks of contradictions over whatever can be read. The command line with check, settings, schema and completions, exit codes 0 to 3, the schema, a man page and completions under extra, and both deployments as worked examples. argh_complete is new: it writes the completions from the definitions of argh.

--- /dev/null
+++ b/extra/aspenspring.fish
@@ -0,0 +1,110 @@
+function __fish_aspenspring_using_command
+    set -l cmd (commandline -xpc)
+    set -e cmd[1]
+    set -l target_cmd $argv
+
+    set -l known_value_flags 'at' 'body' 'call' 'calls' 'capacity' 'cold-ms' 'connections' 'deadline-ms' 'depth' 'header' 'lane-slots' 'listen' 'method' 'name' 'node' 'out' 'phase' 'queue-max' 'retries' 'rules' 'seed' 'service' 'service-ms' 'settings' 'slots' 'timeout-ms' 'trigger' 'url' 
+
+    set -l i 1
+    set -l cleaned_cmd
+    while test $i -le (count $cmd)
+        set -l arg $cmd[$i]
+        if string match -q -- "-*" $arg
+            set -l pure_flag (string replace -r '^--?' '' -- $arg)
+            if contains -- $pure_flag $known_value_flags
+                set -l next_i (math $i + 1)
+                if test $next_i -le (count $cmd)
+                    if not string match -q -- "-*" $cmd[$next_i]
+                        set i $next_i
+                    end
+                end
+            end
+        else
+            set -a cleaned_cmd $arg
+        end
+        set i (math $i + 1)
+    end
+
+    set -l count_cleaned (count $cleaned_cmd)
+    set -l count_target (count $target_cmd)
+    
+    if test $count_cleaned -ne $count_target
+        return 1
+    end
+    
+    for i in (seq $count_target)
+        if test $cleaned_cmd[$i] != $target_cmd[$i]
+            return 1
+        end
+    end
+    
+    return 0
+end
+
+complete -c aspenspring -n '__fish_aspenspring_using_command' -f -l help -d 'display usage information'
+complete -c aspenspring -n '__fish_aspenspring_using_command' -f -a 'check' -d 'Check settings, or rules alone, and name everything that is wrong.'
+complete -c aspenspring -n '__fish_aspenspring_using_command' -f -a 'settings' -d 'Print the settings in effect with the origin of each value.'
+complete -c aspenspring -n '__fish_aspenspring_using_command' -f -a 'schema' -d 'Print the JSON schema of the settings.'
+complete -c aspenspring -n '__fish_aspenspring_using_command' -f -a 'completions' -d 'Print completions for a shell.'
+complete -c aspenspring -n '__fish_aspenspring_using_command' -f -a 'manual' -d 'Print the manual page.'
+complete -c aspenspring -n '__fish_aspenspring_using_command' -f -a 'standin' -d 'run a small stand-in for something around a site: the platform\'s services, targets, the collector of traces'
+complete -c aspenspring -n '__fish_aspenspring_using_command check' -f -l help -d 'display usage information'
+complete -c aspenspring -n '__fish_aspenspring_using_command check' -f -l settings -r -d 'a file of settings; the base first, then each overlay'
+complete -c aspenspring -n '__fish_aspenspring_using_command check' -f -l rules -r -d 'a file of rules, as they are submitted'
+complete -c aspenspring -n '__fish_aspenspring_using_command check' -f -l json -d 'print the problems as a list in JSON'
+complete -c aspenspring -n '__fish_aspenspring_using_command settings' -f -l help -d 'display usage information'
+complete -c aspenspring -n '__fish_aspenspring_using_command settings' -f -l settings -r -d 'a file of settings; the base first, then each overlay'
+complete -c aspenspring -n '__fish_aspenspring_using_command settings' -f -l json -d 'print a list in JSON'
+complete -c aspenspring -n '__fish_aspenspring_using_command settings' -f -l merged -d 'print one JSON document that could stand in place of the files, without origins'
+complete -c aspenspring -n '__fish_aspenspring_using_command schema' -f -l help -d 'display usage information'
+complete -c aspenspring -n '__fish_aspenspring_using_command schema' -f -l rules -d 'print the schema of the rules alone, as they are submitted'
+complete -c aspenspring -n '__fish_aspenspring_using_command completions' -l help -d 'display usage information'
+complete -c aspenspring -n '__fish_aspenspring_using_command manual' -f -l help -d 'display usage information'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin' -f -l help -d 'display usage information'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin' -f -a 'table' -d 'the platform\'s table service, in memory'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin' -f -a 'objects' -d 'the platform\'s object store, in memory'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin' -f -a 'target' -d 'one target of a service'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin' -f -a 'collector' -d 'the operators\' collector of traces (OTLP over HTTP in JSON)'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin' -f -a 'fetch' -d 'one call of an outside caller; fails unless the answer is whole and correct'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin' -f -a 'load' -d 'offer calls to a site at set times, whatever becomes of earlier ones, and sum up what came back'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin table' -f -l help -d 'display usage information'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin table' -f -l listen -r -d 'where to listen, as ip:port'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin objects' -f -l help -d 'display usage information'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin objects' -f -l listen -r -d 'where to listen, as ip:port'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin target' -f -l help -d 'display usage information'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin target' -f -l service -r -d 'the service it belongs to'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin target' -f -l name -r -d 'its name in answers; the address where absent'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin target' -f -l listen -r -d 'where to listen, as ip:port'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin target' -f -l node -r -d 'where its node listens for it (target_listen), as ip:port'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin target' -f -l slots -r -d 'how many calls it runs at once (32)'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin target' -f -l lane-slots -r -d 'slots set aside for policy arms, as arm=slots,arm=slots; other arms share --slots'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin target' -f -l queue-max -r -d 'how many calls may wait for a slot (10000)'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin target' -f -l connections -r -d 'how many connections it says that it accepts (1000)'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin target' -f -l service-ms -r -d 'the mean time of its own work for a call, in milliseconds (5)'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin target' -f -l seed -r -d 'the seed of the times it draws (1)'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin target' -f -l calls -r -d 'the services it calls for each call, as a,b,c'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin target' -f -l parallel -d 'call them all at once instead of one after the other'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin target' -f -l cold-ms -r -d 'how long after its start it works slowly, in milliseconds (0)'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin collector' -f -l help -d 'display usage information'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin collector' -f -l listen -r -d 'where to listen, as ip:port'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin fetch' -f -l help -d 'display usage information'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin fetch' -f -l url -r -d 'where: http://caller_listen/service/path'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin fetch' -f -l method -r -d 'the method (GET)'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin fetch' -f -l body -r -d 'the body (empty)'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin fetch' -f -l header -r -d 'a header as name=value; may be repeated'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin fetch' -f -l depth -r -d 'how many services deep the answer must be (1)'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin fetch' -f -l timeout-ms -r -d 'how long to wait, in milliseconds (10000)'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin load' -f -l help -d 'display usage information'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin load' -f -l node -r -d 'a node\'s base URL, http://caller_listen; may be repeated, calls go to them in turn'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin load' -f -l call -r -d 'a kind of calls, \'NAME WEIGHT METHOD /SERVICE/PATH [own|minted]\' with {{n}} for the call\'s number and where its idempotency key comes from; may be repeated'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin load' -f -l phase -r -d 'RATE:TIME, as 120:10s (calls a second) or 0.5x:10s (times the capacity); may be repeated'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin load' -f -l capacity -r -d 'the capacity in calls a second (100)'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin load' -f -l deadline-ms -r -d 'how long an answer is of use, in milliseconds (1000)'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin load' -f -l depth -r -d 'how many services deep a whole answer is at least (1)'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin load' -f -l retries -r -d 'how often a client sends a call again that gave no whole answer (0)'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin load' -f -l polite -d 'clients retry only what was not run, and wait as long as they are told'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin load' -f -l at -r -d 'something to post at a set time, \'TIME URL BODY\', as a fault; may be repeated'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin load' -f -l trigger -r -d 'when the trigger of overload is there, as 10s..20s, for the recovery time'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin load' -f -l seed -r -d 'the seed of arrivals and kinds (1)'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin load' -f -l out -r -d 'the file that gets a line of JSON for each call'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin load' -f -l json -d 'print the whole summary in JSON'
--- /dev/null
+++ b/src/cli/check.rs
@@ -0,0 +1,46 @@
+//! The command `check`.
+
+use std::path::PathBuf;
+
+use argh::{ArgsInfo, FromArgs};
+use eyre::WrapErr;
+
+use super::{Exit, print, refuse};
+use crate::config;
+
+/// Check settings, or rules alone, and name everything that is wrong.
+#[derive(Debug, FromArgs, ArgsInfo)]
+#[argh(subcommand, name = "check")]
+pub struct CheckArgs {
+    /// a file of settings; the base first, then each overlay
+    #[argh(option)]
+    pub settings: Vec<PathBuf>,
+    /// a file of rules, as they are submitted
+    #[argh(option)]
+    pub rules: Option<PathBuf>,
+    /// print the problems as a list in JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Checks what is named.
+pub(super) fn run(args: &CheckArgs) -> eyre::Result<Exit> {
+    if args.settings.is_empty() && args.rules.is_none() {
+        eprintln!("Name a file with --settings or --rules.");
+        return Ok(Exit::Usage);
+    }
+    let mut problems = Vec::new();
+    if !args.settings.is_empty() {
+        problems.extend(config::load(&args.settings).err().into_iter().flatten());
+    }
+    if let Some(file) = &args.rules {
+        let text = std::fs::read_to_string(file)
+            .wrap_err_with(|| format!("{} cannot be read", file.display()))?;
+        problems.extend(config::read_rules(file, &text).err().into_iter().flatten());
+    }
+    if !problems.is_empty() {
+        return refuse(&problems, args.json);
+    }
+    print(if args.json { "[]\n" } else { "No problem found.\n" })?;
+    Ok(Exit::Done)
+}
--- /dev/null
+++ b/src/config/check.rs
@@ -0,0 +1,325 @@
+//! Contradictions between values that are each well formed.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use super::draft::{Listed, NodeDraft, RulesDraft};
+use super::lookup::is_below;
+use super::node::{default_bodies_max_bytes, default_body_max_bytes};
+use super::problem::Finding;
+use super::{ClassSettings, RetryRule, RouteSettings, ServiceSettings};
+
+/// How far the arms' shares may add up to something other than 1, for want of exact fractions.
+const SHARE_TOLERANCE: f64 = 1e-6;
+/// The members of a node's section that it listens on.
+const LISTENERS: [&str; 4] = ["caller_listen", "target_listen", "peer_listen", "operator_listen"];
+
+/// Every contradiction in the rules. Pointers begin at the rules.
+pub(super) fn check_rules(rules: &RulesDraft) -> Vec<Finding> {
+    let mut findings = Vec::new();
+    check_classes(rules, &mut findings);
+    check_routes(rules, &mut findings);
+    check_services(rules, &mut findings);
+    check_calls(&rules.services, &mut findings);
+    check_arms(rules, &mut findings);
+    check_slots_of_arms(rules, &mut findings);
+    check_policies(rules, &mut findings);
+    findings
+}
+
+/// Every contradiction in a node's section, and between it and the rules.
+pub(super) fn check_node(node: &NodeDraft<'_>, rules: &RulesDraft) -> Vec<Finding> {
+    let mut findings = Vec::new();
+    check_listeners(node, &mut findings);
+    check_seeds(node, &mut findings);
+    let body_max = node.number("body_max_bytes").unwrap_or(default_body_max_bytes() as u64);
+    let bodies_max = node.number("bodies_max_bytes").unwrap_or(default_bodies_max_bytes() as u64);
+    if bodies_max < body_max {
+        let accepted = format!("at least body_max_bytes, which is {body_max}");
+        findings.push(Finding::new("/node/bodies_max_bytes", bodies_max.to_string(), accepted));
+    }
+    if let Some(service) = node.text("service").filter(|service| rules.services.lacks(service)) {
+        findings.push(unknown("/node/service", service, &rules.services.names()));
+    }
+    findings
+}
+
+/// Names and ranks are unique, deadlines fit, and the reserved shares leave something over.
+fn check_classes(rules: &RulesDraft, findings: &mut Vec<Finding>) {
+    let classes = &rules.classes;
+    let names = classes.items.iter().map(|(index, class)| (*index, class.name.clone()));
+    check_unique("/classes", "name", names, findings);
+    let ranks = classes.items.iter().map(|(index, class)| (*index, class.rank.to_string()));
+    check_unique("/classes", "rank", ranks, findings);
+    for (index, class) in &classes.items {
+        if class.deadline_ms > class.deadline_max_ms {
+            findings.push(Finding::new(
+                format!("/classes/{index}/deadline_ms"),
+                class.deadline_ms.to_string(),
+                format!("at most deadline_max_ms, which is {}", class.deadline_max_ms),
+            ));
+        }
+        let is_mapped = rules.routes.items.iter().any(|(_, route)| route.class == class.name);
+        if rules.routes.is_whole && !is_mapped {
+            let accepted = "a class that at least one route gives";
+            let found = format!("\"{}\", which no route gives", class.name);
+            findings.push(Finding::new(format!("/classes/{index}/name"), found, accepted));
+        }
+    }
+    check_reserved_shares(&classes.items, findings);
+}
+
+/// The reserved shares of all classes but the lowest leave that one something.
+fn check_reserved_shares(classes: &[(usize, ClassSettings)], findings: &mut Vec<Finding>) {
+    let Some(lowest) = classes.iter().map(|(_, class)| class.rank).min() else {
+        return;
+    };
+    let mut sum = 0.0;
+    for (index, class) in classes {
+        if class.rank == lowest || class.reserved_share <= 0.0 {
+            continue;
+        }
+        sum += class.reserved_share;
+        if sum >= 1.0 {
+            let found = format!("{}, which brings the sum to {sum}", class.reserved_share);
+            let accepted = "shares that add up to less than 1, so that the lowest class can run";
+            findings.push(Finding::new(
+                format!("/classes/{index}/reserved_share"),
+                found,
+                accepted,
+            ));
+            return;
+        }
+    }
+}
+
+/// Routes name known services and classes, and each of them can be reached.
+fn check_routes(rules: &RulesDraft, findings: &mut Vec<Finding>) {
+    for (index, route) in &rules.routes.items {
+        if rules.services.lacks(&route.service) {
+            let pointer = format!("/routes/{index}/service");
+            findings.push(unknown(&pointer, &route.service, &rules.services.names()));
+        }
+        if rules.classes.lacks(&route.class) {
+            let pointer = format!("/routes/{index}/class");
+            findings.push(unknown(&pointer, &route.class, &rules.classes.names()));
+        }
+        let mut earlier = rules.routes.items.iter().take_while(|(earlier, _)| earlier < index);
+        if let Some((by, _)) = earlier.find(|(_, earlier)| covers(earlier, route)) {
+            let found = format!("a route that can never decide, as route {by} fits first");
+            let accepted = "narrower routes before wider ones";
+            findings.push(Finding::new(format!("/routes/{index}"), found, accepted));
+        }
+    }
+}
+
+/// Whether every call that fits `narrow` fits `wide`.
+fn covers(wide: &RouteSettings, narrow: &RouteSettings) -> bool {
+    wide.service == narrow.service
+        && (wide.method.is_none() || wide.method == narrow.method)
+        && is_below(&narrow.path_prefix, &wide.path_prefix)
+}
+
+/// Names are unique, each service has a route, and its connections can fill its slots.
+fn check_services(rules: &RulesDraft, findings: &mut Vec<Finding>) {
+    let services = &rules.services;
+    let names = services.items.iter().map(|(index, service)| (*index, service.name.clone()));
+    check_unique("/services", "name", names, findings);
+    for (index, service) in &services.items {
+        let is_routed = rules.routes.items.iter().any(|(_, route)| route.service == service.name);
+        if rules.routes.is_whole && !is_routed {
+            let found = format!("\"{}\", which no route names", service.name);
+            let accepted = "a service with at least one route, which gives its calls a class";
+            findings.push(Finding::new(format!("/services/{index}/name"), found, accepted));
+        }
+        if service.connections < service.slots {
+            findings.push(Finding::new(
+                format!("/services/{index}/connections"),
+                service.connections.to_string(),
+                format!("at least slots, which is {}", service.slots),
+            ));
+        }
+    }
+}
+
+/// Services call known services, each named once, and never come back to themselves.
+fn check_calls(services: &Listed<ServiceSettings>, findings: &mut Vec<Finding>) {
+    let mut calls: BTreeMap<&str, &[String]> = BTreeMap::new();
+    for (index, service) in &services.items {
+        calls.insert(&service.name, &service.calls);
+        let mut seen = BTreeSet::new();
+        for (place, callee) in service.calls.iter().enumerate() {
+            let pointer = format!("/services/{index}/calls/{place}");
+            if services.lacks(callee) {
+                findings.push(unknown(&pointer, callee, &services.names()));
+            }
+            if !seen.insert(callee) {
+                let found = format!("\"{callee}\" a second time");
+                findings.push(Finding::new(pointer, found, "each service once"));
+            }
+        }
+    }
+    for (index, service) in &services.items {
+        if let Some(path) = path_back(&service.name, &calls) {
+            let found = format!("the cycle {}", path.join(" -> "));
+            let accepted = "services that never call themselves, through whatever others";
+            findings.push(Finding::new(format!("/services/{index}/calls"), found, accepted));
+        }
+    }
+}
+
+/// The shortest chain of calls from `start` back to itself, if there is one.
+fn path_back<'a>(start: &'a str, calls: &BTreeMap<&'a str, &'a [String]>) -> Option<Vec<&'a str>> {
+    let mut paths = vec![vec![start]];
+    let mut seen = BTreeSet::new();
+    let mut next = 0;
+    while next < paths.len() {
+        let path = paths[next].clone();
+        next += 1;
+        let callees = path.last().and_then(|name| calls.get(name)).copied().unwrap_or_default();
+        for callee in callees {
+            let mut longer = path.clone();
+            longer.push(callee);
+            if callee == start {
+                return Some(longer);
+            }
+            if seen.insert(callee) {
+                paths.push(longer);
+            }
+        }
+    }
+    None
+}
+
+/// Ids and names are unique, policies are known, and the shares add up to 1.
+fn check_arms(rules: &RulesDraft, findings: &mut Vec<Finding>) {
+    let arms = &rules.arms;
+    let ids = arms.items.iter().map(|(index, arm)| (*index, arm.id.to_string()));
+    check_unique("/arms", "id", ids, findings);
+    let names = arms.items.iter().map(|(index, arm)| (*index, arm.name.clone()));
+    check_unique("/arms", "name", names, findings);
+    for (index, arm) in &arms.items {
+        if rules.policies.lacks(&arm.policy) {
+            let pointer = format!("/arms/{index}/policy");
+            findings.push(unknown(&pointer, &arm.policy, &rules.policies.names()));
+        }
+    }
+    let sum: f64 = arms.items.iter().map(|(_, arm)| arm.share).sum();
+    let is_one = (sum - 1.0).abs() <= SHARE_TOLERANCE;
+    if arms.is_whole && !arms.items.is_empty() && !is_one {
+        let shares: Vec<String> =
+            arms.items.iter().map(|(_, arm)| format!("{} {}", arm.name, arm.share)).collect();
+        let found = format!("shares that add up to {sum} ({})", shares.join(", "));
+        findings.push(Finding::new("/arms", found, "shares that add up to 1"));
+    }
+}
+
+/// Every arm that has a share has at least one slot of each target.
+fn check_slots_of_arms(rules: &RulesDraft, findings: &mut Vec<Finding>) {
+    let services = rules.services.items.iter().map(|(_, service)| service);
+    let Some(smallest) = services.filter(|each| each.slots > 0).min_by_key(|each| each.slots)
+    else {
+        return;
+    };
+    for (index, arm) in &rules.arms.items {
+        let slots = arm.share * f64::from(smallest.slots);
+        if arm.share > 0.0 && slots < 1.0 - SHARE_TOLERANCE {
+            let found = format!(
+                "{}, which is {slots} of the {} slots of a target of {}",
+                arm.share, smallest.slots, smallest.name
+            );
+            let accepted = "0, or a share that is at least one slot of each target";
+            findings.push(Finding::new(format!("/arms/{index}/share"), found, accepted));
+        }
+    }
+}
+
+/// Names are unique, and the least backoff is not above the longest.
+fn check_policies(rules: &RulesDraft, findings: &mut Vec<Finding>) {
+    let policies = &rules.policies;
+    let names = policies.items.iter().map(|(index, policy)| (*index, policy.name.clone()));
+    check_unique("/policies", "name", names, findings);
+    for (index, policy) in &policies.items {
+        let RetryRule::Bounded { backoff_ms, backoff_max_ms, .. } = policy.retry else {
+            continue;
+        };
+        if backoff_ms > backoff_max_ms {
+            let pointer = format!("/policies/{index}/retry/backoff_ms");
+            let accepted = format!("at most backoff_max_ms, which is {backoff_max_ms}");
+            findings.push(Finding::new(pointer, backoff_ms.to_string(), accepted));
+        }
+    }
+}
+
+/// The listeners differ from each other, and each can be reached from where it must be and not
+/// from where it must not.
+fn check_listeners(node: &NodeDraft<'_>, findings: &mut Vec<Finding>) {
+    let mut earlier: Vec<(&str, SocketAddr)> = Vec::new();
+    for name in LISTENERS {
+        let Some(address) = node.address(name) else {
+            continue;
+        };
+        let pointer = format!("/node/{name}");
+        if let Some((other, _)) = earlier.iter().find(|(_, other)| collides(*other, address)) {
+            let found = format!("{address}, the address of {other}");
+            findings.push(Finding::new(&pointer, found, "an address of its own"));
+        }
+        earlier.push((name, address));
+        if name == "target_listen" && !address.ip().is_loopback() {
+            let accepted =
+                "an address of the loopback, as only the target beside the node is meant";
+            findings.push(Finding::new(&pointer, address.to_string(), accepted));
+        }
+        if name == "peer_listen" && address.ip().is_unspecified() {
+            let accepted = "the IP number that other nodes connect to";
+            findings.push(Finding::new(&pointer, address.to_string(), accepted));
+        }
+    }
+}
+
+/// Whether two listeners cannot both be opened. Port 0 stands for any free port.
+fn collides(one: SocketAddr, other: SocketAddr) -> bool {
+    let is_any = one.ip().is_unspecified() || other.ip().is_unspecified();
+    one.port() == other.port() && one.port() != 0 && (is_any || one.ip() == other.ip())
+}
+
+/// Seeds can be connected to and are named once.
+fn check_seeds(node: &NodeDraft<'_>, findings: &mut Vec<Finding>) {
+    let mut seen = BTreeSet::new();
+    for (index, seed) in node.seeds() {
+        let pointer = format!("/node/seeds/{index}");
+        if seed.port() == 0 || seed.ip().is_unspecified() {
+            let accepted = "the IP number and port of another node";
+            findings.push(Finding::new(&pointer, seed.to_string(), accepted));
+        }
+        if !seen.insert(seed) {
+            let found = format!("{seed} a second time");
+            findings.push(Finding::new(pointer, found, "each address once"));
+        }
+    }
+}
+
+/// Reports each value that an earlier item of the list has too.
+fn check_unique(
+    list: &str,
+    member: &str,
+    values: impl Iterator<Item = (usize, String)>,
+    findings: &mut Vec<Finding>,
+) {
+    let mut seen = BTreeMap::new();
+    for (index, value) in values {
+        if let Some(first) = seen.get(&value) {
+            let found = format!("\"{value}\", which item {first} has too");
+            let accepted = format!("a {member} of its own");
+            findings.push(Finding::new(format!("{list}/{index}/{member}"), found, accepted));
+            continue;
+        }
+        seen.insert(value, index);
+    }
+}
+
+/// A name that refers to nothing.
+fn unknown(pointer: &str, name: &str, known: &[&str]) -> Finding {
+    let accepted = format!("one of {}", known.join(", "));
+    Finding::new(pointer, format!("\"{name}\""), accepted)
+}
--- a/src/config/class.rs
+++ b/src/config/class.rs
@@ -8,6 +8,7 @@
 #[serde(deny_unknown_fields)]
 pub struct ClassSettings {
     /// The name callers and reports use.
+    #[schemars(extend("format" = "name"))]
     pub name: String,
     /// Its place in the order of shedding; the lowest rank is shed first. Unique.
     pub rank: u8,
@@ -15,10 +16,13 @@
     #[serde(default)]
     pub at_most_once: bool,
     /// The deadline of a request that names none, in milliseconds.
+    #[schemars(range(min = 1))]
     pub deadline_ms: u64,
     /// The longest deadline a caller may ask for, in milliseconds.
+    #[schemars(range(min = 1))]
     pub deadline_max_ms: u64,
     /// The share of a target's limit that lower classes leave free for this class, from 0 to 1.
     #[serde(default)]
+    #[schemars(range(min = 0.0, max = 1.0))]
     pub reserved_share: f64,
 }
--- a/src/config/lookup.rs
+++ b/src/config/lookup.rs
@@ -92,7 +92,7 @@
 }
 
 /// Whether `path` is `prefix` or lies below it.
-fn is_below(path: &str, prefix: &str) -> bool {
+pub(super) fn is_below(path: &str, prefix: &str) -> bool {
     let Some(rest) = path.strip_prefix(prefix) else {
         return false;
     };
@@ -100,7 +100,7 @@
 }
 
 /// Whether no target can read `path` as a different path.
-fn is_canonical(path: &str) -> bool {
+pub(super) fn is_canonical(path: &str) -> bool {
     let Some(rest) = path.strip_prefix('/') else {
         return false;
     };
--- /dev/null
+++ b/src/config/schema.rs
@@ -0,0 +1,15 @@
+//! The JSON schema of the settings, generated from their types.
+
+use serde_json::Value;
+
+use super::{Rules, Settings};
+
+/// The schema of a whole file of settings.
+pub fn settings_schema() -> Value {
+    schemars::schema_for!(Settings).to_value()
+}
+
+/// The schema of the rules alone, as they are submitted.
+pub fn rules_schema() -> Value {
+    schemars::schema_for!(Rules).to_value()
+}
--- a/src/config/telemetry.rs
+++ b/src/config/telemetry.rs
@@ -8,10 +8,13 @@
 #[serde(deny_unknown_fields, default)]
 pub struct TelemetrySettings {
     /// The least severe level that is logged: `error`, `warning`, `info` or `debug`.
+    #[schemars(extend("enum" = ["error", "warning", "info", "debug"]))]
     pub log_level: String,
     /// Where spans are sent by OTLP over HTTP; none are made where this is absent.
+    #[schemars(extend("format" = "http-url"))]
     pub otlp_url: Option<String>,
     /// The share of roots whose spans are recorded, from 0 to 1.
+    #[schemars(range(min = 0.0, max = 1.0))]
     pub sample_share: f64,
 }
 
--- /dev/null
+++ b/src/config/tree.rs
@@ -0,0 +1,146 @@
+//! A JSON document in which every value knows the file and the place it came from.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::sync::Arc;
+
+use serde_json::Value;
+
+/// Where a value was read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Origin {
+    /// The file.
+    pub file: Arc<Path>,
+    /// The JSON pointer (RFC 6901) within the file.
+    pub pointer: String,
+}
+
+impl Origin {
+    /// The origin of the member or item `name` below this one.
+    pub(super) fn below(&self, name: &str) -> Self {
+        Self { file: Arc::clone(&self.file), pointer: join(&self.pointer, name) }
+    }
+}
+
+/// A value with its origin.
+#[derive(Clone, Debug)]
+pub(super) struct Tree {
+    /// Where the value, or the first part of it, was read.
+    pub origin: Origin,
+    /// The value.
+    pub kind: Kind,
+}
+
+/// The kinds of JSON values.
+#[derive(Clone, Debug)]
+pub(super) enum Kind {
+    /// Null, a boolean, a number or a string.
+    Scalar(Value),
+    /// An object.
+    Object(Members),
+    /// An array.
+    List(Vec<Tree>),
+}
+
+/// The members of an object.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Members {
+    /// The members that are there.
+    pub present: BTreeMap<String, Tree>,
+    /// Where members were removed by a null.
+    pub removed: BTreeMap<String, Origin>,
+}
+
+impl Members {
+    /// Members of which none was removed.
+    pub fn new(present: BTreeMap<String, Tree>) -> Self {
+        Self { present, removed: BTreeMap::new() }
+    }
+}
+
+impl Tree {
+    /// Whether this is a null.
+    pub fn is_null(&self) -> bool {
+        matches!(self.kind, Kind::Scalar(Value::Null))
+    }
+
+    /// The member `name`, where this is an object that has it.
+    pub fn member(&self, name: &str) -> Option<&Tree> {
+        match &self.kind {
+            Kind::Object(members) => members.present.get(name),
+            Kind::Scalar(_) | Kind::List(_) => None,
+        }
+    }
+
+    /// The scalar this is, if it is one.
+    pub fn scalar(&self) -> Option<&Value> {
+        match &self.kind {
+            Kind::Scalar(value) => Some(value),
+            Kind::Object(_) | Kind::List(_) => None,
+        }
+    }
+
+    /// The plain value, without origins.
+    pub fn to_value(&self) -> Value {
+        match &self.kind {
+            Kind::Scalar(value) => value.clone(),
+            Kind::Object(members) => members
+                .present
+                .iter()
+                .map(|(name, member)| (name.clone(), member.to_value()))
+                .collect::<serde_json::Map<_, _>>()
+                .into(),
+            Kind::List(items) => items.iter().map(Tree::to_value).collect(),
+        }
+    }
+
+    /// The value at `pointer`, if there is one.
+    pub fn find(&self, pointer: &str) -> Option<&Tree> {
+        let mut tree = self;
+        for name in names(pointer) {
+            tree = tree.child(&name)?;
+        }
+        Some(tree)
+    }
+
+    /// The origin of the value at `pointer`. Where there is none, the place where it was removed,
+    /// or else the place in the file of the nearest value above it at which it would stand.
+    pub fn origin_of(&self, pointer: &str) -> Origin {
+        let mut tree = Some(self);
+        let mut origin = self.origin.clone();
+        for name in names(pointer) {
+            let removed = tree.and_then(|tree| tree.removal(&name)).cloned();
+            tree = tree.and_then(|tree| tree.child(&name));
+            let absent = removed.unwrap_or_else(|| origin.below(&name));
+            origin = tree.map_or(absent, |tree| tree.origin.clone());
+        }
+        origin
+    }
+
+    /// Where the member `name` was removed, if it was.
+    fn removal(&self, name: &str) -> Option<&Origin> {
+        match &self.kind {
+            Kind::Object(members) => members.removed.get(name),
+            Kind::Scalar(_) | Kind::List(_) => None,
+        }
+    }
+
+    /// The member or item `name`.
+    fn child(&self, name: &str) -> Option<&Tree> {
+        match &self.kind {
+            Kind::Scalar(_) => None,
+            Kind::Object(members) => members.present.get(name),
+            Kind::List(items) => items.get(name.parse::<usize>().ok()?),
+        }
+    }
+}
+
+/// The JSON pointer of the member or item `name` of the value at `pointer`.
+pub(super) fn join(pointer: &str, name: &str) -> String {
+    format!("{pointer}/{}", name.replace('~', "~0").replace('/', "~1"))
+}
+
+/// The names along a JSON pointer.
+fn names(pointer: &str) -> impl Iterator<Item = String> + '_ {
+    pointer.split('/').skip(1).map(|name| name.replace("~1", "/").replace("~0", "~"))
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admission;
 pub mod call;
+pub mod cli;
 pub mod clock;
 pub mod config;
 pub mod configuration;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,24 +1,7 @@
-//! The one program of the project.
+//! The one binary of the project.
 
-use argh::FromArgs;
-use aspenspring::standin::cli::{StandinArgs, run};
+use std::process::ExitCode;
 
-/// overload control for service call graphs
-#[derive(FromArgs)]
-struct Args {
-    #[argh(subcommand)]
-    command: Command,
-}
-
-#[derive(FromArgs)]
-#[argh(subcommand)]
-enum Command {
-    Standin(StandinArgs),
-}
-
-fn main() -> eyre::Result<()> {
-    let args: Args = argh::from_env();
-    match args.command {
-        Command::Standin(args) => run(&args),
-    }
+fn main() -> ExitCode {
+    aspenspring::cli::run_from_env()
 }
--- /dev/null
+++ b/tests/config_load.rs
@@ -0,0 +1,222 @@
+//! Files are merged so that an overlay states only what differs, and each value keeps its origin.
+
+use std::path::{Path, PathBuf};
+use std::sync::OnceLock;
+
+use aspenspring::config::{self, Effective, LimitRule};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use serde_json::{Value, json};
+
+fn example(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("examples/sites").join(name)
+}
+
+/// Writes an overlay to a file of its own.
+fn write(name: &str, overlay: &Value) -> PathBuf {
+    let file = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("config_load-{name}.json"));
+    std::fs::write(&file, overlay.to_string()).expect("the file is written");
+    file
+}
+
+fn files_below() -> Vec<PathBuf> {
+    ["base.json", "jordan.json", "nodes/souq-catalogue-1.json"].map(example).to_vec()
+}
+
+fn load_with(name: &str, overlay: &Value) -> Effective {
+    let mut files = files_below();
+    files.push(write(name, overlay));
+    config::load(&files).unwrap_or_else(|problems| panic!("{problems:#?}"))
+}
+
+/// The file and the place in it that a value in effect came from.
+fn origin(effective: &Effective, pointer: &str) -> Option<(String, String)> {
+    let values = effective.values().expect("settings have a form in JSON");
+    let value = values.into_iter().find(|value| value.pointer == pointer).expect("a value");
+    let origin = value.origin?;
+    let file = origin.file.file_name().expect("a name").to_string_lossy().into_owned();
+    Some((file, origin.pointer))
+}
+
+#[test]
+fn an_overlay_changes_one_member_of_one_item_and_each_value_keeps_its_origin() {
+    let overlay = json!({"rules": {"classes": [{"name": "status", "deadline_ms": 1500}]}});
+    let effective = load_with("one-member", &overlay);
+    let rules = &effective.settings.rules;
+    let names: Vec<&str> = rules.classes.iter().map(|class| class.name.as_str()).collect();
+    assert_eq!(names, ["commit", "upload", "status", "browse", "release"]);
+    assert_eq!(rules.classes[2].deadline_ms, 1_500);
+    assert_eq!(rules.classes[2].deadline_max_ms, 5_000);
+    let own = Some(("config_load-one-member.json".into(), "/rules/classes/0/deadline_ms".into()));
+    assert_eq!(origin(&effective, "/rules/classes/2/deadline_ms"), own);
+    let base = Some(("base.json".into(), "/rules/classes/2/rank".into()));
+    assert_eq!(origin(&effective, "/rules/classes/2/rank"), base);
+    let site = Some(("jordan.json".into(), "/rules/classes/0/rank".into()));
+    assert_eq!(origin(&effective, "/rules/classes/4/rank"), site);
+    assert_eq!(origin(&effective, "/node/leave_ms"), None, "a default has no origin");
+}
+
+#[test]
+fn items_are_removed_and_null_gives_the_default_back() {
+    let overlay = json!({
+        "telemetry": {"sample_share": null},
+        "rules": {"policies": [{"name": "naive", "remove": true},
+                               {"name": "static", "queue_share": 0.5}]}
+    });
+    let effective = load_with("removal", &overlay);
+    let policies = &effective.settings.rules.policies;
+    let names: Vec<&str> = policies.iter().map(|policy| policy.name.as_str()).collect();
+    assert_eq!(names, ["threshold", "gradient", "static", "none"]);
+    assert_eq!(policies[2].queue_share, 0.5);
+    assert_eq!(origin(&effective, "/telemetry/sample_share"), None);
+}
+
+#[test]
+fn a_kind_that_changes_takes_the_members_of_the_old_kind_with_it() {
+    let overlay = json!({"rules": {"policies": [
+        {"name": "threshold", "limit": {"kind": "static"}, "retry": {"allowance": 2}}
+    ]}});
+    let effective = load_with("kind", &overlay);
+    let policy = effective.settings.rules.policy("threshold").expect("known");
+    assert_eq!(policy.limit, LimitRule::Static { running: None });
+    let config::RetryRule::Bounded { allowance, backoff_ms, .. } = policy.retry else {
+        panic!("the kind of the retry rule was kept");
+    };
+    assert_eq!((allowance, backoff_ms), (2, 25));
+}
+
+#[test]
+fn added_routes_are_asked_before_inherited_ones() {
+    let overlay = json!({"rules": {"routes": [
+        {"service": "souq-stock", "path_prefix": "/audit", "class": "browse"},
+        {"service": "souq-catalogue", "class": "status"}
+    ]}});
+    let effective = load_with("routes", &overlay);
+    let rules = &effective.settings.rules;
+    let class = |service, path| &rules.class_for(service, "GET", path).expect("a class").name;
+    assert_eq!(class("souq-stock", "/audit/1"), "browse");
+    assert_eq!(class("souq-stock", "/lots"), "status");
+    assert_eq!(class("souq-catalogue", "/"), "status");
+    assert_eq!(rules.routes.len(), 8);
+}
+
+#[test]
+fn the_merged_document_stands_for_the_files() {
+    let effective = config::load(&files_below()).expect("the examples are well");
+    let merged = write("merged", &effective.to_value().expect("a form in JSON"));
+    let again = config::load(&[merged]).unwrap_or_else(|problems| panic!("{problems:#?}"));
+    assert_eq!(again.settings, effective.settings);
+}
+
+#[test]
+fn no_files_and_a_missing_file_are_refused() {
+    assert_eq!(config::load(&[]).expect_err("no file").len(), 1);
+    let mut files = files_below();
+    files.push(example("no-such-file.json"));
+    files.push(write("no-text", &json!({"rules": {"classes": [{"name": "x", "remove": true}]}})));
+    let problems = config::load(&files).expect_err("a missing file");
+    let names: Vec<_> = problems.iter().map(|problem| problem.file.clone()).collect();
+    assert_eq!(names, [Some(files[3].clone()), Some(files[4].clone())]);
+}
+
+#[test]
+fn rules_are_checked_the_same_whether_they_were_read_or_made() {
+    let effective = config::load(&files_below()).expect("the examples are well");
+    let mut rules = effective.settings.rules;
+    assert_eq!(config::check_rules(&rules), []);
+    rules.classes[0].rank = rules.classes[1].rank;
+    rules.arms[0].share = f64::NAN;
+    rules.services[0].calls.push("nowhere".to_owned());
+    let made = config::check_rules(&rules);
+    let paths: Vec<&str> = made.iter().map(|problem| problem.path.as_str()).collect();
+    assert!(paths.contains(&"/classes/1/rank"), "{paths:?}");
+    assert!(paths.contains(&"/arms/0/share"), "{paths:?}");
+    assert!(paths.contains(&"/services/0/calls/2"), "{paths:?}");
+    let text = serde_json::to_string(&rules).expect("a form in JSON");
+    let read = config::read_rules(Path::new("submitted.json"), &text).expect_err("the same");
+    let read: Vec<&str> = read.iter().map(|problem| problem.path.as_str()).collect();
+    assert_eq!(read, paths);
+}
+
+/// Every place in a document, in its order.
+fn places(value: &Value, pointer: &str, all: &mut Vec<String>) {
+    all.push(pointer.to_owned());
+    match value {
+        Value::Object(members) => {
+            members
+                .iter()
+                .for_each(|(name, value)| places(value, &format!("{pointer}/{name}"), all));
+        }
+        Value::Array(items) => {
+            items
+                .iter()
+                .enumerate()
+                .for_each(|(index, value)| places(value, &format!("{pointer}/{index}"), all));
+        }
+        _ => {}
+    }
+}
+
+/// The settings of the example as one document.
+fn example_document() -> &'static Value {
+    static DOCUMENT: OnceLock<Value> = OnceLock::new();
+    DOCUMENT.get_or_init(|| {
+        let effective = config::load(&files_below()).expect("the examples are well");
+        effective.to_value().expect("a form in JSON")
+    })
+}
+
+fn any_value() -> impl Strategy<Value = Value> {
+    prop_oneof![
+        Just(Value::Null),
+        any::<bool>().prop_map(Value::from),
+        any::<i64>().prop_map(Value::from),
+        any::<u64>().prop_map(Value::from),
+        (-2_i32..300).prop_map(Value::from),
+        any::<f64>().prop_map(Value::from),
+        "[a-z.:/0-9]{0,8}".prop_map(Value::from),
+        Just(json!([])),
+        Just(json!({})),
+        Just(json!({"kind": "none"})),
+        Just(json!("127.0.0.1:99999")),
+        Just(json!([0, "x", null])),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 600,
+        rng_seed: RngSeed::Fixed(0x5e77),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// What the types cannot hold is always found, and with a place that can be looked up.
+    #[test]
+    fn any_one_wrong_value_is_found_at_its_place(
+        pick in any::<prop::sample::Index>(),
+        value in any_value(),
+    ) {
+        let mut document = example_document().clone();
+        let mut all = Vec::new();
+        places(&document, "", &mut all);
+        let place = pick.get(&all).clone();
+        *document.pointer_mut(&place).expect("a place of the document") = value;
+        let file = write("mutated", &document);
+        match config::load(&[file]) {
+            Ok(again) => {
+                let kept = again.to_value().expect("a form in JSON");
+                let settings: config::Settings =
+                    serde_json::from_value(kept).expect("what was accepted is read again");
+                prop_assert_eq!(settings, again.settings);
+            }
+            Err(problems) => {
+                prop_assert!(!problems.is_empty());
+                for problem in problems {
+                    let is_foreseen = !problem.accepted.contains("the form that the schema gives");
+                    prop_assert!(is_foreseen, "{} set at {}", problem, place);
+                }
+            }
+        }
+    }
+}
