Raise a floor, adapt limits and reserve slots in admission

Cause: the first version had no control beyond static limits. Change: a floor over levels chosen from a histogram of arrivals (after DAGOR), lowered by doubling steps; gradient and delay limits against a learnt baseline, with a trial that tells longer calls from queueing inside the target; slots kept for a class no further than its recent use; calls that would come too late are refused; a silent target is given probes only; Retry-After from queue drain and floor, spread by hash. Ruled out: the minimum of single latencies as a baseline; with exponential service times it tends to 0 and the limit falls to its least.

--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -7,12 +7,16 @@
 mod arm;
 mod downstream;
 mod event;
+mod floor;
+mod histogram;
+mod limiter;
+mod pace;
 mod queue;
+mod reserve;
+mod retry_after;
 mod share;
 
-use std::collections::HashMap;
-
-use self::arm::{Arm, Offer};
+use self::arm::{Arm, Part, WINDOW_US};
 use self::downstream::Downstream;
 pub use self::event::{Cancelled, Candidate, Decision, End, TargetState};
 use crate::call::{ArmId, AttemptId, ClassRank, Level, LoadReport, Refusal, RefusalReason};
@@ -72,8 +76,8 @@
     target: Target,
     /// The arms, by their numbers.
     arms: Vec<Arm>,
-    /// The arm of each running call.
-    running: HashMap<AttemptId, ArmId>,
+    /// When the slots were last divided, in microseconds.
+    divided_us: u64,
     /// What is known about services further down.
     downstream: Downstream,
     /// When `poll` has work that was left by an event without output, in microseconds.
@@ -87,7 +91,7 @@
         let mut admission = Self {
             target,
             arms: Vec::new(),
-            running: HashMap::new(),
+            divided_us: now_us,
             downstream: Downstream::default(),
             due_us: None,
         };
@@ -111,14 +115,15 @@
             };
             let id = ArmId(settings.id);
             let known = gone.iter().position(|arm| arm.id == id);
-            let arm = match known {
+            let mut arm = match known {
                 Some(index) => {
                     let mut arm = gone.swap_remove(index);
                     arm.set_policy(settings.share, policy.clone());
                     arm
                 }
-                None => Arm::new(id, settings.share, policy.clone()),
+                None => Arm::new(now_us, id, settings.share, policy.clone()),
             };
+            arm.set_classes(&rules.classes);
             self.arms.push(arm);
         }
         self.arms.sort_by_key(|arm| arm.id);
@@ -129,6 +134,11 @@
 
     /// Takes the state and the size of the target as announced. Call `poll` afterwards.
     pub fn set_target(&mut self, now_us: u64, state: TargetState, slots: u32, connections: u32) {
+        if self.target.state == TargetState::Down && state != TargetState::Down {
+            for arm in &mut self.arms {
+                arm.restart();
+            }
+        }
         self.target.state = state;
         self.target.slots = slots;
         self.target.connections = connections;
@@ -146,25 +156,27 @@
             out.push(Decision::Refuse { attempt: call.attempt, refusal });
             return;
         }
-        self.divide_slots(now_us);
+        self.warm_up(now_us);
+        let below = self.downstream.floor(now_us, call.arm, call.level.class());
         let Some(arm) = arm_for(&mut self.arms, call.arm) else {
             let refusal =
                 Refusal { reason: RefusalReason::NotReady, retry_after_ms: NOT_READY_RETRY_MS };
             out.push(Decision::Refuse { attempt: call.attempt, refusal });
             return;
         };
-        let decided = out.len();
+        if arm.refuses_early() && call.level < below {
+            out.push(arm.refuse(&call, RefusalReason::Shed));
+            return;
+        }
         arm.offer(now_us, call, out);
-        note_started(&mut self.running, arm.id, &out[decided..]);
     }
 
     /// Frees the slot of a call that ended, and starts waiting calls.
     pub fn finish(&mut self, now_us: u64, attempt: AttemptId, end: End, out: &mut Vec<Decision>) {
-        let Some(id) = self.running.remove(&attempt) else {
-            return;
-        };
-        if let Some(arm) = arm_for(&mut self.arms, id) {
-            arm.release(learnt_latency_us(end));
+        for arm in &mut self.arms {
+            if arm.release(now_us, attempt, end) {
+                break;
+            }
         }
         self.poll(now_us, out);
     }
@@ -176,7 +188,7 @@
         attempt: AttemptId,
         out: &mut Vec<Decision>,
     ) -> Cancelled {
-        if self.running.contains_key(&attempt) {
+        if self.arms.iter().any(|arm| arm.is_running(attempt)) {
             return Cancelled::IsRunning;
         }
         for arm in &mut self.arms {
@@ -199,11 +211,9 @@
             }
             return;
         }
-        self.divide_slots(now_us);
+        self.warm_up(now_us);
         for arm in &mut self.arms {
-            let decided = out.len();
             arm.settle(now_us, out);
-            note_started(&mut self.running, arm.id, &out[decided..]);
         }
     }
 
@@ -236,19 +246,23 @@
         let Some(known) = known else {
             return LoadReport { leaving, ..LoadReport::default() };
         };
+        let floor = match known.refuses_early() {
+            true => known.floor().max(self.downstream.floor(now_us, arm, class)),
+            false => Level::LOWEST,
+        };
         LoadReport {
             running: known.running(),
             queued: known.queued(),
             limit: known.reported_limit(),
             latency_us: known.latency_us(),
-            floor: known.floor().max(self.downstream.floor(now_us, arm, class)),
+            floor,
             leaving,
         }
     }
 
     /// Whether the attempt waits or runs.
     fn is_known(&self, attempt: AttemptId) -> bool {
-        self.running.contains_key(&attempt) || self.arms.iter().any(|arm| arm.is_queued(attempt))
+        self.arms.iter().any(|arm| arm.is_running(attempt) || arm.is_queued(attempt))
     }
 
     /// Takes the size from the settings while the target has not announced any.
@@ -267,28 +281,33 @@
             self.arms = gone;
             return;
         };
-        for mut arm in gone {
-            heir.adopt_running(arm.running());
-            for waiting in arm.take_queue() {
-                heir.adopt_queued(waiting);
-            }
-            for id in self.running.values_mut() {
-                if *id == arm.id {
-                    *id = heir.id;
-                }
-            }
+        for arm in gone {
+            heir.adopt(arm);
+        }
+    }
+
+    /// Gives a target that warms up its growing share, once in a window.
+    fn warm_up(&mut self, now_us: u64) {
+        let TargetState::Warming { since_us } = self.target.state else {
+            return;
+        };
+        let warm_us = since_us.saturating_add(self.target.warm_up_us);
+        let is_due = now_us.saturating_sub(self.divided_us) >= WINDOW_US;
+        if is_due && self.divided_us < warm_us {
+            self.divide_slots(now_us);
         }
     }
 
     /// Divides what the target offers between the arms.
     fn divide_slots(&mut self, now_us: u64) {
+        self.divided_us = now_us;
         let shares: Vec<f64> = self.arms.iter().map(|arm| arm.share).collect();
         let slots = share::divide(self.target.slots, &shares);
         let connections = share::divide(self.target.connections, &shares);
         let warmth = self.target.warmth(now_us);
         for (index, arm) in self.arms.iter_mut().enumerate() {
-            let offer = Offer { slots: slots[index], connections: connections[index], warmth };
-            arm.set_offer(offer);
+            let part = Part { slots: slots[index], connections: connections[index], warmth };
+            arm.set_part(part);
         }
     }
 }
@@ -304,21 +323,3 @@
 fn find_policy<'a>(rules: &'a Rules, name: &str) -> Option<&'a PolicySettings> {
     rules.policies.iter().find(|policy| policy.name == name)
 }
-
-/// Remembers the arm of every attempt that was started.
-fn note_started(running: &mut HashMap<AttemptId, ArmId>, arm: ArmId, decisions: &[Decision]) {
-    for decision in decisions {
-        let Decision::Run { attempt } = decision else {
-            continue;
-        };
-        running.insert(*attempt, arm);
-    }
-}
-
-/// The latency that says something about the target.
-fn learnt_latency_us(end: End) -> Option<u64> {
-    match end {
-        End::Answered { latency_us, healthy: true } => Some(latency_us),
-        End::Answered { .. } | End::Failed { .. } | End::Cancelled => None,
-    }
-}
--- a/src/admission/queue.rs
+++ b/src/admission/queue.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use super::event::Candidate;
-use crate::call::{AttemptId, Level};
+use crate::call::{AttemptId, ClassRank, Level};
 
 /// Where a call stands in the queue; the smallest place runs first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -22,6 +22,8 @@
 pub(super) struct Waiting {
     /// The call.
     pub call: Candidate,
+    /// When it was offered, in microseconds.
+    pub since_us: u64,
 }
 
 /// Waiting calls, by level, then deadline, then arrival; or by arrival alone.
@@ -88,6 +90,11 @@
         self.waiting.insert(place, entry);
     }
 
+    /// The class of the call that runs next.
+    pub fn first_rank(&self) -> Option<ClassRank> {
+        self.waiting.first_key_value().map(|(_, entry)| entry.call.level.class())
+    }
+
     /// Takes the call that runs next.
     pub fn pop_first(&mut self) -> Option<Waiting> {
         let (place, entry) = self.waiting.pop_first()?;
@@ -124,6 +131,12 @@
         Some(self.forget(place, entry))
     }
 
+    /// How many waiting calls would run before a call that is pushed now.
+    pub fn ahead_of(&self, call: &Candidate) -> usize {
+        let place = self.place_of(call, self.next_arrival);
+        self.waiting.range(..place).count()
+    }
+
     /// Takes all calls.
     pub fn take_all(&mut self) -> Vec<Waiting> {
         self.drain().into_iter().map(|(_, entry)| entry).collect()
--- /dev/null
+++ b/tests/admission_load.rs
@@ -0,0 +1,301 @@
+//! The admission under load: a target with some slots, random service times and random arrivals,
+//! stepped event by event with a fixed seed. It answers one question only, how much of the target's
+//! capacity turns into answers in time, and is no model of a site.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+
+use aspenspring::admission::{Admission, Candidate, Decision, End, TargetState};
+use aspenspring::call::{ArmId, AttemptId, ClassRank, Level, NodeId, RefusalReason, RootId};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+const SECOND_US: u64 = 1_000_000;
+const BROWSE: ClassRank = ClassRank(1);
+const CONFIRM: ClassRank = ClassRank(3);
+const NEVER: (u64, u64) = (u64::MAX, u64::MAX);
+
+/// What is done to one target.
+#[derive(Clone, Copy)]
+struct Trial {
+    limit: &'static str,
+    refuse_early: bool,
+    /// Slots as announced, and as there really are.
+    slots: (u32, u32),
+    service_us: f64,
+    deadline_us: u64,
+    /// Arrivals as multiples of the capacity, at a time in seconds: browsing, confirmations.
+    load: fn(f64) -> (f64, f64),
+    /// The service time as a multiple, at a time in seconds.
+    slowness: fn(f64) -> f64,
+    frozen_us: (u64, u64),
+    length_us: u64,
+}
+
+const BASE: Trial = Trial {
+    limit: r#"{"kind": "gradient", "tolerance": 2.0, "smoothing": 0.2}"#,
+    refuse_early: true,
+    slots: (25, 25),
+    service_us: 20_000.0,
+    deadline_us: SECOND_US,
+    load: |_| (0.2, 0.3),
+    slowness: |_| 1.0,
+    frozen_us: NEVER,
+    length_us: 10 * SECOND_US,
+};
+const STATIC: &str = r#"{"kind": "static"}"#;
+const NONE: &str = r#"{"kind": "none"}"#;
+
+/// One call and what became of it.
+struct Call {
+    class: ClassRank,
+    arrived_us: u64,
+    ran_us: Option<u64>,
+    over: bool,
+    good: bool,
+    /// Refused for another reason than the floor.
+    late: bool,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive(ClassRank),
+    Done(usize),
+    Deadline(usize),
+    Poll,
+}
+
+struct Run {
+    trial: Trial,
+    admission: Admission,
+    rng: SmallRng,
+    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    calls: Vec<Call>,
+    /// Calls that wait inside the target, and how many it works on.
+    inside: VecDeque<usize>,
+    working: u32,
+    now_us: u64,
+    pushed: u64,
+}
+
+impl Run {
+    fn go(trial: Trial, seed: u64) -> Self {
+        let admission = Admission::new(0, &rules(&trial), "s");
+        let rng = SmallRng::seed_from_u64(seed);
+        let events = BinaryHeap::new();
+        let (calls, inside) = (Vec::new(), VecDeque::new());
+        let mut run =
+            Run { trial, admission, rng, events, calls, inside, working: 0, now_us: 0, pushed: 0 };
+        run.admission.set_target(0, TargetState::Serving, trial.slots.0, trial.slots.0 * 8);
+        run.at(0, Event::Arrive(BROWSE));
+        run.at(0, Event::Arrive(CONFIRM));
+        while let Some(Reverse((now_us, _, event))) = run.events.pop() {
+            run.now_us = now_us;
+            run.step(event);
+        }
+        let left = run.admission.load(run.now_us, ArmId(0), BROWSE);
+        assert_eq!((left.running, left.queued), (0, 0), "the machine drains to idle");
+        run
+    }
+
+    fn at(&mut self, at_us: u64, event: Event) {
+        self.pushed += 1;
+        self.events.push(Reverse((at_us, self.pushed, event)));
+    }
+
+    fn exponential_us(&mut self, mean_us: f64) -> u64 {
+        (-mean_us * (1.0 - self.rng.random::<f64>()).ln()) as u64 + 1
+    }
+
+    fn step(&mut self, event: Event) {
+        let mut out = Vec::new();
+        match event {
+            Event::Arrive(class) => self.arrive(class, &mut out),
+            Event::Done(call) => self.done(call, &mut out),
+            Event::Deadline(call) => self.end(call, false, &mut out),
+            Event::Poll => self.admission.poll(self.now_us, &mut out),
+        }
+        let load = self.admission.load(self.now_us, ArmId(0), BROWSE);
+        assert!(self.trial.limit == NONE || load.running <= self.trial.slots.0);
+        for decision in out {
+            let call = decision.attempt().sequence as usize;
+            match decision {
+                Decision::Refuse { refusal, .. } => {
+                    self.calls[call].over = true;
+                    self.calls[call].late = refusal.reason != RefusalReason::Shed;
+                }
+                Decision::Run { .. } => self.start(call),
+            }
+        }
+        let Some(wake_us) = self.admission.next_wake_us() else {
+            return;
+        };
+        let next_us = self.events.peek().map_or(u64::MAX, |Reverse((at_us, ..))| *at_us);
+        if wake_us < next_us {
+            self.at(wake_us.max(self.now_us), Event::Poll);
+        }
+    }
+
+    fn arrive(&mut self, class: ClassRank, out: &mut Vec<Decision>) {
+        let (browse, confirm) = (self.trial.load)(self.now_us as f64 / SECOND_US as f64);
+        let times = if class == BROWSE { browse } else { confirm };
+        let mean_us = self.trial.service_us / f64::from(self.trial.slots.1) / times.max(1e-3);
+        let next_us = self.now_us + self.exponential_us(mean_us);
+        if next_us < self.trial.length_us {
+            self.at(next_us, Event::Arrive(class));
+        }
+        let attempt = AttemptId { origin: NodeId(1), sequence: self.calls.len() as u64, nonce: 0 };
+        let level = Level::new(class, RootId(self.rng.random()));
+        let deadline_us = self.now_us + self.trial.deadline_us;
+        let arrived_us = self.now_us;
+        self.calls.push(Call {
+            class,
+            arrived_us,
+            ran_us: None,
+            over: false,
+            good: false,
+            late: false,
+        });
+        let candidate = Candidate { attempt, arm: ArmId(0), level, deadline_us };
+        self.admission.offer(self.now_us, candidate, out);
+    }
+
+    fn start(&mut self, call: usize) {
+        assert!(self.now_us < self.calls[call].arrived_us + self.trial.deadline_us);
+        self.calls[call].ran_us = Some(self.now_us);
+        self.at(self.calls[call].arrived_us + self.trial.deadline_us, Event::Deadline(call));
+        self.inside.push_back(call);
+        self.work();
+    }
+
+    /// The target takes up what it has slots for; it does not heed deadlines.
+    fn work(&mut self) {
+        while self.working < self.trial.slots.1 {
+            let Some(call) = self.inside.pop_front() else {
+                return;
+            };
+            self.working += 1;
+            let slowness = (self.trial.slowness)(self.now_us as f64 / SECOND_US as f64);
+            let (from_us, to_us) = self.trial.frozen_us;
+            let mut done_us = self.now_us + self.exponential_us(self.trial.service_us * slowness);
+            if self.now_us < to_us && done_us > from_us {
+                done_us += to_us - self.now_us.max(from_us);
+            }
+            self.at(done_us, Event::Done(call));
+        }
+    }
+
+    fn done(&mut self, call: usize, out: &mut Vec<Decision>) {
+        self.working -= 1;
+        self.work();
+        self.end(call, true, out);
+    }
+
+    fn end(&mut self, call: usize, answered: bool, out: &mut Vec<Decision>) {
+        if std::mem::replace(&mut self.calls[call].over, true) {
+            return;
+        }
+        self.calls[call].good = answered;
+        let latency_us = self.now_us - self.calls[call].ran_us.expect("it ran");
+        let end = match answered {
+            true => End::Answered { latency_us, healthy: true },
+            false => End::Failed { latency_us },
+        };
+        let attempt = AttemptId { origin: NodeId(1), sequence: call as u64, nonce: 0 };
+        self.admission.finish(self.now_us, attempt, end, out);
+    }
+
+    /// Calls that arrived between two times and were answered in time, over the capacity.
+    fn goodput(&self, from_s: f64, to_s: f64) -> f64 {
+        let capacity = f64::from(self.trial.slots.1) / self.trial.service_us * SECOND_US as f64;
+        let good = self.between(from_s, to_s).filter(|call| call.good).count();
+        good as f64 / (capacity * (to_s - from_s))
+    }
+
+    /// The part of the confirmations that were answered in time.
+    fn confirmed(&self, from_s: f64, to_s: f64) -> f64 {
+        let all = self.between(from_s, to_s).filter(|call| call.class == CONFIRM);
+        let (good, all) =
+            all.fold((0, 0), |(good, all), call| (good + u32::from(call.good), all + 1));
+        f64::from(good) / f64::from(all)
+    }
+
+    fn between(&self, from_s: f64, to_s: f64) -> impl Iterator<Item = &Call> {
+        let range = (from_s * SECOND_US as f64) as u64..(to_s * SECOND_US as f64) as u64;
+        self.calls.iter().filter(move |call| range.contains(&call.arrived_us))
+    }
+
+    /// Calls that were refused although they were at or above the floor, over those answered.
+    fn late(&self, from_s: f64, to_s: f64) -> f64 {
+        let late = self.between(from_s, to_s).filter(|call| call.late).count();
+        late as f64 / self.between(from_s, to_s).filter(|call| call.good).count().max(1) as f64
+    }
+
+    /// Seconds from `end_s` until nine of ten calls of each tenth of a second are answered and stay so.
+    fn recovery_s(&self, end_s: f64, until_s: f64) -> f64 {
+        let mut recovered_s = end_s;
+        let mut at_s = end_s;
+        while at_s + 0.2 <= until_s {
+            let calls: Vec<&Call> = self.between(at_s, at_s + 0.2).collect();
+            let good = calls.iter().filter(|call| call.good).count();
+            at_s += 0.2;
+            if (good as f64) < 0.95 * calls.len() as f64 {
+                recovered_s = at_s;
+            }
+        }
+        recovered_s - end_s
+    }
+}
+
+fn rules(trial: &Trial) -> aspenspring::config::Rules {
+    let (limit, refuse_early) = (trial.limit, trial.refuse_early);
+    let text = format!(
+        r#"{{"routes": [], "classes": [
+            {{"name": "browse", "rank": 1, "deadline_ms": 1000, "deadline_max_ms": 1000}},
+            {{"name": "confirm", "rank": 3, "at_most_once": true, "deadline_ms": 1000,
+              "deadline_max_ms": 1000, "reserved_share": 0.1}}],
+        "services": [{{"name": "s", "slots": 2, "connections": 20}}],
+        "arms": [{{"id": 0, "name": "a", "share": 1.0, "policy": "p"}}],
+        "policies": [{{"name": "p", "limit": {limit}, "refuse_early": {refuse_early},
+            "retry": {{"kind": "none"}}, "choice": "least_loaded"}}]}}"#
+    );
+    serde_json::from_str(&text).expect("the rules are well formed")
+}
+
+#[test]
+fn print_figures() {
+    let delay = r#"{"kind": "delay", "tolerance": 2.0, "backoff": 0.9}"#;
+    let trials = [
+        ("none", NONE, false),
+        ("static", STATIC, false),
+        ("static+floor", STATIC, true),
+        ("gradient", BASE.limit, false),
+        ("gradient+floor", BASE.limit, true),
+        ("delay+floor", delay, true),
+    ];
+    for slots in [4, 25, 130] {
+        for (name, limit, refuse_early) in trials {
+            let trial = Trial { limit, slots: (slots, slots), refuse_early, ..BASE };
+            let at2 = Run::go(Trial { load: |_| (1.7, 0.3), ..trial }, 1);
+            let at10 = Run::go(Trial { load: |_| (9.7, 0.3), ..trial }, 2);
+            let surge = |t| if (4.0..7.0).contains(&t) { (9.7, 0.3) } else { (0.2, 0.3) };
+            let length_us = 15 * SECOND_US;
+            let surge = Run::go(Trial { load: surge, length_us, ..trial }, 3);
+            let frozen_us = (4 * SECOND_US, 7 * SECOND_US);
+            let stall = Trial { load: |_| (0.4, 0.3), frozen_us, length_us, ..trial };
+            let stall = Run::go(stall, 4);
+            println!(
+                "{slots:3} {name:14}: 2x {:.3} ({:.4}; late {:.3})  10x {:.3} ({:.4}; late {:.3})  after a surge {:.1} s, a stall {:.1} s, lost in it {}",
+                at2.goodput(1.0, 9.0),
+                at2.confirmed(1.0, 9.0),
+                at2.late(1.0, 9.0),
+                at10.goodput(1.0, 9.0),
+                at10.confirmed(1.0, 9.0),
+                at10.late(1.0, 9.0),
+                surge.recovery_s(7.0, 14.0),
+                stall.recovery_s(7.0, 14.0),
+                stall.between(3.0, 8.0).filter(|call| call.ran_us.is_some() && !call.good).count(),
+            );
+        }
+    }
+}
