Let one probe speak for a service whose targets all shed

Cause: each target's floor faded by itself, so a class that is shed altogether was probed once for every target: 4.9% of the calls of a class below the floors of 12 targets were sent and refused there (1,000 calls a second, 200 ms hold, 800 ms fade).

--- a/src/routing/observe.rs
+++ b/src/routing/observe.rs
@@ -47,6 +47,7 @@
         if let Some(load) = &seen.load {
             record.report(now_us, load);
             record.floors.tell(now_us, seen.class, load.floor);
+            state.floors.tell(now_us, seen.class, load.floor);
         }
         match seen.outcome {
             Outcome::Answered { healthy: true } => {
--- a/src/routing/pick.rs
+++ b/src/routing/pick.rs
@@ -4,6 +4,7 @@
 
 use super::arms::ArmPolicy;
 use super::cost::{Cost, Terms};
+use super::floor::{FloorMemory, Floors};
 use super::health::Ejection;
 use super::router::{Pick, Router, Service};
 use super::target::Target;
@@ -68,14 +69,16 @@
             return Level::LOWEST;
         }
         let service = &self.services[place];
+        let shared = &service.arms[arm].floors;
+        let floor_of = |target: &Target| {
+            floors(target, arm, shared).map_or(Level::LOWEST, |known| known.level(now_us, class))
+        };
         let targets = self.active_targets(service);
         let well = targets.filter(|target| !is_ejected(target, arm));
-        if let Some(floor) = well.map(|target| floor_of(target, now_us, arm, class)).min() {
+        if let Some(floor) = well.map(floor_of).min() {
             return floor;
         }
-        let floors =
-            self.active_targets(service).map(|target| floor_of(target, now_us, arm, class));
-        floors.min().unwrap_or(Level::LOWEST)
+        self.active_targets(service).map(floor_of).min().unwrap_or(Level::LOWEST)
     }
 
     /// Whether a target is known that would take the attempt now.
@@ -85,9 +88,11 @@
         };
         let arm = self.policies.index(ask.arm);
         let policy = self.policies.get(arm);
-        for target in self.active_targets(&self.services[place]) {
+        let service = &self.services[place];
+        let shared = &service.arms[arm].floors;
+        for target in self.active_targets(service) {
             let avoided = ask.avoid.contains(&target.node);
-            if !avoided && closed_for_us(target, now_us, arm, policy, ask) == 0 {
+            if !avoided && closed_for_us(floors(target, arm, shared), now_us, policy, ask) == 0 {
                 return true;
             }
         }
@@ -138,7 +143,8 @@
             if ask.avoid.contains(&target.node) {
                 continue;
             }
-            let wait_us = closed_for_us(target, now_us, arm, policy, ask);
+            let floors = floors(target, arm, &service.arms[arm].floors);
+            let wait_us = closed_for_us(floors, now_us, policy, ask);
             if wait_us == 0 {
                 return Ok(slot);
             }
@@ -196,7 +202,9 @@
         let mut scan = Scan::default();
         let mut ejected = Vec::new();
         let mut any_well = false;
-        for &slot in &self.services[place].active {
+        let service = &self.services[place];
+        let shared = &service.arms[arm].floors;
+        for &slot in &service.active {
             let Some(target) = &self.targets[slot] else {
                 continue;
             };
@@ -205,7 +213,7 @@
             }
             let ejection = target.record(arm).and_then(|record| record.ejection);
             any_well |= ejection.is_none();
-            let wait_us = closed_for_us(target, now_us, arm, policy, ask);
+            let wait_us = closed_for_us(floors(target, arm, shared), now_us, policy, ask);
             if wait_us > 0 {
                 scan.opens_in_us = sooner(scan.opens_in_us, wait_us);
                 continue;
@@ -298,23 +306,22 @@
     target.record(arm).is_some_and(|record| record.ejection.is_some())
 }
 
-/// The floor of `target` for calls of `class`.
-fn floor_of(target: &Target, now_us: u64, arm: usize, class: ClassRank) -> Level {
-    target.record(arm).map_or(Level::LOWEST, |record| record.floors.level(now_us, class))
+/// The floors of `target`, together with those its service told last.
+fn floors<'a>(target: &'a Target, arm: usize, shared: &'a FloorMemory) -> Option<Floors<'a>> {
+    target.record(arm).map(|record| Floors { own: &record.floors, shared })
 }
 
-/// How long the call is below the floor of `target`; 0 when it may go there.
+/// How long the call is below the floor of a target; 0 when it may go there.
 fn closed_for_us(
-    target: &Target,
+    floors: Option<Floors<'_>>,
     now_us: u64,
-    arm: usize,
     policy: &ArmPolicy,
     ask: &Pick<'_>,
 ) -> u64 {
-    if !policy.refuse_early {
-        return 0;
+    match floors {
+        Some(floors) if policy.refuse_early => floors.closed_for_us(now_us, ask.class, ask.level),
+        _ => 0,
     }
-    target.record(arm).map_or(0, |record| record.floors.opens_in_us(now_us, ask.class, ask.level))
 }
 
 /// The shorter of two waits.
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -5,6 +5,7 @@
 
 use super::arms::ArmPolicies;
 use super::cost::Usual;
+use super::floor::FloorMemory;
 use super::subset::{ACTIVE_TARGETS, Ranked, Ranking, rendezvous_order};
 use super::target::{Link, Target};
 use crate::call::{ArmId, ClassRank, Level, LoadReport, NodeId, RefusalReason};
@@ -83,8 +84,10 @@
     pub reviewed_us: u64,
     /// Attempts settled since then.
     pub unreviewed: u32,
-    /// Where the round robin stands.
+    /// Where the turns stand.
     pub cursor: usize,
+    /// What any of its targets told last.
+    pub floors: FloorMemory,
 }
 
 /// The targets of one service.
