Spread the row traffic of a site that starts at once

Change: the first write keeps its time; services whose members peers told wait for the ordinary poll; first reads and later ones are spread apart. A new configuration version is told again in the next four rounds. A lead no longer names the asker itself (found by the seed test).

--- a/src/configuration/state.rs
+++ b/src/configuration/state.rs
@@ -54,6 +54,8 @@
 const SMALL_SITE_NODES: u64 = 20;
 /// How much less often a node of a large site reads the row, at most.
 const READ_STRETCH_MAX: u64 = 10;
+/// The first reads a second of a whole site that starts at once; the membership makes as many.
+const SITE_FIRST_READS_PER_S: u64 = 800;
 /// The first backoff while the table service is away, in microseconds.
 const BACKOFF_US: u64 = US_PER_S;
 
@@ -97,7 +99,7 @@
         build: BuildRules,
         rng: &mut SmallRng,
     ) -> Self {
-        let spread_us = u64::from(options.site_nodes) * US_PER_S / 500;
+        let spread_us = u64::from(options.site_nodes) * US_PER_S / SITE_FIRST_READS_PER_S;
         Self {
             build,
             accepted: None,
--- a/src/membership/contact.rs
+++ b/src/membership/contact.rs
@@ -49,10 +49,11 @@
         self.contacts.iter().map(|contact| contact.address)
     }
 
-    /// Whom to ask about `service`: a contact of that service, or else the latest contact.
-    pub(super) fn leads(&self, service: ServiceTag) -> Option<SocketAddr> {
-        let of_service = self.contacts.iter().rev().find(|contact| contact.service == service);
-        of_service.or(self.contacts.back()).map(|contact| contact.address)
+    /// Whom `asker` may ask about `service`: a contact of that service, or else any other one.
+    pub(super) fn lead(&self, service: ServiceTag, asker: SocketAddr) -> Option<SocketAddr> {
+        let others = || self.contacts.iter().rev().filter(|contact| contact.address != asker);
+        let of_service = others().find(|contact| contact.service == service);
+        of_service.or(others().next()).map(|contact| contact.address)
     }
 
     /// Keeps leads that others gave.
--- a/src/membership/rows.rs
+++ b/src/membership/rows.rs
@@ -15,8 +15,10 @@
 const READ_STRETCH: u64 = 4;
 /// The row writes a second of a whole site that starts at once.
 const SITE_WRITES_PER_S: u64 = 200;
-/// The row reads a second of a whole site that starts at once.
-const SITE_READS_PER_S: u64 = 500;
+/// The first reads a second of a whole site that starts at once; as many go to the configuration.
+const SITE_FIRST_READS_PER_S: u64 = 800;
+/// The reads a second of a whole site that then reads one service after the other, roughly.
+const SITE_READS_PER_S: u64 = 250;
 /// The least time between two writes of one row, in microseconds.
 const WRITE_GAP_US: u64 = 2 * US_PER_S;
 /// The first wait before a service without a known member is read again, in microseconds.
@@ -54,13 +56,14 @@
 pub(super) struct Rows {
     next_write_us: u64,
     next_read_us: u64,
+    written_once: bool,
     writing: Pending,
     reading: Pending,
     write_backoff: Backoff,
     read_backoff: Backoff,
     /// Services in the order in which they are read; the front is next.
     queue: VecDeque<String>,
-    /// The services that have not been read yet.
+    /// How many services at the front of the queue have not been read yet.
     unread: usize,
     /// How many reads in a row have left a service without a known member.
     empty_reads: u32,
@@ -80,10 +83,11 @@
     ) -> Self {
         let nodes = u64::from(options.site_nodes);
         let write_spread_us = nodes * US_PER_S / SITE_WRITES_PER_S;
-        let read_spread_us = nodes * US_PER_S / SITE_READS_PER_S;
+        let read_spread_us = nodes * US_PER_S / SITE_FIRST_READS_PER_S;
         Self {
             next_write_us: now_us + rng.random_range(0..=write_spread_us),
             next_read_us: now_us + rng.random_range(0..=read_spread_us),
+            written_once: false,
             writing: None,
             reading: None,
             write_backoff: Backoff::default(),
@@ -104,18 +108,29 @@
         options: &MembershipOptions,
         rng: &mut SmallRng,
     ) {
+        let first = self.unread == self.queue.len();
         self.queue.insert(self.unread, service.to_owned());
         self.unread += 1;
-        let spread_us = u64::from(options.site_nodes) * US_PER_S / SITE_READS_PER_S;
-        let soon_us = now_us + rng.random_range(0..=spread_us);
-        if self.read_backoff.failures == 0 {
-            self.next_read_us = self.next_read_us.min(soon_us);
+        // Before the first read, a start is being spread; while reads fail, the backoff counts.
+        if first || self.read_backoff.failures > 0 {
+            return;
         }
+        let soon_us = now_us + rng.random_range(0..=read_spread_us(options));
+        self.next_read_us = self.next_read_us.min(soon_us);
     }
 
-    /// Has the own row written soon, because it changed.
+    /// Leaves services at the front of the queue for later whose members peers have told.
+    pub(super) fn skip_told(&mut self, told: impl Fn(&str) -> bool) {
+        while self.unread > 0 && self.queue.front().is_some_and(|service| told(service)) {
+            self.queue.rotate_left(1);
+            self.unread -= 1;
+        }
+    }
+
+    /// Has the own row written soon, because it changed. The first write keeps its time: many
+    /// nodes may have started, and found their targets, at once.
     pub(super) fn write_soon(&mut self, now_us: u64, rng: &mut SmallRng) {
-        if self.write_backoff.failures > 0 {
+        if self.write_backoff.failures > 0 || !self.written_once {
             return;
         }
         let soon_us = now_us + rng.random_range(0..=WRITE_GAP_US);
@@ -151,6 +166,7 @@
         rng: &mut SmallRng,
     ) {
         self.own_version = Some(version);
+        self.written_once = true;
         self.writing = None;
         self.write_backoff = Backoff::default();
         self.next_write_us = now_us + jitter(options.announce_us, rng);
@@ -198,8 +214,7 @@
 
     fn read_wait_us(&self, fresh: bool, options: &MembershipOptions, rng: &mut SmallRng) -> u64 {
         if self.unread > 0 {
-            let spread_us = u64::from(options.site_nodes) * US_PER_S / SITE_READS_PER_S;
-            return rng.random_range(0..=spread_us);
+            return rng.random_range(0..=read_spread_us(options));
         }
         if self.empty_reads > 0 {
             let wait_us = EMPTY_WAIT_US << (self.empty_reads - 1).min(8);
@@ -261,6 +276,11 @@
     }
 }
 
+/// Over how long reads of a service are spread on a site that starts at once.
+fn read_spread_us(options: &MembershipOptions) -> u64 {
+    u64::from(options.site_nodes) * US_PER_S / SITE_READS_PER_S
+}
+
 /// A time between 0.75 and 1.25 of `interval_us`.
 pub(super) fn jitter(interval_us: u64, rng: &mut SmallRng) -> u64 {
     let quarter_us = interval_us / 4;
--- a/src/membership/state.rs
+++ b/src/membership/state.rs
@@ -23,6 +23,10 @@
 const CLAIM_NAME_US: u64 = 60 * US_PER_S;
 /// How many peers hear at once of a change that is urgent.
 const URGENT_PEERS: usize = 6;
+/// In how many rounds after that a new version of the configuration is told to more peers.
+const HELLO_REPEATS: u32 = 4;
+/// How many peers hear it in each of these rounds.
+const HELLO_PEERS: usize = 2;
 /// The most requests for records in one reply.
 const WANTED_MAX: usize = 64;
 /// One in so many rounds also asks a seed or a member that is gone.
@@ -63,6 +67,8 @@
     /// When a peer was last heard.
     last_peer_us: Option<u64>,
     superseded: bool,
+    /// In how many rounds the new version of the configuration is still told to more peers.
+    repeat_hello: u32,
     contacts: Contacts,
 }
 
@@ -101,6 +107,7 @@
             last_event_us: now_us,
             last_peer_us: None,
             superseded: false,
+            repeat_hello: 0,
             contacts: Contacts::default(),
             options,
         }
@@ -216,7 +223,7 @@
         self.own.beat += 1;
         self.rows.write_soon(now_us, rng);
         let record = Record { member: self.own.clone(), age_s: 0 };
-        self.send_urgent(Body::Records(vec![record]), rng, out);
+        self.send_urgent(Body::Records(vec![record]), URGENT_PEERS, rng, out);
     }
 
     fn take_configuration(
@@ -228,18 +235,26 @@
         let newer = mark.version > self.configuration.version;
         self.configuration = mark;
         if newer {
-            self.send_urgent(Body::Hello, rng, out);
+            self.repeat_hello = HELLO_REPEATS;
+            self.send_urgent(Body::Hello, URGENT_PEERS, rng, out);
         }
     }
 
-    fn send_urgent(&self, body: Body, rng: &mut SmallRng, out: &mut Vec<MembershipAction>) {
+    /// Sends to a few of all known nodes at once.
+    fn send_urgent(
+        &self,
+        body: Body,
+        peers_max: usize,
+        rng: &mut SmallRng,
+        out: &mut Vec<MembershipAction>,
+    ) {
         let bytes = self.message(body).encode();
         let mut peers = self.peer_addresses(|_| true);
         peers.extend(self.contacts.addresses());
         if peers.is_empty() {
             peers.clone_from(&self.options.seeds);
         }
-        for to in peers.choose_multiple(rng, URGENT_PEERS) {
+        for to in peers.choose_multiple(rng, peers_max) {
             out.push(MembershipAction::SendGossip { to: *to, bytes: bytes.clone() });
         }
     }
@@ -344,7 +359,7 @@
                 if !self.interests.has(own_service) {
                     self.contacts.note(now_us, address, own_service);
                 }
-                let body = self.reply(now_us, own, own_service, &groups);
+                let body = self.reply(now_us, address, own, own_service, &groups);
                 self.send(address, body, out);
             }
             Body::Reply { signs, records, wanted, leads } => {
@@ -386,7 +401,14 @@
     }
 
     /// Takes the signs of a digest and makes the reply to it.
-    fn reply(&mut self, now_us: u64, own: Sign, own_service: ServiceTag, groups: &[Group]) -> Body {
+    fn reply(
+        &mut self,
+        now_us: u64,
+        asker: SocketAddr,
+        own: Sign,
+        own_service: ServiceTag,
+        groups: &[Group],
+    ) -> Body {
         let mut signs = Vec::new();
         let mut records = Vec::new();
         let mut wanted = Vec::new();
@@ -397,7 +419,7 @@
         for group in groups {
             if !self.interests.has(group.service) {
                 if group.whole && group.signs.is_empty() {
-                    leads.extend(self.contacts.leads(group.service));
+                    leads.extend(self.contacts.lead(group.service, asker));
                 }
                 continue;
             }
@@ -491,6 +513,12 @@
             let expected = self.rows.own_version;
             out.push(MembershipAction::WriteRow { member: self.own.clone(), expected });
         }
+        let (interests, view) = (&self.interests, &self.view);
+        let own = interests.own();
+        self.rows.skip_told(|service| {
+            let tag = ServiceTag::new(service);
+            tag != own && view.size(tag) > 0
+        });
         if let Some(service) = self.rows.read_due(now_us, &self.options) {
             out.push(MembershipAction::ReadRows { service });
         }
@@ -516,6 +544,10 @@
             self.send(*to, digest, out);
         }
         self.contacts.age(now_us);
+        if self.repeat_hello > 0 {
+            self.repeat_hello -= 1;
+            self.send_urgent(Body::Hello, HELLO_PEERS, rng, out);
+        }
         if self.lacks_members() || rng.random_ratio(1, PROBE_ROUNDS) {
             self.probe(now_us, rng, out);
         }
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -110,7 +110,8 @@
     Rules { classes: vec![], routes: vec![], services: vec![], arms: vec![], policies: vec![] }
 }
 
-fn address(index: usize) -> SocketAddr {
+/// Where the node with this index is reached.
+pub fn address(index: usize) -> SocketAddr {
     let [_, a, b, c] = (index as u32 + 1).to_be_bytes();
     SocketAddr::from((Ipv4Addr::new(10, a, b, c), 7000))
 }
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -2,7 +2,7 @@
 
 mod fleet;
 
-use aspenspring::membership::MembershipEvent;
+use aspenspring::membership::{MembershipEvent, MembershipOptions};
 
 use fleet::{Fleet, Table};
 
@@ -121,3 +121,65 @@
     fleet.run(50);
     assert!(fleet.wakes < 7 * 200 * 4, "{} wakes", fleet.wakes);
 }
+
+#[test]
+fn a_site_that_starts_at_once_spares_the_store() {
+    let nodes = 300;
+    let options = MembershipOptions::builder().site_nodes(nodes).build();
+    let mut fleet = Fleet::new(9, options);
+    for n in 0..nodes {
+        let calls = ["service-0", "service-1", "service-2"];
+        fleet.start(&format!("node-{n}"), &format!("service-{}", n % 15), &calls);
+    }
+    fleet.run(30);
+    let (writes, reads) = (peak(&fleet.write_at_us), peak(&fleet.read_at_us));
+    assert!(writes <= 260, "{writes} writes in a second");
+    assert!(reads <= 1_600, "{reads} reads in a second");
+    let found = fleet.nodes.iter().filter(|node| node.membership.member_count() >= 19).count();
+    assert_eq!(found, nodes as usize);
+}
+
+/// The most of `at_us` in any whole second.
+fn peak(at_us: &[u64]) -> usize {
+    let mut seconds = std::collections::BTreeMap::new();
+    for at in at_us {
+        *seconds.entry(at / fleet::S).or_insert(0) += 1;
+    }
+    seconds.into_values().max().unwrap_or(0)
+}
+
+#[test]
+fn parts_that_lost_each_other_for_ten_minutes_meet_again_without_the_store() {
+    let mut fleet = two_services(10);
+    fleet.run(30);
+    fleet.table = Table::Down;
+    for index in [0, 1, 3] {
+        fleet.part_of[index] = 1;
+    }
+    fleet.run(600);
+    assert!(!fleet.sees(FRONT[0], STOCK[1]));
+    assert!(fleet.sees(FRONT[0], STOCK[0]));
+    fleet.part_of.fill(0);
+    fleet.run(60);
+    for front in FRONT {
+        assert!(STOCK.iter().all(|stock| fleet.sees(front, *stock)));
+    }
+}
+
+#[test]
+fn with_the_store_away_from_the_start_a_seed_of_another_service_is_enough() {
+    let options = MembershipOptions::builder().seeds(vec![fleet::address(3)]).build();
+    let mut fleet = Fleet::new(11, options);
+    fleet.table = Table::Down;
+    for n in 0..3 {
+        fleet.start(&format!("front-{n}"), "front", &["stock"]);
+    }
+    for n in 0..3 {
+        fleet.start(&format!("stock-{n}"), "stock", &[]);
+    }
+    fleet.run(60);
+    for front in FRONT {
+        assert!(STOCK.iter().all(|stock| fleet.sees(front, *stock)));
+        assert!(FRONT.iter().all(|other| front == *other || fleet.sees(front, *other)));
+    }
+}
--- a/tests/store.rs
+++ b/tests/store.rs
@@ -238,12 +238,23 @@
     for _ in 0..20 {
         assert_eq!(store.run(read()), Err(Certainty::NotApplied));
     }
+    assert!(reads_at(&server) < 10, "{} reads", reads_at(&server));
     fault(&server, "up");
     while store.run(read()).is_err() {
         std::thread::sleep(Duration::from_millis(10));
     }
 }
 
+/// How many requests to read have come to the stand-in.
+fn reads_at(server: &Server) -> u64 {
+    let url = format!("{}/stats", server.url());
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let client = reqwest::Client::builder().no_proxy().build().unwrap();
+    let stats: serde_json::Value =
+        runtime.block_on(async { client.get(url).send().await.unwrap().json().await }).unwrap();
+    stats["reads"].as_u64().unwrap()
+}
+
 #[test]
 fn a_full_ring_refuses_at_once() {
     let (url, _connections) = misbehaving(None);
