--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -8,11 +8,13 @@
 
 mod contact;
 mod event;
+mod gossip;
 mod interest;
 mod member;
 mod options;
 mod rows;
 mod state;
+mod table;
 mod view;
 mod wire;
 
--- a/src/membership/state.rs
+++ b/src/membership/state.rs
@@ -4,35 +4,22 @@
 
 use rand::Rng;
 use rand::rngs::SmallRng;
-use rand::seq::IndexedRandom;
 
 use crate::call::NodeId;
-use crate::clock::US_PER_S;
 
 use super::contact::Contacts;
 use super::event::{MembershipAction, MembershipEvent};
 use super::interest::{Interests, ServiceTag};
-use super::member::{Member, MemberRow, MemberState};
+use super::member::{Member, MemberState};
 use super::options::MembershipOptions;
 use super::rows::{Rows, jitter};
 use super::view::View;
-use super::wire::{self, Body, ConfigurationMark, Gossip, Group, Header, Record, Sign};
+use super::wire::{Body, ConfigurationMark, Record};
 
-/// How long after its start a node puts itself after a life it finds at its name. Later on, a life
-/// that counts as later takes the name.
-const CLAIM_NAME_US: u64 = 60 * US_PER_S;
 /// How many peers hear at once of a change that is urgent.
 const URGENT_PEERS: usize = 6;
 /// In how many rounds after that a new version of the configuration is told to more peers.
 const HELLO_REPEATS: u32 = 4;
-/// How many peers hear it in each of these rounds.
-const HELLO_PEERS: usize = 2;
-/// The most requests for records in one reply.
-const WANTED_MAX: usize = 64;
-/// One in so many rounds also asks a seed or a member that is gone.
-const PROBE_ROUNDS: u32 = 4;
-/// The most leads in one reply.
-const LEADS_MAX: usize = 4;
 
 /// What a node tells about itself at its start.
 #[derive(Clone, Debug)]
@@ -54,22 +41,22 @@
 /// What one node knows of the others.
 #[derive(Debug)]
 pub struct Membership {
-    own: Member,
-    started_us: u64,
-    options: MembershipOptions,
-    interests: Interests,
-    view: View,
-    rows: Rows,
-    configuration: ConfigurationMark,
+    pub(super) own: Member,
+    pub(super) started_us: u64,
+    pub(super) options: MembershipOptions,
+    pub(super) interests: Interests,
+    pub(super) view: View,
+    pub(super) rows: Rows,
+    pub(super) configuration: ConfigurationMark,
     next_gossip_us: u64,
     next_beat_us: u64,
     last_event_us: u64,
     /// When a peer was last heard.
-    last_peer_us: Option<u64>,
-    superseded: bool,
+    pub(super) last_peer_us: Option<u64>,
+    pub(super) superseded: bool,
     /// In how many rounds the new version of the configuration is still told to more peers.
-    repeat_hello: u32,
-    contacts: Contacts,
+    pub(super) repeat_hello: u32,
+    pub(super) contacts: Contacts,
 }
 
 impl Membership {
@@ -240,260 +227,6 @@
         }
     }
 
-    /// Sends to a few of all known nodes at once.
-    fn send_urgent(
-        &self,
-        body: Body,
-        peers_max: usize,
-        rng: &mut SmallRng,
-        out: &mut Vec<MembershipAction>,
-    ) {
-        let bytes = self.message(body).encode();
-        let mut peers = self.peer_addresses(|_| true);
-        peers.extend(self.contacts.addresses());
-        if peers.is_empty() {
-            peers.clone_from(&self.options.seeds);
-        }
-        for to in peers.choose_multiple(rng, peers_max) {
-            out.push(MembershipAction::SendGossip { to: *to, bytes: bytes.clone() });
-        }
-    }
-
-    fn take_rows(
-        &mut self,
-        now_us: u64,
-        service: &str,
-        rows: &[MemberRow],
-        rng: &mut SmallRng,
-        out: &mut Vec<MembershipAction>,
-    ) {
-        for row in rows {
-            if row.member.service != service || !self.interests.has_service(service) {
-                continue;
-            }
-            if row.member.same_place(&self.own) {
-                self.rows.own_version = Some(row.version);
-                self.meet_namesake(now_us, &row.member, out);
-                continue;
-            }
-            // Nobody knows when the row was written, so its member is given the full time to age out.
-            self.view.take(now_us, &row.member, now_us, &self.options, out);
-        }
-        self.delete_dead(now_us, service, rows, rng, out);
-        let fresh = self.is_kept_fresh(now_us);
-        let own = self.interests.own();
-        let empty =
-            self.interests.tags().iter().any(|tag| *tag != own && self.view.size(*tag) == 0);
-        self.rows.read(now_us, service, fresh, empty, &self.options, rng);
-    }
-
-    /// Deletes one row of a member that is long dead. Many nodes see the same rows, so each of them
-    /// deletes only now and then.
-    fn delete_dead(
-        &mut self,
-        now_us: u64,
-        service: &str,
-        rows: &[MemberRow],
-        rng: &mut SmallRng,
-        out: &mut Vec<MembershipAction>,
-    ) {
-        let sharers = u32::try_from(self.view.size(self.interests.own()) + 1).unwrap_or(u32::MAX);
-        let mut dead = self.rows.dead(now_us, service, rows, &self.options);
-        dead.retain(|row| self.view.get(row.member.node).is_none());
-        dead.retain(|row| !row.member.same_place(&self.own));
-        let Some(row) = dead.choose(rng) else { return };
-        if rng.random_ratio(1, sharers) {
-            let key = row.member.row_key();
-            out.push(MembershipAction::DeleteRow { key, version: row.version });
-        }
-    }
-
-    /// Whether peers were heard of late, so that the table is only the second source.
-    fn is_kept_fresh(&self, now_us: u64) -> bool {
-        let limit_us = 4 * self.options.beat_us;
-        self.last_peer_us.is_some_and(|at_us| now_us.saturating_sub(at_us) < limit_us)
-    }
-
-    fn take_conflict(
-        &mut self,
-        now_us: u64,
-        version: Option<u64>,
-        present: Option<&Member>,
-        rng: &mut SmallRng,
-        out: &mut Vec<MembershipAction>,
-    ) {
-        if let Some(member) = present {
-            self.meet_namesake(now_us, member, out);
-        }
-        self.rows.conflicted(now_us, version, rng);
-    }
-
-    /// Settles which of two lives with one name counts.
-    fn meet_namesake(&mut self, now_us: u64, other: &Member, out: &mut Vec<MembershipAction>) {
-        if other.node == self.own.node || !other.supersedes(&self.own) || self.superseded {
-            return;
-        }
-        if now_us.saturating_sub(self.started_us) < CLAIM_NAME_US {
-            self.own.started_unix_ms = other.started_unix_ms + 1;
-            self.own.revision += 1;
-            self.own.beat += 1;
-            return;
-        }
-        self.superseded = true;
-        self.own.state = MemberState::Leaving;
-        self.own.revision += 1;
-        out.push(MembershipAction::Superseded { by: other.node });
-    }
-
-    fn take_gossip(&mut self, now_us: u64, bytes: &[u8], out: &mut Vec<MembershipAction>) {
-        let Some(message) = Gossip::decode(bytes) else { return };
-        let Header { from, address, configuration } = message.header;
-        if from == self.own.node {
-            return;
-        }
-        self.last_peer_us = Some(now_us);
-        self.view.heard(from, now_us);
-        out.push(MembershipAction::PeerConfiguration { peer: address, mark: configuration });
-        match message.body {
-            Body::Digest { own, own_service, groups } => {
-                if !self.interests.has(own_service) {
-                    self.contacts.note(now_us, address, own_service);
-                }
-                let body = self.reply(now_us, address, own, own_service, &groups);
-                self.send(address, body, out);
-            }
-            Body::Reply { signs, records, wanted, leads } => {
-                self.contacts.follow(&leads, self.own.peer_address);
-                self.take_records(now_us, &records, out);
-                for sign in &signs {
-                    self.take_sign(now_us, sign);
-                }
-                self.send_wanted(now_us, address, &wanted, out);
-            }
-            Body::Records(records) => self.take_records(now_us, &records, out),
-            Body::Hello => {}
-        }
-    }
-
-    /// Takes a sign of life; false where the whole record is needed.
-    fn take_sign(&mut self, now_us: u64, sign: &Sign) -> bool {
-        let node = NodeId(sign.node);
-        if node == self.own.node || !self.view.may_take(node, sign.beat) {
-            return true;
-        }
-        let alive_us = now_us.saturating_sub(wire::age_us(sign.age_s));
-        self.view.take_sign(node, sign.beat, sign.revision, alive_us)
-    }
-
-    fn take_records(&mut self, now_us: u64, records: &[Record], out: &mut Vec<MembershipAction>) {
-        for record in records {
-            let member = &record.member;
-            if member.node == self.own.node || !self.interests.has_service(&member.service) {
-                continue;
-            }
-            if member.same_place(&self.own) {
-                self.meet_namesake(now_us, member, out);
-                continue;
-            }
-            let alive_us = now_us.saturating_sub(wire::age_us(record.age_s));
-            self.view.take(now_us, member, alive_us, &self.options, out);
-        }
-    }
-
-    /// Takes the signs of a digest and makes the reply to it.
-    fn reply(
-        &mut self,
-        now_us: u64,
-        asker: SocketAddr,
-        own: Sign,
-        own_service: ServiceTag,
-        groups: &[Group],
-    ) -> Body {
-        let mut signs = Vec::new();
-        let mut records = Vec::new();
-        let mut wanted = Vec::new();
-        let mut leads = Vec::new();
-        if self.interests.has(own_service) && !self.take_sign(now_us, &own) {
-            wanted.push(NodeId(own.node));
-        }
-        for group in groups {
-            if !self.interests.has(group.service) {
-                if group.whole && group.signs.is_empty() {
-                    leads.extend(self.contacts.lead(group.service, asker));
-                }
-                continue;
-            }
-            for sign in &group.signs {
-                let known = self.take_sign(now_us, sign);
-                if !known && wanted.len() < WANTED_MAX {
-                    wanted.push(NodeId(sign.node));
-                }
-            }
-            self.offer(now_us, own.node, group, &mut signs, &mut records);
-        }
-        leads.truncate(LEADS_MAX);
-        Body::Reply { signs, records, wanted, leads }
-    }
-
-    /// Collects what the sender of `group` lacks.
-    fn offer(
-        &self,
-        now_us: u64,
-        asker: u64,
-        group: &Group,
-        signs: &mut Vec<Sign>,
-        records: &mut Vec<Record>,
-    ) {
-        let mut theirs: Vec<&Sign> = group.signs.iter().collect();
-        theirs.sort_unstable_by_key(|sign| sign.node);
-        for (member, alive_us) in self.known(now_us, group.service) {
-            if member.node.0 == asker {
-                continue;
-            }
-            let place = theirs.binary_search_by_key(&member.node.0, |sign| sign.node);
-            let sign = place.ok().map(|place| theirs[place]);
-            let outdated = sign.is_some_and(|sign| sign.revision < member.revision);
-            let lacking = sign.is_none() && group.whole;
-            if (outdated || lacking) && records.len() < self.options.records_max {
-                let age_s = wire::age_s(now_us.saturating_sub(alive_us));
-                records.push(Record { member: member.clone(), age_s });
-                continue;
-            }
-            if sign.is_some_and(|sign| sign.beat < member.beat) {
-                signs.push(sign_of(now_us, member, alive_us));
-            }
-        }
-    }
-
-    /// The members of a service, this node among them, with the time of their last sign of life.
-    fn known(&self, now_us: u64, tag: ServiceTag) -> impl Iterator<Item = (&Member, u64)> {
-        let own = (self.interests.own() == tag).then_some((&self.own, now_us));
-        let entries = self.view.entries().filter(move |entry| entry.tag == tag);
-        own.into_iter().chain(entries.map(|entry| (&entry.member, entry.alive_us)))
-    }
-
-    fn send_wanted(
-        &self,
-        now_us: u64,
-        to: SocketAddr,
-        wanted: &[NodeId],
-        out: &mut Vec<MembershipAction>,
-    ) {
-        let mut records = Vec::new();
-        for node in wanted.iter().take(self.options.records_max) {
-            if *node == self.own.node {
-                records.push(Record { member: self.own.clone(), age_s: 0 });
-                continue;
-            }
-            let Some(entry) = self.view.get(*node) else { continue };
-            let age_s = wire::age_s(now_us.saturating_sub(entry.alive_us));
-            records.push(Record { member: entry.member.clone(), age_s });
-        }
-        if !records.is_empty() {
-            self.send(to, Body::Records(records), out);
-        }
-    }
-
     fn run_timers(&mut self, now_us: u64, rng: &mut SmallRng, out: &mut Vec<MembershipAction>) {
         if now_us >= self.next_beat_us {
             let size = self.view.size(self.interests.own()) + 1;
@@ -523,100 +256,4 @@
             out.push(MembershipAction::ReadRows { service });
         }
     }
-
-    /// One round: a digest to a member of the own service, and now and then one to each service
-    /// this node calls. All members of a service call the same services, so they share that work.
-    fn gossip(&mut self, now_us: u64, rng: &mut SmallRng, out: &mut Vec<MembershipAction>) {
-        let own = self.interests.own();
-        let own_peers = self.peer_addresses(|tag| tag == own);
-        if let Some(to) = own_peers.choose(rng) {
-            let digest = self.digest(now_us, self.interests.tags(), rng);
-            self.send(*to, digest, out);
-        }
-        let sharers = u32::try_from(own_peers.len()).unwrap_or(u32::MAX).saturating_add(1);
-        for tag in self.interests.tags() {
-            if tag == own || !rng.random_ratio(1, sharers) {
-                continue;
-            }
-            let peers = self.peer_addresses(|other| other == tag);
-            let Some(to) = peers.choose(rng) else { continue };
-            let digest = self.digest(now_us, vec![tag], rng);
-            self.send(*to, digest, out);
-        }
-        self.contacts.age(now_us);
-        if self.repeat_hello > 0 {
-            self.repeat_hello -= 1;
-            self.send_urgent(Body::Hello, HELLO_PEERS, rng, out);
-        }
-        if self.lacks_members() || rng.random_ratio(1, PROBE_ROUNDS) {
-            self.probe(now_us, rng, out);
-        }
-    }
-
-    /// Whether some service this node cares about has no known member.
-    fn lacks_members(&self) -> bool {
-        self.interests.tags().iter().any(|tag| self.view.size(*tag) == 0)
-    }
-
-    /// Asks a lead, a seed or a member that is gone, so that parts that lost each other meet again.
-    fn probe(&mut self, now_us: u64, rng: &mut SmallRng, out: &mut Vec<MembershipAction>) {
-        let mut addresses = self.view.lost_addresses();
-        addresses.extend(self.contacts.take_lead());
-        let known = self.peer_addresses(|_| true);
-        let seeds = self.options.seeds.iter().copied();
-        addresses.extend(seeds.filter(|seed| *seed != self.own.peer_address));
-        addresses.retain(|address| !known.contains(address));
-        let Some(to) = addresses.choose(rng) else { return };
-        let digest = self.digest(now_us, self.interests.tags(), rng);
-        self.send(*to, digest, out);
-    }
-
-    /// A digest of what is known of these services, limited in size.
-    fn digest(&self, now_us: u64, tags: Vec<ServiceTag>, rng: &mut SmallRng) -> Body {
-        let total: usize = tags.iter().map(|tag| self.view.size(*tag)).sum();
-        let whole = total <= self.options.signs_max;
-        let mut groups = Vec::new();
-        for tag in tags {
-            let entries = self.view.entries().filter(|entry| entry.tag == tag);
-            let mut signs: Vec<Sign> =
-                entries.map(|entry| sign_of(now_us, &entry.member, entry.alive_us)).collect();
-            if !whole {
-                let share = (signs.len() * self.options.signs_max).div_ceil(total);
-                signs = signs.choose_multiple(rng, share).copied().collect();
-            }
-            groups.push(Group { service: tag, whole, signs });
-        }
-        let own = sign_of(now_us, &self.own, now_us);
-        Body::Digest { own, own_service: self.interests.own(), groups }
-    }
-
-    /// The peer addresses of the members of the services that `fits` names.
-    fn peer_addresses(&self, fits: impl Fn(ServiceTag) -> bool) -> Vec<SocketAddr> {
-        let entries = self.view.entries().filter(|entry| fits(entry.tag));
-        entries.map(|entry| entry.member.peer_address).collect()
-    }
-
-    fn message(&self, body: Body) -> Gossip {
-        let header = Header {
-            from: self.own.node,
-            address: self.own.peer_address,
-            configuration: self.configuration,
-        };
-        Gossip { header, body }
-    }
-
-    fn send(&self, to: SocketAddr, body: Body, out: &mut Vec<MembershipAction>) {
-        let bytes = self.message(body).encode();
-        out.push(MembershipAction::SendGossip { to, bytes });
-    }
-}
-
-/// The sign of life of `member`, last alive at `alive_us`.
-fn sign_of(now_us: u64, member: &Member, alive_us: u64) -> Sign {
-    Sign {
-        node: member.node.0,
-        beat: member.beat,
-        revision: member.revision,
-        age_s: wire::age_s(now_us.saturating_sub(alive_us)),
-    }
 }
