--- a/src/call/mod.rs
+++ b/src/call/mod.rs
@@ -7,6 +7,7 @@
 pub mod id;
 pub mod key;
 pub mod level;
+mod trace;
 pub mod verdict;
 
 pub use frame::{
--- a/src/configuration/mod.rs
+++ b/src/configuration/mod.rs
@@ -8,6 +8,7 @@
 mod document;
 mod event;
 mod fetch;
+mod site;
 mod state;
 mod submission;
 
@@ -15,6 +16,7 @@
 pub use event::{
     ConfigurationAction, ConfigurationEvent, PeerVersion, RowRead, RowWrite, Submit, SubmitOutcome,
 };
+pub use site::site_rules;
 pub use state::{BuildRules, Configuration, ConfigurationOptions};
 
 /// The key of the row that holds the accepted configuration.
--- /dev/null
+++ b/src/duty/answer.rs
@@ -0,0 +1,133 @@
+//! How verdicts look to whoever made a request: status, headers and problem details.
+
+use std::io::Cursor;
+
+use rocket::http::{Header, Status};
+use rocket::request::Request;
+use rocket::response::{Responder, Response};
+
+use crate::call::{Doubt, HttpAnswer, Refusal, RefusalReason, Verdict};
+use crate::node::{CallEnd, header};
+
+use super::problem::Problem;
+
+/// When to come back to a node that could not even take a request in, in milliseconds.
+const REFUSED_RETRY_MS: u32 = 1_000;
+
+/// The answer at the end of a request.
+pub fn respond(request: &Request<'_>, end: CallEnd) -> Response<'static> {
+    let mut response = match &end.verdict {
+        Verdict::Answered(answer) => pass_answer(answer),
+        Verdict::NotRun(refusal) => render(request, not_run(refusal)),
+        Verdict::MayHaveRun(doubt) => render(request, may_have_run(*doubt)),
+    };
+    response.set_header(Header::new(header::ROOT, end.root.to_string()));
+    response.set_header(Header::new(header::ATTEMPTS, end.attempts.to_string()));
+    if !end.class.is_empty() {
+        response.set_header(Header::new(header::CLASS, end.class));
+        response.set_header(Header::new(header::ARM, end.arm));
+    }
+    response
+}
+
+/// A problem as a response.
+pub fn render(request: &Request<'_>, problem: Problem) -> Response<'static> {
+    problem.respond_to(request).unwrap_or_else(|status| {
+        let mut response = Response::new();
+        response.set_status(status);
+        response
+    })
+}
+
+/// The answer to a request that was refused before the node decided anything about it.
+pub fn refused(reason: RefusalReason) -> Problem {
+    not_run(&Refusal { reason, retry_after_ms: REFUSED_RETRY_MS })
+}
+
+/// The answer to a request that was not run.
+fn not_run(refusal: &Refusal) -> Problem {
+    let reason = reason_name(refusal.reason);
+    let problem = Problem::new(status_of(refusal.reason), "The request was not run")
+        .kind(format!("urn:aspenspring:not-run:{reason}"))
+        .header(header::VERDICT, format!("not-run; reason={reason}"));
+    if refusal.retry_after_ms == 0 {
+        return problem;
+    }
+    problem.retry_after_ms(u64::from(refusal.retry_after_ms))
+}
+
+/// The answer to a request of which nobody knows whether it ran.
+fn may_have_run(doubt: Doubt) -> Problem {
+    let reason = doubt_name(doubt);
+    let status = match doubt {
+        Doubt::Timeout => 504,
+        Doubt::KeyRunning => 409,
+        _ => 502,
+    };
+    Problem::new(status, "The request may have run")
+        .kind(format!("urn:aspenspring:may-have-run:{reason}"))
+        .header(header::VERDICT, format!("may-have-run; reason={reason}"))
+}
+
+/// A target's answer as it is passed on.
+fn pass_answer(answer: &HttpAnswer) -> Response<'static> {
+    let mut response = Response::new();
+    response.set_status(Status::new(answer.status));
+    for (name, value) in &answer.headers {
+        response.adjoin_header(Header::new(name.clone(), value.clone()));
+    }
+    response.set_header(Header::new(header::VERDICT, "answered"));
+    response.set_sized_body(answer.body.len(), Cursor::new(answer.body.clone()));
+    response
+}
+
+/// The HTTP status of a refusal.
+fn status_of(reason: RefusalReason) -> u16 {
+    match reason {
+        RefusalReason::Shed | RefusalReason::QueueFull => 429,
+        RefusalReason::Expired => 504,
+        RefusalReason::Malformed => 404,
+        RefusalReason::KeyInvalid => 400,
+        RefusalReason::KeyMismatch => 422,
+        _ => 503,
+    }
+}
+
+/// The name of a refusal's reason in headers, bodies and metrics.
+pub fn reason_name(reason: RefusalReason) -> &'static str {
+    match reason {
+        RefusalReason::Shed => "shed",
+        RefusalReason::QueueFull => "queue-full",
+        RefusalReason::Expired => "expired",
+        RefusalReason::Leaving => "leaving",
+        RefusalReason::NotReady => "not-ready",
+        RefusalReason::NoTarget => "no-target",
+        RefusalReason::TargetDeclined => "target-declined",
+        RefusalReason::TargetUnreachable => "target-unreachable",
+        RefusalReason::Fenced => "fenced",
+        RefusalReason::Cancelled => "cancelled",
+        RefusalReason::NodeFull => "node-full",
+        RefusalReason::KeyDelegated(_) => "key-delegated",
+        RefusalReason::KeyInherited(_) => "key-inherited",
+        RefusalReason::KeyUnclaimed => "key-unclaimed",
+        RefusalReason::KeyInvalid => "key-invalid",
+        RefusalReason::KeyMismatch => "key-mismatch",
+        RefusalReason::Malformed => "malformed",
+    }
+}
+
+/// The name of a doubt in headers, bodies and metrics.
+pub fn doubt_name(doubt: Doubt) -> &'static str {
+    match doubt {
+        Doubt::Timeout => "timeout",
+        Doubt::ConnectionLost => "connection-lost",
+        Doubt::TargetBroke => "target-broke",
+        Doubt::AnswerTooLong => "answer-too-long",
+        Doubt::KeyOwnerGone => "key-owner-gone",
+        Doubt::KeyExpired => "key-expired",
+        Doubt::KeyRunning => "key-running",
+        Doubt::KeyElsewhere => "key-elsewhere",
+        Doubt::AnswerForgotten => "answer-forgotten",
+        Doubt::Cancelled => "cancelled",
+    }
+}
--- /dev/null
+++ b/src/duty/decider.rs
@@ -0,0 +1,273 @@
+//! The thread that owns the node: it takes events from one bounded ring and carries actions out.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, TrySendError};
+use tokio::sync::oneshot;
+
+use crate::clock::Clock;
+use crate::configuration::{Submit, SubmitOutcome};
+use crate::duty::peer::PeerHandle;
+use crate::duty::store::{Certainty, StoreError, StoreEvent, StoreHandle, StoreRequest};
+use crate::duty::target::TargetHandle;
+use crate::node::{CallEnd, Node, NodeAction, NodeEvent, NodeStatus, TargetOutcome, Ticket};
+
+/// New calls are refused when the ring is fuller than one part in this many, which leaves room for
+/// the answers that end calls.
+const CALL_SHARE_DIVISOR: usize = 2;
+/// How many events are taken in one go before the wake-up time is computed again.
+const BATCH: usize = 64;
+/// The longest the thread sleeps, so that a stopped clock in a test cannot hold it for ever.
+const SLEEP_MAX: Duration = Duration::from_secs(1);
+
+/// One entry of the ring.
+#[derive(Debug)]
+enum Entry {
+    /// Something that happened.
+    Event(NodeEvent),
+    /// A request that waits for its end.
+    Call {
+        /// Its ticket.
+        ticket: Ticket,
+        /// The event that carries it.
+        event: NodeEvent,
+        /// Where its end goes.
+        reply: oneshot::Sender<CallEnd>,
+    },
+    /// An operator wants to see the node's state.
+    Status(oneshot::Sender<NodeStatus>),
+    /// An operator submits a configuration.
+    Submit {
+        /// What is submitted.
+        submit: Submit,
+        /// Where the outcome goes.
+        reply: oneshot::Sender<SubmitOutcome>,
+    },
+}
+
+/// The ring was full, or the node has stopped: the event was not taken in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the node's ring is full")]
+pub struct RingFull;
+
+/// Puts events into the ring.
+#[derive(Clone, Debug)]
+pub struct DeciderHandle {
+    /// The ring.
+    ring: Sender<Entry>,
+    /// Numbers tickets.
+    tickets: Arc<AtomicU64>,
+}
+
+impl DeciderHandle {
+    /// A ring of `entries`, and the end the decider takes from.
+    pub fn ring(entries: usize) -> (Self, DeciderRing) {
+        let (ring, taken) = crossbeam_channel::bounded(entries);
+        (Self { ring, tickets: Arc::default() }, DeciderRing(taken))
+    }
+
+    /// Hands a new request in, unless the ring is too full, and returns where its end will come.
+    pub fn call(
+        &self,
+        make: impl FnOnce(Ticket) -> NodeEvent,
+    ) -> Result<oneshot::Receiver<CallEnd>, RingFull> {
+        let capacity = self.ring.capacity().unwrap_or(usize::MAX);
+        if self.ring.len() > capacity / CALL_SHARE_DIVISOR {
+            return Err(RingFull);
+        }
+        let ticket = Ticket(self.tickets.fetch_add(1, Ordering::Relaxed));
+        let (reply, end) = oneshot::channel();
+        let entry = Entry::Call { ticket, event: make(ticket), reply };
+        self.ring.try_send(entry).map_err(|_| RingFull)?;
+        Ok(end)
+    }
+
+    /// Hands in something new that may be refused.
+    pub fn offer(&self, event: NodeEvent) -> Result<(), RingFull> {
+        let capacity = self.ring.capacity().unwrap_or(usize::MAX);
+        if self.ring.len() > capacity / CALL_SHARE_DIVISOR {
+            return Err(RingFull);
+        }
+        self.ring.try_send(Entry::Event(event)).map_err(|_| RingFull)
+    }
+
+    /// Hands in something that must not be lost, waiting for room; false once the node has stopped.
+    pub fn tell(&self, event: NodeEvent) -> bool {
+        self.ring.send(Entry::Event(event)).is_ok()
+    }
+
+    /// Submits a configuration.
+    pub fn submit(&self, submit: Submit) -> Result<oneshot::Receiver<SubmitOutcome>, RingFull> {
+        let (reply, outcome) = oneshot::channel();
+        let entry = Entry::Submit { submit, reply };
+        self.ring.try_send(entry).map_err(|_| RingFull)?;
+        Ok(outcome)
+    }
+
+    /// Asks for a picture of the node's state.
+    pub fn status(&self) -> Result<oneshot::Receiver<NodeStatus>, RingFull> {
+        let (reply, status) = oneshot::channel();
+        match self.ring.try_send(Entry::Status(reply)) {
+            Ok(()) => Ok(status),
+            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => Err(RingFull),
+        }
+    }
+}
+
+/// The end of the ring that the decider takes from.
+#[derive(Debug)]
+pub struct DeciderRing(Receiver<Entry>);
+
+/// The threads that carry actions out.
+pub struct Hands {
+    /// Carries messages to other nodes.
+    pub peers: PeerHandle,
+    /// Carries requests to the target.
+    pub target: TargetHandle,
+    /// Carries requests to the platform.
+    pub store: StoreHandle,
+}
+
+/// Starts the thread; it ends when the node asks to be stopped.
+pub fn start(
+    mut node: Node,
+    clock: Clock,
+    ring: DeciderRing,
+    hands: Hands,
+) -> std::io::Result<JoinHandle<()>> {
+    std::thread::Builder::new().name("decider".to_owned()).spawn(move || {
+        let mut decider = Decider {
+            clock,
+            hands,
+            waiting: HashMap::new(),
+            submissions: HashMap::new(),
+            stop: false,
+        };
+        decider.run(&mut node, &ring.0);
+    })
+}
+
+/// What the thread keeps beside the node.
+struct Decider {
+    /// The time.
+    clock: Clock,
+    /// The other threads.
+    hands: Hands,
+    /// Where the outcomes of submissions go.
+    submissions: HashMap<u64, oneshot::Sender<SubmitOutcome>>,
+    /// Where the ends of requests go.
+    waiting: HashMap<Ticket, oneshot::Sender<CallEnd>>,
+    /// Whether the node has asked to be stopped.
+    stop: bool,
+}
+
+impl Decider {
+    /// Takes events until the node asks to be stopped.
+    fn run(&mut self, node: &mut Node, ring: &Receiver<Entry>) {
+        while !self.stop {
+            let wait = self.time_to_wake(node);
+            match ring.recv_timeout(wait) {
+                Ok(entry) => self.take(node, entry),
+                Err(RecvTimeoutError::Timeout) => self.handle(node, NodeEvent::Tick),
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            for entry in ring.try_iter().take(BATCH) {
+                self.take(node, entry);
+            }
+        }
+    }
+
+    /// How long nothing is due.
+    fn time_to_wake(&self, node: &Node) -> Duration {
+        let Some(at_us) = node.next_wake_us() else { return SLEEP_MAX };
+        Duration::from_micros(at_us.saturating_sub(self.clock.now_us())).min(SLEEP_MAX)
+    }
+
+    /// Takes one entry of the ring.
+    fn take(&mut self, node: &mut Node, entry: Entry) {
+        match entry {
+            Entry::Event(event) => self.handle(node, event),
+            Entry::Call { ticket, event, reply } => {
+                self.waiting.insert(ticket, reply);
+                self.handle(node, event);
+            }
+            Entry::Submit { submit, reply } => {
+                self.submissions.insert(submit.submission, reply);
+                self.handle(node, NodeEvent::Submit(submit));
+            }
+            Entry::Status(reply) => {
+                // Whoever asked may have gone; then nobody misses the answer.
+                let _ = reply.send(node.status(self.clock.now_us()));
+            }
+        }
+    }
+
+    /// Lets the node decide and carries its actions out.
+    fn handle(&mut self, node: &mut Node, event: NodeEvent) {
+        let mut actions = Vec::new();
+        node.handle(self.clock.now_us(), event, &mut actions);
+        let mut failed = Vec::new();
+        for action in actions {
+            self.carry_out(action, &mut failed);
+        }
+        for event in failed {
+            self.handle(node, event);
+        }
+    }
+
+    /// Carries one action out; what could not be done comes back as an event.
+    fn carry_out(&mut self, action: NodeAction, failed: &mut Vec<NodeEvent>) {
+        match action {
+            NodeAction::Reply { ticket, end } => self.reply(ticket, end),
+            NodeAction::Send { to, message } => {
+                if self.hands.peers.send(to, &message).is_err() {
+                    failed.push(NodeEvent::SendFailed { message });
+                }
+            }
+            NodeAction::Return { path, message } => {
+                // A reply that cannot be sent is settled by the sender's own deadline or fence.
+                let _ = self.hands.peers.reply(path, &message);
+            }
+            NodeAction::Forget { peer } => self.hands.peers.forget(peer),
+            NodeAction::RunTarget(call) => {
+                let attempt = call.attempt;
+                if self.hands.target.run(*call).is_err() {
+                    let outcome = TargetOutcome::NoRoom;
+                    failed.push(NodeEvent::TargetEnded { attempt, outcome });
+                }
+            }
+            NodeAction::AbortTarget { attempt } => self.hands.target.abort(attempt),
+            NodeAction::Store(request) => self.submit(request, failed),
+            NodeAction::Submitted { submission, outcome } => {
+                if let Some(reply) = self.submissions.remove(&submission) {
+                    // The operator may have gone; the outcome stands in the table all the same.
+                    let _ = reply.send(outcome);
+                }
+            }
+            NodeAction::Exit => self.stop = true,
+        }
+    }
+
+    /// Hands a request to the thread that talks to the platform.
+    fn submit(&self, request: StoreRequest, failed: &mut Vec<NodeEvent>) {
+        let id = request.id;
+        if self.hands.store.try_submit(request).is_ok() {
+            return;
+        }
+        let cause = "the ring to the table service's thread is full".to_owned();
+        let error = StoreError { certainty: Certainty::NotApplied, cause };
+        failed.push(NodeEvent::Store(StoreEvent { id, outcome: Err(error) }));
+    }
+
+    /// Ends a request of one of the node's own listeners.
+    fn reply(&mut self, ticket: Ticket, end: CallEnd) {
+        if let Some(reply) = self.waiting.remove(&ticket) {
+            // The caller may have gone; its slot and allowance are free already.
+            let _ = reply.send(end);
+        }
+    }
+}
--- /dev/null
+++ b/src/duty/launch.rs
@@ -0,0 +1,172 @@
+//! Starts all threads of a node, and stops them in order.
+
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use eyre::WrapErr;
+use rand::Rng;
+use rocket::shield::Shield;
+use rocket::{Build, Rocket};
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::call::NodeId;
+use crate::clock::Clock;
+use crate::config::{NodeSettings, Settings};
+use crate::node::{Node, NodeEvent, NodeIdentity};
+
+use super::decider::{self, DeciderHandle, DeciderRing, Hands};
+use super::http::{BodyRoom, Gate, Side};
+use super::peer::{self, PeerDuty, PeerEvent, PeerOptions};
+use super::store::{self, StoreHandle, StoreOptions};
+use super::target;
+use super::web::{WebOptions, WebServer};
+
+/// How often the launching thread looks whether the node has left.
+const WATCH_EVERY: Duration = Duration::from_millis(50);
+
+/// Runs a node until it has left.
+///
+/// # Errors
+///
+/// An address that cannot be bound, or a thread that cannot be started.
+pub fn run_node(settings: Settings) -> eyre::Result<()> {
+    let settings = Arc::new(settings);
+    let clock = Clock::start();
+    let (decider, ring) = DeciderHandle::ring(settings.node.ring_entries);
+    let id = NodeId(rand::rng().random());
+    let peers = start_peers(&settings.node, id, clock, &decider)?;
+    let thread = start_decider(&settings, id, clock, &decider, ring, &peers)?;
+    let servers = start_listeners(&settings.node, &decider)?;
+    wait_until_left(&decider, &thread)?;
+    for server in servers {
+        server.stop()?;
+    }
+    peers.stop();
+    Ok(())
+}
+
+/// Starts the connections to other nodes.
+fn start_peers(
+    own: &NodeSettings,
+    id: NodeId,
+    clock: Clock,
+    decider: &DeciderHandle,
+) -> eyre::Result<PeerDuty> {
+    let options = PeerOptions::builder()
+        .listen(own.peer_listen)
+        .node(id)
+        .body_max_bytes(own.body_max_bytes)
+        .build();
+    let decider = decider.clone();
+    let sink = move |event| take_peer_event(&decider, event);
+    peer::start(options, clock, sink).wrap_err("cannot listen for other nodes")
+}
+
+/// Hands what happened on a connection to the decider.
+fn take_peer_event(decider: &DeciderHandle, event: PeerEvent) {
+    match event {
+        PeerEvent::Request { path, message } => {
+            // A request that finds no room is not answered: the sender's deadline ends it.
+            let _ = decider.offer(NodeEvent::PeerRequest { path, message });
+        }
+        PeerEvent::Reply { peer, message } => {
+            decider.tell(NodeEvent::PeerReply { peer, message });
+        }
+        PeerEvent::Unsent { message, .. } => {
+            decider.tell(NodeEvent::SendFailed { message });
+        }
+        PeerEvent::LinkLost { peer } => {
+            decider.tell(NodeEvent::LinkLost { peer });
+        }
+        PeerEvent::LinkUp { peer } => {
+            decider.tell(NodeEvent::LinkUp { peer });
+        }
+    }
+}
+
+/// Starts the threads behind the listeners.
+fn start_decider(
+    settings: &Arc<Settings>,
+    id: NodeId,
+    clock: Clock,
+    decider: &DeciderHandle,
+    ring: DeciderRing,
+    peers: &PeerDuty,
+) -> eyre::Result<JoinHandle<()>> {
+    let (target, target_rings) = target::rings(settings.node.ring_entries);
+    target::start(target_rings, clock, decider.clone(), settings.node.body_max_bytes)?;
+    let store = start_store(settings, decider)?;
+    let identity = NodeIdentity::builder()
+        .id(id)
+        .peer_address(peers.address())
+        .seed(rand::rng().random())
+        .origin_unix_ms(clock.unix_ms() - clock.now_us() / crate::clock::US_PER_MS)
+        .build();
+    let build = crate::configuration::site_rules(&settings.site);
+    let node = Node::new(clock.now_us(), identity, settings.clone(), build);
+    let hands = Hands { peers: peers.handle(), target, store };
+    Ok(decider::start(node, clock, ring, hands)?)
+}
+
+/// Starts the thread that talks to the platform.
+fn start_store(settings: &Settings, decider: &DeciderHandle) -> eyre::Result<StoreHandle> {
+    let options = StoreOptions::builder()
+        .table_url(settings.platform.table_url.clone())
+        .timeout_ms(settings.platform.timeout_ms)
+        .seed(rand::rng().random())
+        .build();
+    let decider = decider.clone();
+    let (handle, _thread) = store::start(options, move |event| {
+        decider.tell(NodeEvent::Store(event));
+    })?;
+    Ok(handle)
+}
+
+/// Starts the listeners for outside callers and for the target.
+fn start_listeners(own: &NodeSettings, decider: &DeciderHandle) -> eyre::Result<Vec<WebServer>> {
+    let bodies = BodyRoom::new(own.bodies_max_bytes);
+    let sides = [
+        (Side::Target, "target-http", own.target_listen),
+        (Side::Caller, "http", own.caller_listen),
+    ];
+    let mut servers = Vec::new();
+    for (side, name, address) in sides {
+        let options = WebOptions::builder()
+            .name(name)
+            .address(address)
+            .workers(own.http_workers)
+            .body_max_bytes(own.body_max_bytes)
+            .read_timeout_ms(own.request_read_ms)
+            .build();
+        let gate = Gate {
+            side,
+            decider: decider.clone(),
+            body_max_bytes: own.body_max_bytes,
+            request_read_ms: own.request_read_ms,
+            bodies: bodies.clone(),
+        };
+        // The answers are the targets' own, so no header is added to them.
+        let plain = Shield::new();
+        let add = |rocket: Rocket<Build>| rocket.attach(plain).mount("/", gate.routes());
+        servers.push(WebServer::start(&options, add)?);
+    }
+    Ok(servers)
+}
+
+/// Waits until the decider has ended; a signal makes the node leave first.
+fn wait_until_left(decider: &DeciderHandle, thread: &JoinHandle<()>) -> eyre::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(async {
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        while !thread.is_finished() {
+            tokio::select! {
+                _ = terminate.recv() => { decider.tell(NodeEvent::Leave); }
+                _ = interrupt.recv() => { decider.tell(NodeEvent::Leave); }
+                () = tokio::time::sleep(WATCH_EVERY) => {}
+            }
+        }
+        Ok(())
+    })
+}
--- a/src/duty/mod.rs
+++ b/src/duty/mod.rs
@@ -1,7 +1,14 @@
-//! The threads that move events and carry out actions.
+//! The node's threads: each has one duty, and bounded rings join them.
 
+pub mod answer;
+pub mod decider;
+pub mod http;
+pub mod launch;
 pub mod operator;
 pub mod peer;
 pub mod problem;
 pub mod store;
+pub mod target;
 pub mod web;
+
+pub use launch::run_node;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod event;
 pub mod logging;
 pub mod membership;
+pub mod node;
 pub mod once;
 pub mod retry;
 pub mod routing;
--- /dev/null
+++ b/src/node/header.rs
@@ -0,0 +1,24 @@
+//! Names of the headers that the node reads and writes, in lower case.
+
+/// The verdict of an answer.
+pub const VERDICT: &str = "aspenspring-verdict";
+/// Names the call that a target is running, to be copied to its own calls.
+pub const CALL: &str = "aspenspring-call";
+/// The time a request has left, in milliseconds.
+pub const DEADLINE_MS: &str = "aspenspring-deadline-ms";
+/// The class of a request.
+pub const CLASS: &str = "aspenspring-class";
+/// The policy arm of a request.
+pub const ARM: &str = "aspenspring-arm";
+/// The whole request an answer belongs to.
+pub const ROOT: &str = "aspenspring-root";
+/// How many attempts were made for an answer.
+pub const ATTEMPTS: &str = "aspenspring-attempts";
+/// The key under which a request runs at most once.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// The W3C trace context.
+pub const TRACEPARENT: &str = "traceparent";
+/// When to come back, in whole seconds.
+pub const RETRY_AFTER: &str = "retry-after";
+/// What all of the node's own headers begin with.
+pub const INTERNAL_PREFIX: &str = "aspenspring-";
--- /dev/null
+++ b/src/node/receiving.rs
@@ -0,0 +1,401 @@
+//! The receiving side: attempts from other nodes and what the target makes of them.
+
+use crate::admission::{Cancelled, Candidate, End, TargetState};
+use crate::call::{
+    AttemptId, CallFrame, Doubt, Message, Refusal, RefusalReason, TraceContext, Verdict,
+};
+use crate::clock::{US_PER_MS, US_PER_S};
+use crate::once::{Arrival, FenceReply, Fingerprint, Offer, ReturnPath as WayBack};
+
+use super::event::{Announcement, NodeAction, ReplyPath, TargetCall, TargetOutcome};
+use super::inbound::{Inbound, Stage};
+use super::{Due, KnownTarget, Node};
+
+/// How long a target may be silent before it counts as gone.
+const TARGET_SILENT_US: u64 = 10 * US_PER_S;
+/// When a caller should come back to a node whose target is not there, in milliseconds.
+const NO_TARGET_RETRY_MS: u32 = 1_000;
+/// The node keeps the ways back itself, because one of them may be to itself.
+const NO_WAY_BACK: WayBack = WayBack(0);
+/// The deepest chain that is served; a deeper one is taken for a loop.
+const DEPTH_MAX: u8 = 32;
+
+impl Node {
+    /// Takes in a message that opens an exchange.
+    pub(super) fn take_request(
+        &mut self,
+        now_us: u64,
+        path: ReplyPath,
+        message: Message,
+        out: &mut Vec<NodeAction>,
+    ) {
+        match message {
+            Message::Call(frame) => self.receive_call(now_us, path, *frame, out),
+            Message::Cancel(attempt) => self.receive_cancel(now_us, attempt, out),
+            Message::Fence { attempt, remaining_us } => {
+                self.receive_fence(now_us, path, attempt, remaining_us, out);
+            }
+            Message::AskRetry { root, failed } => {
+                self.grant_retry(now_us, path, root, failed, out);
+            }
+            Message::Gossip(bytes) => self.take_gossip(now_us, &bytes, out),
+            Message::Configuration(bytes) => self.take_configuration(now_us, &bytes, out),
+            // Pings are answered by the connection itself, and replies never open an exchange.
+            _ => {}
+        }
+    }
+
+    /// Takes in an attempt.
+    pub(super) fn receive_call(
+        &mut self,
+        now_us: u64,
+        path: ReplyPath,
+        frame: CallFrame,
+        out: &mut Vec<NodeAction>,
+    ) {
+        let attempt = frame.attempt;
+        let deadline_us = now_us.saturating_add(frame.remaining_us);
+        match self.book.arrive(now_us, attempt, deadline_us, NO_WAY_BACK) {
+            Arrival::New => {}
+            Arrival::Repeat(verdict) => {
+                self.answer(now_us, path, &frame, verdict, out);
+                return;
+            }
+            Arrival::InProgress => {
+                if let Some(inbound) = self.inbound.get_mut(&attempt) {
+                    inbound.paths.push(path);
+                }
+                return;
+            }
+            Arrival::Refused(refusal) => {
+                self.answer(now_us, path, &frame, Verdict::NotRun(refusal), out);
+                return;
+            }
+        }
+        let refusal = self.unfit(&frame);
+        self.insert_inbound(now_us, path, frame, deadline_us);
+        if let Some(refusal) = refusal {
+            self.settle(now_us, attempt, Verdict::NotRun(refusal), out);
+            return;
+        }
+        self.offer(now_us, attempt, out);
+    }
+
+    /// Why an attempt cannot be taken in at all.
+    fn unfit(&self, frame: &CallFrame) -> Option<Refusal> {
+        let refuse = |reason, retry_after_ms| Some(Refusal { reason, retry_after_ms });
+        if frame.service != self.settings.node.service || frame.depth > DEPTH_MAX {
+            return refuse(RefusalReason::Malformed, 0);
+        }
+        if self.leave_after_us.is_some() {
+            return refuse(RefusalReason::Leaving, 0);
+        }
+        if self.target.is_none() || !self.roster.is_ready() {
+            return refuse(RefusalReason::NotReady, NO_TARGET_RETRY_MS);
+        }
+        None
+    }
+
+    /// Registers an attempt.
+    fn insert_inbound(&mut self, now_us: u64, path: ReplyPath, frame: CallFrame, deadline_us: u64) {
+        let attempt = frame.attempt;
+        let token = format!("{:032x}", rand::Rng::random::<u128>(&mut self.rng));
+        let span_id = rand::Rng::random(&mut self.rng);
+        let inbound = Inbound {
+            frame,
+            paths: vec![path],
+            arrived_us: now_us,
+            deadline_us,
+            stage: Stage::Queued,
+            settled: false,
+            children: Vec::new(),
+            span_id,
+            token,
+        };
+        self.inbound.insert(attempt, inbound);
+        self.timers.set(deadline_us, Due::InboundDeadline(attempt));
+    }
+
+    /// Offers an attempt to the ledger, where it has a key, and then to admission.
+    fn offer(&mut self, now_us: u64, attempt: AttemptId, out: &mut Vec<NodeAction>) {
+        let unix_ms = self.unix_ms(now_us);
+        let Some(inbound) = self.inbound.get_mut(&attempt) else { return };
+        if let Some(key) = inbound.frame.key {
+            let fingerprint = Fingerprint::of(&inbound.frame.request);
+            match self.ledger.offer(unix_ms, key, fingerprint, attempt) {
+                Offer::Run => {}
+                Offer::Joined => {
+                    inbound.stage = Stage::Joined;
+                    return;
+                }
+                Offer::Settled(verdict) => {
+                    self.settle(now_us, attempt, verdict, out);
+                    return;
+                }
+            }
+        }
+        let candidate = Candidate {
+            attempt,
+            arm: inbound.frame.arm,
+            level: inbound.frame.level,
+            deadline_us: inbound.deadline_us,
+        };
+        let mut decisions = Vec::new();
+        self.admission.offer(now_us, candidate, &mut decisions);
+        self.apply_decisions(now_us, decisions, out);
+    }
+
+    /// Gives an admitted attempt to the target.
+    pub(super) fn run_on_target(
+        &mut self,
+        now_us: u64,
+        attempt: AttemptId,
+        out: &mut Vec<NodeAction>,
+    ) {
+        let Some(target) = &self.target else {
+            let refusal =
+                Refusal { reason: RefusalReason::NotReady, retry_after_ms: NO_TARGET_RETRY_MS };
+            self.free_slot(now_us, attempt, End::Cancelled, out);
+            self.refuse_inbound(now_us, attempt, refusal, out);
+            return;
+        };
+        let url = target.announcement.url.clone();
+        let Some(inbound) = self.inbound.get_mut(&attempt) else {
+            self.free_slot(now_us, attempt, End::Cancelled, out);
+            return;
+        };
+        inbound.stage = Stage::Running { since_us: now_us };
+        self.tokens.insert(inbound.token.clone(), attempt);
+        let frame = &inbound.frame;
+        let left_ms = inbound.deadline_us.saturating_sub(now_us) / US_PER_MS;
+        let class = self.rules.class_of_rank(frame.class).map_or("", |class| &class.name);
+        let arm = self.rules.arm(frame.arm).map_or("", |arm| &arm.name);
+        let trace = TraceContext { parent_span_id: inbound.span_id, ..frame.trace }.header();
+        let mut added_headers = vec![
+            (super::header::CALL, inbound.token.clone()),
+            (super::header::DEADLINE_MS, left_ms.to_string()),
+            (super::header::CLASS, class.to_owned()),
+            (super::header::ARM, arm.to_owned()),
+            (super::header::TRACEPARENT, trace),
+        ];
+        if let Some(key) = frame.key {
+            added_headers.push((super::header::IDEMPOTENCY_KEY, key.to_string()));
+        }
+        out.push(NodeAction::RunTarget(Box::new(TargetCall {
+            attempt,
+            url,
+            token: inbound.token.clone(),
+            request: frame.request.clone(),
+            added_headers,
+            deadline_us: inbound.deadline_us,
+        })));
+    }
+
+    /// Takes in what the target made of an attempt.
+    pub(super) fn take_target_ended(
+        &mut self,
+        now_us: u64,
+        attempt: AttemptId,
+        outcome: TargetOutcome,
+        out: &mut Vec<NodeAction>,
+    ) {
+        let Some(inbound) = self.inbound.get(&attempt) else { return };
+        let since_us = match inbound.stage {
+            Stage::Running { since_us } | Stage::Aborting { since_us } => since_us,
+            Stage::Joined | Stage::Queued => return,
+        };
+        let latency_us = now_us.saturating_sub(since_us);
+        let end = match &outcome {
+            TargetOutcome::Answered(answer) => {
+                End::Answered { latency_us, healthy: answer.status < 500 }
+            }
+            TargetOutcome::NoRoom => End::Cancelled,
+            TargetOutcome::Aborted => End::Cancelled,
+            _ => End::Failed { latency_us },
+        };
+        let verdict = verdict_of(outcome);
+        self.finish_key(now_us, attempt, &verdict, out);
+        self.settle(now_us, attempt, verdict, out);
+        self.inbound.remove(&attempt);
+        self.free_slot(now_us, attempt, end, out);
+    }
+
+    /// Frees the slot of an attempt and starts whatever waited for it.
+    fn free_slot(&mut self, now_us: u64, attempt: AttemptId, end: End, out: &mut Vec<NodeAction>) {
+        let mut decisions = Vec::new();
+        self.admission.finish(now_us, attempt, end, &mut decisions);
+        self.apply_decisions(now_us, decisions, out);
+    }
+
+    /// Refuses an attempt that waited for admission.
+    pub(super) fn refuse_inbound(
+        &mut self,
+        now_us: u64,
+        attempt: AttemptId,
+        refusal: Refusal,
+        out: &mut Vec<NodeAction>,
+    ) {
+        let verdict = Verdict::NotRun(refusal);
+        self.finish_key(now_us, attempt, &verdict, out);
+        self.settle(now_us, attempt, verdict, out);
+        self.inbound.remove(&attempt);
+    }
+
+    /// Takes in the sender's loss of interest.
+    pub(super) fn receive_cancel(
+        &mut self,
+        now_us: u64,
+        attempt: AttemptId,
+        out: &mut Vec<NodeAction>,
+    ) {
+        let Some(inbound) = self.inbound.get(&attempt) else { return };
+        if inbound.stage == Stage::Joined {
+            if let Some(key) = inbound.frame.key {
+                self.ledger.abandon_waiter(key, attempt);
+            }
+            self.settle(now_us, attempt, Verdict::MayHaveRun(Doubt::KeyRunning), out);
+            self.inbound.remove(&attempt);
+            return;
+        }
+        let keyed = inbound.frame.key.is_some();
+        let mut decisions = Vec::new();
+        match self.admission.cancel(now_us, attempt, &mut decisions) {
+            Cancelled::WasQueued => self.apply_decisions(now_us, decisions, out),
+            // What must run at most once is left to finish, so that its outcome is known.
+            Cancelled::IsRunning if keyed => {}
+            Cancelled::IsRunning => {
+                self.abort_running(now_us, attempt, Doubt::Cancelled, out);
+            }
+            Cancelled::Unknown => {}
+        }
+    }
+
+    /// Answers at once for an attempt that the target still has, and tells the target to give up.
+    fn abort_running(
+        &mut self,
+        now_us: u64,
+        attempt: AttemptId,
+        doubt: Doubt,
+        out: &mut Vec<NodeAction>,
+    ) {
+        let Some(inbound) = self.inbound.get_mut(&attempt) else { return };
+        let Stage::Running { since_us } = inbound.stage else { return };
+        inbound.stage = Stage::Aborting { since_us };
+        out.push(NodeAction::AbortTarget { attempt });
+        self.settle(now_us, attempt, Verdict::MayHaveRun(doubt), out);
+    }
+
+    /// Takes in the question what became of an attempt.
+    fn receive_fence(
+        &mut self,
+        now_us: u64,
+        path: ReplyPath,
+        attempt: AttemptId,
+        remaining_us: u64,
+        out: &mut Vec<NodeAction>,
+    ) {
+        let until_us = now_us.saturating_add(remaining_us);
+        let verdict = match self.book.fence(now_us, attempt, until_us, NO_WAY_BACK) {
+            FenceReply::Settled(verdict) => verdict,
+            FenceReply::NowFenced => Verdict::not_run(RefusalReason::Fenced, 0),
+            FenceReply::InProgress => {
+                if let Some(inbound) = self.inbound.get_mut(&attempt) {
+                    inbound.paths.push(path);
+                }
+                return;
+            }
+        };
+        let load = crate::call::LoadReport::default();
+        self.answer_with(path, attempt, verdict, load, out);
+    }
+
+    /// The deadline of an attempt has passed.
+    pub(super) fn inbound_deadline(
+        &mut self,
+        now_us: u64,
+        attempt: AttemptId,
+        out: &mut Vec<NodeAction>,
+    ) {
+        let Some(inbound) = self.inbound.get(&attempt) else { return };
+        match inbound.stage {
+            Stage::Joined | Stage::Queued => self.receive_cancel(now_us, attempt, out),
+            Stage::Running { .. } if inbound.frame.key.is_some() => {
+                self.settle(now_us, attempt, Verdict::MayHaveRun(Doubt::Timeout), out);
+            }
+            Stage::Running { .. } => self.abort_running(now_us, attempt, Doubt::Timeout, out),
+            Stage::Aborting { .. } => {}
+        }
+    }
+
+    /// Takes in what the target says about itself.
+    pub(super) fn take_announcement(
+        &mut self,
+        now_us: u64,
+        announcement: Announcement,
+        out: &mut Vec<NodeAction>,
+    ) {
+        if announcement.service != self.settings.node.service {
+            return;
+        }
+        let (slots, connections) = (announcement.slots, announcement.connections);
+        let fresh = self.target.as_ref().is_none_or(|known| known.announcement != announcement);
+        self.target = Some(KnownTarget { announcement, heard_us: now_us });
+        if !fresh {
+            return;
+        }
+        let state = TargetState::Warming { since_us: now_us };
+        self.admission.set_target(now_us, state, slots, connections);
+        self.announce_target(now_us, slots, connections, out);
+    }
+
+    /// When the target will have been silent for too long, in microseconds.
+    pub(super) fn target_silent_us(&self) -> Option<u64> {
+        self.target.as_ref().map(|target| target.heard_us + TARGET_SILENT_US)
+    }
+
+    /// Takes a target that has been silent for too long as gone.
+    pub(super) fn check_target(&mut self, now_us: u64, out: &mut Vec<NodeAction>) {
+        if self.target_silent_us().is_none_or(|at_us| at_us > now_us) {
+            return;
+        }
+        self.target = None;
+        self.admission.set_target(now_us, TargetState::Down, 0, 0);
+        self.announce_target(now_us, 0, 0, out);
+    }
+
+    /// Begins to leave: nothing new is taken in, and what is in flight is finished.
+    pub(super) fn leave(&mut self, now_us: u64, out: &mut Vec<NodeAction>) {
+        if self.leave_after_us.is_some() {
+            return;
+        }
+        self.leave_after_us = Some(now_us + self.settings.node.leave_ms * US_PER_MS);
+        self.announce_leaving(now_us, out);
+    }
+
+    /// Asks to be stopped once nothing is in flight any more.
+    pub(super) fn check_left(&mut self, now_us: u64, out: &mut Vec<NodeAction>) {
+        let due = self.leave_after_us.is_some_and(|at_us| at_us <= now_us);
+        if !due || self.exited || !self.hops.is_empty() || !self.inbound.is_empty() {
+            return;
+        }
+        self.exited = true;
+        out.push(NodeAction::Exit);
+    }
+}
+
+/// The verdict on what the target made of a request.
+fn verdict_of(outcome: TargetOutcome) -> Verdict {
+    match outcome {
+        TargetOutcome::Answered(answer) => Verdict::Answered(answer),
+        TargetOutcome::Declined => {
+            Verdict::not_run(RefusalReason::TargetDeclined, NO_TARGET_RETRY_MS)
+        }
+        TargetOutcome::Unreachable => {
+            Verdict::not_run(RefusalReason::TargetUnreachable, NO_TARGET_RETRY_MS)
+        }
+        TargetOutcome::NoRoom => Verdict::not_run(RefusalReason::NodeFull, NO_TARGET_RETRY_MS),
+        TargetOutcome::Broke => Verdict::MayHaveRun(Doubt::TargetBroke),
+        TargetOutcome::TooLong => Verdict::MayHaveRun(Doubt::AnswerTooLong),
+        TargetOutcome::Aborted => Verdict::MayHaveRun(Doubt::Cancelled),
+    }
+}
--- /dev/null
+++ b/src/node/sending.rs
@@ -0,0 +1,548 @@
+//! The sending side: attempts, their answers, retries, and connections that are lost.
+
+use std::net::SocketAddr;
+
+use crate::call::{
+    AnswerFrame, AttemptId, CallFrame, Doubt, Key, Message, NodeId, Refusal, RefusalReason, RootId,
+    Verdict,
+};
+use crate::retry::{Failure, RetryStep, next_step};
+use crate::routing::{Observation, Outcome, Pick};
+
+use super::event::{CallEnd, NodeAction, ReplyPath};
+use super::hop::{Hop, HopId, HopKey, HopState};
+use super::{Due, LocalFrame, Node};
+
+/// How much earlier than the sender the receiver gives up, so that its "not run" arrives in time.
+const HOP_MARGIN_US: u64 = 3_000;
+/// How long an entry node may take to grant a retry.
+const GRANT_WAIT_US: u64 = 100_000;
+/// How long to wait for a new connection before an attempt counts as "may have run".
+const FENCE_WAIT_US: u64 = 1_500_000;
+/// The weight of one answer in a service's typical latency, as a divisor.
+const LATENCY_SMOOTHING: u64 = 16;
+
+impl Node {
+    /// Makes the next attempt of a hop.
+    pub(super) fn attempt(&mut self, now_us: u64, id: HopId, out: &mut Vec<NodeAction>) {
+        let Some(hop) = self.hops.get(&id) else { return };
+        if let HopKey::Foreign(text) = &hop.key {
+            let text = text.clone();
+            self.claim(now_us, id, &text, out);
+            return;
+        }
+        let (node, key) = match self.choose(now_us, id) {
+            Ok(chosen) => chosen,
+            Err(verdict) => {
+                self.after_attempt(now_us, id, None, verdict, out);
+                return;
+            }
+        };
+        let Some(frame) = self.frame(now_us, id, key) else { return };
+        let attempt = frame.attempt;
+        let Some(hop) = self.hops.get_mut(&id) else { return };
+        let arm = hop.arm;
+        hop.state = HopState::Sent { attempt, node, sent_us: now_us };
+        hop.tried.push(node);
+        self.outstanding.insert(attempt, id);
+        self.router.sent(now_us, node, arm);
+        let message = Message::Call(Box::new(frame));
+        if !self.send(node, message, out) {
+            let verdict = Verdict::not_run(RefusalReason::NoTarget, 0);
+            self.end_attempt(now_us, id, attempt, node, verdict, out);
+        }
+    }
+
+    /// The node that gets the next attempt, and the key it runs under.
+    fn choose(&mut self, now_us: u64, id: HopId) -> Result<(NodeId, Option<Key>), Verdict> {
+        let Some(hop) = self.hops.get(&id) else {
+            return Err(Verdict::not_run(RefusalReason::Cancelled, 0));
+        };
+        if let HopKey::Brought(key) = hop.key {
+            let known = key.owner == self.identity.id || self.router.address(key.owner).is_some();
+            let gone = Verdict::MayHaveRun(Doubt::KeyOwnerGone);
+            return if known { Ok((key.owner, Some(key))) } else { Err(gone) };
+        }
+        let own = hop.key == HopKey::Own;
+        let ask = Pick {
+            service: &hop.service,
+            arm: hop.arm,
+            class: hop.class,
+            level: hop.level,
+            avoid: &hop.tried,
+        };
+        let node = self.router.pick(now_us, &ask, &mut self.rng).map_err(Verdict::NotRun)?;
+        let key = own.then(|| self.mint(now_us, node));
+        Ok((node, key))
+    }
+
+    /// The frame of a hop's next attempt.
+    fn frame(&mut self, now_us: u64, id: HopId, key: Option<Key>) -> Option<CallFrame> {
+        let sequence = self.next_sequence();
+        let nonce = rand::Rng::random(&mut self.rng);
+        let hop = self.hops.get(&id)?;
+        let left_us = hop.deadline_us.saturating_sub(now_us);
+        Some(CallFrame {
+            attempt: AttemptId { origin: self.identity.id, sequence, nonce },
+            root: hop.root,
+            entry: hop.entry,
+            class: hop.class,
+            level: hop.level,
+            arm: hop.arm,
+            remaining_us: left_us.saturating_sub(HOP_MARGIN_US),
+            depth: hop.depth,
+            retry: hop.retries,
+            service: hop.service.clone(),
+            key,
+            trace: hop.trace,
+            request: hop.request.clone(),
+        })
+    }
+
+    /// Takes in a reply of another node.
+    pub(super) fn take_reply(&mut self, now_us: u64, message: Message, out: &mut Vec<NodeAction>) {
+        match message {
+            Message::Answer(answer) => self.take_answer(now_us, answer, out),
+            Message::RetryGrant { failed, granted } => {
+                self.take_grant(now_us, failed, granted, out);
+            }
+            // Pongs are the connection's own business, and nothing else is ever a reply.
+            _ => {}
+        }
+    }
+
+    /// Takes in the answer to an attempt; one that nobody waits for any more is dropped.
+    pub(super) fn take_answer(
+        &mut self,
+        now_us: u64,
+        answer: AnswerFrame,
+        out: &mut Vec<NodeAction>,
+    ) {
+        let Some(id) = self.outstanding.get(&answer.attempt).copied() else { return };
+        let Some(hop) = self.hops.get(&id) else { return };
+        let (node, sent_us) = match hop.state {
+            HopState::Sent { attempt, node, sent_us } if attempt == answer.attempt => {
+                (node, sent_us)
+            }
+            HopState::Fencing { attempt, node, .. } if attempt == answer.attempt => (node, now_us),
+            _ => return,
+        };
+        let latency_us = now_us.saturating_sub(sent_us);
+        self.note_latency(id, &answer.verdict, latency_us);
+        self.outstanding.remove(&answer.attempt);
+        let Some(hop) = self.hops.get(&id) else { return };
+        let observation = Observation {
+            arm: hop.arm,
+            class: hop.class,
+            latency_us,
+            outcome: outcome_of(&answer.verdict),
+            load: Some(answer.load),
+        };
+        self.router.observed(now_us, node, &observation);
+        self.note_floor(now_us, id);
+        self.after_attempt(now_us, id, Some(answer.attempt), answer.verdict, out);
+    }
+
+    /// Ends an attempt of which no answer came.
+    fn end_attempt(
+        &mut self,
+        now_us: u64,
+        id: HopId,
+        attempt: AttemptId,
+        node: NodeId,
+        verdict: Verdict,
+        out: &mut Vec<NodeAction>,
+    ) {
+        self.outstanding.remove(&attempt);
+        self.observe_lost(now_us, id, node);
+        self.after_attempt(now_us, id, Some(attempt), verdict, out);
+    }
+
+    /// Tells the router that an attempt got no answer.
+    fn observe_lost(&mut self, now_us: u64, id: HopId, node: NodeId) {
+        let Some(hop) = self.hops.get(&id) else { return };
+        let latency_us = match hop.state {
+            HopState::Sent { sent_us, .. } => now_us.saturating_sub(sent_us),
+            _ => 0,
+        };
+        let observation = Observation {
+            arm: hop.arm,
+            class: hop.class,
+            latency_us,
+            outcome: Outcome::Lost,
+            load: None,
+        };
+        self.router.observed(now_us, node, &observation);
+    }
+
+    /// Decides what follows an attempt: another one, or the end of the hop.
+    fn after_attempt(
+        &mut self,
+        now_us: u64,
+        id: HopId,
+        failed: Option<AttemptId>,
+        verdict: Verdict,
+        out: &mut Vec<NodeAction>,
+    ) {
+        let Some(hop) = self.hops.get(&id) else { return };
+        let arm = hop.arm;
+        self.note_success(now_us, &verdict, arm);
+        let Some(hop) = self.hops.get(&id) else { return };
+        let expected_us = self.service_latency_us.get(&hop.service).copied().unwrap_or(0);
+        let floor = self.router.floor(now_us, &hop.service, arm, hop.class);
+        let failure = Failure::builder()
+            .verdict(&verdict)
+            .at_most_once(hop.at_most_once)
+            .retry(hop.retries)
+            .now_us(now_us)
+            .deadline_us(hop.deadline_us)
+            .expected_latency_us(expected_us)
+            .other_target_open(hop.level >= floor)
+            .build();
+        let step = next_step(&self.rules.policy_of(arm).retry, &failure, &mut self.rng);
+        match step {
+            RetryStep::Never => self.conclude(now_us, id, verdict, out),
+            RetryStep::After { backoff_us } => {
+                self.back_off(now_us, id, verdict, backoff_us, out);
+            }
+            RetryStep::AfterGrant { backoff_us } => {
+                self.ask_retry(now_us, id, failed, verdict, backoff_us, out);
+            }
+        }
+    }
+
+    /// Counts a good answer towards the retry budget of its arm.
+    fn note_success(&mut self, now_us: u64, verdict: &Verdict, arm: crate::call::ArmId) {
+        let Verdict::Answered(answer) = verdict else { return };
+        if answer.status >= 500 {
+            return;
+        }
+        if let Some(budget) = self.budgets.get_mut(&arm) {
+            budget.on_success(now_us);
+        }
+    }
+
+    /// Asks for leave to make one more attempt: this node's budget first, then the entry node.
+    fn ask_retry(
+        &mut self,
+        now_us: u64,
+        id: HopId,
+        failed: Option<AttemptId>,
+        last: Verdict,
+        backoff_us: u64,
+        out: &mut Vec<NodeAction>,
+    ) {
+        let Some(hop) = self.hops.get(&id) else { return };
+        let (root, entry, deadline_us) = (hop.root, hop.entry, hop.deadline_us);
+        let in_budget = self.budgets.get_mut(&hop.arm).is_some_and(|b| b.try_take(now_us));
+        let Some(entry) = entry.filter(|_| in_budget) else {
+            self.conclude(now_us, id, last, out);
+            return;
+        };
+        if entry == self.identity.id {
+            let granted = self.allowances.take(now_us, root);
+            if granted {
+                self.back_off(now_us, id, last, backoff_us, out);
+            } else {
+                self.conclude(now_us, id, last, out);
+            }
+            return;
+        }
+        let failed =
+            failed.unwrap_or(AttemptId { origin: self.identity.id, sequence: id.0, nonce: 0 });
+        let until_us = (now_us + GRANT_WAIT_US).min(deadline_us);
+        let state = HopState::AskingRetry { failed, last: last.clone(), backoff_us, until_us };
+        self.enter(id, state);
+        self.outstanding.insert(failed, id);
+        if !self.send(entry, Message::AskRetry { root, failed }, out) {
+            self.outstanding.remove(&failed);
+            self.conclude(now_us, id, last, out);
+        }
+    }
+
+    /// Takes in the entry node's word on a retry.
+    fn take_grant(
+        &mut self,
+        now_us: u64,
+        failed: AttemptId,
+        granted: bool,
+        out: &mut Vec<NodeAction>,
+    ) {
+        let Some(id) = self.outstanding.remove(&failed) else { return };
+        let Some(hop) = self.hops.get(&id) else { return };
+        let HopState::AskingRetry { last, backoff_us, .. } = hop.state.clone() else { return };
+        if granted {
+            self.back_off(now_us, id, last, backoff_us, out);
+        } else {
+            self.conclude(now_us, id, last, out);
+        }
+    }
+
+    /// Answers a node that asks for leave to retry on behalf of a root that entered here.
+    pub(super) fn grant_retry(
+        &mut self,
+        now_us: u64,
+        path: ReplyPath,
+        root: RootId,
+        failed: AttemptId,
+        out: &mut Vec<NodeAction>,
+    ) {
+        let granted = self.allowances.take(now_us, root);
+        if let ReplyPath::Peer(path) = path {
+            out.push(NodeAction::Return { path, message: Message::RetryGrant { failed, granted } });
+        }
+    }
+
+    /// Waits for the moment of the next attempt.
+    fn back_off(
+        &mut self,
+        now_us: u64,
+        id: HopId,
+        last: Verdict,
+        backoff_us: u64,
+        out: &mut Vec<NodeAction>,
+    ) {
+        if backoff_us == 0 {
+            self.retry(now_us, id, out);
+            return;
+        }
+        self.enter(id, HopState::BackingOff { last, until_us: now_us + backoff_us });
+    }
+
+    /// Makes a retry that was granted.
+    fn retry(&mut self, now_us: u64, id: HopId, out: &mut Vec<NodeAction>) {
+        let Some(hop) = self.hops.get_mut(&id) else { return };
+        hop.retries = hop.retries.saturating_add(1);
+        self.attempt(now_us, id, out);
+    }
+
+    /// Puts a hop into a state that may end by itself.
+    pub(super) fn enter(&mut self, id: HopId, state: HopState) {
+        if let Some(until_us) = state.until_us() {
+            self.timers.set(until_us, Due::HopStep(id));
+        }
+        if let Some(hop) = self.hops.get_mut(&id) {
+            hop.state = state;
+        }
+    }
+
+    /// The state of a hop ends by itself; a timer of an earlier state changes nothing.
+    pub(super) fn hop_step(&mut self, now_us: u64, id: HopId, out: &mut Vec<NodeAction>) {
+        let Some(hop) = self.hops.get(&id) else { return };
+        if hop.state.until_us().is_none_or(|until_us| until_us > now_us) {
+            return;
+        }
+        match hop.state.clone() {
+            HopState::BackingOff { .. } => self.retry(now_us, id, out),
+            HopState::AskingRetry { failed, last, .. } => {
+                self.outstanding.remove(&failed);
+                self.conclude(now_us, id, last, out);
+            }
+            HopState::Fencing { attempt, node, .. } => {
+                let verdict = Verdict::MayHaveRun(Doubt::ConnectionLost);
+                self.end_attempt(now_us, id, attempt, node, verdict, out);
+            }
+            HopState::New | HopState::Claiming | HopState::Sent { .. } => {}
+        }
+    }
+
+    /// The deadline of a hop has passed: it gets its final answer at once.
+    pub(super) fn hop_deadline(&mut self, now_us: u64, id: HopId, out: &mut Vec<NodeAction>) {
+        let Some(hop) = self.hops.get(&id) else { return };
+        let verdict = match hop.state.clone() {
+            HopState::New | HopState::Claiming => Verdict::not_run(RefusalReason::Expired, 0),
+            HopState::Sent { .. } => Verdict::MayHaveRun(Doubt::Timeout),
+            HopState::Fencing { .. } => Verdict::MayHaveRun(Doubt::ConnectionLost),
+            HopState::AskingRetry { last, .. } | HopState::BackingOff { last, .. } => last,
+        };
+        self.give_up_attempt(now_us, id, out);
+        self.conclude(now_us, id, verdict, out);
+    }
+
+    /// Ends a hop nobody waits for any more.
+    pub(super) fn cancel_hop(&mut self, now_us: u64, id: HopId, out: &mut Vec<NodeAction>) {
+        let Some(hop) = self.hops.get(&id) else { return };
+        let verdict = match hop.state.clone() {
+            HopState::New | HopState::Claiming => Verdict::not_run(RefusalReason::Cancelled, 0),
+            HopState::Sent { .. } | HopState::Fencing { .. } => {
+                Verdict::MayHaveRun(Doubt::Cancelled)
+            }
+            HopState::AskingRetry { last, .. } | HopState::BackingOff { last, .. } => last,
+        };
+        self.give_up_attempt(now_us, id, out);
+        self.conclude(now_us, id, verdict, out);
+    }
+
+    /// Tells the receiving node that an attempt on its way is of no more use.
+    fn give_up_attempt(&mut self, now_us: u64, id: HopId, out: &mut Vec<NodeAction>) {
+        let Some(hop) = self.hops.get(&id) else { return };
+        match hop.state {
+            HopState::Sent { attempt, node, .. } => {
+                self.outstanding.remove(&attempt);
+                self.observe_lost(now_us, id, node);
+                self.send(node, Message::Cancel(attempt), out);
+            }
+            HopState::Fencing { attempt, node, .. } => {
+                self.outstanding.remove(&attempt);
+                self.observe_lost(now_us, id, node);
+            }
+            HopState::AskingRetry { failed, .. } => {
+                self.outstanding.remove(&failed);
+            }
+            HopState::New | HopState::Claiming | HopState::BackingOff { .. } => {}
+        }
+    }
+
+    /// Ends a hop and answers whoever waits for it.
+    pub(super) fn conclude(
+        &mut self,
+        now_us: u64,
+        id: HopId,
+        verdict: Verdict,
+        out: &mut Vec<NodeAction>,
+    ) {
+        let Some(hop) = self.hops.remove(&id) else { return };
+        self.timers.clear(hop.deadline_us, Due::HopDeadline(id));
+        if let Some(above) = hop.parent.and_then(|parent| self.inbound.get_mut(&parent)) {
+            above.children.retain(|child| *child != id);
+        }
+        if hop.parent.is_none() {
+            self.allowances.close(hop.root);
+        }
+        let end = self.call_end(now_us, &hop, verdict);
+        out.push(NodeAction::Reply { ticket: hop.ticket, end });
+    }
+
+    /// What whoever waits for a hop is told.
+    fn call_end(&self, now_us: u64, hop: &Hop, verdict: Verdict) -> CallEnd {
+        let class = self.rules.class_of_rank(hop.class).map_or("", |class| &class.name);
+        let arm = self.rules.arm(hop.arm).map_or("", |arm| &arm.name);
+        CallEnd {
+            verdict,
+            root: hop.root,
+            class: class.to_owned(),
+            arm: arm.to_owned(),
+            attempts: hop.retries.saturating_add(1),
+            elapsed_us: now_us.saturating_sub(hop.started_us),
+            outside: hop.outside,
+        }
+    }
+
+    /// A connection is lost: reads are tried again, what must run at most once is settled first.
+    pub(super) fn take_link_lost(
+        &mut self,
+        now_us: u64,
+        peer: SocketAddr,
+        out: &mut Vec<NodeAction>,
+    ) {
+        let Some(lost) = self.router.node_at(peer) else { return };
+        self.router.link_lost(now_us, lost);
+        for (id, attempt) in self.attempts_at(lost) {
+            let Some(hop) = self.hops.get(&id) else { continue };
+            if !hop.at_most_once {
+                let verdict = Verdict::MayHaveRun(Doubt::ConnectionLost);
+                self.end_attempt(now_us, id, attempt, lost, verdict, out);
+                continue;
+            }
+            let until_us = (now_us + FENCE_WAIT_US).min(hop.deadline_us);
+            self.enter(id, HopState::Fencing { attempt, node: lost, until_us });
+        }
+    }
+
+    /// A connection works again: attempts that were on the old one are settled over it.
+    pub(super) fn take_link_up(
+        &mut self,
+        now_us: u64,
+        peer: SocketAddr,
+        out: &mut Vec<NodeAction>,
+    ) {
+        let Some(node) = self.router.node_at(peer) else { return };
+        self.router.link_up(now_us, node);
+        for (id, attempt) in self.attempts_at(node) {
+            let Some(hop) = self.hops.get(&id) else { continue };
+            if !matches!(hop.state, HopState::Fencing { .. }) {
+                continue;
+            }
+            let remaining_us = hop.deadline_us.saturating_sub(now_us);
+            out.push(NodeAction::Send {
+                to: peer,
+                message: Message::Fence { attempt, remaining_us },
+            });
+        }
+    }
+
+    /// The hops whose attempt is at a node, in a stable order.
+    fn attempts_at(&self, wanted: NodeId) -> Vec<(HopId, AttemptId)> {
+        let mut found = Vec::new();
+        for (id, hop) in &self.hops {
+            match hop.state {
+                HopState::Sent { attempt, node, .. } | HopState::Fencing { attempt, node, .. }
+                    if node == wanted =>
+                {
+                    found.push((*id, attempt));
+                }
+                _ => {}
+            }
+        }
+        found.sort_unstable_by_key(|(id, _)| *id);
+        found
+    }
+
+    /// A message did not leave this process.
+    pub(super) fn take_send_failed(
+        &mut self,
+        now_us: u64,
+        message: Message,
+        out: &mut Vec<NodeAction>,
+    ) {
+        match message {
+            Message::Call(frame) => {
+                let Some(id) = self.outstanding.get(&frame.attempt).copied() else { return };
+                let Some(hop) = self.hops.get(&id) else { return };
+                let HopState::Sent { node, .. } = hop.state else { return };
+                let verdict = Verdict::not_run(RefusalReason::NodeFull, 0);
+                self.end_attempt(now_us, id, frame.attempt, node, verdict, out);
+            }
+            Message::AskRetry { failed, .. } => self.take_grant(now_us, failed, false, out),
+            // A lost cancellation, fence or gossip is made good by deadlines and repeats.
+            _ => {}
+        }
+    }
+
+    /// Learns the typical latency of a service.
+    fn note_latency(&mut self, id: HopId, verdict: &Verdict, latency_us: u64) {
+        if !matches!(verdict, Verdict::Answered(_)) {
+            return;
+        }
+        let Some(hop) = self.hops.get(&id) else { return };
+        let Some(known_us) = self.service_latency_us.get_mut(&hop.service) else {
+            self.service_latency_us.insert(hop.service.clone(), latency_us);
+            return;
+        };
+        *known_us = *known_us - *known_us / LATENCY_SMOOTHING + latency_us / LATENCY_SMOOTHING;
+    }
+
+    /// Passes the floor of a service that was called on to those who call this node.
+    fn note_floor(&mut self, now_us: u64, id: HopId) {
+        let Some(hop) = self.hops.get(&id) else { return };
+        if hop.parent.is_none() {
+            return;
+        }
+        let floor = self.router.floor(now_us, &hop.service, hop.arm, hop.class);
+        self.admission.note_downstream(now_us, hop.arm, hop.class, &hop.service, floor);
+    }
+
+    /// Answers an attempt of this node itself.
+    pub(super) fn answer_local(&mut self, answer: AnswerFrame) {
+        self.local.push_back(LocalFrame::Answer(answer));
+    }
+}
+
+/// How the router sees a verdict.
+fn outcome_of(verdict: &Verdict) -> Outcome {
+    match verdict {
+        Verdict::Answered(answer) => Outcome::Answered { healthy: answer.status < 500 },
+        Verdict::NotRun(Refusal { reason, .. }) => Outcome::Refused(*reason),
+        Verdict::MayHaveRun(_) => Outcome::Lost,
+    }
+}
--- /dev/null
+++ b/src/node/status.rs
@@ -0,0 +1,87 @@
+//! A picture of the node's state, for operators.
+
+use serde::Serialize;
+
+use crate::call::{ArmId, ClassRank, LoadReport};
+use crate::routing::PeerView;
+
+use super::Node;
+
+/// The state of one node.
+#[derive(Clone, Debug, Serialize)]
+pub struct NodeStatus {
+    /// The node's name.
+    pub name: String,
+    /// This life of the node.
+    pub node: String,
+    /// The service of its target.
+    pub service: String,
+    /// Its failure domain.
+    pub failure_domain: String,
+    /// Whether it serves calls.
+    pub ready: bool,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+    /// The target's base URL, while it is there.
+    pub target_url: Option<String>,
+    /// The version of the configuration in force; 0 for the settings of the start.
+    pub config_version: u64,
+    /// How many other nodes it knows.
+    pub members: usize,
+    /// Requests it is sending on.
+    pub hops: usize,
+    /// Attempts it has received and not finished.
+    pub inbound: usize,
+    /// Idempotency keys it remembers.
+    pub keys: usize,
+    /// Roots whose retry allowance it holds.
+    pub allowances: usize,
+    /// Limits and floors, by arm.
+    pub arms: Vec<ArmStatus>,
+    /// The targets it sends calls to.
+    pub peers: Vec<PeerView>,
+}
+
+/// The state of one policy arm.
+#[derive(Clone, Debug, Serialize)]
+pub struct ArmStatus {
+    /// The arm's name.
+    pub arm: String,
+    /// Its load, with the floor of the lowest class.
+    pub load: LoadReport,
+}
+
+impl Node {
+    /// A picture of the node's state.
+    pub fn status(&self, now_us: u64) -> NodeStatus {
+        let own = &self.settings.node;
+        NodeStatus {
+            name: own.name.clone(),
+            node: self.identity.id.to_string(),
+            service: own.service.clone(),
+            failure_domain: own.failure_domain.clone(),
+            ready: self.roster.is_ready() && self.target.is_some(),
+            leaving: self.leave_after_us.is_some(),
+            target_url: self.target.as_ref().map(|known| known.announcement.url.clone()),
+            config_version: self.roster.version(),
+            members: self.roster.member_count(),
+            hops: self.hops.len(),
+            inbound: self.inbound.len(),
+            keys: self.ledger.len(),
+            allowances: self.allowances.len(),
+            arms: self.arm_statuses(now_us),
+            peers: self.router.view(now_us),
+        }
+    }
+
+    /// The state of every arm.
+    fn arm_statuses(&self, now_us: u64) -> Vec<ArmStatus> {
+        let lowest = self.rules.classes.iter().map(|class| class.rank).min().unwrap_or(0);
+        let mut statuses = Vec::new();
+        for arm in &self.rules.arms {
+            let load = self.admission.load(now_us, ArmId(arm.id), ClassRank(lowest));
+            statuses.push(ArmStatus { arm: arm.name.clone(), load });
+        }
+        statuses
+    }
+}
