Run a node from the command line, with submitted documents merged

Cause: the node could not be started, and a submitted document could not differ by site. Ruled out: merging in the configuration module, which would have been a second merge.

--- a/extra/aspenspring.fish
+++ b/extra/aspenspring.fish
@@ -42,12 +42,15 @@
 end
 
 complete -c aspenspring -n '__fish_aspenspring_using_command' -f -l help -d 'display usage information'
+complete -c aspenspring -n '__fish_aspenspring_using_command' -f -a 'node' -d 'Run the node beside one target until it is told to leave.'
 complete -c aspenspring -n '__fish_aspenspring_using_command' -f -a 'check' -d 'Check settings, or rules alone, and name everything that is wrong.'
 complete -c aspenspring -n '__fish_aspenspring_using_command' -f -a 'settings' -d 'Print the settings in effect with the origin of each value.'
 complete -c aspenspring -n '__fish_aspenspring_using_command' -f -a 'schema' -d 'Print the JSON schema of the settings.'
 complete -c aspenspring -n '__fish_aspenspring_using_command' -f -a 'completions' -d 'Print completions for a shell.'
 complete -c aspenspring -n '__fish_aspenspring_using_command' -f -a 'manual' -d 'Print the manual page.'
 complete -c aspenspring -n '__fish_aspenspring_using_command' -f -a 'standin' -d 'run a small stand-in for something around a site: the platform\'s services, targets, the collector of traces'
+complete -c aspenspring -n '__fish_aspenspring_using_command node' -f -l help -d 'display usage information'
+complete -c aspenspring -n '__fish_aspenspring_using_command node' -f -l settings -r -d 'a file of settings; the base first, then each overlay'
 complete -c aspenspring -n '__fish_aspenspring_using_command check' -f -l help -d 'display usage information'
 complete -c aspenspring -n '__fish_aspenspring_using_command check' -f -l settings -r -d 'a file of settings; the base first, then each overlay'
 complete -c aspenspring -n '__fish_aspenspring_using_command check' -f -l rules -r -d 'a file of rules, as they are submitted'
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -6,6 +6,7 @@
 mod check;
 mod completions;
 mod manual;
+mod node;
 mod schema;
 mod settings;
 
@@ -24,6 +25,7 @@
 pub use check::CheckArgs;
 pub use completions::{CompletionsArgs, Shell, script};
 pub use manual::{ManualArgs, page};
+pub use node::NodeArgs;
 pub use schema::SchemaArgs;
 pub use settings::SettingsArgs;
 
@@ -50,6 +52,8 @@
 #[derive(Debug, FromArgs, ArgsInfo)]
 #[argh(subcommand)]
 pub enum Command {
+    /// Run a node.
+    Node(NodeArgs),
     /// Check settings.
     Check(CheckArgs),
     /// Print effective settings.
@@ -111,6 +115,7 @@
 /// Runs one command.
 pub fn run(command: Command) -> Exit {
     let result = match command {
+        Command::Node(args) => node::run(&args),
         Command::Check(args) => check::run(&args),
         Command::Settings(args) => settings::run(&args),
         Command::Schema(args) => schema::run(&args),
--- a/src/config/load.rs
+++ b/src/config/load.rs
@@ -14,7 +14,7 @@
 use super::{Rules, Settings, check, schema, shape};
 
 /// Where the rules stand in the settings.
-const RULES: &str = "/rules";
+pub(super) const RULES: &str = "/rules";
 
 /// Reads `files`, the base first, and lays each over what the ones before it say.
 ///
@@ -58,14 +58,22 @@
     let Some(tree) = read_text(file, text, &mut problems) else {
         return Err(problems);
     };
+    check_merged_rules(&tree, problems)
+}
+
+/// Checks rules that were read and merged with the `problems` found so far.
+pub(super) fn check_merged_rules(
+    tree: &Tree,
+    mut problems: Vec<Problem>,
+) -> Result<Rules, Vec<Problem>> {
     let value = tree.to_value();
     let mut findings = shape::check(&schema::rules_schema(), &value);
     findings.extend(check::check_rules(&RulesDraft::read(&value)));
-    problems.extend(trace(&tree, findings));
+    problems.extend(trace(tree, findings));
     if !problems.is_empty() {
         return Err(problems);
     }
-    Rules::deserialize(&value).map_err(|error| vec![unforeseen(&tree, &error)])
+    Rules::deserialize(&value).map_err(|error| vec![unforeseen(tree, &error)])
 }
 
 /// Every problem of rules that came from no file. Paths begin at the rules.
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -3,6 +3,7 @@
 pub mod arm;
 mod check;
 pub mod class;
+mod document;
 mod draft;
 pub mod effective;
 pub mod load;
@@ -25,6 +26,7 @@
 
 pub use arm::ArmSettings;
 pub use class::ClassSettings;
+pub use document::read_document;
 pub use effective::{Effective, EffectiveValue};
 pub use load::{check_rules, load, read_rules};
 pub use node::NodeSettings;
