Serve the first call to a service, and targets that come up late

Cause: the demonstration got 503 for 30 s from one of two nodes. A member row read before its target had announced itself (0 slots) was put into the router as leaving, which is for good. Apart from that the first call to a service whose rows had not been read yet was refused.

Ruled out: the membership (it reported the change), the target's own call path (an outside call through the same node failed alike).

Change: a member without a target is no choice, but not leaving. A hop whose service was first asked about less than 2 s ago waits for the first of its nodes. The services that the own target calls are asked about when it announces itself.

--- a/src/node/hop.rs
+++ b/src/node/hop.rs
@@ -73,6 +73,11 @@
 pub enum HopState {
     /// Its first attempt.
     New,
+    /// The nodes of its service, of which none is known yet.
+    Resolving {
+        /// When waiting ends.
+        until_us: u64,
+    },
     /// The platform, which is asked who owns the caller's own key.
     Claiming,
     /// The answer to an attempt.
@@ -117,7 +122,8 @@
     /// The moment the state ends by itself, where it does.
     pub fn until_us(&self) -> Option<u64> {
         match self {
-            Self::Fencing { until_us, .. }
+            Self::Resolving { until_us }
+            | Self::Fencing { until_us, .. }
             | Self::AskingRetry { until_us, .. }
             | Self::BackingOff { until_us, .. } => Some(*until_us),
             Self::New | Self::Claiming | Self::Sent { .. } => None,
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -93,6 +93,8 @@
     target: Option<KnownTarget>,
     /// Typical latency of each service as senders see it, in microseconds.
     service_latency_us: HashMap<String, u64>,
+    /// When each service was first asked about, in microseconds since the process started.
+    wanted: HashMap<String, u64>,
     /// What is due when.
     timers: Timers,
     /// Frames this node sent to itself, not yet taken in.
@@ -154,6 +156,7 @@
             tokens: HashMap::new(),
             target: None,
             service_latency_us: HashMap::new(),
+            wanted: HashMap::new(),
             timers: Timers::default(),
             local: VecDeque::new(),
             leave_after_us: None,
--- a/src/node/roster.rs
+++ b/src/node/roster.rs
@@ -103,12 +103,23 @@
 
     /// Asks for the nodes of a service that calls go to.
     pub(super) fn want_service(&mut self, now_us: u64, service: &str, out: &mut Vec<NodeAction>) {
-        if self.rules.service(service).is_none() {
+        if self.wanted.contains_key(service) || self.rules.service(service).is_none() {
             return;
         }
+        self.wanted.insert(service.to_owned(), now_us);
         self.tell_membership(now_us, MembershipEvent::WantService(service), out);
     }
 
+    /// Asks for the nodes of the services that the target beside this node is known to call, before
+    /// it calls them.
+    fn want_calls_of_own_service(&mut self, now_us: u64, out: &mut Vec<NodeAction>) {
+        let rules = self.rules.clone();
+        let Some(own) = rules.service(&self.settings.node.service) else { return };
+        for service in &own.calls {
+            self.want_service(now_us, service, out);
+        }
+    }
+
     /// Makes it known that the target beside this node is there, or, with zeros, gone.
     pub(super) fn announce_target(
         &mut self,
@@ -117,6 +128,7 @@
         connections: u32,
         out: &mut Vec<NodeAction>,
     ) {
+        self.want_calls_of_own_service(now_us, out);
         let event = MembershipEvent::TargetAnnounced { slots, connections };
         self.tell_membership(now_us, event, out);
         self.put_self(now_us, slots);
@@ -211,7 +223,7 @@
     ) {
         match action {
             MembershipAction::Added(member) | MembershipAction::Changed(member) => {
-                self.router.put(now_us, peer_of(now_us, &member));
+                self.put_member(now_us, &member, out);
             }
             MembershipAction::Gone(node) => self.forget(now_us, node, out),
             MembershipAction::SendGossip { to, bytes } => {
@@ -236,6 +248,19 @@
         }
     }
 
+    /// Makes a member a choice for calls to its service, as long as it has a target.
+    ///
+    /// A member whose target is not there, yet or for now, is no choice but does not count as
+    /// leaving, which would be for good.
+    fn put_member(&mut self, now_us: u64, member: &Member, out: &mut Vec<NodeAction>) {
+        if member.slots == 0 {
+            self.router.remove(now_us, member.node);
+            return;
+        }
+        self.router.put(now_us, peer_of(now_us, member));
+        self.resume_resolving(now_us, &member.service, out);
+    }
+
     /// Forgets a node that is gone for good.
     fn forget(&mut self, now_us: u64, node: NodeId, out: &mut Vec<NodeAction>) {
         if let Some(peer) = self.router.address(node) {
@@ -301,7 +326,7 @@
         failure_domain: member.failure_domain.clone(),
         address: member.peer_address,
         slots: member.slots,
-        leaving: member.state == MemberState::Leaving || member.slots == 0,
+        leaving: member.state == MemberState::Leaving,
         first_seen_us: now_us,
     }
 }
--- a/src/node/sending.rs
+++ b/src/node/sending.rs
@@ -6,6 +6,7 @@
     AnswerFrame, AttemptId, CallFrame, Doubt, Key, Message, NodeId, Refusal, RefusalReason, RootId,
     Verdict,
 };
+use crate::clock::US_PER_S;
 use crate::retry::{Failure, RetryStep, next_step};
 use crate::routing::{Observation, Outcome, Pick};
 
@@ -19,6 +20,8 @@
 const GRANT_WAIT_US: u64 = 100_000;
 /// How long to wait for a new connection before an attempt counts as "may have run".
 const FENCE_WAIT_US: u64 = 1_500_000;
+/// How long after a service was first asked about a call waits for the first of its nodes.
+const RESOLVE_WAIT_US: u64 = 2 * US_PER_S;
 /// The weight of one answer in a service's typical latency, as a divisor.
 const LATENCY_SMOOTHING: u64 = 16;
 
@@ -34,7 +37,9 @@
         let (node, key) = match self.choose(now_us, id) {
             Ok(chosen) => chosen,
             Err(verdict) => {
-                self.after_attempt(now_us, id, None, verdict, out);
+                if !self.resolve(now_us, id, &verdict) {
+                    self.after_attempt(now_us, id, None, verdict, out);
+                }
                 return;
             }
         };
@@ -53,6 +58,41 @@
         }
     }
 
+    /// Lets a hop wait whose service was asked about so lately that its nodes may not be known
+    /// yet. Says whether it waits.
+    fn resolve(&mut self, now_us: u64, id: HopId, verdict: &Verdict) -> bool {
+        let Verdict::NotRun(Refusal { reason: RefusalReason::NoTarget, .. }) = verdict else {
+            return false;
+        };
+        let Some(hop) = self.hops.get(&id) else { return false };
+        let Some(wanted_us) = self.wanted.get(&hop.service) else { return false };
+        let until_us = (wanted_us + RESOLVE_WAIT_US).min(hop.deadline_us);
+        if until_us <= now_us {
+            return false;
+        }
+        self.enter(id, HopState::Resolving { until_us });
+        true
+    }
+
+    /// Makes the attempts that waited for a node of `service`.
+    pub(super) fn resume_resolving(
+        &mut self,
+        now_us: u64,
+        service: &str,
+        out: &mut Vec<NodeAction>,
+    ) {
+        let mut resumed = Vec::new();
+        for (id, hop) in &self.hops {
+            if matches!(hop.state, HopState::Resolving { .. }) && hop.service == service {
+                resumed.push(*id);
+            }
+        }
+        resumed.sort_unstable();
+        for id in resumed {
+            self.attempt(now_us, id, out);
+        }
+    }
+
     /// The node that gets the next attempt, and the key it runs under.
     fn choose(&mut self, now_us: u64, id: HopId) -> Result<(NodeId, Option<Key>), Verdict> {
         let Some(hop) = self.hops.get(&id) else {
@@ -333,6 +373,7 @@
             return;
         }
         match hop.state.clone() {
+            HopState::Resolving { .. } => self.attempt(now_us, id, out),
             HopState::BackingOff { .. } => self.retry(now_us, id, out),
             HopState::AskingRetry { failed, last, .. } => {
                 self.outstanding.remove(&failed);
@@ -350,7 +391,9 @@
     pub(super) fn hop_deadline(&mut self, now_us: u64, id: HopId, out: &mut Vec<NodeAction>) {
         let Some(hop) = self.hops.get(&id) else { return };
         let verdict = match hop.state.clone() {
-            HopState::New | HopState::Claiming => Verdict::not_run(RefusalReason::Expired, 0),
+            HopState::New | HopState::Resolving { .. } | HopState::Claiming => {
+                Verdict::not_run(RefusalReason::Expired, 0)
+            }
             HopState::Sent { .. } => Verdict::MayHaveRun(Doubt::Timeout),
             HopState::Fencing { .. } => Verdict::MayHaveRun(Doubt::ConnectionLost),
             HopState::AskingRetry { last, .. } | HopState::BackingOff { last, .. } => last,
@@ -363,7 +406,9 @@
     pub(super) fn cancel_hop(&mut self, now_us: u64, id: HopId, out: &mut Vec<NodeAction>) {
         let Some(hop) = self.hops.get(&id) else { return };
         let verdict = match hop.state.clone() {
-            HopState::New | HopState::Claiming => Verdict::not_run(RefusalReason::Cancelled, 0),
+            HopState::New | HopState::Resolving { .. } | HopState::Claiming => {
+                Verdict::not_run(RefusalReason::Cancelled, 0)
+            }
             HopState::Sent { .. } | HopState::Fencing { .. } => {
                 Verdict::MayHaveRun(Doubt::Cancelled)
             }
@@ -389,7 +434,10 @@
             HopState::AskingRetry { failed, .. } => {
                 self.outstanding.remove(&failed);
             }
-            HopState::New | HopState::Claiming | HopState::BackingOff { .. } => {}
+            HopState::New
+            | HopState::Resolving { .. }
+            | HopState::Claiming
+            | HopState::BackingOff { .. } => {}
         }
     }
 
