Name the submission whose write an answer belongs to

Cause: the configuration now tells late answers of an earlier write from those of the present one. Change: the node keeps the submission's number with the request.

--- a/src/node/platform.rs
+++ b/src/node/platform.rs
@@ -34,7 +34,10 @@
     /// To read the configuration's row.
     ConfigurationRead,
     /// To write the configuration's row.
-    ConfigurationWrite,
+    ConfigurationWrite {
+        /// The random number of the submission.
+        submission: u64,
+    },
     /// To claim the key of a hop.
     Claim(HopId),
 }
@@ -72,8 +75,9 @@
                 let read = ConfigurationEvent::TableRead(row_read(event.outcome));
                 self.tell_configuration(now_us, read, out);
             }
-            Asked::ConfigurationWrite => {
-                let written = ConfigurationEvent::TableWritten(row_written(event.outcome));
+            Asked::ConfigurationWrite { submission } => {
+                let write = row_written(event.outcome);
+                let written = ConfigurationEvent::TableWritten { submission, write };
                 self.tell_configuration(now_us, written, out);
             }
             Asked::Claim(hop) => self.take_claim(now_us, hop, event.outcome, out),
@@ -109,7 +113,8 @@
             value: serde_json::to_value(accepted).unwrap_or(Value::Null),
             condition: expected.map_or(Condition::Absent, Condition::Version),
         };
-        self.ask_store(Asked::ConfigurationWrite, operation, out);
+        let asked = Asked::ConfigurationWrite { submission: accepted.entry.submission };
+        self.ask_store(asked, operation, out);
     }
 
     /// Takes in the rows of a service.
@@ -183,7 +188,9 @@
     match outcome {
         Ok(StoreOutcome::Written { version }) => MembershipEvent::RowWritten { version },
         Ok(StoreOutcome::Conflict { present }) => {
-            MembershipEvent::RowConflict { present: present.and_then(member_row) }
+            let version = present.as_ref().map(|row| row.version);
+            let present = present.and_then(member_row).map(|row| row.member);
+            MembershipEvent::RowConflict { version, present }
         }
         _ => MembershipEvent::WriteFailed,
     }
@@ -191,8 +198,7 @@
 
 /// A row as the membership sees it, or none where it makes no sense.
 fn member_row(row: Row) -> Option<MemberRow> {
-    let member = serde_json::from_value(row.value).ok()?;
-    Some(MemberRow { member, version: row.version })
+    MemberRow::parse(&row.value, row.version)
 }
 
 /// What came of reading the configuration's row.
