--- a/extra/aspenspring.bash
+++ b/extra/aspenspring.bash
@@ -15,6 +15,9 @@
             aspenspring | */aspenspring)
                 cmd="aspenspring"
                 ;;
+            node)
+                cmd="aspenspring_node"
+                ;;
             check)
                 cmd="aspenspring_check"
                 ;;
@@ -57,8 +60,21 @@
     case "${cmd}" in
         aspenspring)
             opts="--help"
-            cmds="check settings schema completions manual standin"
+            cmds="node check settings schema completions manual standin"
+            case "${prev}" in
+                *)
+                    COMPREPLY=( $(compgen -W "${opts} ${cmds}" -- "${cur}") )
+                    return 0
+                    ;;
+            esac
+            ;;
+        aspenspring_node)
+            opts="--help --settings"
             case "${prev}" in
+                --settings)
+                    COMPREPLY=()
+                    return 0
+                    ;;
                 *)
                     COMPREPLY=( $(compgen -W "${opts} ${cmds}" -- "${cur}") )
                     return 0
