Check the files of a site by themselves, and split long modules

Cause: an operator keeps the base and a file for each site; the files of nodes are made when VMs are. `settings` and `check` refused the files of a site for want of a node's name and addresses. The modules that check settings had also grown past what one reads at once.

Kinds of text, wording and checks of a node moved to modules of their own; no check changed.

--- a/extra/aspenspring.bash
+++ b/extra/aspenspring.bash
@@ -82,7 +82,7 @@
             esac
             ;;
         aspenspring_check)
-            opts="--help --settings --rules --json"
+            opts="--help --settings --rules --site --json"
             case "${prev}" in
                 --settings)
                     COMPREPLY=()
@@ -99,7 +99,7 @@
             esac
             ;;
         aspenspring_settings)
-            opts="--help --settings --json --merged"
+            opts="--help --settings --site --json --merged"
             case "${prev}" in
                 --settings)
                     COMPREPLY=()
--- a/src/cli/check.rs
+++ b/src/cli/check.rs
@@ -18,6 +18,9 @@
     /// a file of rules, as they are submitted
     #[argh(option)]
     pub rules: Option<PathBuf>,
+    /// the settings are those of a site, without a node's own
+    #[argh(switch)]
+    pub site: bool,
     /// print the problems as a list in JSON
     #[argh(switch)]
     pub json: bool,
@@ -31,7 +34,12 @@
     }
     let mut problems = Vec::new();
     if !args.settings.is_empty() {
-        problems.extend(config::load(&args.settings).err().into_iter().flatten());
+        let refused = if args.site {
+            config::load_site(&args.settings).err()
+        } else {
+            config::load(&args.settings).err()
+        };
+        problems.extend(refused.into_iter().flatten());
     }
     if let Some(file) = &args.rules {
         let text = std::fs::read_to_string(file)
--- a/src/cli/settings.rs
+++ b/src/cli/settings.rs
@@ -7,8 +7,8 @@
 use serde::Serialize;
 use serde_json::Value;
 
-use super::{Exit, load, print, print_json};
-use crate::config::EffectiveValue;
+use super::{Exit, load, print, print_json, refuse};
+use crate::config::{self, Effective, EffectiveValue};
 
 /// Print the settings in effect with the origin of each value.
 #[derive(Debug, FromArgs, ArgsInfo)]
@@ -17,6 +17,9 @@
     /// a file of settings; the base first, then each overlay
     #[argh(option)]
     pub settings: Vec<PathBuf>,
+    /// the files are those of a site, without a node's own
+    #[argh(switch)]
+    pub site: bool,
     /// print a list in JSON
     #[argh(switch)]
     pub json: bool,
@@ -42,10 +45,20 @@
 
 /// Prints the settings in effect.
 pub(super) fn run(args: &SettingsArgs) -> eyre::Result<Exit> {
-    let effective = match load(&args.settings, args.json)? {
-        Ok(effective) => effective,
-        Err(exit) => return Ok(exit),
-    };
+    if args.site {
+        return match config::load_site(&args.settings) {
+            Ok(effective) => show(args, &effective),
+            Err(problems) => refuse(&problems, args.json),
+        };
+    }
+    match load(&args.settings, args.json)? {
+        Ok(effective) => show(args, &effective),
+        Err(exit) => Ok(exit),
+    }
+}
+
+/// Prints settings that were accepted.
+fn show<S: Serialize>(args: &SettingsArgs, effective: &Effective<S>) -> eyre::Result<Exit> {
     if args.merged {
         print_json(&effective.to_value()?)?;
         return Ok(Exit::Done);
--- a/src/config/document.rs
+++ b/src/config/document.rs
@@ -63,7 +63,7 @@
 
 /// The text is not a document at all.
 fn malformed(error: &serde_json::Error) -> Problem {
-    let Finding { pointer, found, accepted } = Finding::new(
+    let Finding { pointer, found, accepted, .. } = Finding::new(
         "",
         error.to_string(),
         "an object with `base` and, where sites differ, `sites`",
--- a/src/config/effective.rs
+++ b/src/config/effective.rs
@@ -1,5 +1,6 @@
 //! The settings in effect, with the origin of each value.
 
+use serde::Serialize;
 use serde_json::Value;
 
 use super::Settings;
@@ -7,9 +8,9 @@
 
 /// Settings that passed every check.
 #[derive(Clone, Debug)]
-pub struct Effective {
+pub struct Effective<S = Settings> {
     /// The settings.
-    pub settings: Settings,
+    pub settings: S,
     /// What the files said, merged.
     tree: Tree,
 }
@@ -25,9 +26,9 @@
     pub origin: Option<Origin>,
 }
 
-impl Effective {
+impl<S: Serialize> Effective<S> {
     /// The settings that were read from `tree`.
-    pub(super) fn new(settings: Settings, tree: Tree) -> Self {
+    pub(super) fn new(settings: S, tree: Tree) -> Self {
         Self { settings, tree }
     }
 
--- a/src/config/load.rs
+++ b/src/config/load.rs
@@ -2,7 +2,8 @@
 
 use std::path::{Path, PathBuf};
 
-use serde::Deserialize;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
 use super::draft::{NodeDraft, RulesDraft};
@@ -11,10 +12,12 @@
 use super::problem::{Finding, Problem};
 use super::read::{read_file, read_text};
 use super::tree::Tree;
-use super::{Rules, Settings, check, schema, shape};
+use super::{Rules, SiteSettings, check, check_node, schema, shape};
 
 /// Where the rules stand in the settings.
 pub(super) const RULES: &str = "/rules";
+/// Where a node's own settings stand.
+const NODE: &str = "/node";
 
 /// Reads `files`, the base first, and lays each over what the ones before it say.
 ///
@@ -23,6 +26,28 @@
 /// Every problem of all files, in no case some settings and some problems. Contradictions between
 /// values are looked for among those values that can be read.
 pub fn load(files: &[PathBuf]) -> Result<Effective, Vec<Problem>> {
+    let (tree, problems) = read_all(files)?;
+    accept(tree, problems, |_| true)
+}
+
+/// Reads the files of a site without those of a node: what the node's own file adds may be missing.
+///
+/// # Errors
+///
+/// Every problem of all files.
+pub fn load_site(files: &[PathBuf]) -> Result<Effective<SiteSettings>, Vec<Problem>> {
+    let (tree, problems) = read_all(files)?;
+    accept(tree, problems, |finding| !(finding.is_absent && is_of_node(&finding.pointer)))
+}
+
+/// Whether a place is that of a node's own settings or below it.
+fn is_of_node(pointer: &str) -> bool {
+    let below = pointer.strip_prefix(NODE);
+    below.is_some_and(|below| below.is_empty() || below.starts_with('/'))
+}
+
+/// Reads and merges `files`. Where that fails, what is wrong is all that can be said.
+fn read_all(files: &[PathBuf]) -> Result<(Tree, Vec<Problem>), Vec<Problem>> {
     let mut problems = Vec::new();
     let mut trees = Vec::new();
     for file in files {
@@ -30,19 +55,30 @@
     }
     let is_every_file_read = trees.len() == files.len();
     let tree = merge_all(trees, &mut problems);
-    let Some(tree) = tree.filter(|_| is_every_file_read) else {
-        // What an unreadable file would have said is not known, so the merge proves nothing.
-        if problems.is_empty() {
-            problems.push(no_settings());
-        }
-        return Err(problems);
-    };
+    // What an unreadable file would have said is not known, so the merge proves nothing.
+    if let Some(tree) = tree.filter(|_| is_every_file_read) {
+        return Ok((tree, problems));
+    }
+    if problems.is_empty() {
+        problems.push(no_settings());
+    }
+    Err(problems)
+}
+
+/// Checks merged settings and takes them in, if nothing of what counts is wrong.
+fn accept<S: DeserializeOwned + Serialize>(
+    tree: Tree,
+    mut problems: Vec<Problem>,
+    counts: impl Fn(&Finding) -> bool,
+) -> Result<Effective<S>, Vec<Problem>> {
     let value = tree.to_value();
-    problems.extend(trace(&tree, check_settings(&value)));
+    let mut findings = check_settings(&value);
+    findings.retain(counts);
+    problems.extend(trace(&tree, findings));
     if !problems.is_empty() {
         return Err(problems);
     }
-    match Settings::deserialize(&value) {
+    match S::deserialize(&value) {
         Ok(settings) => Ok(Effective::new(settings, tree)),
         Err(error) => Err(vec![unforeseen(&tree, &error)]),
     }
@@ -107,14 +143,14 @@
         finding.pointer.insert_str(0, RULES);
         findings.push(finding);
     }
-    findings.extend(check::check_node(&NodeDraft::read(value), &rules));
+    findings.extend(check_node::check_node(&NodeDraft::read(value), &rules));
     findings
 }
 
 /// Traces findings back to the files.
 fn trace(tree: &Tree, findings: Vec<Finding>) -> Vec<Problem> {
     let mut problems = Vec::new();
-    for Finding { pointer, found, accepted } in findings {
+    for Finding { pointer, found, accepted, .. } in findings {
         let origin = tree.origin_of(&pointer);
         let file = Some(origin.file.to_path_buf());
         problems.push(Problem { file, path: origin.pointer, found, accepted });
@@ -124,7 +160,7 @@
 
 /// A problem of something that came from no file.
 fn without_file(finding: Finding) -> Problem {
-    let Finding { pointer, found, accepted } = finding;
+    let Finding { pointer, found, accepted, .. } = finding;
     Problem { file: None, path: pointer, found, accepted }
 }
 
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -2,7 +2,9 @@
 
 pub mod arm;
 mod check;
+mod check_node;
 pub mod class;
+mod describe;
 mod document;
 mod draft;
 pub mod effective;
@@ -18,7 +20,9 @@
 pub mod schema;
 pub mod service;
 mod shape;
+pub mod site;
 pub mod telemetry;
+mod text;
 mod tree;
 
 use schemars::JsonSchema;
@@ -28,13 +32,14 @@
 pub use class::ClassSettings;
 pub use document::read_document;
 pub use effective::{Effective, EffectiveValue};
-pub use load::{check_rules, load, read_rules};
+pub use load::{check_rules, load, load_site, read_rules};
 pub use node::NodeSettings;
 pub use platform::PlatformSettings;
 pub use policy::{LimitRule, PolicySettings, RetryRule, TargetChoice};
 pub use problem::Problem;
 pub use route::RouteSettings;
 pub use service::ServiceSettings;
+pub use site::SiteSettings;
 pub use telemetry::TelemetrySettings;
 pub use tree::Origin;
 
--- a/src/config/problem.rs
+++ b/src/config/problem.rs
@@ -37,15 +37,27 @@
     pub found: String,
     /// What would be accepted instead.
     pub accepted: String,
+    /// Whether the value is missing altogether.
+    pub is_absent: bool,
 }
 
 impl Finding {
+    /// A finding that there is nothing at `pointer`.
+    pub fn absent(pointer: impl Into<String>, accepted: impl Into<String>) -> Self {
+        Self { is_absent: true, ..Self::new(pointer, "nothing", accepted) }
+    }
+
     /// A finding at `pointer`.
     pub fn new(
         pointer: impl Into<String>,
         found: impl Into<String>,
         accepted: impl Into<String>,
     ) -> Self {
-        Self { pointer: pointer.into(), found: found.into(), accepted: accepted.into() }
+        Self {
+            pointer: pointer.into(),
+            found: found.into(),
+            accepted: accepted.into(),
+            is_absent: false,
+        }
     }
 }
--- a/src/config/shape.rs
+++ b/src/config/shape.rs
@@ -3,22 +3,13 @@
 //! The schema is the one generated from the types of the settings, so only the keywords that occur
 //! there are known. Deserialization would stop at the first error; this does not.
 
-use std::net::SocketAddr;
-
 use serde_json::{Map, Value};
 
-use super::lookup::is_canonical;
+use super::describe::{describe, render};
 use super::problem::Finding;
+use super::text::{format_of, may_hold_password};
 use super::tree::join;
 
-/// The longest name of a service, class, node and so on, in bytes.
-const NAME_MAX_BYTES: usize = 64;
-/// The longest piece of a wrong value that a problem repeats, in characters.
-const FOUND_MAX_CHARS: usize = 80;
-
-/// The format of base URLs.
-const HTTP_URL: &str = "http-url";
-
 /// Everything in `value` that does not fit `schema`, the whole schema with its definitions.
 pub(super) fn check(schema: &Value, value: &Value) -> Vec<Finding> {
     let mut checker = Checker { root: schema, findings: Vec::new() };
@@ -26,16 +17,6 @@
     checker.findings
 }
 
-/// A compact rendering of a value, cut where it is long.
-pub(super) fn render(value: &Value) -> String {
-    let text = value.to_string();
-    if text.chars().count() <= FOUND_MAX_CHARS {
-        return text;
-    }
-    let start: String = text.chars().take(FOUND_MAX_CHARS).collect();
-    format!("{start}...")
-}
-
 /// Walks a value and its schema together.
 struct Checker<'a> {
     /// The whole schema.
@@ -119,7 +100,7 @@
             }
             let property = properties.and_then(|properties| properties.get(name));
             let accepted = property.map(|property| self.describe(property)).unwrap_or_default();
-            self.findings.push(Finding::new(join(pointer, name), "nothing", accepted));
+            self.findings.push(Finding::absent(join(pointer, name), accepted));
         }
     }
 
@@ -142,10 +123,8 @@
     /// Reports a value that does not fit its schema.
     fn report(&mut self, schema: &'a Value, value: &Value, pointer: &str) {
         let accepted = self.describe(schema);
-        let is_url = schema.get("format").is_some_and(|format| format == HTTP_URL);
-        // A URL that was refused may be so because it holds a password.
-        let has_user = is_url && value.as_str().is_some_and(|text| text.contains('@'));
-        let found = if has_user { "a URL with a user".to_owned() } else { render(value) };
+        let is_secret = value.as_str().is_some_and(|text| may_hold_password(schema, text));
+        let found = if is_secret { "a URL with a user".to_owned() } else { render(value) };
         self.findings.push(Finding::new(pointer, found, accepted));
     }
 
@@ -162,7 +141,7 @@
 }
 
 /// The alternatives of a part of the schema, if it has any.
-fn choices(schema: &Value) -> Option<&[Value]> {
+pub(super) fn choices(schema: &Value) -> Option<&[Value]> {
     let choices = schema.get("oneOf").or_else(|| schema.get("anyOf"))?;
     choices.as_array().map(Vec::as_slice)
 }
@@ -185,7 +164,7 @@
 }
 
 /// The names of the types that a part of the schema accepts.
-fn types(schema: &Value) -> Vec<&str> {
+pub(super) fn types(schema: &Value) -> Vec<&str> {
     match schema.get("type") {
         Some(Value::String(name)) => vec![name],
         Some(Value::Array(names)) => names.iter().filter_map(Value::as_str).collect(),
@@ -210,7 +189,7 @@
 }
 
 /// The largest integer of a part of the schema, by its keyword or its format.
-fn integer_max(schema: &Value) -> Option<u64> {
+pub(super) fn integer_max(schema: &Value) -> Option<u64> {
     let by_format = match schema.get("format").and_then(Value::as_str) {
         Some("uint8") => Some(u64::from(u8::MAX)),
         Some("uint16") => Some(u64::from(u16::MAX)),
@@ -245,112 +224,5 @@
     if let Some(accepted) = schema.get("enum").and_then(Value::as_array) {
         return accepted.iter().any(|accepted| accepted == text);
     }
-    match schema.get("format").and_then(Value::as_str) {
-        Some("name") => is_name(text),
-        Some("method") => !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_uppercase()),
-        Some("path-prefix") => is_canonical(text) && !text.contains(['?', '%']),
-        Some("env-name") => is_env_name(text),
-        Some("ip-port") => text.parse::<SocketAddr>().is_ok(),
-        Some(HTTP_URL) => is_http_url(text),
-        _ => true,
-    }
-}
-
-/// Whether a text can stand in rows, paths and reports.
-fn is_name(text: &str) -> bool {
-    let is_accepted = |byte: u8| byte.is_ascii_alphanumeric() || b"._-".contains(&byte);
-    let starts_well = text.bytes().next().is_some_and(|byte| byte.is_ascii_alphanumeric());
-    starts_well && text.len() <= NAME_MAX_BYTES && text.bytes().all(is_accepted)
-}
-
-/// Whether a text can be the name of an environment variable.
-fn is_env_name(text: &str) -> bool {
-    let starts_well = text.bytes().next().is_some_and(|byte| !byte.is_ascii_digit());
-    starts_well && text.bytes().all(|byte| byte.is_ascii_alphanumeric() || byte == b'_')
-}
-
-/// Whether a text is a base URL of HTTP.
-fn is_http_url(text: &str) -> bool {
-    let Ok(url) = reqwest::Url::parse(text) else {
-        return false;
-    };
-    let is_http = matches!(url.scheme(), "http" | "https") && url.has_host();
-    let is_bare = url.query().is_none() && url.fragment().is_none();
-    is_http && is_bare && url.username().is_empty() && url.password().is_none()
-}
-
-/// What a part of the schema accepts, in words.
-fn describe(schema: &Value) -> String {
-    if let Some(constant) = schema.get("const") {
-        return constant.to_string();
-    }
-    if let Some(accepted) = schema.get("enum").and_then(Value::as_array) {
-        let accepted: Vec<String> = accepted.iter().map(Value::to_string).collect();
-        return accepted.join(" or ");
-    }
-    if let Some(choices) = choices(schema) {
-        let accepted: Vec<String> = choices.iter().map(describe).collect();
-        return accepted.join(" or ");
-    }
-    let types = types(schema);
-    let accepted: Vec<String> = types.iter().map(|name| describe_type(schema, name)).collect();
-    accepted.join(" or ")
-}
-
-/// What one type of a part of the schema accepts, in words.
-fn describe_type(schema: &Value, name: &str) -> String {
-    match name {
-        "boolean" => "true or false".to_owned(),
-        "integer" => format!("an integer{}", describe_range(schema)),
-        "number" => format!("a number{}", describe_range(schema)),
-        "string" => describe_text(schema).to_owned(),
-        "array" => "a list".to_owned(),
-        "object" => describe_object(schema),
-        other => other.to_owned(),
-    }
-}
-
-/// The kind of object that a part of the schema accepts, in words.
-fn describe_object(schema: &Value) -> String {
-    let properties = schema.get("properties").and_then(Value::as_object);
-    for (name, property) in properties.into_iter().flatten() {
-        if let Some(constant) = property.get("const") {
-            return format!("an object with \"{name}\": {constant}");
-        }
-    }
-    "an object".to_owned()
-}
-
-/// The kind of text that a part of the schema accepts, in words.
-fn describe_text(schema: &Value) -> &'static str {
-    match schema.get("format").and_then(Value::as_str) {
-        Some("name") => {
-            "a name of 1 to 64 letters, digits, dots, dashes and underscores, \
-             beginning with a letter or digit"
-        }
-        Some("method") => "a method of HTTP in upper case, such as \"POST\"",
-        Some("path-prefix") => {
-            "a path that begins with /, without empty or dot segments, ?, #, % or backslash"
-        }
-        Some("env-name") => "the name of an environment variable",
-        Some("ip-port") => "an IP number and port, such as \"127.0.0.1:7001\"",
-        Some(HTTP_URL) => "a URL of http or https, without user, query or fragment",
-        _ => "a string",
-    }
-}
-
-/// The bounds of a number, in words.
-fn describe_range(schema: &Value) -> String {
-    let bound = |keyword: &str| schema.get(keyword).map(Value::to_string);
-    let maximum = bound("maximum").or_else(|| integer_max(schema).map(|max| max.to_string()));
-    let (minimum, maximum) = match (bound("minimum"), maximum) {
-        (Some(minimum), Some(maximum)) => return format!(" from {minimum} to {maximum}"),
-        bounds => bounds,
-    };
-    let least = minimum.map(|bound| format!(" of at least {bound}"));
-    let above = bound("exclusiveMinimum").map(|bound| format!(" above {bound}"));
-    let most = maximum.map(|bound| format!(" of at most {bound}"));
-    let below = bound("exclusiveMaximum").map(|bound| format!(" below {bound}"));
-    let bounds: Vec<String> = [least, above, most, below].into_iter().flatten().collect();
-    bounds.join(" and")
+    format_of(schema).is_none_or(|format| (format.is_accepted)(text))
 }
--- a/tests/config_load.rs
+++ b/tests/config_load.rs
@@ -220,3 +220,20 @@
         }
     }
 }
+
+#[test]
+fn the_files_of_a_site_are_checked_without_those_of_a_node() {
+    let files = ["base.json", "donauwelle.json"].map(example);
+    let site = config::load_site(&files).unwrap_or_else(|problems| panic!("{problems:#?}"));
+    assert_eq!(site.settings.site, "donauwelle");
+    let values = site.values().expect("a form in JSON");
+    assert!(values.iter().any(|value| value.pointer == "/node/target_listen"));
+    assert!(!values.iter().any(|value| value.pointer == "/node/name"));
+
+    let overlay = json!({"node": {"target_listen": "10.0.0.1:7001"}, "platform": {"poll_ms": null,
+                         "table_url": null}});
+    let files = [&files[..], &[write("site", &overlay)]].concat();
+    let problems = config::load_site(&files).expect_err("a wrong address and a missing one");
+    let paths: Vec<&str> = problems.iter().map(|problem| problem.path.as_str()).collect();
+    assert_eq!(paths, ["/platform/table_url", "/node/target_listen"]);
+}
