Let the node log, count and answer operators

Cause: the node decided in silence, and the operators' listener had nobody to ask.

Change: the pure node gives notes (events, figures) among its actions; duty/note takes them to the log and the metrics, duty/desk answers operators' requests, and a submission's outcome finds whoever waits for it. Names of reasons and doubts are methods of their types. The ring counts what it has no room for.

Ruled out: the metrics facade inside the node, which would have made the pure aggregate depend on a global recorder.

--- a/src/call/verdict.rs
+++ b/src/call/verdict.rs
@@ -100,3 +100,46 @@
     /// The node asked does not own the idempotency key and cannot tell what its owner did.
     KeyElsewhere,
 }
+
+impl RefusalReason {
+    /// The name in headers, bodies, logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Shed => "shed",
+            Self::QueueFull => "queue-full",
+            Self::Expired => "expired",
+            Self::Leaving => "leaving",
+            Self::NotReady => "not-ready",
+            Self::NoTarget => "no-target",
+            Self::TargetDeclined => "target-declined",
+            Self::TargetUnreachable => "target-unreachable",
+            Self::Fenced => "fenced",
+            Self::Cancelled => "cancelled",
+            Self::NodeFull => "node-full",
+            Self::KeyDelegated(_) => "key-delegated",
+            Self::KeyInherited(_) => "key-inherited",
+            Self::KeyUnclaimed => "key-unclaimed",
+            Self::KeyInvalid => "key-invalid",
+            Self::KeyMismatch => "key-mismatch",
+            Self::Malformed => "malformed",
+        }
+    }
+}
+
+impl Doubt {
+    /// The name in headers, bodies, logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Timeout => "timeout",
+            Self::ConnectionLost => "connection-lost",
+            Self::TargetBroke => "target-broke",
+            Self::AnswerTooLong => "answer-too-long",
+            Self::KeyOwnerGone => "key-owner-gone",
+            Self::KeyExpired => "key-expired",
+            Self::KeyRunning => "key-running",
+            Self::KeyElsewhere => "key-elsewhere",
+            Self::AnswerForgotten => "answer-forgotten",
+            Self::Cancelled => "cancelled",
+        }
+    }
+}
--- a/src/duty/answer.rs
+++ b/src/duty/answer.rs
@@ -46,7 +46,7 @@
 
 /// The answer to a request that was not run.
 fn not_run(refusal: &Refusal) -> Problem {
-    let reason = reason_name(refusal.reason);
+    let reason = refusal.reason.name();
     let problem = Problem::new(status_of(refusal.reason), "The request was not run")
         .kind(format!("urn:aspenspring:not-run:{reason}"))
         .header(header::VERDICT, format!("not-run; reason={reason}"));
@@ -58,7 +58,7 @@
 
 /// The answer to a request of which nobody knows whether it ran.
 fn may_have_run(doubt: Doubt) -> Problem {
-    let reason = doubt_name(doubt);
+    let reason = doubt.name();
     let status = match doubt {
         Doubt::Timeout => 504,
         Doubt::KeyRunning => 409,
@@ -92,42 +92,3 @@
         _ => 503,
     }
 }
-
-/// The name of a refusal's reason in headers, bodies and metrics.
-pub fn reason_name(reason: RefusalReason) -> &'static str {
-    match reason {
-        RefusalReason::Shed => "shed",
-        RefusalReason::QueueFull => "queue-full",
-        RefusalReason::Expired => "expired",
-        RefusalReason::Leaving => "leaving",
-        RefusalReason::NotReady => "not-ready",
-        RefusalReason::NoTarget => "no-target",
-        RefusalReason::TargetDeclined => "target-declined",
-        RefusalReason::TargetUnreachable => "target-unreachable",
-        RefusalReason::Fenced => "fenced",
-        RefusalReason::Cancelled => "cancelled",
-        RefusalReason::NodeFull => "node-full",
-        RefusalReason::KeyDelegated(_) => "key-delegated",
-        RefusalReason::KeyInherited(_) => "key-inherited",
-        RefusalReason::KeyUnclaimed => "key-unclaimed",
-        RefusalReason::KeyInvalid => "key-invalid",
-        RefusalReason::KeyMismatch => "key-mismatch",
-        RefusalReason::Malformed => "malformed",
-    }
-}
-
-/// The name of a doubt in headers, bodies and metrics.
-pub fn doubt_name(doubt: Doubt) -> &'static str {
-    match doubt {
-        Doubt::Timeout => "timeout",
-        Doubt::ConnectionLost => "connection-lost",
-        Doubt::TargetBroke => "target-broke",
-        Doubt::AnswerTooLong => "answer-too-long",
-        Doubt::KeyOwnerGone => "key-owner-gone",
-        Doubt::KeyExpired => "key-expired",
-        Doubt::KeyRunning => "key-running",
-        Doubt::KeyElsewhere => "key-elsewhere",
-        Doubt::AnswerForgotten => "answer-forgotten",
-        Doubt::Cancelled => "cancelled",
-    }
-}
--- a/src/duty/decider.rs
+++ b/src/duty/decider.rs
@@ -6,15 +6,18 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
+use ::metrics::Counter;
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, TrySendError};
 use tokio::sync::oneshot;
 
-use crate::clock::Clock;
-use crate::configuration::{Submit, SubmitOutcome};
+use crate::clock::{Clock, US_PER_S};
+use crate::duty::desk::Desk;
+use crate::duty::note::Notes;
+use crate::duty::operator::OperatorRequest;
 use crate::duty::peer::PeerHandle;
 use crate::duty::store::{Certainty, StoreError, StoreEvent, StoreHandle, StoreRequest};
 use crate::duty::target::TargetHandle;
-use crate::node::{CallEnd, Node, NodeAction, NodeEvent, NodeStatus, TargetOutcome, Ticket};
+use crate::node::{CallEnd, Node, NodeAction, NodeEvent, TargetOutcome, Ticket};
 
 /// New calls are refused when the ring is fuller than one part in this many, which leaves room for
 /// the answers that end calls.
@@ -38,15 +41,8 @@
         /// Where its end goes.
         reply: oneshot::Sender<CallEnd>,
     },
-    /// An operator wants to see the node's state.
-    Status(oneshot::Sender<NodeStatus>),
-    /// An operator submits a configuration.
-    Submit {
-        /// What is submitted.
-        submit: Submit,
-        /// Where the outcome goes.
-        reply: oneshot::Sender<SubmitOutcome>,
-    },
+    /// A request of an operator.
+    Operator(OperatorRequest),
 }
 
 /// The ring was full, or the node has stopped: the event was not taken in.
@@ -61,13 +57,31 @@
     ring: Sender<Entry>,
     /// Numbers tickets.
     tickets: Arc<AtomicU64>,
+    /// Counts what the ring had no room for.
+    refused: Counter,
 }
 
 impl DeciderHandle {
     /// A ring of `entries`, and the end the decider takes from.
     pub fn ring(entries: usize) -> (Self, DeciderRing) {
         let (ring, taken) = crossbeam_channel::bounded(entries);
-        (Self { ring, tickets: Arc::default() }, DeciderRing(taken))
+        (Self { ring, tickets: Arc::default(), refused: Counter::noop() }, DeciderRing(taken))
+    }
+
+    /// The same handle, which counts what the ring has no room for.
+    pub fn counting(self, refused: Counter) -> Self {
+        Self { refused, ..self }
+    }
+
+    /// Puts something new into the ring, unless it is too full.
+    fn put(&self, entry: Entry) -> Result<(), RingFull> {
+        let capacity = self.ring.capacity().unwrap_or(usize::MAX);
+        let crowded = self.ring.len() > capacity / CALL_SHARE_DIVISOR;
+        if crowded || self.ring.try_send(entry).is_err() {
+            self.refused.increment(1);
+            return Err(RingFull);
+        }
+        Ok(())
     }
 
     /// Hands a new request in, unless the ring is too full, and returns where its end will come.
@@ -75,24 +89,15 @@
         &self,
         make: impl FnOnce(Ticket) -> NodeEvent,
     ) -> Result<oneshot::Receiver<CallEnd>, RingFull> {
-        let capacity = self.ring.capacity().unwrap_or(usize::MAX);
-        if self.ring.len() > capacity / CALL_SHARE_DIVISOR {
-            return Err(RingFull);
-        }
         let ticket = Ticket(self.tickets.fetch_add(1, Ordering::Relaxed));
         let (reply, end) = oneshot::channel();
-        let entry = Entry::Call { ticket, event: make(ticket), reply };
-        self.ring.try_send(entry).map_err(|_| RingFull)?;
+        self.put(Entry::Call { ticket, event: make(ticket), reply })?;
         Ok(end)
     }
 
     /// Hands in something new that may be refused.
     pub fn offer(&self, event: NodeEvent) -> Result<(), RingFull> {
-        let capacity = self.ring.capacity().unwrap_or(usize::MAX);
-        if self.ring.len() > capacity / CALL_SHARE_DIVISOR {
-            return Err(RingFull);
-        }
-        self.ring.try_send(Entry::Event(event)).map_err(|_| RingFull)
+        self.put(Entry::Event(event))
     }
 
     /// Hands in something that must not be lost, waiting for room; false once the node has stopped.
@@ -100,21 +105,21 @@
         self.ring.send(Entry::Event(event)).is_ok()
     }
 
-    /// Submits a configuration.
-    pub fn submit(&self, submit: Submit) -> Result<oneshot::Receiver<SubmitOutcome>, RingFull> {
-        let (reply, outcome) = oneshot::channel();
-        let entry = Entry::Submit { submit, reply };
-        self.ring.try_send(entry).map_err(|_| RingFull)?;
-        Ok(outcome)
+    /// Hands a request of an operator in, or gives it back where there is no room.
+    pub fn ask(&self, request: OperatorRequest) -> Result<(), OperatorRequest> {
+        match self.ring.try_send(Entry::Operator(request)) {
+            Ok(()) => Ok(()),
+            Err(TrySendError::Full(entry) | TrySendError::Disconnected(entry)) => match entry {
+                Entry::Operator(request) => Err(request),
+                // What was put in is what comes back.
+                Entry::Event(_) | Entry::Call { .. } => Ok(()),
+            },
+        }
     }
 
-    /// Asks for a picture of the node's state.
-    pub fn status(&self) -> Result<oneshot::Receiver<NodeStatus>, RingFull> {
-        let (reply, status) = oneshot::channel();
-        match self.ring.try_send(Entry::Status(reply)) {
-            Ok(()) => Ok(status),
-            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => Err(RingFull),
-        }
+    /// How many entries the ring holds now.
+    pub fn fill(&self) -> usize {
+        self.ring.len()
     }
 }
 
@@ -138,13 +143,16 @@
     clock: Clock,
     ring: DeciderRing,
     hands: Hands,
+    notes: Notes,
 ) -> std::io::Result<JoinHandle<()>> {
     std::thread::Builder::new().name("decider".to_owned()).spawn(move || {
         let mut decider = Decider {
             clock,
             hands,
+            notes,
+            desk: Desk::default(),
+            next_show_us: 0,
             waiting: HashMap::new(),
-            submissions: HashMap::new(),
             stop: false,
         };
         decider.run(&mut node, &ring.0);
@@ -157,8 +165,12 @@
     clock: Clock,
     /// The other threads.
     hands: Hands,
-    /// Where the outcomes of submissions go.
-    submissions: HashMap<u64, oneshot::Sender<SubmitOutcome>>,
+    /// Where notes go.
+    notes: Notes,
+    /// Who waits among operators.
+    desk: Desk,
+    /// When the loads are shown next, in microseconds.
+    next_show_us: u64,
     /// Where the ends of requests go.
     waiting: HashMap<Ticket, oneshot::Sender<CallEnd>>,
     /// Whether the node has asked to be stopped.
@@ -178,9 +190,20 @@
             for entry in ring.try_iter().take(BATCH) {
                 self.take(node, entry);
             }
+            self.show_loads(node);
         }
     }
 
+    /// Shows the loads of the arms now and then.
+    fn show_loads(&mut self, node: &Node) {
+        let now_us = self.clock.now_us();
+        if now_us < self.next_show_us {
+            return;
+        }
+        self.next_show_us = now_us + US_PER_S;
+        self.notes.show_loads(&node.loads(now_us));
+    }
+
     /// How long nothing is due.
     fn time_to_wake(&self, node: &Node) -> Duration {
         let Some(at_us) = node.next_wake_us() else { return SLEEP_MAX };
@@ -195,13 +218,11 @@
                 self.waiting.insert(ticket, reply);
                 self.handle(node, event);
             }
-            Entry::Submit { submit, reply } => {
-                self.submissions.insert(submit.submission, reply);
-                self.handle(node, NodeEvent::Submit(submit));
-            }
-            Entry::Status(reply) => {
-                // Whoever asked may have gone; then nobody misses the answer.
-                let _ = reply.send(node.status(self.clock.now_us()));
+            Entry::Operator(request) => {
+                let event = self.desk.take(self.clock.now_us(), node, request);
+                if let Some(event) = event {
+                    self.handle(node, event);
+                }
             }
         }
     }
@@ -243,11 +264,9 @@
             NodeAction::AbortTarget { attempt } => self.hands.target.abort(attempt),
             NodeAction::Store(request) => self.submit(request, failed),
             NodeAction::Submitted { submission, outcome } => {
-                if let Some(reply) = self.submissions.remove(&submission) {
-                    // The operator may have gone; the outcome stands in the table all the same.
-                    let _ = reply.send(outcome);
-                }
+                self.desk.submitted(submission, outcome);
             }
+            NodeAction::Note(note) => self.notes.take(note),
             NodeAction::Exit => self.stop = true,
         }
     }
--- a/src/duty/http.rs
+++ b/src/duty/http.rs
@@ -147,7 +147,7 @@
                     .map_err(|error| Problem::new(400, "Bad Request").detail(error.to_string()))?;
                 NodeEvent::TargetAnnounced(announcement)
             }
-            DRAIN_PATH if self.side == Side::Target => NodeEvent::Leave,
+            DRAIN_PATH if self.side == Side::Target => NodeEvent::Leave { asked_by: "target" },
             _ => return Err(Problem::new(404, "Not Found")),
         };
         let taken = self.decider.offer(event);
--- a/src/duty/launch.rs
+++ b/src/duty/launch.rs
@@ -13,10 +13,15 @@
 use crate::call::NodeId;
 use crate::clock::Clock;
 use crate::config::{NodeSettings, Settings};
+use crate::event::{EventLog, LogEvent};
+use crate::logging::Logging;
 use crate::node::{Node, NodeEvent, NodeIdentity};
+use crate::telemetry::metrics::{LabelNames, Metrics};
 
 use super::decider::{self, DeciderHandle, DeciderRing, Hands};
 use super::http::{BodyRoom, Gate, Side};
+use super::note::Notes;
+use super::operator::{self, OperatorKey, OperatorOptions};
 use super::peer::{self, PeerDuty, PeerEvent, PeerOptions};
 use super::store::{self, StoreHandle, StoreOptions};
 use super::target;
@@ -33,11 +38,26 @@
 pub fn run_node(settings: Settings) -> eyre::Result<()> {
     let settings = Arc::new(settings);
     let clock = Clock::start();
+    let logging = Logging::start(&settings.telemetry, std::io::stderr())?;
+    let events = EventLog::new(logging.logger.clone(), clock);
+    let metrics = Metrics::new()?;
     let (decider, ring) = DeciderHandle::ring(settings.node.ring_entries);
+    let watched = decider.clone();
+    let entries = settings.node.ring_entries;
+    let decider = decider.counting(metrics.watch_ring("decider", entries, move || watched.fill()));
     let id = NodeId(rand::rng().random());
     let peers = start_peers(&settings.node, id, clock, &decider)?;
-    let thread = start_decider(&settings, id, clock, &decider, ring, &peers)?;
-    let servers = start_listeners(&settings.node, &decider)?;
+    let notes = Notes::new(events.clone(), metrics.calls(LabelNames::new(&settings.rules)));
+    let thread = start_decider(&settings, id, clock, &decider, ring, &peers, notes)?;
+    let mut servers = start_listeners(&settings.node, &decider)?;
+    servers.push(start_operator(&settings.node, &decider, metrics, events.clone())?);
+    events.emit(&LogEvent::NodeStarted {
+        node: id,
+        node_name: settings.node.name.clone(),
+        service: settings.node.service.clone(),
+        failure_domain: settings.node.failure_domain.clone(),
+        version: env!("CARGO_PKG_VERSION"),
+    });
     wait_until_left(&decider, &thread)?;
     for server in servers {
         server.stop()?;
@@ -93,6 +113,7 @@
     decider: &DeciderHandle,
     ring: DeciderRing,
     peers: &PeerDuty,
+    notes: Notes,
 ) -> eyre::Result<JoinHandle<()>> {
     let (target, target_rings) = target::rings(settings.node.ring_entries);
     target::start(target_rings, clock, decider.clone(), settings.node.body_max_bytes)?;
@@ -106,7 +127,7 @@
     let build = crate::configuration::site_rules(&settings.site);
     let node = Node::new(clock.now_us(), identity, settings.clone(), build);
     let hands = Hands { peers: peers.handle(), target, store };
-    Ok(decider::start(node, clock, ring, hands)?)
+    Ok(decider::start(node, clock, ring, hands, notes)?)
 }
 
 /// Starts the thread that talks to the platform.
@@ -154,6 +175,25 @@
     Ok(servers)
 }
 
+/// Starts the operators' listener.
+fn start_operator(
+    own: &NodeSettings,
+    decider: &DeciderHandle,
+    metrics: Metrics,
+    events: EventLog,
+) -> eyre::Result<WebServer> {
+    let decider = decider.clone();
+    let options = OperatorOptions::builder()
+        .address(own.operator_listen)
+        .maybe_key(OperatorKey::from_env(&own.operator_key_env))
+        .key_variable(own.operator_key_env.clone())
+        .requests(Arc::new(move |request| decider.ask(request)))
+        .metrics(metrics)
+        .events(events)
+        .build();
+    Ok(operator::start(options)?)
+}
+
 /// Waits until the decider has ended; a signal makes the node leave first.
 fn wait_until_left(decider: &DeciderHandle, thread: &JoinHandle<()>) -> eyre::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
@@ -162,8 +202,8 @@
         let mut interrupt = signal(SignalKind::interrupt())?;
         while !thread.is_finished() {
             tokio::select! {
-                _ = terminate.recv() => { decider.tell(NodeEvent::Leave); }
-                _ = interrupt.recv() => { decider.tell(NodeEvent::Leave); }
+                _ = terminate.recv() => { decider.tell(NodeEvent::Leave { asked_by: "signal" }); }
+                _ = interrupt.recv() => { decider.tell(NodeEvent::Leave { asked_by: "signal" }); }
                 () = tokio::time::sleep(WATCH_EVERY) => {}
             }
         }
--- a/src/duty/mod.rs
+++ b/src/duty/mod.rs
@@ -2,8 +2,10 @@
 
 pub mod answer;
 pub mod decider;
+pub mod desk;
 pub mod http;
 pub mod launch;
+pub mod note;
 pub mod operator;
 pub mod peer;
 pub mod problem;
--- a/src/node/event.rs
+++ b/src/node/event.rs
@@ -9,6 +9,8 @@
 use crate::duty::peer::ReturnPath;
 use crate::duty::store::{StoreEvent, StoreRequest};
 
+use super::note::Note;
+
 /// A request that waits for its answer on one of the node's own listeners.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ticket(pub u64);
@@ -116,7 +118,10 @@
     /// The target beside this node announced itself.
     TargetAnnounced(Announcement),
     /// The target beside this node, or the operator, wants the node to leave.
-    Leave,
+    Leave {
+        /// Who asked for it: `signal`, `operator` or `target`.
+        asked_by: &'static str,
+    },
     /// An operator submits a configuration.
     Submit(Submit),
     /// An answer of the platform.
@@ -203,6 +208,8 @@
     },
     /// Ask the platform for something.
     Store(StoreRequest),
+    /// Write something to the log or count it.
+    Note(Note),
     /// Stop the process: nothing is in flight any more.
     Exit,
 }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -8,6 +8,7 @@
 mod hop;
 mod inbound;
 mod intake;
+pub mod note;
 mod platform;
 mod receiving;
 mod roster;
@@ -28,6 +29,7 @@
 use crate::call::{AnswerFrame, ArmId, AttemptId, CallFrame, Message, NodeId};
 use crate::config::{RetryRule, Rules, Settings};
 use crate::configuration::BuildRules;
+use crate::event::LogEvent;
 use crate::once::{AttemptBook, Ledger};
 use crate::retry::{RetryBudget, RootAllowances};
 use crate::routing::Router;
@@ -38,6 +40,7 @@
 };
 pub use hop::{Hop, HopId, HopKey, HopState};
 pub use inbound::{Inbound, Stage};
+pub use note::Note;
 pub use status::NodeStatus;
 
 use platform::Asked;
@@ -198,7 +201,7 @@
     }
 
     /// The wall clock at `now_us`, in milliseconds since the Unix epoch.
-    fn unix_ms(&self, now_us: u64) -> u64 {
+    pub fn unix_ms(&self, now_us: u64) -> u64 {
         self.identity.origin_unix_ms + now_us / crate::clock::US_PER_MS
     }
 
@@ -226,7 +229,7 @@
                 self.take_announcement(now_us, announcement, out);
             }
             NodeEvent::Submit(submit) => self.take_submission(now_us, submit, out),
-            NodeEvent::Leave => self.leave(now_us, out),
+            NodeEvent::Leave { asked_by } => self.leave(now_us, asked_by, out),
             NodeEvent::Store(event) => self.take_store_event(now_us, event, out),
             NodeEvent::Tick => {}
         }
@@ -301,6 +304,11 @@
         }
     }
 
+    /// Writes an event to the log.
+    fn log(&self, event: LogEvent, out: &mut Vec<NodeAction>) {
+        out.push(NodeAction::Note(Note::Event(event)));
+    }
+
     /// The number of the next hop or attempt.
     fn next_sequence(&mut self) -> u64 {
         self.sequence += 1;
--- a/src/node/receiving.rs
+++ b/src/node/receiving.rs
@@ -5,10 +5,12 @@
     AttemptId, CallFrame, Doubt, Message, Refusal, RefusalReason, TraceContext, Verdict,
 };
 use crate::clock::{US_PER_MS, US_PER_S};
+use crate::event::LogEvent;
 use crate::once::{Arrival, FenceReply, Fingerprint, Offer, ReturnPath as WayBack};
 
 use super::event::{Announcement, NodeAction, ReplyPath, TargetCall, TargetOutcome};
 use super::inbound::{Inbound, Stage};
+use super::note::Note;
 use super::{Due, KnownTarget, Node};
 
 /// How long a target may be silent before it counts as gone.
@@ -213,6 +215,12 @@
             TargetOutcome::Aborted => End::Cancelled,
             _ => End::Failed { latency_us },
         };
+        out.push(NodeAction::Note(Note::TargetEnded {
+            class: inbound.frame.class,
+            arm: inbound.frame.arm,
+            took_us: latency_us,
+            wasted: inbound.settled,
+        }));
         let verdict = verdict_of(outcome);
         self.finish_key(now_us, attempt, &verdict, out);
         self.settle(now_us, attempt, verdict, out);
@@ -339,12 +347,14 @@
         }
         let (slots, connections) = (announcement.slots, announcement.connections);
         let fresh = self.target.as_ref().is_none_or(|known| known.announcement != announcement);
+        let (url, service) = (announcement.url.clone(), announcement.service.clone());
         self.target = Some(KnownTarget { announcement, heard_us: now_us });
         if !fresh {
             return;
         }
         let state = TargetState::Warming { since_us: now_us };
         self.admission.set_target(now_us, state, slots, connections);
+        self.log(LogEvent::TargetAnnounced { url, service, slots, connections }, out);
         self.announce_target(now_us, slots, connections, out);
     }
 
@@ -358,16 +368,22 @@
         if self.target_silent_us().is_none_or(|at_us| at_us > now_us) {
             return;
         }
-        self.target = None;
+        if let Some(gone) = self.target.take() {
+            let silent_ms = now_us.saturating_sub(gone.heard_us) / US_PER_MS;
+            let url = gone.announcement.url;
+            self.log(LogEvent::TargetGone { url, silent_ms }, out);
+        }
         self.admission.set_target(now_us, TargetState::Down, 0, 0);
         self.announce_target(now_us, 0, 0, out);
     }
 
     /// Begins to leave: nothing new is taken in, and what is in flight is finished.
-    pub(super) fn leave(&mut self, now_us: u64, out: &mut Vec<NodeAction>) {
+    pub(super) fn leave(&mut self, now_us: u64, asked_by: &'static str, out: &mut Vec<NodeAction>) {
         if self.leave_after_us.is_some() {
             return;
         }
+        let in_flight = (self.hops.len() + self.inbound.len()) as u64;
+        self.log(LogEvent::LeavingStarted { asked_by, in_flight }, out);
         self.leave_after_us = Some(now_us + self.settings.node.leave_ms * US_PER_MS);
         self.announce_leaving(now_us, out);
     }
@@ -379,6 +395,10 @@
             return;
         }
         self.exited = true;
+        let began_us = self.leave_after_us.unwrap_or(now_us);
+        let leave_ms = self.settings.node.leave_ms;
+        let took_ms = now_us.saturating_sub(began_us) / US_PER_MS + leave_ms;
+        self.log(LogEvent::LeavingFinished { took_ms, cut_off: 0 }, out);
         out.push(NodeAction::Exit);
     }
 }
--- a/src/node/roster.rs
+++ b/src/node/roster.rs
@@ -9,10 +9,11 @@
 use crate::clock::US_PER_MS;
 use crate::config::{Rules, Settings};
 use crate::configuration::{
-    BuildRules, Configuration, ConfigurationAction, ConfigurationEvent, ConfigurationOptions,
-    PeerVersion, ROW_KEY, Submit,
+    Accepted, BuildRules, Configuration, ConfigurationAction, ConfigurationEvent,
+    ConfigurationOptions, PeerVersion, ROW_KEY, Submit,
 };
 use crate::duty::store::StoreOperation;
+use crate::event::LogEvent;
 use crate::membership::{
     ConfigurationMark, Member, MemberState, Membership, MembershipAction, MembershipEvent,
     MembershipOptions, OwnMember, row_prefix,
@@ -20,6 +21,7 @@
 use crate::routing::Peer;
 
 use super::event::NodeAction;
+use super::note::Note;
 use super::platform::Asked;
 use super::{Node, NodeIdentity};
 
@@ -79,6 +81,11 @@
         self.configuration.version()
     }
 
+    /// The configuration in force, or none for the settings of the start.
+    pub(super) fn accepted(&self) -> Option<&Accepted> {
+        self.configuration.accepted().map(Arc::as_ref)
+    }
+
     /// How many other members are known.
     pub(super) fn member_count(&self) -> usize {
         self.membership.member_count()
@@ -233,7 +240,7 @@
                 let told = PeerVersion { peer, version: mark.version, confirmed: mark.confirmed };
                 self.tell_configuration(now_us, ConfigurationEvent::PeerHas(told), out);
             }
-            MembershipAction::Superseded { .. } => self.leave(now_us, out),
+            MembershipAction::Superseded { .. } => self.leave(now_us, "successor", out),
             MembershipAction::WriteRow { member, expected } => {
                 self.write_member(&member, expected, out);
             }
@@ -257,6 +264,15 @@
             self.router.remove(now_us, member.node);
             return;
         }
+        let event = LogEvent::MemberAdded {
+            member: member.node,
+            service: member.service.clone(),
+            address: member.peer_address,
+            learned_from: "table or peer",
+        };
+        if self.router.address(member.node).is_none() {
+            self.log(event, out);
+        }
         self.router.put(now_us, peer_of(now_us, member));
         self.resume_resolving(now_us, &member.service, out);
     }
@@ -280,7 +296,9 @@
             ConfigurationAction::SendPeer { to, bytes } => {
                 out.push(NodeAction::Send { to, message: Message::Configuration(bytes.into()) });
             }
-            ConfigurationAction::InForce { rules, .. } => self.put_in_force(now_us, rules),
+            ConfigurationAction::InForce { version, rules } => {
+                self.put_in_force(now_us, version, rules, out);
+            }
             ConfigurationAction::Submitted { submission, outcome } => {
                 out.push(NodeAction::Submitted { submission, outcome });
             }
@@ -297,11 +315,21 @@
     }
 
     /// Puts new rules in force.
-    fn put_in_force(&mut self, now_us: u64, rules: Arc<Rules>) {
+    fn put_in_force(
+        &mut self,
+        now_us: u64,
+        version: u64,
+        rules: Arc<Rules>,
+        out: &mut Vec<NodeAction>,
+    ) {
         self.rules = rules;
         self.admission.apply_rules(now_us, &self.rules, &self.settings.node.service);
         self.router.apply_rules(&self.rules);
         self.reset_budgets();
+        let rules = self.rules.clone();
+        out.push(NodeAction::Note(Note::RulesInForce { version, rules }));
+        let learned_from = "table or peer";
+        self.log(LogEvent::ConfigInForce { config_version: version, learned_from }, out);
     }
 
     /// Lets the membership tell others which version of the configuration this node has.
--- a/src/node/sending.rs
+++ b/src/node/sending.rs
@@ -7,11 +7,14 @@
     Verdict,
 };
 use crate::clock::US_PER_S;
+use crate::event::LogEvent;
 use crate::retry::{Failure, RetryStep, next_step};
 use crate::routing::{Observation, Outcome, Pick};
+use crate::telemetry::metrics::{CallSource, RetryOutcome};
 
 use super::event::{CallEnd, NodeAction, ReplyPath};
 use super::hop::{Hop, HopId, HopKey, HopState};
+use super::note::{self, Note};
 use super::{Due, LocalFrame, Node};
 
 /// How much earlier than the sender the receiver gives up, so that its "not run" arrives in time.
@@ -226,6 +229,13 @@
     ) {
         let Some(hop) = self.hops.get(&id) else { return };
         let arm = hop.arm;
+        if failed.is_some() {
+            out.push(NodeAction::Note(Note::AttemptEnded {
+                service: hop.service.clone(),
+                arm,
+                outcome: note::outcome_of(&verdict),
+            }));
+        }
         self.note_success(now_us, &verdict, arm);
         let Some(hop) = self.hops.get(&id) else { return };
         let expected_us = self.service_latency_us.get(&hop.service).copied().unwrap_or(0);
@@ -275,17 +285,16 @@
         let Some(hop) = self.hops.get(&id) else { return };
         let (root, entry, deadline_us) = (hop.root, hop.entry, hop.deadline_us);
         let in_budget = self.budgets.get_mut(&hop.arm).is_some_and(|b| b.try_take(now_us));
+        if !in_budget {
+            self.note_retry(id, RetryOutcome::Budget, out);
+        }
         let Some(entry) = entry.filter(|_| in_budget) else {
             self.conclude(now_us, id, last, out);
             return;
         };
         if entry == self.identity.id {
             let granted = self.allowances.take(now_us, root);
-            if granted {
-                self.back_off(now_us, id, last, backoff_us, out);
-            } else {
-                self.conclude(now_us, id, last, out);
-            }
+            self.follow_grant(now_us, id, last, backoff_us, granted, out);
             return;
         }
         let failed =
@@ -311,13 +320,35 @@
         let Some(id) = self.outstanding.remove(&failed) else { return };
         let Some(hop) = self.hops.get(&id) else { return };
         let HopState::AskingRetry { last, backoff_us, .. } = hop.state.clone() else { return };
+        self.follow_grant(now_us, id, last, backoff_us, granted, out);
+    }
+
+    /// Does what the entry node's word on a retry allows.
+    fn follow_grant(
+        &mut self,
+        now_us: u64,
+        id: HopId,
+        last: Verdict,
+        backoff_us: u64,
+        granted: bool,
+        out: &mut Vec<NodeAction>,
+    ) {
         if granted {
+            self.note_retry(id, RetryOutcome::Granted, out);
             self.back_off(now_us, id, last, backoff_us, out);
         } else {
+            self.note_retry(id, RetryOutcome::Allowance, out);
             self.conclude(now_us, id, last, out);
         }
     }
 
+    /// Counts the wish for one more attempt.
+    fn note_retry(&self, id: HopId, outcome: RetryOutcome, out: &mut Vec<NodeAction>) {
+        let Some(hop) = self.hops.get(&id) else { return };
+        let (service, arm) = (hop.service.clone(), hop.arm);
+        out.push(NodeAction::Note(Note::RetryDecided { service, arm, outcome }));
+    }
+
     /// Answers a node that asks for leave to retry on behalf of a root that entered here.
     pub(super) fn grant_retry(
         &mut self,
@@ -377,9 +408,11 @@
             HopState::BackingOff { .. } => self.retry(now_us, id, out),
             HopState::AskingRetry { failed, last, .. } => {
                 self.outstanding.remove(&failed);
+                self.note_retry(id, RetryOutcome::EntryAway, out);
                 self.conclude(now_us, id, last, out);
             }
             HopState::Fencing { attempt, node, .. } => {
+                self.log(LogEvent::FenceUnsettled { attempt, peer: node }, out);
                 let verdict = Verdict::MayHaveRun(Doubt::ConnectionLost);
                 self.end_attempt(now_us, id, attempt, node, verdict, out);
             }
@@ -457,6 +490,13 @@
         if hop.parent.is_none() {
             self.allowances.close(hop.root);
         }
+        out.push(NodeAction::Note(Note::CallEnded {
+            from: if hop.outside { CallSource::Caller } else { CallSource::Target },
+            class: hop.class,
+            arm: hop.arm,
+            outcome: note::outcome_of(&verdict),
+            took_us: now_us.saturating_sub(hop.started_us),
+        }));
         let end = self.call_end(now_us, &hop, verdict);
         out.push(NodeAction::Reply { ticket: hop.ticket, end });
     }
@@ -485,6 +525,10 @@
     ) {
         let Some(lost) = self.router.node_at(peer) else { return };
         self.router.link_lost(now_us, lost);
+        let unsettled = self.attempts_at(lost).len() as u64;
+        let detail = "closed or silent".to_owned();
+        let event = LogEvent::PeerLinkLost { peer: lost, address: peer, unsettled, detail };
+        self.log(event, out);
         for (id, attempt) in self.attempts_at(lost) {
             let Some(hop) = self.hops.get(&id) else { continue };
             if !hop.at_most_once {
@@ -506,6 +550,7 @@
     ) {
         let Some(node) = self.router.node_at(peer) else { return };
         self.router.link_up(now_us, node);
+        self.log(LogEvent::PeerLinkUp { peer: node, address: peer }, out);
         for (id, attempt) in self.attempts_at(node) {
             let Some(hop) = self.hops.get(&id) else { continue };
             if !matches!(hop.state, HopState::Fencing { .. }) {
--- a/src/node/settling.rs
+++ b/src/node/settling.rs
@@ -8,6 +8,7 @@
 use super::Node;
 use super::event::{NodeAction, ReplyPath};
 use super::inbound::Stage;
+use super::note::{self, Note};
 
 /// The ledger of a new node.
 pub(super) fn new_ledger(owner: NodeId) -> Ledger {
@@ -36,6 +37,11 @@
         }
         inbound.settled = true;
         self.book.settle(now_us, attempt, &verdict);
+        out.push(NodeAction::Note(Note::ReceivedEnded {
+            class: inbound.frame.class,
+            arm: inbound.frame.arm,
+            outcome: note::outcome_of(&verdict),
+        }));
         let paths = std::mem::take(&mut inbound.paths);
         let children = std::mem::take(&mut inbound.children);
         let (arm, class) = (inbound.frame.arm, inbound.frame.class);
--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -3,6 +3,8 @@
 use serde::Serialize;
 
 use crate::call::{ArmId, ClassRank, LoadReport};
+use crate::config::Rules;
+use crate::configuration::Accepted;
 use crate::routing::PeerView;
 
 use super::Node;
@@ -52,6 +54,37 @@
 }
 
 impl Node {
+    /// Calls that run, wait or are being sent on.
+    pub fn in_flight(&self) -> u64 {
+        (self.hops.len() + self.inbound.len()) as u64
+    }
+
+    /// The rules in force.
+    pub fn rules(&self) -> &Rules {
+        &self.rules
+    }
+
+    /// The version of the configuration in force; 0 for the settings of the start.
+    pub fn config_version(&self) -> u64 {
+        self.roster.version()
+    }
+
+    /// The configuration in force, or none for the settings of the start.
+    pub fn accepted(&self) -> Option<&Accepted> {
+        self.roster.accepted()
+    }
+
+    /// The load of every arm, with the floor of the lowest class.
+    pub fn loads(&self, now_us: u64) -> Vec<(ArmId, LoadReport)> {
+        let lowest = self.rules.classes.iter().map(|class| class.rank).min().unwrap_or(0);
+        let mut loads = Vec::new();
+        for arm in &self.rules.arms {
+            let id = ArmId(arm.id);
+            loads.push((id, self.admission.load(now_us, id, ClassRank(lowest))));
+        }
+        loads
+    }
+
     /// A picture of the node's state.
     pub fn status(&self, now_us: u64) -> NodeStatus {
         let own = &self.settings.node;
@@ -76,11 +109,10 @@
 
     /// The state of every arm.
     fn arm_statuses(&self, now_us: u64) -> Vec<ArmStatus> {
-        let lowest = self.rules.classes.iter().map(|class| class.rank).min().unwrap_or(0);
         let mut statuses = Vec::new();
-        for arm in &self.rules.arms {
-            let load = self.admission.load(now_us, ArmId(arm.id), ClassRank(lowest));
-            statuses.push(ArmStatus { arm: arm.name.clone(), load });
+        for (id, load) in self.loads(now_us) {
+            let name = self.rules.arm(id).map_or("", |arm| &arm.name);
+            statuses.push(ArmStatus { arm: name.to_owned(), load });
         }
         statuses
     }
