Keep new calls out of full books and ledgers no longer than needed

Cause: at ten times the load a node refuses some 2,300 calls a second, and each refusal holds an entry of the attempt book for its deadline and ten seconds: with 32,768 entries the book would fill and refuse the important calls as well. And a full ledger refused new confirmations for the sake of two-hour-old keys. Keys for requests without one had their time of minting put back, which a shortened lifetime would have expired at once.

Change: a full book puts its oldest refusals behind the watermark of their origin, where they stay refused. A full ledger moves the horizon of callers' keys to its oldest, down to a lifetime of 15 minutes: what is forgotten never runs again, a repeat is told 'may have run'. The lifetime of a key is a bit of its nonce, and keys for one request have a keyspace and a short lifetime of their own.

Ruled out: refusing while anything settled could be forgotten safely; evicting answered attempts (their fences would be doubts).

--- a/examples/once_cost.rs
+++ b/examples/once_cost.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Instant;
 
-use aspenspring::call::{AttemptId, HttpAnswer, Key, NodeId, Verdict};
+use aspenspring::call::{AttemptId, HttpAnswer, Key, KeyLifetime, NodeId, Verdict};
 use aspenspring::once::{
     Arrival, AttemptBook, AttemptBookOptions, Fingerprint, Handover, Ledger, LedgerOptions, Offer,
     ReturnPath,
@@ -65,7 +65,11 @@
 
 fn key(number: u64) -> Key {
     let minted_unix_ms = START_UNIX_MS + number / 50;
-    Key { owner: OWNER, minted_unix_ms, nonce: scramble(number) }
+    Key::mint(OWNER, minted_unix_ms, scramble(number), KeyLifetime::Caller)
+}
+
+fn fingerprint(number: u64) -> Fingerprint {
+    Fingerprint(scramble(number))
 }
 
 fn attempt(sequence: u64) -> AttemptId {
@@ -85,7 +89,7 @@
 /// Offers and finishes the keys from `first` to `last`.
 fn run_keys(ledger: &mut Ledger, first: u64, last: u64, keeps_answers: bool) {
     for number in first..last {
-        let offer = ledger.offer(START_UNIX_MS, key(number), Fingerprint(number), attempt(number));
+        let offer = ledger.offer(START_UNIX_MS, key(number), fingerprint(number), attempt(number));
         assert_eq!(offer, Offer::Run);
         black_box(ledger.finished(key(number), attempt(number), &answer(keeps_answers)));
     }
@@ -108,8 +112,8 @@
     let begin = Instant::now();
     for number in 0..CALLS {
         let known = scramble(number) % entries;
-        let fingerprint = Fingerprint(known);
-        black_box(ledger.offer(START_UNIX_MS, key(known), fingerprint, attempt(number)));
+        let request = fingerprint(known);
+        black_box(ledger.offer(START_UNIX_MS, key(known), request, attempt(number)));
     }
     let repeat_ns = begin.elapsed().as_nanos() as u64 / CALLS;
     println!("ledger,{entries},{keeps_answers},{new_ns},{repeat_ns},{bytes},{approx}");
--- a/src/call/key.rs
+++ b/src/call/key.rs
@@ -19,11 +19,23 @@
 const MINTED_BYTES: usize = 24;
 /// What the key of every claim row begins with.
 const CLAIM_ROW_PREFIX: &str = "claim:";
+/// The bit of the nonce that marks a key for one request.
+const ONE_REQUEST_BIT: u64 = 1 << 63;
 /// Keeps the hash for delegated keys apart from every other hash in use.
 const DELEGATION_DOMAIN: &[u8] = b"aspenspring delegated key 1";
 /// Keeps the hash for claim rows apart from every other hash in use.
 const CLAIM_DOMAIN: &[u8] = b"aspenspring claim row 1";
 
+/// How long a key can run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum KeyLifetime {
+    /// The key was given to a caller, who may present it for long.
+    Caller,
+    /// The key was minted for a request that came without one. Its caller never learns it, so
+    /// nobody presents it after the request's deadline.
+    OneRequest,
+}
+
 /// A key that belongs to exactly one life of one node for ever.
 ///
 /// Only the owner may run a request with this key, and it remembers in memory what it ran. When the
@@ -36,16 +48,34 @@
     pub owner: NodeId,
     /// When the key was minted, in milliseconds since the Unix epoch.
     pub minted_unix_ms: u64,
-    /// A random part.
+    /// A random part, whose highest bit tells the lifetime.
     pub nonce: u64,
 }
 
 impl Key {
+    /// A new key; `random` is taken but for the bit that tells the lifetime.
+    pub fn mint(owner: NodeId, unix_ms: u64, random: u64, lifetime: KeyLifetime) -> Self {
+        let nonce = match lifetime {
+            KeyLifetime::Caller => random & !ONE_REQUEST_BIT,
+            KeyLifetime::OneRequest => random | ONE_REQUEST_BIT,
+        };
+        Self { owner, minted_unix_ms: unix_ms, nonce }
+    }
+
+    /// How long the key can run.
+    pub fn lifetime(self) -> KeyLifetime {
+        if self.nonce & ONE_REQUEST_BIT == 0 {
+            KeyLifetime::Caller
+        } else {
+            KeyLifetime::OneRequest
+        }
+    }
+
     /// The key that takes the place of this one after its owner delegated it to `heir`.
     ///
     /// The result depends on nothing but this key and `heir`, so everybody who is told of the
     /// delegation, however often and by whatever way, derives the same key. To `heir` it is a key
-    /// of its own like any other. The time of minting is kept, and with it the time of expiry.
+    /// of its own like any other. The time of minting and the lifetime are kept.
     pub fn delegated_to(self, heir: NodeId) -> Key {
         let hash = Sha256::new()
             .chain_update(DELEGATION_DOMAIN)
@@ -53,7 +83,7 @@
             .chain_update(heir.0.to_be_bytes())
             .finalize();
         let nonce = u64::from_be_bytes(take(&hash));
-        Key { owner: heir, minted_unix_ms: self.minted_unix_ms, nonce }
+        Key::mint(heir, self.minted_unix_ms, nonce, self.lifetime())
     }
 
     /// The owner, the time and the nonce, each in network order.
--- a/src/call/mod.rs
+++ b/src/call/mod.rs
@@ -14,6 +14,6 @@
     AnswerFrame, CallFrame, HttpAnswer, HttpRequest, LoadReport, Message, TraceContext,
 };
 pub use id::{AttemptId, NodeId, RootId};
-pub use key::{Key, KeyTextError, ParsedKey};
+pub use key::{Key, KeyLifetime, KeyTextError, ParsedKey};
 pub use level::{ArmId, ClassRank, Level};
 pub use verdict::{Doubt, Refusal, RefusalReason, Verdict};
--- a/src/once/attempt_book.rs
+++ b/src/once/attempt_book.rs
@@ -21,7 +21,8 @@
     /// How long a verdict is kept after the attempt's deadline, in microseconds.
     #[builder(default = 10 * US_PER_S)]
     pub margin_us: u64,
-    /// How many attempts are remembered at most; new ones are refused beyond it.
+    /// How many attempts are remembered at most. Beyond it the oldest refusals go behind the
+    /// watermarks early; then new attempts are refused.
     #[builder(default = 32_768)]
     pub entries_max: usize,
     /// How much memory answers may take, in bytes; the oldest are dropped beyond it.
@@ -124,6 +125,8 @@
     by_expiry: BTreeSet<(u64, AttemptId)>,
     /// Attempts with an answer, the oldest first; some may be gone by now.
     answered: VecDeque<AttemptId>,
+    /// Refused attempts, the oldest first; some may be gone by now.
+    refused: VecDeque<AttemptId>,
     /// The memory of the answers, in bytes.
     answers_bytes: usize,
     /// The watermarks of each sending node.
@@ -140,6 +143,7 @@
             entries: HashMap::new(),
             by_expiry: BTreeSet::new(),
             answered: VecDeque::new(),
+            refused: VecDeque::new(),
             answers_bytes: 0,
             floors: HashMap::new(),
             strangers_refused_until_us: 0,
@@ -165,13 +169,12 @@
                 verdict => Arrival::Repeat(verdict),
             };
         }
-        let is_full = self.entries.len() >= self.options.entries_max;
         let Some(floor) = self.floor(now_us, attempt.origin) else {
             return Arrival::Refused(refusal(RefusalReason::NodeFull));
         };
         match floor.standing(attempt) {
-            Standing::New if is_full => {
-                floor.forget_refused(attempt);
+            Standing::New if !self.make_room() => {
+                self.refuse_for_good(attempt);
                 Arrival::Refused(refusal(RefusalReason::NodeFull))
             }
             Standing::New => {
@@ -205,6 +208,9 @@
         let earliest_us = now_us.saturating_add(self.options.margin_us);
         entry.keep_until_us = entry.keep_until_us.max(earliest_us);
         self.by_expiry.insert((entry.keep_until_us, attempt));
+        if verdict.is_not_run() {
+            self.refused.push_back(attempt);
+        }
         let added_bytes = entry.state.answer_bytes();
         if added_bytes > 0 {
             self.answers_bytes += added_bytes;
@@ -232,13 +238,12 @@
             };
             return FenceReply::Settled(verdict);
         }
-        let is_full = self.entries.len() >= self.options.entries_max;
         // Without room for its origin, no attempt of it is let in for as long as a frame may be
         // delayed, so this one is fenced as well.
         let Some(floor) = self.floor(now_us, attempt.origin) else { return FenceReply::NowFenced };
         match floor.standing(attempt) {
-            Standing::New if is_full => {
-                floor.forget_refused(attempt);
+            Standing::New if !self.make_room() => {
+                self.refuse_for_good(attempt);
                 FenceReply::NowFenced
             }
             Standing::New => {
@@ -246,6 +251,7 @@
                 let state = State::NotRun(refusal(RefusalReason::Fenced));
                 self.entries.insert(attempt, Entry { keep_until_us, state });
                 self.by_expiry.insert((keep_until_us, attempt));
+                self.refused.push_back(attempt);
                 FenceReply::NowFenced
             }
             Standing::MayHaveRun => {
@@ -271,8 +277,10 @@
                 _ => floor.forget_run(attempt),
             }
         }
-        while self.answered.front().is_some_and(|attempt| !self.entries.contains_key(attempt)) {
-            self.answered.pop_front();
+        for order in [&mut self.answered, &mut self.refused] {
+            while order.front().is_some_and(|attempt| !self.entries.contains_key(attempt)) {
+                order.pop_front();
+            }
         }
     }
 
@@ -308,6 +316,25 @@
         self.entries.len() * ENTRY_BYTES + self.floors.len() * FLOOR_BYTES + self.answers_bytes
     }
 
+    /// Puts the oldest refusals behind the watermarks while there is no room for one more attempt.
+    /// Says whether there is room now.
+    ///
+    /// Under overload most attempts are refused; they must not keep others out.
+    fn make_room(&mut self) -> bool {
+        while self.entries.len() >= self.options.entries_max {
+            let Some(attempt) = self.refused.pop_front() else { return false };
+            let Some(entry) = self.entries.remove(&attempt) else { continue };
+            self.by_expiry.remove(&(entry.keep_until_us, attempt));
+            self.refuse_for_good(attempt);
+        }
+        true
+    }
+
+    /// Puts an attempt that did not run behind the watermark of its origin.
+    fn refuse_for_good(&mut self, attempt: AttemptId) {
+        self.floors.entry(attempt.origin).or_default().forget_refused(attempt);
+    }
+
     /// The watermarks of `origin`; none where it is unknown and there is no room for it.
     fn floor(&mut self, now_us: u64, origin: NodeId) -> Option<&mut Floor> {
         if !self.floors.contains_key(&origin) {
--- a/src/once/handover.rs
+++ b/src/once/handover.rs
@@ -8,7 +8,7 @@
 use crate::call::{Doubt, HttpAnswer, NodeId};
 
 use super::fingerprint::Fingerprint;
-use super::keyspace::{Entry, Keyspace, Slot, State, answer_bytes};
+use super::keyspace::{Entry, Keyspace, Slot, SpaceId, State, answer_bytes};
 use super::ledger::{Ledger, state_bytes};
 
 /// Everything a leaving node knew about keys. There is no such thing as a part of one: a heir that
@@ -23,11 +23,11 @@
     spaces: Vec<SpaceRecord>,
 }
 
-/// The keys of one owner.
+/// The keys of one owner and lifetime.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct SpaceRecord {
-    /// The owner of the keys.
-    owner: NodeId,
+    /// Which keys these are.
+    id: SpaceId,
     /// Keys minted at this time or before never run, in milliseconds since the Unix epoch.
     horizon_unix_ms: u64,
     /// The remembered keys, the oldest first.
@@ -164,7 +164,7 @@
         if let Some(heir) = self.heir {
             return Err(AdoptError::HandedOver(heir));
         }
-        let is_new = |space: &SpaceRecord| !self.spaces.contains_key(&space.owner);
+        let is_new = |space: &SpaceRecord| !self.spaces.contains_key(&space.id);
         let new: Vec<SpaceRecord> = handover.spaces.into_iter().filter(is_new).collect();
         let added: usize = new.iter().map(|space| space.entries.len()).sum();
         if self.len() + added > self.options.entries_max {
@@ -181,7 +181,7 @@
         Ok(())
     }
 
-    /// Takes over the keys of one owner.
+    /// Takes over the keys of one owner and lifetime.
     fn adopt_space(&mut self, record: SpaceRecord) {
         let mut space = Keyspace { horizon_unix_ms: record.horizon_unix_ms, ..Keyspace::default() };
         for EntryRecord { slot, fingerprint, state } in record.entries {
@@ -193,11 +193,11 @@
             let added_bytes = state_bytes(&state);
             if added_bytes > 0 {
                 self.answers_bytes += added_bytes;
-                self.answered.push_back((record.owner, slot));
+                self.answered.push_back((record.id, slot));
             }
             space.entries.insert(slot, Entry { fingerprint, state });
         }
-        self.spaces.insert(record.owner, space);
+        self.spaces.insert(record.id, space);
     }
 
     /// How many keys are running.
@@ -209,18 +209,18 @@
     /// The ledger as it is handed over, with the newest answers that fit in `answers_max_bytes`.
     fn record(&self, heir: NodeId, answers_max_bytes: usize) -> Handover {
         let first_kept = self.first_answer_within(answers_max_bytes);
-        let kept: BTreeSet<(NodeId, Slot)> =
+        let kept: BTreeSet<(SpaceId, Slot)> =
             self.answered.iter().skip(first_kept).copied().collect();
         let mut spaces = Vec::with_capacity(self.spaces.len());
-        for (owner, space) in &self.spaces {
+        for (id, space) in &self.spaces {
             let mut entries = Vec::with_capacity(space.entries.len());
             for (slot, entry) in &space.entries {
-                let keeps_answer = kept.contains(&(*owner, *slot));
+                let keeps_answer = kept.contains(&(*id, *slot));
                 let Some(state) = settled_state(&entry.state, keeps_answer) else { continue };
                 entries.push(EntryRecord { slot: *slot, fingerprint: entry.fingerprint, state });
             }
             let horizon_unix_ms = space.horizon_unix_ms;
-            spaces.push(SpaceRecord { owner: *owner, horizon_unix_ms, entries });
+            spaces.push(SpaceRecord { id: *id, horizon_unix_ms, entries });
         }
         Handover { from: self.owner, heir, spaces }
     }
@@ -228,8 +228,8 @@
     /// The place in `answered` from which all answers fit in `max_bytes`.
     fn first_answer_within(&self, max_bytes: usize) -> usize {
         let mut left_bytes = max_bytes;
-        for (index, (owner, slot)) in self.answered.iter().enumerate().rev() {
-            let entry = self.spaces.get(owner).and_then(|space| space.entries.get(slot));
+        for (index, (id, slot)) in self.answered.iter().enumerate().rev() {
+            let entry = self.spaces.get(id).and_then(|space| space.entries.get(slot));
             let Some(State::Answered(answer)) = entry.map(|entry| &entry.state) else { continue };
             // The memory taken is more than the encoded size, so the limit holds.
             let Some(rest) = left_bytes.checked_sub(answer_bytes(answer)) else { return index + 1 };
--- a/src/once/keyspace.rs
+++ b/src/once/keyspace.rs
@@ -1,14 +1,30 @@
-//! The keys of one owner and what became of each.
+//! The keys of one owner and lifetime, and what became of each.
 
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
 
-use crate::call::{AttemptId, Doubt, HttpAnswer, Key, NodeId};
+use crate::call::{AttemptId, Doubt, HttpAnswer, Key, KeyLifetime, NodeId};
 
 use super::fingerprint::Fingerprint;
 
-/// A key within the keyspace of its owner, ordered by the time of minting.
+/// The keys that are remembered together: those of one owner and one lifetime.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub(super) struct SpaceId {
+    /// The owner of the keys.
+    pub owner: NodeId,
+    /// Their lifetime.
+    pub lifetime: KeyLifetime,
+}
+
+impl SpaceId {
+    /// The keyspace of `key`.
+    pub fn of(key: Key) -> Self {
+        Self { owner: key.owner, lifetime: key.lifetime() }
+    }
+}
+
+/// A key within its keyspace, ordered by the time of minting.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub(super) struct Slot {
     /// When the key was minted, in milliseconds since the Unix epoch.
@@ -18,7 +34,7 @@
 }
 
 impl Slot {
-    /// The place of `key` in the keyspace of its owner.
+    /// The place of `key` in its keyspace.
     pub fn of(key: Key) -> Self {
         Self { minted_unix_ms: key.minted_unix_ms, nonce: key.nonce }
     }
@@ -55,7 +71,7 @@
     pub state: State,
 }
 
-/// All remembered keys of one owner.
+/// All remembered keys of one owner and lifetime.
 ///
 /// A key is forgotten only when the horizon has passed its time of minting, and a key behind the
 /// horizon never runs. So a key that is neither remembered nor behind the horizon never ran.
--- a/src/once/ledger.rs
+++ b/src/once/ledger.rs
@@ -5,11 +5,11 @@
 use bon::Builder;
 use thiserror::Error;
 
-use crate::call::{AttemptId, Doubt, HttpAnswer, Key, NodeId, RefusalReason, Verdict};
+use crate::call::{AttemptId, Doubt, HttpAnswer, Key, KeyLifetime, NodeId, RefusalReason, Verdict};
 use crate::clock::US_PER_MS;
 
 use super::fingerprint::Fingerprint;
-use super::keyspace::{Entry, Holder, Keyspace, Slot, State, answer_bytes};
+use super::keyspace::{Entry, Holder, Keyspace, Slot, SpaceId, State, answer_bytes};
 
 /// The memory of one settled entry without its answer, in bytes, as measured for the design note.
 pub(super) const ENTRY_BYTES: usize = 72;
@@ -17,16 +17,25 @@
 /// The limits of a ledger.
 #[derive(Clone, Copy, Debug, Builder)]
 pub struct LedgerOptions {
-    /// How long after its minting a key can run, in milliseconds.
+    /// How long after its minting a caller's key can run, in milliseconds.
     #[builder(default = 2 * 3_600_000)]
     pub key_ttl_ms: u64,
+    /// How far the lifetime of callers' keys may be cut short when the ledger is full, in
+    /// milliseconds.
+    #[builder(default = 15 * 60_000)]
+    pub key_ttl_min_ms: u64,
+    /// How long after its minting a key for one request can run, in milliseconds. It should be
+    /// the longest deadline and twice `skew_max_ms`.
+    #[builder(default = 120_000)]
+    pub request_key_ttl_ms: u64,
     /// How far the clock of the minting node may be ahead, in milliseconds.
     #[builder(default = 10_000)]
     pub skew_max_ms: u64,
     /// How much memory recorded answers may take, in bytes; the oldest are dropped beyond it.
     #[builder(default = 8 << 20)]
     pub answers_max_bytes: usize,
-    /// How many keys are remembered at most; new keys are refused beyond it.
+    /// How many keys are remembered at most. Beyond it the oldest are forgotten early, as far as
+    /// `key_ttl_min_ms` allows, and never run again; then new keys are refused.
     #[builder(default = 200_000)]
     pub entries_max: usize,
     /// How many attempts may wait for the verdict of one key.
@@ -81,12 +90,12 @@
     pub(super) owner: NodeId,
     /// The limits.
     pub(super) options: LedgerOptions,
-    /// The keys by owner: this node's own, and those of nodes that left it their ledgers.
-    pub(super) spaces: BTreeMap<NodeId, Keyspace>,
+    /// The keys by owner and lifetime: this node's own, and those of nodes that left it theirs.
+    pub(super) spaces: BTreeMap<SpaceId, Keyspace>,
     /// Where all keys went when this node left.
     pub(super) heir: Option<NodeId>,
     /// Keys with a recorded answer, the oldest first; some may be gone by now.
-    pub(super) answered: VecDeque<(NodeId, Slot)>,
+    pub(super) answered: VecDeque<(SpaceId, Slot)>,
     /// The memory of the recorded answers, in bytes.
     pub(super) answers_bytes: usize,
 }
@@ -94,7 +103,9 @@
 impl Ledger {
     /// An empty ledger for the keys of `owner`.
     pub fn new(owner: NodeId, options: LedgerOptions) -> Self {
-        let spaces = BTreeMap::from([(owner, Keyspace::default())]);
+        let ids = [KeyLifetime::Caller, KeyLifetime::OneRequest];
+        let ids = ids.map(|lifetime| SpaceId { owner, lifetime });
+        let spaces = ids.into_iter().map(|id| (id, Keyspace::default())).collect();
         Self { owner, options, spaces, heir: None, answered: VecDeque::new(), answers_bytes: 0 }
     }
 
@@ -112,9 +123,9 @@
             return settled_not_run(RefusalReason::KeyInherited(heir));
         }
         self.advance(unix_ms);
-        let is_full = self.len() >= self.options.entries_max;
+        let is_full = self.is_full();
         let waiters_max = self.options.waiters_max;
-        let Some(space) = self.spaces.get_mut(&key.owner) else {
+        let Some(space) = self.spaces.get_mut(&SpaceId::of(key)) else {
             return settled_doubt(Doubt::KeyElsewhere);
         };
         let slot = Slot::of(key);
@@ -127,9 +138,16 @@
         if slot.minted_unix_ms > unix_ms.saturating_add(self.options.skew_max_ms) {
             return settled_not_run(RefusalReason::KeyInvalid);
         }
-        if is_full {
+        if is_full && !self.make_room(unix_ms) {
             return settled_not_run(RefusalReason::NodeFull);
         }
+        // Making room may have moved the horizon past this very key.
+        let Some(space) = self.spaces.get_mut(&SpaceId::of(key)) else {
+            return settled_doubt(Doubt::KeyElsewhere);
+        };
+        if space.is_expired(slot) {
+            return settled_doubt(Doubt::KeyExpired);
+        }
         let holder = Box::new(Holder { attempt, waiters: Vec::new() });
         let entry = Entry { fingerprint, state: State::Held(holder) };
         space.entries.insert(slot, entry);
@@ -161,7 +179,7 @@
     /// Ends the run of `key` by `attempt`, keeping `settled` or else freeing the key.
     fn release(&mut self, key: Key, attempt: AttemptId, settled: Option<State>) -> Vec<AttemptId> {
         let slot = Slot::of(key);
-        let Some(space) = self.spaces.get_mut(&key.owner) else { return Vec::new() };
+        let Some(space) = self.spaces.get_mut(&SpaceId::of(key)) else { return Vec::new() };
         let Some(entry) = space.entries.get_mut(&slot) else { return Vec::new() };
         let State::Held(holder) = &mut entry.state else { return Vec::new() };
         if holder.attempt != attempt {
@@ -176,7 +194,7 @@
         entry.state = state;
         if added_bytes > 0 {
             self.answers_bytes += added_bytes;
-            self.answered.push_back((key.owner, slot));
+            self.answered.push_back((SpaceId::of(key), slot));
             self.drop_oldest_answers();
         }
         waiters
@@ -184,7 +202,7 @@
 
     /// Forgets a waiting attempt, whose caller gave up.
     pub fn abandon_waiter(&mut self, key: Key, attempt: AttemptId) {
-        let Some(space) = self.spaces.get_mut(&key.owner) else { return };
+        let Some(space) = self.spaces.get_mut(&SpaceId::of(key)) else { return };
         let Some(entry) = space.entries.get_mut(&Slot::of(key)) else { return };
         let State::Held(holder) = &mut entry.state else { return };
         holder.waiters.retain(|waiter| *waiter != attempt);
@@ -204,8 +222,8 @@
             return Err(DelegateError::ToSelf);
         }
         self.advance(unix_ms);
-        let is_full = self.len() >= self.options.entries_max;
-        let space = self.spaces.get_mut(&key.owner).ok_or(DelegateError::NotHeld)?;
+        let is_full = self.is_full();
+        let space = self.spaces.get_mut(&SpaceId::of(key)).ok_or(DelegateError::NotHeld)?;
         let slot = Slot::of(key);
         match space.entries.get(&slot).map(|entry| &entry.state) {
             Some(State::Delegated(earlier)) if *earlier == to => return Ok(key.delegated_to(to)),
@@ -235,21 +253,17 @@
                 self.answers_bytes -= state_bytes(&entry.state);
             }
         }
-        while let Some((owner, slot)) = self.answered.front() {
-            let is_held = self.spaces.get(owner).is_some_and(|s| s.entries.contains_key(slot));
-            if is_held {
-                break;
-            }
-            self.answered.pop_front();
-        }
+        self.trim_answered();
     }
 
     /// When `expire` next has something to do, in microseconds of the caller's clock, which shows
     /// `now_us` at `unix_ms`.
     pub fn next_wake_us(&self, now_us: u64, unix_ms: u64) -> Option<u64> {
-        let oldest_unix_ms =
-            self.spaces.values().filter_map(Keyspace::oldest_settled_unix_ms).min()?;
-        let wake_unix_ms = oldest_unix_ms.saturating_add(self.options.key_ttl_ms);
+        let wakes = self.spaces.iter().filter_map(|(id, space)| {
+            let oldest_unix_ms = space.oldest_settled_unix_ms()?;
+            Some(oldest_unix_ms.saturating_add(self.ttl_ms(id.lifetime)))
+        });
+        let wake_unix_ms = wakes.min()?;
         let wait_ms = wake_unix_ms.saturating_sub(unix_ms);
         Some(now_us.saturating_add(wait_ms.saturating_mul(US_PER_MS)))
     }
@@ -276,17 +290,69 @@
 
     /// Moves the horizon of every keyspace up to the present.
     pub(super) fn advance(&mut self, unix_ms: u64) {
-        let horizon_unix_ms = unix_ms.saturating_sub(self.options.key_ttl_ms);
-        for space in self.spaces.values_mut() {
-            space.advance(horizon_unix_ms);
+        let LedgerOptions { key_ttl_ms, request_key_ttl_ms, .. } = self.options;
+        for (id, space) in &mut self.spaces {
+            let ttl_ms = match id.lifetime {
+                KeyLifetime::Caller => key_ttl_ms,
+                KeyLifetime::OneRequest => request_key_ttl_ms,
+            };
+            space.advance(unix_ms.saturating_sub(ttl_ms));
+        }
+    }
+
+    /// How long after its minting a key of this lifetime can run, in milliseconds.
+    fn ttl_ms(&self, lifetime: KeyLifetime) -> u64 {
+        match lifetime {
+            KeyLifetime::Caller => self.options.key_ttl_ms,
+            KeyLifetime::OneRequest => self.options.request_key_ttl_ms,
+        }
+    }
+
+    /// Whether there is no room for one more key.
+    fn is_full(&self) -> bool {
+        self.len() >= self.options.entries_max
+    }
+
+    /// Forgets the oldest caller's keys early, and moves their horizon so that they never run
+    /// again. Says whether there is room now.
+    fn make_room(&mut self, unix_ms: u64) -> bool {
+        let newest_unix_ms = unix_ms.saturating_sub(self.options.key_ttl_min_ms);
+        let mut oldest: Option<(u64, SpaceId)> = None;
+        for (id, space) in &self.spaces {
+            let Some(minted_unix_ms) = space.oldest_settled_unix_ms() else { continue };
+            if id.lifetime == KeyLifetime::OneRequest || minted_unix_ms > newest_unix_ms {
+                continue;
+            }
+            if oldest.is_none_or(|(earliest, _)| minted_unix_ms < earliest) {
+                oldest = Some((minted_unix_ms, *id));
+            }
+        }
+        let Some((minted_unix_ms, id)) = oldest else { return false };
+        let Some(space) = self.spaces.get_mut(&id) else { return false };
+        space.advance(minted_unix_ms);
+        for (_, entry) in space.take_expired() {
+            self.answers_bytes -= state_bytes(&entry.state);
+        }
+        self.trim_answered();
+        !self.is_full()
+    }
+
+    /// Takes keys that are gone off the front of the order of answers.
+    fn trim_answered(&mut self) {
+        while let Some((id, slot)) = self.answered.front() {
+            let is_held = self.spaces.get(id).is_some_and(|s| s.entries.contains_key(slot));
+            if is_held {
+                return;
+            }
+            self.answered.pop_front();
         }
     }
 
     /// Drops the oldest answers beyond the limit; their keys stay, as having run.
     pub(super) fn drop_oldest_answers(&mut self) {
         while self.answers_bytes > self.options.answers_max_bytes {
-            let Some((owner, slot)) = self.answered.pop_front() else { return };
-            let Some(space) = self.spaces.get_mut(&owner) else { continue };
+            let Some((id, slot)) = self.answered.pop_front() else { return };
+            let Some(space) = self.spaces.get_mut(&id) else { continue };
             let Some(entry) = space.entries.get_mut(&slot) else { continue };
             self.answers_bytes -= state_bytes(&entry.state);
             entry.state = State::Doubted(Doubt::AnswerForgotten);
--- a/src/once/mod.rs
+++ b/src/once/mod.rs
@@ -11,7 +11,6 @@
 mod handover;
 mod keyspace;
 mod ledger;
-mod mint;
 mod outcome;
 mod sender_book;
 
@@ -19,6 +18,5 @@
 pub use fingerprint::Fingerprint;
 pub use handover::{AdoptError, Handover, HandoverError};
 pub use ledger::{DelegateError, Ledger, LedgerOptions, Offer};
-pub use mint::{mint, mint_for_request};
 pub use outcome::{Outcome, Scope, outward};
 pub use sender_book::{CallToken, GivenUp, SenderBook};
--- a/tests/once_attempts.rs
+++ b/tests/once_attempts.rs
@@ -104,6 +104,25 @@
     assert_eq!(book.arrive(late_us, attempt(4), late_us, PATH), Arrival::New);
 }
 
+#[test]
+fn refusals_make_room_and_stay_refused() {
+    let options = AttemptBookOptions::builder().margin_us(MARGIN_US).entries_max(2).build();
+    let mut book = AttemptBook::new(options);
+    let shed = Verdict::not_run(RefusalReason::Shed, 0);
+    assert_eq!(book.arrive(0, attempt(1), DEADLINE_US, PATH), Arrival::New);
+    for sequence in 2..=5 {
+        assert_eq!(book.arrive(0, attempt(sequence), DEADLINE_US, PATH), Arrival::New);
+        book.settle(0, attempt(sequence), &shed);
+    }
+    assert_eq!(book.len(), 2);
+    for sequence in 2..=4 {
+        let arrival = book.arrive(1, attempt(sequence), DEADLINE_US, PATH);
+        assert_eq!(arrival, refused(RefusalReason::Fenced));
+    }
+    assert_eq!(book.arrive(1, attempt(5), DEADLINE_US, PATH), refused(RefusalReason::Shed));
+    assert_eq!(book.settle(1, attempt(1), &answer()), vec![PATH]);
+}
+
 #[test]
 fn unknown_origins_stay_refused_while_a_refused_frame_may_come_again() {
     let options = AttemptBookOptions::builder().origins_max(1).origin_idle_us(1_000).build();
--- a/tests/once_world/receiver.rs
+++ b/tests/once_world/receiver.rs
@@ -23,6 +23,7 @@
                 return self.tell(index, attempt, verdict);
             }
             Arrival::Refused(refusal) => {
+                self.tally.full_books += u32::from(refusal.reason == RefusalReason::NodeFull);
                 return self.tell(index, attempt, Verdict::NotRun(refusal));
             }
         }
@@ -44,6 +45,12 @@
                     Verdict::Answered(_) => self.tally.recorded_answers += 1,
                     Verdict::MayHaveRun(Doubt::KeyElsewhere) => self.tally.elsewhere += 1,
                     Verdict::MayHaveRun(Doubt::KeyExpired) => self.tally.expired_keys += 1,
+                    Verdict::MayHaveRun(Doubt::AnswerForgotten) => {
+                        self.tally.answers_dropped_from_ledgers += 1;
+                    }
+                    Verdict::NotRun(Refusal { reason: RefusalReason::NodeFull, .. }) => {
+                        self.tally.full_ledgers += 1;
+                    }
                     _ => {}
                 }
                 return self.tell(index, attempt, verdict);
--- a/tests/once_world/step.rs
+++ b/tests/once_world/step.rs
@@ -15,6 +15,8 @@
 pub enum Op {
     /// A key is minted for a node.
     Mint { node: u8 },
+    /// A key for one request is minted for a node.
+    MintForRequest { node: u8 },
     /// A sender makes a request with a key, to its owner (0) or to another node.
     Send { sender: u8, key: u8, astray: u8 },
     /// A message arrives and, if doubled, stays on its way as well.
@@ -141,6 +143,9 @@
     pub adopted: u32,
     pub keys_refused: u32,
     pub expired_keys: u32,
+    pub full_ledgers: u32,
+    pub full_books: u32,
+    pub answers_dropped_from_ledgers: u32,
     pub forgotten_attempts: u32,
     pub elsewhere: u32,
     pub dropped_answers: u32,
