Judge silence, refuse bad frames and bound the waits of links

Cause: the first transport had no proof for silent connections, and two faults of the libraries came up when it was put under stress: - nng frees the queue of a closed socket while a receive operation begun at that moment still points to it, and ends the process later (panic in pthread_mutex_lock). Receiving is now ended before the socket is closed. - The crate panics when a connection is closed that has closed already. A connection is now closed only under the lock of the table it stands in.

Ruled out: nng's own reconnecting, even with a short wait; what lies in a socket would leave on the next connection (test in library.rs).

Change: one ping without its pong at most, so that pongs cannot push replies out of nng's queue of 64; a wait with a random part before connecting again; a connection that worked is replaced at once.

--- a/src/duty/peer.rs
+++ b/src/duty/peer.rs
@@ -13,6 +13,7 @@
 pub mod liveness;
 mod options;
 mod paths;
+pub mod redial;
 mod shared;
 mod upkeep;
 pub mod window;
--- a/src/duty/peer/dial.rs
+++ b/src/duty/peer/dial.rs
@@ -1,8 +1,8 @@
 //! Opens sockets and keeps them receiving.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use nng::options::{
@@ -12,23 +12,37 @@
 
 use super::link::Link;
 use super::options::PeerOptions;
-use super::shared::Shared;
+use super::shared::{Shared, lock};
 
-/// How soon nng tries again while a connection is being made.
-const RETRY_MIN: Duration = Duration::from_millis(10);
-/// The longest wait of nng between two tries.
-const RETRY_MAX: Duration = Duration::from_millis(100);
+/// How long nng waits before it connects a socket again by itself, or rather any random part of it:
+/// so long that the socket has been closed before.
+const RECONNECT_WAIT: Duration = Duration::from_secs(86_400);
 /// Received frames that nng may hold while the sink is busy.
 const RECEIVE_RING_ENTRIES: i32 = 64;
 /// Bytes that nng counts in with a message beside the encoded one: header words and the kind.
 const ENVELOPE_MAX_BYTES: usize = 64;
 
-/// A socket, and the operation that keeps it receiving.
+/// A socket that keeps receiving until it is closed.
 pub(super) struct OpenSocket {
     /// The socket.
     pub(super) socket: Socket,
-    /// The operation; it ends when the socket is closed.
-    _receiving: Aio,
+    /// The operation that receives.
+    receiving: Aio,
+    /// Held while a new receive operation is begun; true when none may be begun any more.
+    is_closing: Arc<Mutex<bool>>,
+}
+
+impl OpenSocket {
+    /// Ends the receiving, waits until the callback has returned, and closes the socket.
+    ///
+    /// nng frees the queue of a closed socket even if a receive operation was begun at that moment,
+    /// and ends the process when that operation is ended later. So no operation may be under way.
+    pub(super) fn close(&self) {
+        *lock(&self.is_closing) = true;
+        self.receiving.cancel();
+        self.receiving.wait();
+        self.socket.close();
+    }
 }
 
 /// Opens a raw socket with the limits of `options`.
@@ -46,17 +60,20 @@
     on_frame: impl Fn(Frame) + Send + Sync + 'static,
 ) -> nng::Result<OpenSocket> {
     let source = socket.clone();
-    let aio = Aio::new(move |aio, result| {
-        match result {
-            AioResult::Recv(Ok(frame)) => on_frame(frame),
-            AioResult::Recv(Err(nng::Error::Closed | nng::Error::Canceled)) => return,
-            AioResult::Recv(Err(_)) | AioResult::Send(_) | AioResult::Sleep(_) => (),
+    let is_closing = Arc::new(Mutex::new(false));
+    let gate = is_closing.clone();
+    let receiving = Aio::new(move |aio, result| {
+        if let AioResult::Recv(Ok(frame)) = result {
+            on_frame(frame);
+        }
+        let is_closing = lock(&gate);
+        if !*is_closing {
+            // This fails only when nng is out of memory or the socket is closed.
+            let _ = source.recv_async(&aio);
         }
-        // This fails only when the socket has been closed, which is the end.
-        let _ = source.recv_async(&aio);
     })?;
-    socket.recv_async(&aio)?;
-    Ok(OpenSocket { socket, _receiving: aio })
+    socket.recv_async(&receiving)?;
+    Ok(OpenSocket { socket, receiving, is_closing })
 }
 
 /// Opens a socket for one connection to the peer of `link` and begins to connect. What happens is
@@ -67,8 +84,8 @@
     generation: u64,
 ) -> nng::Result<OpenSocket> {
     let socket = raw_socket(Protocol::Req0, &shared.options)?;
-    socket.set_opt::<ReconnectMinTime>(Some(RETRY_MIN))?;
-    socket.set_opt::<ReconnectMaxTime>(Some(RETRY_MAX))?;
+    socket.set_opt::<ReconnectMinTime>(Some(RECONNECT_WAIT))?;
+    socket.set_opt::<ReconnectMaxTime>(Some(RECONNECT_WAIT))?;
     watch_pipe(&socket, shared.clone(), link.clone(), generation)?;
     let open = {
         let (shared, link) = (shared.clone(), link.clone());
--- a/src/duty/peer/link.rs
+++ b/src/duty/peer/link.rs
@@ -10,8 +10,8 @@
 use super::envelope::{self, Content};
 use super::error::SendError;
 use super::event::PeerEvent;
-use super::liveness::{Liveness, Step};
-use super::options::PeerOptions;
+use super::liveness::{Liveness, Sign, Step};
+use super::redial::Redial;
 use super::shared::{Shared, lock};
 use super::window::ReplyCount;
 use crate::call::Message;
@@ -40,8 +40,8 @@
     broken: bool,
     /// Messages that wait for the connection.
     held: VecDeque<Message>,
-    /// How long to wait before the next try to connect, in microseconds.
-    redial_us: u64,
+    /// How long to wait before the next try to connect.
+    redial: Redial,
     /// The number of the latest request.
     request: u32,
 }
@@ -74,6 +74,8 @@
     liveness: Liveness,
     /// Counts the replies received.
     replies: ReplyCount,
+    /// When it was made.
+    since_us: u64,
     /// Whether anything has been received.
     heard: bool,
     /// Whether `LinkUp` has been reported.
@@ -93,14 +95,14 @@
 
 impl Link {
     /// A link to `peer` that is to be connected.
-    pub(super) fn new(peer: SocketAddr) -> Self {
+    pub(super) fn new(peer: SocketAddr, redial: Redial) -> Self {
         let state = LinkState {
             phase: Phase::Wanted,
             generation: 0,
             opened: false,
             broken: false,
             held: VecDeque::new(),
-            redial_us: 0,
+            redial,
             request: 0,
         };
         Self { peer, state: Mutex::new(state) }
@@ -181,7 +183,7 @@
         state.request = state.request.wrapping_add(1);
         let request = state.request;
         let Phase::Up(connection) = &mut state.phase else { return false };
-        connection.liveness.received(now_us, is_answer(message));
+        connection.liveness.received(now_us, sign_of(message));
         if !matches!(message, Message::Pong { .. }) {
             if let Some(received) = connection.replies.received() {
                 connection.confirm(received, request);
@@ -223,28 +225,27 @@
 impl LinkState {
     /// Moves on at `now_us`.
     fn step(&mut self, peer: SocketAddr, shared: &Shared, now_us: u64) -> Work {
-        let options = &shared.options;
         match &mut self.phase {
             Phase::Wanted => self.begin_dial(now_us),
             Phase::Dialing { open: Some(_), .. } if self.opened && !self.broken => {
                 self.begin_connection(peer, shared, now_us)
             }
             Phase::Dialing { since_us, .. } => {
-                let is_late =
-                    now_us.saturating_sub(*since_us) >= options.connect_within_ms * US_PER_MS;
+                let within_us = shared.options.connect_within_ms * US_PER_MS;
+                let is_late = now_us.saturating_sub(*since_us) >= within_us;
                 if self.broken || is_late {
-                    return self.fail(peer, options, now_us);
+                    return self.fail(peer, now_us);
                 }
                 Work::default()
             }
-            Phase::Up(_) if self.broken => self.fail(peer, options, now_us),
+            Phase::Up(_) if self.broken => self.fail(peer, now_us),
             Phase::Up(connection) => {
                 self.request = self.request.wrapping_add(1);
                 let Some(events) = connection.watch(peer, shared, now_us, self.request) else {
-                    return self.fail(peer, options, now_us);
+                    return self.fail(peer, now_us);
                 };
-                if connection.heard {
-                    self.redial_us = 0;
+                if self.has_worked(now_us) {
+                    self.redial.succeeded();
                 }
                 Work { events, ..Work::default() }
             }
@@ -269,6 +270,7 @@
             open,
             liveness: Liveness::new(shared.options.liveness(), now_us),
             replies: ReplyCount::default(),
+            since_us: now_us,
             heard: false,
             announced: false,
         };
@@ -285,30 +287,36 @@
         Work { events, ..Work::default() }
     }
 
-    /// Gives the connection up. One that worked is replaced at once; one that never did is tried
-    /// again after a wait that doubles each time.
-    fn fail(&mut self, peer: SocketAddr, options: &PeerOptions, now_us: u64) -> Work {
-        let worked = matches!(&self.phase, Phase::Up(connection) if connection.heard);
-        // Something may have been sent on a connection that never answered.
-        let is_news = matches!(self.phase, Phase::Up(_)) || self.redial_us == 0;
+    /// Gives the connection up. One that worked for a while is replaced at once, otherwise there is
+    /// a wait first.
+    fn fail(&mut self, peer: SocketAddr, now_us: u64) -> Work {
+        // Something may have been sent on any connection that was made.
+        let is_news = matches!(self.phase, Phase::Up(_)) || !self.redial.is_failing();
+        let has_worked = self.has_worked(now_us);
         let mut work = Work { events: self.give_back(peer), ..Work::default() };
         work.close = self.take_socket();
         if is_news {
             work.events.push(PeerEvent::LinkLost { peer });
         }
-        if worked {
+        if has_worked {
+            self.redial.succeeded();
             work.dial = self.begin_dial(now_us).dial;
             return work;
         }
-        let least_us = options.redial_after_ms * US_PER_MS;
-        let most_us = options.redial_max_ms * US_PER_MS;
-        self.redial_us = self.redial_us.saturating_mul(2).clamp(least_us, most_us.max(least_us));
         // From here on news of the socket that is being closed are ignored.
         self.generation += 1;
-        self.phase = Phase::Down { until_us: now_us + self.redial_us };
+        let until_us = now_us + self.redial.failed();
+        self.phase = Phase::Down { until_us };
         work
     }
 
+    /// Whether there is a connection that has worked for a while.
+    fn has_worked(&self, now_us: u64) -> bool {
+        let Phase::Up(connection) = &self.phase else { return false };
+        let age_us = now_us.saturating_sub(connection.since_us);
+        connection.heard && age_us >= self.redial.success_after_us()
+    }
+
     /// Reports all waiting messages as unsent.
     fn give_back(&mut self, peer: SocketAddr) -> Vec<PeerEvent> {
         self.held.drain(..).map(|message| PeerEvent::Unsent { peer, message }).collect()
@@ -400,15 +408,19 @@
     }
 }
 
-/// Whether a message settles one that was sent.
-fn is_answer(message: &Message) -> bool {
-    matches!(message, Message::Answer(_) | Message::RetryGrant { .. })
+/// What a received message says about what was sent.
+fn sign_of(message: &Message) -> Sign {
+    match message {
+        Message::Answer(_) | Message::RetryGrant { .. } => Sign::Answer,
+        Message::Pong { .. } => Sign::Pong,
+        _ => Sign::Other,
+    }
 }
 
 /// Carries out what [`Link::step`] found, holding no lock.
 pub(super) fn carry_out(shared: &Arc<Shared>, link: &Arc<Link>, work: Work) {
     if let Some(open) = work.close {
-        open.socket.close();
+        open.close();
     }
     for event in work.events {
         shared.emit(event);
@@ -418,7 +430,7 @@
     match opened {
         Ok(opened) => {
             if let Some(unwanted) = link.keep(generation, opened) {
-                unwanted.socket.close();
+                unwanted.close();
             }
         }
         // Out of files or memory: counted as a connection that could not be made.
--- a/src/duty/peer/liveness.rs
+++ b/src/duty/peer/liveness.rs
@@ -35,17 +35,29 @@
     Silent,
 }
 
+/// What something that was received says about what was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sign {
+    /// It answers the latest ping.
+    Pong,
+    /// It settles a message that was sent.
+    Answer,
+    /// It settles nothing.
+    Other,
+}
+
 /// Watches one connection for silence.
 ///
-/// Anything that is received is a sign of life. Pings are sent only when nothing has been received
-/// for a while: soon when answers are expected, seldom otherwise.
+/// Anything that is received is a sign of life. A ping is sent only when nothing has been received
+/// for a while: soon when answers are expected, seldom otherwise. There is never more than one ping
+/// without its pong under way, so that pongs cannot crowd out replies.
 #[derive(Clone, Debug)]
 pub struct Liveness {
     /// The intervals.
     settings: LivenessSettings,
     /// When something was last received, or the connection was made.
     received_at_us: u64,
-    /// When the oldest ping without a sign of life after it was sent.
+    /// When the latest ping was sent, until its pong comes.
     pinged_at_us: Option<u64>,
     /// The sequence number of the latest ping.
     sequence: u64,
@@ -82,12 +94,13 @@
         self.expected_until_us = self.expected_until_us.max(until_us);
     }
 
-    /// Something was received; `is_answer` when it settles a message that was sent.
-    pub fn received(&mut self, now_us: u64, is_answer: bool) {
+    /// Something was received.
+    pub fn received(&mut self, now_us: u64, sign: Sign) {
         self.received_at_us = self.received_at_us.max(now_us);
-        self.pinged_at_us = None;
-        if is_answer {
-            self.expected = self.expected.saturating_sub(1);
+        match sign {
+            Sign::Pong => self.pinged_at_us = None,
+            Sign::Answer => self.expected = self.expected.saturating_sub(1),
+            Sign::Other => (),
         }
     }
 
@@ -107,31 +120,28 @@
         let is_first = self.sequence == 0;
         let quiet_us = now_us.saturating_sub(self.received_at_us);
         if is_first || quiet_us >= self.ping_interval_us(now_us) {
-            return self.ping(now_us);
+            self.sequence += 1;
+            self.pinged_at_us = Some(now_us);
+            return Step::Ping(self.sequence);
         }
         Step::Wait
     }
 
     /// Decides whether the ping sent at `pinged_at_us` has waited long enough.
     fn judge(&mut self, now_us: u64, pinged_at_us: u64, slept_us: u64) -> Step {
-        if now_us.saturating_sub(pinged_at_us) < self.settings.silent_after_us {
+        let waits_since_us = pinged_at_us.max(self.received_at_us);
+        if now_us.saturating_sub(waits_since_us) < self.settings.silent_after_us {
             return Step::Wait;
         }
         // When this process itself was stopped for a while, the answer may lie unread in the
         // kernel: the peer gets one more interval.
         if slept_us >= self.settings.silent_after_us {
-            return self.ping(now_us);
+            self.pinged_at_us = Some(now_us);
+            return Step::Wait;
         }
         Step::Silent
     }
 
-    /// Begins to wait for a sign of life.
-    fn ping(&mut self, now_us: u64) -> Step {
-        self.sequence += 1;
-        self.pinged_at_us = Some(now_us);
-        Step::Ping(self.sequence)
-    }
-
     /// How long nothing may be received before a ping is sent.
     fn ping_interval_us(&self, now_us: u64) -> u64 {
         if self.is_expecting(now_us) {
--- a/src/duty/peer/options.rs
+++ b/src/duty/peer/options.rs
@@ -39,8 +39,8 @@
     /// How long a ping may wait for any sign of life before the connection counts as silent.
     #[builder(default = 400)]
     pub silent_after_ms: u64,
-    /// How long making a connection may take.
-    #[builder(default = 500)]
+    /// How long making a connection may take; a refused one is not told apart from a slow one.
+    #[builder(default = 250)]
     pub connect_within_ms: u64,
     /// How long to wait before connecting again after the first failure; it doubles with each.
     #[builder(default = 50)]
--- a/src/duty/peer/paths.rs
+++ b/src/duty/peer/paths.rs
@@ -32,10 +32,10 @@
 /// What is known about each connection.
 #[derive(Default)]
 struct PathTable {
-    /// By nng's number.
+    /// Connections that are open, with their number once something was received.
+    open: HashMap<Pipe, Option<u32>>,
+    /// Connections on which something was received, by nng's number.
     paths: HashMap<u32, Path>,
-    /// The number of each connection.
-    numbers: HashMap<Pipe, u32>,
 }
 
 /// One connection that another node made.
@@ -48,6 +48,8 @@
     held: VecDeque<Frame>,
     /// When something was last received.
     received_at_us: u64,
+    /// Whether it is being closed from this end.
+    is_refused: bool,
 }
 
 /// Begins to listen. Returns the address with the port that the system chose.
@@ -61,11 +63,12 @@
     let socket = shared.paths.socket.clone();
     let watched = Arc::downgrade(shared);
     socket.pipe_notify(move |pipe, event| {
-        if event != PipeEvent::RemovePost {
-            return;
-        }
-        if let Some(shared) = watched.upgrade() {
-            shared.paths.on_closed(pipe);
+        let Some(shared) = watched.upgrade() else { return };
+        let mut table = lock(&shared.paths.table);
+        match event {
+            PipeEvent::AddPre => table.add(pipe),
+            PipeEvent::RemovePost => table.remove(pipe),
+            _ => (),
         }
     })?;
     let receiver = Arc::downgrade(shared);
@@ -88,21 +91,17 @@
     let header = envelope::read_request_header(&frame);
     let content = envelope::unwrap(&frame, shared.options.body_max_bytes);
     let (Ok((number, request)), Ok(content)) = (header, content) else {
-        pipe.close();
+        shared.paths.refuse(pipe);
         return;
     };
+    if !shared.paths.heard(number, pipe, shared.clock.now_us()) {
+        return;
+    }
     let path = ReturnPath { pipe: number, request };
-    let now_us = shared.clock.now_us();
     match content {
-        Content::Confirm(received) => shared.paths.confirm(path, pipe, received, now_us),
-        Content::Message(Message::Ping { sequence, .. }) => {
-            shared.paths.heard(path, pipe, now_us);
-            pong(shared, path, sequence);
-        }
-        Content::Message(message) => {
-            shared.paths.heard(path, pipe, now_us);
-            shared.emit(PeerEvent::Request { path, message });
-        }
+        Content::Confirm(received) => shared.paths.confirm(path, received),
+        Content::Message(Message::Ping { sequence, .. }) => pong(shared, path, sequence),
+        Content::Message(message) => shared.emit(PeerEvent::Request { path, message }),
     }
 }
 
@@ -144,21 +143,13 @@
     /// Sends what waits, and closes connections on which nothing was received since
     /// `idle_since_us`.
     pub(super) fn sweep(&self, idle_since_us: u64) {
-        let mut idle = Vec::new();
         let mut table = lock(&self.table);
         for path in table.paths.values_mut() {
             path.pump(&self.socket);
             if path.received_at_us < idle_since_us {
-                idle.push(path.pipe);
+                path.refuse();
             }
         }
-        for pipe in &idle {
-            table.remove(*pipe);
-        }
-        drop(table);
-        for pipe in idle {
-            pipe.close();
-        }
     }
 
     /// Replies that have been handed over but that their receivers have not confirmed.
@@ -169,58 +160,81 @@
 
     /// Closes the socket with all connections.
     pub(super) fn close(&self) {
-        self.socket.close();
         let open = lock(&self.open).take();
-        drop(open);
+        match open {
+            Some(open) => open.close(),
+            None => self.socket.close(),
+        }
     }
 
-    /// Notes that something was received on a connection.
-    fn heard(&self, on: ReturnPath, pipe: Pipe, now_us: u64) {
-        lock(&self.table).path(on.pipe, pipe, now_us);
+    /// Notes that something was received on a connection. Returns false when it has closed since.
+    fn heard(&self, number: u32, pipe: Pipe, now_us: u64) -> bool {
+        let mut table = lock(&self.table);
+        let Some(known) = table.open.get_mut(&pipe) else { return false };
+        *known = Some(number);
+        let path = table.paths.entry(number).or_insert_with(|| Path::new(pipe));
+        path.received_at_us = now_us;
+        !path.is_refused
     }
 
     /// Notes that replies have arrived, and sends what waited for that.
-    fn confirm(&self, on: ReturnPath, pipe: Pipe, received: u64, now_us: u64) {
+    fn confirm(&self, on: ReturnPath, received: u64) {
         let mut table = lock(&self.table);
-        let path = table.path(on.pipe, pipe, now_us);
-        let is_possible = path.window.confirm(received);
-        if is_possible {
-            path.pump(&self.socket);
+        let Some(path) = table.paths.get_mut(&on.pipe) else { return };
+        if !path.window.confirm(received) {
+            path.refuse();
             return;
         }
-        drop(table);
-        pipe.close();
+        path.pump(&self.socket);
     }
 
-    /// Drops what is known about a connection that has closed.
-    fn on_closed(&self, pipe: Pipe) {
-        lock(&self.table).remove(pipe);
+    /// Closes a connection that carries what is not understood.
+    ///
+    /// The crate panics on a connection that has closed already. While the table is locked, one
+    /// that stands in it has not: nng waits for the callback that takes it out.
+    fn refuse(&self, pipe: Pipe) {
+        let mut table = lock(&self.table);
+        let Some(&number) = table.open.get(&pipe) else { return };
+        match number.and_then(|number| table.paths.get_mut(&number)) {
+            Some(path) => path.refuse(),
+            None => pipe.close(),
+        }
     }
 }
 
 impl PathTable {
-    /// What is known about a connection on which something was received at `now_us`.
-    fn path(&mut self, number: u32, pipe: Pipe, now_us: u64) -> &mut Path {
-        self.numbers.insert(pipe, number);
-        let path = self.paths.entry(number).or_insert_with(|| Path {
-            pipe,
-            window: ReplyWindow::default(),
-            held: VecDeque::new(),
-            received_at_us: now_us,
-        });
-        path.received_at_us = now_us;
-        path
+    /// A connection is being opened.
+    fn add(&mut self, pipe: Pipe) {
+        self.open.insert(pipe, None);
     }
 
-    /// Drops what is known about a connection.
+    /// A connection has closed.
     fn remove(&mut self, pipe: Pipe) {
-        if let Some(number) = self.numbers.remove(&pipe) {
+        if let Some(Some(number)) = self.open.remove(&pipe) {
             self.paths.remove(&number);
         }
     }
 }
 
 impl Path {
+    /// A connection on which nothing was sent yet.
+    fn new(pipe: Pipe) -> Self {
+        Self {
+            pipe,
+            window: ReplyWindow::default(),
+            held: VecDeque::new(),
+            received_at_us: 0,
+            is_refused: false,
+        }
+    }
+
+    /// Closes the connection. The table must be locked, and the path must stand in it.
+    fn refuse(&mut self) {
+        if !std::mem::replace(&mut self.is_refused, true) {
+            self.pipe.close();
+        }
+    }
+
     /// Sends as many waiting replies as the window has room for.
     fn pump(&mut self, socket: &Socket) {
         while self.window.has_room() {
--- a/src/duty/peer/shared.rs
+++ b/src/duty/peer/shared.rs
@@ -14,6 +14,7 @@
 use super::link::Link;
 use super::options::PeerOptions;
 use super::paths::Paths;
+use super::redial::Redial;
 use crate::call::{Message, codec};
 use crate::clock::Clock;
 
@@ -112,12 +113,19 @@
         }
         drop(links);
         let mut links = self.links.write().unwrap_or_else(PoisonError::into_inner);
-        let link = links.entry(peer).or_insert_with(|| Arc::new(Link::new(peer))).clone();
+        let link = links.entry(peer).or_insert_with(|| Arc::new(self.new_link(peer))).clone();
         drop(links);
         self.wake();
         link
     }
 
+    /// A connection to `peer` that has not been made yet.
+    fn new_link(&self, peer: SocketAddr) -> Link {
+        let options = &self.options;
+        let redial = Redial::new(options.node, options.redial_after_ms, options.redial_max_ms);
+        Link::new(peer, redial)
+    }
+
     /// Takes the connection to `peer` out of use.
     pub(super) fn forget(&self, peer: SocketAddr) {
         let mut links = self.links.write().unwrap_or_else(PoisonError::into_inner);
--- a/tests/peer_transport.rs
+++ b/tests/peer/delivery.rs
@@ -1,12 +1,10 @@
 //! Messages between two transports over loopback.
 
-mod peer_support;
-
 use std::collections::HashMap;
 
+use crate::support::{Options, answer, attempt_of, call, node, options, start, start_held_up};
 use aspenspring::call::Message;
 use aspenspring::duty::peer::{PeerEvent, SendError};
-use peer_support::{answer, attempt_of, call, node, options, start};
 use rand::SeedableRng;
 use rand::seq::SliceRandom;
 
@@ -40,18 +38,36 @@
     }
 }
 
+/// Without the window nng drops what does not fit into a connection's queue.
+#[test]
+fn a_slow_receiver_loses_no_answer() {
+    const CALLS: u64 = 400;
+    let (hold, gate) = crossbeam_channel::bounded(0);
+    let server = start(options(1));
+    let caller = start_held_up(options(2), gate);
+    for sequence in 0..CALLS {
+        caller.send_patiently(server.address(), &call(2, sequence));
+    }
+    for (path, message) in server.collect_requests(CALLS as usize) {
+        server.handle().reply(path, &answer(attempt_of(&message), 1)).expect("the ring has room");
+    }
+    drop(hold);
+    assert_eq!(caller.collect_answers(CALLS as usize).len() as u64, CALLS);
+}
+
 #[test]
 fn a_dead_listener_loses_the_link_and_its_successor_gets_nothing_again() {
     const CALLS: u64 = 50;
     let server = start(options(1));
     let address = server.address();
-    let caller = start(options(2));
+    let caller = start(Options { connect_within_ms: 200, ..options(2) });
+    caller.handle().connect(address);
+    caller.wait_for("link up", |event| matches!(event, PeerEvent::LinkUp { .. }));
     for sequence in 0..CALLS {
         caller.send_patiently(address, &call(2, sequence));
     }
     let first: Vec<_> = server.collect_requests(CALLS as usize);
     assert_eq!(first.len() as u64, CALLS);
-    caller.wait_for("link up", |event| matches!(event, PeerEvent::LinkUp { .. }));
     server.stop();
     caller.wait_for("link lost", |event| matches!(event, PeerEvent::LinkLost { .. }));
     let successor = start(options(3).listen_at(address));
@@ -64,8 +80,8 @@
 
 #[test]
 fn a_message_to_nobody_is_given_back() {
-    let caller = start(options(1));
-    let nobody = peer_support::free_address();
+    let caller = start(Options { connect_within_ms: 200, ..options(1) });
+    let nobody = crate::support::free_address();
     let message = call(1, 1);
     caller.handle().send(nobody, &message).expect("it waits for the connection");
     let event = caller.wait_for("unsent", |event| matches!(event, PeerEvent::Unsent { .. }));
@@ -90,7 +106,22 @@
 #[test]
 fn a_message_that_is_too_long_is_refused_at_once() {
     let caller = start(options(1));
-    let long = Message::Gossip(vec![0; peer_support::BODY_MAX_BYTES + 1].into());
-    let refused = caller.handle().send(peer_support::free_address(), &long);
+    let long = Message::Gossip(vec![0; crate::support::BODY_MAX_BYTES + 1].into());
+    let refused = caller.handle().send(crate::support::free_address(), &long);
     assert!(matches!(refused, Err(SendError::Codec(_))));
 }
+
+/// nng ends the process when a receive operation is begun on a socket that is being closed.
+#[test]
+fn links_may_come_and_go_under_traffic() {
+    const ROUNDS: u64 = 200;
+    let server = start(options(1));
+    let caller = start(options(2));
+    for sequence in 0..ROUNDS {
+        caller.send_patiently(server.address(), &call(2, sequence));
+        for (path, message) in server.collect_requests(1) {
+            let _ = server.handle().reply(path, &answer(attempt_of(&message), 1));
+        }
+        caller.handle().forget(server.address());
+    }
+}
--- /dev/null
+++ b/tests/peer/main.rs
@@ -0,0 +1,8 @@
+//! The transport between nodes.
+
+mod delivery;
+mod frames;
+mod library;
+mod liveness;
+mod silence;
+mod support;
--- a/tests/peer_support/mod.rs
+++ b/tests/peer/support.rs
@@ -1,17 +1,17 @@
 //! What the tests of the transport have in common.
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use aspenspring::call::{
-    AnswerFrame, ArmId, AttemptId, CallFrame, ClassRank, HttpRequest, Level, LoadReport, Message,
-    NodeId, RefusalReason, RootId, TraceContext, Verdict,
+    AnswerFrame, ArmId, AttemptId, CallFrame, ClassRank, HttpAnswer, HttpRequest, Level,
+    LoadReport, Message, NodeId, RootId, TraceContext, Verdict,
 };
 use aspenspring::clock::Clock;
 use aspenspring::duty::peer::{
     self, PeerDuty, PeerEvent, PeerHandle, PeerOptions, ReturnPath, SendError,
 };
-use crossbeam_channel::{Receiver, unbounded};
+use crossbeam_channel::{Receiver, bounded, unbounded};
 
 /// The longest body in these tests.
 pub const BODY_MAX_BYTES: usize = 1 << 20;
@@ -36,6 +36,10 @@
     pub ring_entries: usize,
     /// The longest message, in bytes.
     pub message_max_bytes: usize,
+    /// How long a ping may wait. Long, so that a busy machine is not taken for a silent one.
+    pub silent_after_ms: u64,
+    /// How long connecting may take.
+    pub connect_within_ms: u64,
 }
 
 impl Options {
@@ -53,11 +57,19 @@
         listen: loopback(0),
         ring_entries: 2_048,
         message_max_bytes: BODY_MAX_BYTES + 65_536,
+        silent_after_ms: 30_000,
+        connect_within_ms: 5_000,
     }
 }
 
 /// Starts a transport.
 pub fn start(options: Options) -> Node {
+    let (_, open_gate) = bounded(0);
+    start_held_up(options, open_gate)
+}
+
+/// Starts a transport that takes in nothing before the other end of `gate` is dropped.
+pub fn start_held_up(options: Options, gate: Receiver<()>) -> Node {
     let (sender, events) = unbounded();
     let settings = PeerOptions::builder()
         .listen(options.listen)
@@ -67,9 +79,11 @@
         .ring_entries(options.ring_entries)
         .ping_every_ms(20)
         .idle_ping_every_ms(40)
-        .silent_after_ms(200)
+        .silent_after_ms(options.silent_after_ms)
+        .connect_within_ms(options.connect_within_ms)
         .build();
     let sink = move |event| {
+        let _ = gate.recv();
         let _ = sender.send(event);
     };
     let duty = peer::start(settings, Clock::start(), sink).expect("the transport starts");
@@ -92,6 +106,11 @@
         self.duty.stop();
     }
 
+    /// All events that have not been read.
+    pub fn events_so_far(&self) -> Vec<PeerEvent> {
+        self.events.try_iter().collect()
+    }
+
     /// Sends, again while the ring is full.
     pub fn send_patiently(&self, peer: SocketAddr, message: &Message) {
         self.until(|| match self.handle().send(peer, message) {
@@ -116,8 +135,9 @@
 
     /// Waits for the first event that `is_wanted`; the ones before it are thrown away.
     pub fn wait_for(&self, what: &str, is_wanted: impl Fn(&PeerEvent) -> bool) -> PeerEvent {
+        let give_up_at = Instant::now() + PATIENCE;
         loop {
-            let event = self.events.recv_timeout(PATIENCE);
+            let event = self.events.recv_deadline(give_up_at);
             let event = event.unwrap_or_else(|_| panic!("no {what} in a very long time"));
             if is_wanted(&event) {
                 return event;
@@ -200,12 +220,14 @@
     }))
 }
 
-/// The answer of node `from` to `attempt`.
+/// The answer of node `from` to `attempt`, with a long body.
 pub fn answer(attempt: AttemptId, from: u64) -> Message {
+    const BODY_BYTES: usize = 64 << 10;
+    let body = vec![b'y'; BODY_BYTES].into();
     Message::Answer(AnswerFrame {
         attempt,
         node: node(from),
-        verdict: Verdict::not_run(RefusalReason::Shed, 10),
+        verdict: Verdict::Answered(HttpAnswer { status: 200, headers: vec![], body }),
         load: LoadReport::default(),
     })
 }
