Test membership and configuration under random faults

Cause: found by the random faults: a replacement that could not write its row for a minute, because the store was away, took its dead predecessor for a successor and left. A life that was overtaken by a raised start could also be refused for ever by peers that had buried it as ended. Change: a life that has not written its row yet puts itself after what it finds; only leaving is remembered for ever. Conclusion: members agree and outcomes of submissions are true within 240 s after kill, replacement (clock behind, old life frozen), leaving, freeze, partition, store outage, lost answers, loss and duplicates.

--- a/src/membership/gossip.rs
+++ b/src/membership/gossip.rs
@@ -95,7 +95,7 @@
                 continue;
             }
             if member.same_place(&self.own) {
-                self.meet_namesake(now_us, member, out);
+                self.meet_namesake(member, out);
                 continue;
             }
             let alive_us = now_us.saturating_sub(wire::age_us(record.age_s));
--- a/src/membership/member.rs
+++ b/src/membership/member.rs
@@ -40,8 +40,8 @@
     /// Raised by the member itself with every change of another field.
     pub revision: u32,
     /// When the life began, in milliseconds since the Unix epoch; of two lives with one name the
-    /// later one counts. A node that finds a later life at its name when it starts sets its own
-    /// just after it, so a clock that is behind does no harm.
+    /// later one counts. A node that finds its predecessor at its name sets its own just after it,
+    /// so a clock that is behind does no harm.
     pub started_unix_ms: u64,
 }
 
--- a/src/membership/options.rs
+++ b/src/membership/options.rs
@@ -45,7 +45,8 @@
     /// How long a row must stand unchanged in readable state before it may be deleted as dead.
     #[builder(default = 600 * US_PER_S)]
     pub row_dead_us: u64,
-    /// How long the memory of a member that is gone is kept, in microseconds.
+    /// How long the memory of a member that went silent is kept, in microseconds. That a member
+    /// left is remembered until there are too many memories.
     #[builder(default = 3_600 * US_PER_S)]
     pub tombstone_us: u64,
     /// A pause between two events that counts as a freeze of the process, in microseconds.
@@ -68,7 +69,7 @@
     #[builder(default = 8_192)]
     pub members_max: usize,
     /// The most members gone that are remembered.
-    #[builder(default = 8_192)]
+    #[builder(default = 2_048)]
     pub tombstones_max: usize,
 }
 
--- a/src/membership/rows.rs
+++ b/src/membership/rows.rs
@@ -56,7 +56,8 @@
 pub(super) struct Rows {
     next_write_us: u64,
     next_read_us: u64,
-    written_once: bool,
+    /// Whether this life has written its row.
+    pub(super) written_once: bool,
     writing: Pending,
     reading: Pending,
     write_backoff: Backoff,
--- a/src/membership/state.rs
+++ b/src/membership/state.rs
@@ -42,7 +42,8 @@
 #[derive(Debug)]
 pub struct Membership {
     pub(super) own: Member,
-    pub(super) started_us: u64,
+    /// How often this life has put itself after another at its name.
+    pub(super) claims: u32,
     pub(super) options: MembershipOptions,
     pub(super) interests: Interests,
     pub(super) view: View,
@@ -84,7 +85,7 @@
         };
         Self {
             own,
-            started_us: now_us,
+            claims: 0,
             interests,
             view: View::default(),
             rows,
--- a/src/membership/table.rs
+++ b/src/membership/table.rs
@@ -4,15 +4,12 @@
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 
-use crate::clock::US_PER_S;
-
 use super::event::MembershipAction;
 use super::member::{Member, MemberRow, MemberState};
 use super::state::Membership;
 
-/// How long after its start a node puts itself after a life it finds at its name. Later on, a life
-/// that counts as later takes the name.
-const CLAIM_NAME_US: u64 = 60 * US_PER_S;
+/// How often a node puts itself after other lives it finds at its name.
+const CLAIMS_MAX: u32 = 8;
 
 impl Membership {
     pub(super) fn take_rows(
@@ -29,7 +26,8 @@
             }
             if row.member.same_place(&self.own) {
                 self.rows.own_version = Some(row.version);
-                self.meet_namesake(now_us, &row.member, out);
+                self.rows.written_once |= row.member.node == self.own.node;
+                self.meet_namesake(&row.member, out);
                 continue;
             }
             // Nobody knows when the row was written, so its member is given the full time to age out.
@@ -79,22 +77,23 @@
         out: &mut Vec<MembershipAction>,
     ) {
         if let Some(member) = present {
-            self.meet_namesake(now_us, member, out);
+            self.rows.written_once |= member.node == self.own.node;
+            self.meet_namesake(member, out);
         }
         self.rows.conflicted(now_us, version, rng);
     }
 
     /// Settles which of two lives with one name counts.
-    pub(super) fn meet_namesake(
-        &mut self,
-        now_us: u64,
-        other: &Member,
-        out: &mut Vec<MembershipAction>,
-    ) {
+    ///
+    /// A life that has not written its row yet finds its predecessor, whatever the clocks say, and
+    /// puts itself after it. A life whose row was overwritten, or that meets a later life, has been
+    /// replaced while it was paused.
+    pub(super) fn meet_namesake(&mut self, other: &Member, out: &mut Vec<MembershipAction>) {
         if other.node == self.own.node || !other.supersedes(&self.own) || self.superseded {
             return;
         }
-        if now_us.saturating_sub(self.started_us) < CLAIM_NAME_US {
+        if !self.rows.written_once && self.claims < CLAIMS_MAX {
+            self.claims += 1;
             self.own.started_unix_ms = other.started_unix_ms + 1;
             self.own.revision += 1;
             self.own.beat += 1;
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -26,7 +26,7 @@
 struct Tombstone {
     /// Its last beat; only a higher one brings it back.
     beat: u64,
-    /// Whether it can never come back, because it left or a later life took its name.
+    /// Whether it can never come back, because it left.
     ended: bool,
     /// Where it was reached.
     address: SocketAddr,
@@ -119,7 +119,7 @@
             return;
         }
         if let Some((node, true)) = earlier {
-            self.remove(now_us, node, true, options, out);
+            self.remove(now_us, node, options, out);
         }
         if self.entries.len() >= options.members_max {
             return;
@@ -160,14 +160,15 @@
         for entry in self.entries.values() {
             let age_out_us = options.age_out_us(self.size(entry.tag));
             if now_us.saturating_sub(entry.alive_us) >= age_out_us {
-                gone.push((entry.member.node, entry.member.state == MemberState::Leaving));
+                gone.push(entry.member.node);
             }
         }
-        for (node, ended) in gone {
-            self.remove(now_us, node, ended, options, out);
+        for node in gone {
+            self.remove(now_us, node, options, out);
         }
         let kept_us = options.tombstone_us;
-        self.tombstones.retain(|_, gone| now_us.saturating_sub(gone.gone_us) < kept_us);
+        let is_young = |gone: &Tombstone| now_us.saturating_sub(gone.gone_us) < kept_us;
+        self.tombstones.retain(|_, gone| gone.ended || is_young(gone));
     }
 
     /// Moves every sign of life forward by `pause_us`, during which this node could not hear any.
@@ -186,7 +187,6 @@
         &mut self,
         now_us: u64,
         node: NodeId,
-        ended: bool,
         options: &MembershipOptions,
         out: &mut Vec<MembershipAction>,
     ) {
@@ -194,14 +194,15 @@
         if let Some(size) = self.sizes.get_mut(&entry.tag) {
             *size = size.saturating_sub(1);
         }
-        self.bury(now_us, &entry.member, ended, options);
+        self.bury(now_us, &entry.member, options);
         out.push(MembershipAction::Gone(node));
     }
 
-    /// Remembers that `member` is gone.
-    fn bury(&mut self, now_us: u64, member: &Member, ended: bool, options: &MembershipOptions) {
+    /// Remembers that `member` is gone, and that for ever if it was leaving.
+    fn bury(&mut self, now_us: u64, member: &Member, options: &MembershipOptions) {
+        let ended = member.state == MemberState::Leaving;
         if self.tombstones.len() >= options.tombstones_max {
-            let oldest = self.tombstones.iter().min_by_key(|(_, gone)| gone.gone_us);
+            let oldest = self.tombstones.iter().min_by_key(|(_, gone)| (gone.ended, gone.gone_us));
             if let Some(oldest) = oldest.map(|(node, _)| *node) {
                 self.tombstones.remove(&oldest);
             }
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -22,7 +22,7 @@
     while fleet.nodes[0].outcomes.is_empty() {
         fleet.run_until(fleet.now_us + 1_000);
     }
-    assert_eq!(fleet.nodes[0].outcomes, [SubmitOutcome::Accepted { version: 1 }]);
+    assert_eq!(fleet.nodes[0].outcomes, [(7, SubmitOutcome::Accepted { version: 1 })]);
     fleet.table = Table::Down;
     fleet.run(5);
     assert_eq!(fleet.with_version(1), 8);
@@ -37,8 +37,8 @@
     let mut won = 0;
     for (index, other) in [(0, 8), (1, 7)] {
         match &fleet.nodes[index].outcomes[..] {
-            [SubmitOutcome::Accepted { version: 1 }] => won += 1,
-            [SubmitOutcome::Conflict { lost_to: Some(entry) }] => {
+            [(_, SubmitOutcome::Accepted { version: 1 })] => won += 1,
+            [(_, SubmitOutcome::Conflict { lost_to: Some(entry) })] => {
                 assert_eq!((entry.submission, entry.version), (other, 1));
                 assert_eq!(entry.by, format!("operator {other}"));
             }
@@ -54,7 +54,7 @@
     fleet.table = Table::LoseAnswers;
     fleet.submit(0, 7, 0, "{}");
     fleet.run(5);
-    assert_eq!(fleet.nodes[0].outcomes, [SubmitOutcome::Accepted { version: 1 }]);
+    assert_eq!(fleet.nodes[0].outcomes, [(7, SubmitOutcome::Accepted { version: 1 })]);
     assert_eq!(fleet.with_version(1), 4);
 }
 
@@ -79,7 +79,7 @@
     let mut fleet = one_service(5, 2);
     fleet.submit(0, 7, 0, "bad");
     let cause = "bad".to_owned();
-    assert_eq!(fleet.nodes[0].outcomes, [SubmitOutcome::Invalid { cause }]);
+    assert_eq!(fleet.nodes[0].outcomes, [(7, SubmitOutcome::Invalid { cause })]);
 }
 
 #[test]
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -55,7 +55,8 @@
     /// Nodes it has ever seen leaving.
     left: BTreeSet<NodeId>,
     pub in_force: Vec<u64>,
-    pub outcomes: Vec<SubmitOutcome>,
+    /// What became of submissions, by their numbers.
+    pub outcomes: Vec<(u64, SubmitOutcome)>,
     pub superseded: bool,
     pub sent_bytes: u64,
     pub sent_messages: u64,
@@ -469,8 +470,8 @@
                 assert!(versions.last().is_none_or(|last| *last < version), "went backwards");
                 versions.push(version);
             }
-            ConfigurationAction::Submitted { outcome, .. } => {
-                self.nodes[index].outcomes.push(outcome);
+            ConfigurationAction::Submitted { submission, outcome } => {
+                self.nodes[index].outcomes.push((submission, outcome));
             }
             ConfigurationAction::Ready(_) | ConfigurationAction::Unusable { .. } => {}
         }
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -183,3 +183,17 @@
         assert!(FRONT.iter().all(|other| front == *other || fleet.sees(front, *other)));
     }
 }
+
+#[test]
+fn a_replacement_that_starts_with_the_store_away_keeps_its_name() {
+    let mut fleet = two_services(12);
+    fleet.run(100);
+    fleet.kill(STOCK[0]);
+    fleet.table = Table::Down;
+    let replacement = fleet.start_at("stock-0", "stock", &[], 0);
+    fleet.run(200);
+    fleet.table = Table::Up;
+    fleet.run(100);
+    assert!(!fleet.nodes[replacement].superseded);
+    assert!(fleet.sees(FRONT[0], replacement));
+}
--- /dev/null
+++ b/tests/membership_faults.rs
@@ -0,0 +1,225 @@
+//! Membership and configuration under random faults: what must hold at every step is asserted by
+//! the fleet itself, what must hold once the faults end is asserted here.
+
+mod fleet;
+
+use std::collections::BTreeSet;
+
+use aspenspring::configuration::SubmitOutcome;
+use aspenspring::membership::{MemberState, MembershipEvent};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+use fleet::{Fleet, Table};
+
+#[derive(Clone, Debug)]
+enum Fault {
+    Kill(usize),
+    /// A VM is replaced: its name comes back with a clock that is behind by so many seconds.
+    Replace(usize, u64),
+    /// The same while the old VM is only frozen.
+    ReplaceFrozen(usize),
+    Leave(usize),
+    Freeze(usize),
+    Thaw(usize),
+    Part(usize, usize),
+    Heal,
+    Table(Table),
+    Loss(f64, f64),
+    Submit(usize),
+    SubmitTwice(usize, usize),
+}
+
+fn fault() -> impl Strategy<Value = Fault> {
+    let node = 0..7usize;
+    prop_oneof![
+        node.clone().prop_map(Fault::Kill),
+        (node.clone(), 0..300u64).prop_map(|(n, behind)| Fault::Replace(n, behind)),
+        node.clone().prop_map(Fault::ReplaceFrozen),
+        node.clone().prop_map(Fault::Leave),
+        node.clone().prop_map(Fault::Freeze),
+        node.clone().prop_map(Fault::Thaw),
+        (node.clone(), 0..2usize).prop_map(|(n, part)| Fault::Part(n, part)),
+        Just(Fault::Heal),
+        prop_oneof![Just(Table::Up), Just(Table::Down), Just(Table::LoseAnswers)]
+            .prop_map(Fault::Table),
+        (0.0..0.5f64, 0.0..0.3f64).prop_map(|(loss, twice)| Fault::Loss(loss, twice)),
+        node.clone().prop_map(Fault::Submit),
+        (node.clone(), node).prop_map(|(a, b)| Fault::SubmitTwice(a, b)),
+    ]
+}
+
+const SERVICES: [(&str, &[&str]); 3] =
+    [("front", &["stock"]), ("stock", &["depot"]), ("depot", &[])];
+
+fn calls(service: &str) -> &'static [&'static str] {
+    SERVICES.iter().find(|(name, _)| *name == service).unwrap().1
+}
+
+fn start() -> Fleet {
+    let mut fleet = Fleet::new(1, Fleet::options());
+    for n in 0..7 {
+        let (service, calls) = SERVICES[n % 3];
+        fleet.start(&format!("node-{n}"), service, calls);
+    }
+    fleet.run(20);
+    fleet
+}
+
+/// The running life of the node that began as number `n`.
+fn life(fleet: &Fleet, n: usize) -> usize {
+    let name = format!("node-{n}");
+    let lives = 0..fleet.nodes.len();
+    lives.rev().find(|index| fleet.nodes[*index].membership.own().name == name).unwrap()
+}
+
+fn replace(fleet: &mut Fleet, index: usize, behind_s: u64) {
+    let own = fleet.nodes[index].membership.own().clone();
+    let now_ms = fleet.now_us / 1_000;
+    let started_unix_ms = now_ms.saturating_sub(behind_s * 1_000);
+    fleet.start_at(&own.name, &own.service, calls(&own.service), started_unix_ms);
+}
+
+fn submit(fleet: &mut Fleet, n: usize, number: &mut u64) {
+    let index = life(fleet, n);
+    if !fleet.nodes[index].up || fleet.nodes[index].frozen {
+        return;
+    }
+    *number += 1;
+    let based_on = fleet.nodes[index].configuration.version();
+    fleet.submit(index, *number, based_on, &format!("{{\"number\":{number}}}"));
+}
+
+fn inject(fleet: &mut Fleet, fault: &Fault, number: &mut u64) {
+    match *fault {
+        Fault::Kill(n) => {
+            let index = life(fleet, n);
+            fleet.kill(index);
+        }
+        Fault::Replace(n, behind_s) => {
+            let index = life(fleet, n);
+            fleet.kill(index);
+            replace(fleet, index, behind_s);
+        }
+        Fault::ReplaceFrozen(n) => {
+            let index = life(fleet, n);
+            fleet.freeze(index);
+            replace(fleet, index, 0);
+        }
+        Fault::Leave(n) => {
+            let index = life(fleet, n);
+            if fleet.nodes[index].up && !fleet.nodes[index].frozen {
+                fleet.tell(index, MembershipEvent::Leave);
+            }
+        }
+        Fault::Freeze(n) => {
+            let index = life(fleet, n);
+            fleet.freeze(index);
+        }
+        Fault::Thaw(n) => {
+            let index = life(fleet, n);
+            fleet.thaw(index);
+        }
+        Fault::Part(n, part) => {
+            let index = life(fleet, n);
+            fleet.part_of[index] = part;
+        }
+        Fault::Heal => fleet.part_of.fill(0),
+        Fault::Table(table) => fleet.table = table,
+        Fault::Loss(loss, duplicates) => (fleet.loss, fleet.duplicates) = (loss, duplicates),
+        Fault::Submit(n) => submit(fleet, n, number),
+        Fault::SubmitTwice(a, b) => {
+            submit(fleet, a, number);
+            submit(fleet, b, number);
+        }
+    }
+}
+
+fn end_faults(fleet: &mut Fleet) {
+    (fleet.loss, fleet.duplicates, fleet.table) = (0.0, 0.0, Table::Up);
+    fleet.part_of.fill(0);
+    for index in 0..fleet.nodes.len() {
+        if fleet.nodes[index].frozen {
+            fleet.thaw(index);
+        }
+    }
+    fleet.run(240);
+}
+
+/// Each node knows all that serve in the services it cares about, and nobody else.
+fn check_members(fleet: &Fleet) {
+    let serves = |index: &usize| {
+        let node = &fleet.nodes[*index];
+        node.up && node.membership.own().state == MemberState::Serving
+    };
+    let serving: Vec<usize> = (0..fleet.nodes.len()).filter(serves).collect();
+    let names: BTreeSet<&str> =
+        serving.iter().map(|i| fleet.nodes[*i].membership.own().name.as_str()).collect();
+    assert_eq!(names.len(), serving.len(), "two lives serve under one name");
+    for index in 0..fleet.nodes.len() {
+        if !fleet.nodes[index].up {
+            continue;
+        }
+        let own = fleet.nodes[index].membership.own();
+        let wants = |other: &&usize| {
+            let other = fleet.nodes[**other].membership.own();
+            // A node that lost its name leaves, and has no use for who took it.
+            other.name != own.name
+                && (other.service == own.service
+                    || calls(&own.service).contains(&other.service.as_str()))
+        };
+        let expected = serving.iter().filter(wants);
+        let expected: BTreeSet<_> =
+            expected.map(|other| fleet.nodes[*other].membership.own().node).collect();
+        let routed = fleet.nodes[index].routed.iter();
+        let routed = routed.filter(|(_, state)| **state == MemberState::Serving);
+        let routed: BTreeSet<_> = routed.map(|(node, _)| *node).collect();
+        assert_eq!(routed, expected, "node {index} {}", own.name);
+    }
+}
+
+/// All have the table's version, and every submission became what its sender was told.
+fn check_configuration(fleet: &Fleet) {
+    let row = fleet.row.as_ref().map(|row| &row.accepted);
+    let version = row.map_or(0, |accepted| accepted.version());
+    for node in fleet.nodes.iter().filter(|node| node.up) {
+        assert_eq!(node.configuration.version(), version);
+        assert!(node.configuration.is_ready());
+    }
+    let mut accepted_versions = BTreeSet::new();
+    for (submission, outcome) in fleet.nodes.iter().flat_map(|node| &node.outcomes) {
+        let entry = row.and_then(|accepted| accepted.find(*submission));
+        match outcome {
+            SubmitOutcome::Accepted { version } => {
+                assert_eq!(entry.map(|entry| entry.version), Some(*version));
+                assert!(accepted_versions.insert(*version), "two hold version {version}");
+            }
+            SubmitOutcome::Unknown => {}
+            refused => assert_eq!(entry, None, "{refused:?}"),
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 100,
+        rng_seed: RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn all_agree_once_the_faults_end(
+        faults in prop::collection::vec((fault(), 1..40u64), 1..14),
+    ) {
+        let mut fleet = start();
+        let mut number = 0;
+        for (fault, seconds) in &faults {
+            inject(&mut fleet, fault, &mut number);
+            fleet.run(*seconds);
+        }
+        end_faults(&mut fleet);
+        check_members(&fleet);
+        check_configuration(&fleet);
+    }
+}
--- a/tests/membership_figures.rs
+++ b/tests/membership_figures.rs
@@ -160,7 +160,7 @@
         while fleet.nodes[nodes / 2].outcomes.is_empty() {
             fleet.run_until(fleet.now_us + 1_000);
         }
-        assert_eq!(fleet.nodes[nodes / 2].outcomes, [SubmitOutcome::Accepted { version: 1 }]);
+        assert_eq!(fleet.nodes[nodes / 2].outcomes, [(7, SubmitOutcome::Accepted { version: 1 })]);
         fleet.table = Table::Down;
         let messages: u64 = fleet.nodes.iter().map(|node| node.sent_messages).sum();
         let bytes: u64 = fleet.nodes.iter().map(|node| node.sent_bytes).sum();
