Answer at once for a full ring, and let last replies arrive

Cause: an attempt that found the decider's ring full got no answer, so that its sender waited until its deadline and then could only say that it may have run; a node that left could close before its last replies had arrived; loads on pongs were dropped.

Change: the transport's sink answers NotRun(NodeFull) itself; the launching thread waits up to 2 s until receivers have confirmed all replies; pongs reach the router and the membership.

Ruled out: blocking the transport's threads until there is room, which would hold back answers too.

--- a/src/duty/launch.rs
+++ b/src/duty/launch.rs
@@ -1,8 +1,8 @@
 //! Starts all threads of a node, and stops them in order.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::thread::JoinHandle;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use eyre::WrapErr;
 use rand::Rng;
@@ -10,7 +10,7 @@
 use rocket::{Build, Rocket};
 use tokio::signal::unix::{SignalKind, signal};
 
-use crate::call::NodeId;
+use crate::call::{AnswerFrame, AttemptId, LoadReport, Message, NodeId, RefusalReason, Verdict};
 use crate::clock::Clock;
 use crate::config::{NodeSettings, Settings};
 use crate::event::{EventLog, LogEvent};
@@ -22,11 +22,15 @@
 use super::http::{BodyRoom, Gate, Side};
 use super::note::Notes;
 use super::operator::{self, OperatorKey, OperatorOptions};
-use super::peer::{self, PeerDuty, PeerEvent, PeerOptions};
+use super::peer::{self, PeerDuty, PeerEvent, PeerHandle, PeerOptions, ReturnPath};
 use super::store::{self, StoreHandle, StoreOptions};
 use super::target;
 use super::web::{WebOptions, WebServer};
 
+/// How long the last replies may take to be confirmed by their receivers.
+const REPLIES_WAIT: Duration = Duration::from_secs(2);
+/// When a sender should come back to a node whose ring was full, in milliseconds.
+const FULL_RETRY_MS: u32 = 200;
 /// How often the launching thread looks whether the node has left.
 const WATCH_EVERY: Duration = Duration::from_millis(50);
 
@@ -59,6 +63,7 @@
         version: env!("CARGO_PKG_VERSION"),
     });
     wait_until_left(&decider, &thread)?;
+    wait_for_replies(&peers);
     for server in servers {
         server.stop()?;
     }
@@ -79,16 +84,42 @@
         .body_max_bytes(own.body_max_bytes)
         .build();
     let decider = decider.clone();
-    let sink = move |event| take_peer_event(&decider, event);
-    peer::start(options, clock, sink).wrap_err("cannot listen for other nodes")
+    // The handle to answer with exists only once the transport has started.
+    let own: Arc<OnceLock<PeerHandle>> = Arc::default();
+    let answering = own.clone();
+    let sink = move |event| take_peer_event(id, &decider, answering.get(), event);
+    let peers = peer::start(options, clock, sink).wrap_err("cannot listen for other nodes")?;
+    let _ = own.set(peers.handle());
+    Ok(peers)
+}
+
+/// Answers an attempt that the decider's ring has no room for. It never ran and never will: its
+/// frame goes no further, and a later question about it finds nothing and fences it.
+fn refuse_for_room(id: NodeId, peers: Option<&PeerHandle>, path: ReturnPath, attempt: AttemptId) {
+    let Some(peers) = peers else { return };
+    let verdict = Verdict::not_run(RefusalReason::NodeFull, FULL_RETRY_MS);
+    let answer = AnswerFrame { attempt, node: id, verdict, load: LoadReport::default() };
+    // Without an answer the sender's deadline ends the attempt.
+    let _ = peers.reply(path, &Message::Answer(answer));
 }
 
 /// Hands what happened on a connection to the decider.
-fn take_peer_event(decider: &DeciderHandle, event: PeerEvent) {
+fn take_peer_event(
+    id: NodeId,
+    decider: &DeciderHandle,
+    peers: Option<&PeerHandle>,
+    event: PeerEvent,
+) {
     match event {
         PeerEvent::Request { path, message } => {
-            // A request that finds no room is not answered: the sender's deadline ends it.
-            let _ = decider.offer(NodeEvent::PeerRequest { path, message });
+            let attempt = match &message {
+                Message::Call(frame) => Some(frame.attempt),
+                _ => None,
+            };
+            let taken = decider.offer(NodeEvent::PeerRequest { path, message });
+            if let (Err(_), Some(attempt)) = (taken, attempt) {
+                refuse_for_room(id, peers, path, attempt);
+            }
         }
         PeerEvent::Reply { peer, message } => {
             decider.tell(NodeEvent::PeerReply { peer, message });
@@ -175,6 +206,14 @@
     Ok(servers)
 }
 
+/// Gives the last replies time to reach their receivers.
+fn wait_for_replies(peers: &PeerDuty) {
+    let until = Instant::now() + REPLIES_WAIT;
+    while peers.unconfirmed_replies() > 0 && Instant::now() < until {
+        std::thread::sleep(WATCH_EVERY);
+    }
+}
+
 /// Starts the operators' listener.
 fn start_operator(
     own: &NodeSettings,
--- a/src/node/roster.rs
+++ b/src/node/roster.rs
@@ -5,7 +5,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use crate::call::{Message, NodeId};
+use crate::call::{LoadReport, Message, NodeId};
 use crate::clock::US_PER_MS;
 use crate::config::{Rules, Settings};
 use crate::configuration::{
@@ -165,6 +165,18 @@
         self.router.put(now_us, peer);
     }
 
+    /// Takes in a sign of life of a node, with its load.
+    pub(super) fn take_pong(
+        &mut self,
+        now_us: u64,
+        from: NodeId,
+        load: &LoadReport,
+        out: &mut Vec<NodeAction>,
+    ) {
+        self.router.heartbeat(now_us, from, load);
+        self.tell_membership(now_us, MembershipEvent::Heard { node: from }, out);
+    }
+
     /// Takes in a membership message.
     pub(super) fn take_gossip(&mut self, now_us: u64, bytes: &[u8], out: &mut Vec<NodeAction>) {
         self.tell_membership(now_us, MembershipEvent::Gossip { bytes }, out);
--- a/src/node/sending.rs
+++ b/src/node/sending.rs
@@ -149,7 +149,8 @@
             Message::RetryGrant { failed, granted } => {
                 self.take_grant(now_us, failed, granted, out);
             }
-            // Pongs are the connection's own business, and nothing else is ever a reply.
+            Message::Pong { from, load, .. } => self.take_pong(now_us, from, &load, out),
+            // Nothing else is ever a reply.
             _ => {}
         }
     }
