Hold a given-up call against its target only when it was overdue

Cause: a cancelled call and one that met its deadline a moment after it was sent both reach the router as lost, and ten of them ejected a healthy target. Under overload callers give up all the time. The new test failed first.

Change: without an answer frame, an attempt counts as failed only when the time waited is beyond what is usual for the service; a lost attempt that comes with an answer (the target broke off) counts at once, as before.

--- a/src/routing/health.rs
+++ b/src/routing/health.rs
@@ -88,7 +88,7 @@
 }
 
 /// Whether a latency is near enough to the usual one.
-fn is_usual(latency_us: f32, usual: Usual) -> bool {
+pub(super) fn is_usual(latency_us: f32, usual: Usual) -> bool {
     let limit_us =
         (usual.latency_us * GOOD_PROBE_RATIO).max(usual.latency_us + STRAGGLER_EXCESS_US);
     usual.latency_us <= 0.0 || latency_us <= limit_us
--- a/src/routing/observe.rs
+++ b/src/routing/observe.rs
@@ -44,6 +44,7 @@
         let connected = target.link == Link::Up;
         let record = target.record_mut(arm, arms);
         record.settled(now_us);
+        let waited_us = seen.latency_us as f32;
         if let Some(load) = &seen.load {
             record.report(now_us, load);
             record.floors.tell(now_us, seen.class, load.floor);
@@ -61,6 +62,8 @@
             }
             // A lost connection takes all that was on it along, which says little of the target.
             Outcome::Lost if !connected => {}
+            // The caller gave up, or the deadline came, before an answer was due.
+            Outcome::Lost if seen.load.is_none() && health::is_usual(waited_us, state.usual) => {}
             Outcome::Lost => {
                 record.add_latency_at_least(seen.latency_us);
                 record.add_error(1.0);
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -56,7 +56,9 @@
     },
     /// The receiving node did not run it.
     Refused(RefusalReason),
-    /// Nothing came back.
+    /// Nobody can say: no answer came, or the receiving node answered that its target broke off.
+    /// It is held against the target in the second case, and in the first where an answer was
+    /// overdue.
     Lost,
 }
 
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -87,3 +87,39 @@
     assert!(refusal.retry_after_ms >= 200);
     assert!(router.pick(1_000_000, &ask(&[]), &mut rng).is_ok());
 }
+
+fn answered(latency_us: u64) -> Observation {
+    let outcome = Outcome::Answered { healthy: true };
+    Observation { arm: ARM, class: CLASS, latency_us, outcome, load: None }
+}
+
+/// Settles ten attempts at node 1 as `lost` and says whether it was ejected.
+fn is_ejected_after(lost: &Observation) -> bool {
+    let mut router = router(4);
+    let mut rng = SmallRng::seed_from_u64(1);
+    for round in 0..20 {
+        for node in 1..=4 {
+            router.sent(round, NodeId(node), ARM);
+            router.observed(round, NodeId(node), &answered(10_000));
+        }
+    }
+    for round in 0..10 {
+        let now_us = 100_000 * (round + 1);
+        router.pick(now_us, &ask(&[]), &mut rng).expect("a target is there");
+        router.sent(now_us, NodeId(1), ARM);
+        router.observed(now_us + lost.latency_us, NodeId(1), lost);
+    }
+    router.pick(1_100_000, &ask(&[]), &mut rng).expect("a target is there");
+    router.view(1_100_000)[0].arms[0].ejected
+}
+
+#[test]
+fn calls_given_up_early_are_not_held_against_their_target() {
+    let given_up = Observation { outcome: Outcome::Lost, ..answered(2_000) };
+    assert!(!is_ejected_after(&given_up), "ejected for what its callers did");
+    let waited_for = Observation { outcome: Outcome::Lost, ..answered(90_000) };
+    assert!(is_ejected_after(&waited_for), "never answers, but keeps its share");
+    let load = Some(LoadReport { limit: 25, ..LoadReport::default() });
+    let broke = Observation { outcome: Outcome::Lost, load, ..answered(500) };
+    assert!(is_ejected_after(&broke), "breaks off at once, but keeps its share");
+}
