Submit, show and list configurations from the command line

Cause: the operators' listener takes configurations, but nothing made the document that it takes, and no command spoke to it. A document's problems were placed in parts of it that no file shows, and a member given twice in a document was taken without a word.

Ruled out: reading the present version inside `submit`, since the change was made against the version its author saw; it must be named, and a race then ends as a conflict. Ruled out: a key on the command line, which other users of the machine can read.

Change: submit, show, list, status and leave; `submit` composes the document from the base and the sites' files and checks it for every site before it is sent. Exit code 4 says that nobody knows whether it was accepted; a request that was never sent ends with 1. Problems of a document name its own places.

--- a/extra/aspenspring.bash
+++ b/extra/aspenspring.bash
@@ -24,6 +24,21 @@
             settings)
                 cmd="aspenspring_settings"
                 ;;
+            submit)
+                cmd="aspenspring_submit"
+                ;;
+            show)
+                cmd="aspenspring_show"
+                ;;
+            list)
+                cmd="aspenspring_list"
+                ;;
+            status)
+                cmd="aspenspring_status"
+                ;;
+            leave)
+                cmd="aspenspring_leave"
+                ;;
             schema)
                 cmd="aspenspring_schema"
                 ;;
@@ -60,7 +75,7 @@
     case "${cmd}" in
         aspenspring)
             opts="--help"
-            cmds="node check settings schema completions manual standin"
+            cmds="node check settings submit show list status leave schema completions manual standin"
             case "${prev}" in
                 *)
                     COMPREPLY=( $(compgen -W "${opts} ${cmds}" -- "${cur}") )
@@ -82,7 +97,7 @@
             esac
             ;;
         aspenspring_check)
-            opts="--help --settings --rules --site --json"
+            opts="--help --settings --rules --document --site --json"
             case "${prev}" in
                 --settings)
                     COMPREPLY=()
@@ -92,6 +107,10 @@
                     COMPREPLY=()
                     return 0
                     ;;
+                --document)
+                    COMPREPLY=()
+                    return 0
+                    ;;
                 *)
                     COMPREPLY=( $(compgen -W "${opts} ${cmds}" -- "${cur}") )
                     return 0
@@ -111,6 +130,115 @@
                     ;;
             esac
             ;;
+        aspenspring_submit)
+            opts="--help --node --based-on --base --site --document --by --key-env --json"
+            case "${prev}" in
+                --node)
+                    COMPREPLY=()
+                    return 0
+                    ;;
+                --based-on)
+                    COMPREPLY=()
+                    return 0
+                    ;;
+                --base)
+                    COMPREPLY=()
+                    return 0
+                    ;;
+                --site)
+                    COMPREPLY=()
+                    return 0
+                    ;;
+                --document)
+                    COMPREPLY=()
+                    return 0
+                    ;;
+                --by)
+                    COMPREPLY=()
+                    return 0
+                    ;;
+                --key-env)
+                    COMPREPLY=()
+                    return 0
+                    ;;
+                *)
+                    COMPREPLY=( $(compgen -W "${opts} ${cmds}" -- "${cur}") )
+                    return 0
+                    ;;
+            esac
+            ;;
+        aspenspring_show)
+            opts="--help --node --version --key-env --document --json"
+            case "${prev}" in
+                --node)
+                    COMPREPLY=()
+                    return 0
+                    ;;
+                --version)
+                    COMPREPLY=()
+                    return 0
+                    ;;
+                --key-env)
+                    COMPREPLY=()
+                    return 0
+                    ;;
+                *)
+                    COMPREPLY=( $(compgen -W "${opts} ${cmds}" -- "${cur}") )
+                    return 0
+                    ;;
+            esac
+            ;;
+        aspenspring_list)
+            opts="--help --node --key-env --json"
+            case "${prev}" in
+                --node)
+                    COMPREPLY=()
+                    return 0
+                    ;;
+                --key-env)
+                    COMPREPLY=()
+                    return 0
+                    ;;
+                *)
+                    COMPREPLY=( $(compgen -W "${opts} ${cmds}" -- "${cur}") )
+                    return 0
+                    ;;
+            esac
+            ;;
+        aspenspring_status)
+            opts="--help --node --key-env --json"
+            case "${prev}" in
+                --node)
+                    COMPREPLY=()
+                    return 0
+                    ;;
+                --key-env)
+                    COMPREPLY=()
+                    return 0
+                    ;;
+                *)
+                    COMPREPLY=( $(compgen -W "${opts} ${cmds}" -- "${cur}") )
+                    return 0
+                    ;;
+            esac
+            ;;
+        aspenspring_leave)
+            opts="--help --node --key-env --json"
+            case "${prev}" in
+                --node)
+                    COMPREPLY=()
+                    return 0
+                    ;;
+                --key-env)
+                    COMPREPLY=()
+                    return 0
+                    ;;
+                *)
+                    COMPREPLY=( $(compgen -W "${opts} ${cmds}" -- "${cur}") )
+                    return 0
+                    ;;
+            esac
+            ;;
         aspenspring_schema)
             opts="--help --rules"
             case "${prev}" in
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -5,10 +5,16 @@
 
 mod check;
 mod completions;
+mod leave;
+mod list;
 mod manual;
 mod node;
+mod remote;
 mod schema;
 mod settings;
+mod show;
+mod status;
+mod submit;
 
 use std::io::{ErrorKind, Write};
 use std::path::PathBuf;
@@ -24,13 +30,20 @@
 
 pub use check::CheckArgs;
 pub use completions::{CompletionsArgs, Shell, script};
+pub use leave::LeaveArgs;
+pub use list::ListArgs;
 pub use manual::{ManualArgs, page};
 pub use node::NodeArgs;
 pub use schema::SchemaArgs;
 pub use settings::SettingsArgs;
+pub use show::ShowArgs;
+pub use status::StatusArgs;
+pub use submit::SubmitArgs;
 
 /// The name of the program.
 pub const PROGRAM: &str = "aspenspring";
+/// The environment variable that holds the operators' key, unless another is named.
+const DEFAULT_KEY_ENV: &str = "ASPENSPRING_OPERATOR_KEY";
 
 /// Overload control for service call graphs: one small node beside each target.
 #[derive(Debug, FromArgs, ArgsInfo)]
@@ -39,6 +52,7 @@
     error_code(1, "Failed: something outside the settings did not work."),
     error_code(2, "Wrong usage, or settings that were refused."),
     error_code(3, "Conflict: something newer is in force than what was to be replaced."),
+    error_code(4, "Unknown: a configuration may have been accepted, now or within seconds."),
     note = "Give {command_name} settings as a base file and the overlays in their order.",
     example = "{command_name} check --settings base.json --settings jordan.json --settings node.json"
 )]
@@ -58,6 +72,16 @@
     Check(CheckArgs),
     /// Print effective settings.
     Settings(SettingsArgs),
+    /// Submit a configuration.
+    Submit(SubmitArgs),
+    /// Show a configuration.
+    Show(ShowArgs),
+    /// List configurations.
+    List(ListArgs),
+    /// Show the state of nodes.
+    Status(StatusArgs),
+    /// Tell a node to leave.
+    Leave(LeaveArgs),
     /// Print the schema of the settings.
     Schema(SchemaArgs),
     /// Print shell completions.
@@ -79,6 +103,8 @@
     Usage = 2,
     /// Something newer is in force than what was to be replaced.
     Conflict = 3,
+    /// Nobody can say whether a configuration was accepted.
+    Unknown = 4,
 }
 
 impl From<Exit> for ExitCode {
@@ -118,6 +144,11 @@
         Command::Node(args) => node::run(&args),
         Command::Check(args) => check::run(&args),
         Command::Settings(args) => settings::run(&args),
+        Command::Submit(args) => submit::run(&args),
+        Command::Show(args) => show::run(&args),
+        Command::List(args) => list::run(&args),
+        Command::Status(args) => status::run(&args),
+        Command::Leave(args) => leave::run(&args),
         Command::Schema(args) => schema::run(&args),
         Command::Completions(args) => completions::run(&args),
         Command::Manual(_) => manual::run(),
--- a/src/cli/schema.rs
+++ b/src/cli/schema.rs
@@ -9,7 +9,7 @@
 #[derive(Debug, FromArgs, ArgsInfo)]
 #[argh(subcommand, name = "schema")]
 pub struct SchemaArgs {
-    /// print the schema of the rules alone, as they are submitted
+    /// print the schema of the rules of one site alone
     #[argh(switch)]
     pub rules: bool,
 }
--- a/src/config/load.rs
+++ b/src/config/load.rs
@@ -148,7 +148,7 @@
 }
 
 /// Traces findings back to the files.
-fn trace(tree: &Tree, findings: Vec<Finding>) -> Vec<Problem> {
+pub(super) fn trace(tree: &Tree, findings: Vec<Finding>) -> Vec<Problem> {
     let mut problems = Vec::new();
     for Finding { pointer, found, accepted, .. } in findings {
         let origin = tree.origin_of(&pointer);
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -30,7 +30,7 @@
 
 pub use arm::ArmSettings;
 pub use class::ClassSettings;
-pub use document::read_document;
+pub use document::{SiteRules, compose_document, read_document, read_site_rules};
 pub use effective::{Effective, EffectiveValue};
 pub use load::{check_rules, load, load_site, read_rules};
 pub use node::NodeSettings;
