Send a span for each hop to a collector by OTLP over HTTP

Spans are pushed into a bounded ring and sent by a thread of its own with the OpenTelemetry library's exporter (JSON), over a client that uses no proxy, follows nothing and repeats nothing. A test showed that the exporter repeats a refused batch by itself (3 requests where 1 was meant); it is told not to.

Ruled out: the blocking client (a second runtime inside the library).

--- /dev/null
+++ b/src/telemetry/trace/export.rs
@@ -0,0 +1,168 @@
+//! Takes spans from the ring and sends them to the collector.
+
+use std::time::Duration;
+
+use ::metrics::Counter;
+use opentelemetry_otlp::{Protocol, RetryPolicy, SpanExporter, WithExportConfig, WithHttpConfig};
+use opentelemetry_sdk::trace::SpanExporter as _;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{Instant, timeout, timeout_at};
+
+use super::convert::{resource, span_data};
+use super::{LAST_EXPORT_MAX, SpanRecord, TraceError, TraceOptions};
+use crate::event::{EventLog, LogEvent};
+use crate::telemetry::metrics::{Metrics, names};
+
+/// The path of the collector's receiver for traces.
+const TRACES_PATH: &str = "/v1/traces";
+
+/// Sends batches of spans.
+pub(super) struct Exporter {
+    exporter: SpanExporter,
+    batch_spans: usize,
+    batch_wait: Duration,
+    export_timeout: Duration,
+    exported: Counter,
+    lost: Counter,
+    events: EventLog,
+    /// Spans lost since the collector went away, while it is.
+    lost_since_away: Option<u64>,
+}
+
+impl Exporter {
+    /// Prepares the client; connects to nothing.
+    pub(super) fn new(
+        options: &TraceOptions,
+        metrics: &Metrics,
+        events: EventLog,
+    ) -> Result<Self, TraceError> {
+        let refused =
+            |detail: String| TraceError::Options { otlp_url: options.otlp_url.clone(), detail };
+        let export_timeout = Duration::from_millis(options.export_timeout_ms);
+        let endpoint = endpoint(&options.otlp_url).map_err(refused)?;
+        let client = client(export_timeout).map_err(|error| refused(error.to_string()))?;
+        let mut exporter = SpanExporter::builder()
+            .with_http()
+            .with_http_client(client)
+            .with_protocol(Protocol::HttpJson)
+            .with_endpoint(endpoint)
+            .with_timeout(export_timeout)
+            .with_retry_policy(RetryPolicy::disabled())
+            .build()
+            .map_err(|error| refused(error.to_string()))?;
+        exporter.set_resource(&resource(options));
+        let lost = [("reason", "collector_away")];
+        Ok(Self {
+            exporter,
+            batch_spans: options.batch_spans,
+            batch_wait: Duration::from_millis(options.batch_wait_ms),
+            export_timeout,
+            exported: metrics.counter(names::SPANS_EXPORTED_TOTAL),
+            lost: metrics.counter_with(names::SPANS_DROPPED_TOTAL, &lost),
+            events,
+            lost_since_away: None,
+        })
+    }
+
+    /// Sends what comes out of the ring until it is told to stop.
+    pub(super) async fn run(
+        mut self,
+        mut ring: mpsc::Receiver<SpanRecord>,
+        mut stopped: oneshot::Receiver<()>,
+    ) {
+        loop {
+            let first = tokio::select! {
+                first = ring.recv() => first,
+                _ = &mut stopped => break,
+            };
+            let Some(first) = first else {
+                return;
+            };
+            let batch = self.fill(first, &mut ring).await;
+            self.export(batch).await;
+        }
+        ring.close();
+        // What is not sent by then is lost with the node.
+        let _ = timeout(LAST_EXPORT_MAX, self.export_rest(&mut ring)).await;
+    }
+
+    /// Waits until the batch that begins with `first` is full or its time is over.
+    async fn fill(
+        &self,
+        first: SpanRecord,
+        ring: &mut mpsc::Receiver<SpanRecord>,
+    ) -> Vec<SpanRecord> {
+        let mut batch = vec![first];
+        let due = Instant::now() + self.batch_wait;
+        while batch.len() < self.batch_spans {
+            let room = self.batch_spans - batch.len();
+            let taken = timeout_at(due, ring.recv_many(&mut batch, room)).await;
+            if taken.is_err() || taken == Ok(0) {
+                break;
+            }
+        }
+        batch
+    }
+
+    /// Sends what was in the ring when it was closed.
+    async fn export_rest(&mut self, ring: &mut mpsc::Receiver<SpanRecord>) {
+        let mut batch = Vec::new();
+        while ring.recv_many(&mut batch, self.batch_spans).await > 0 {
+            self.export(std::mem::take(&mut batch)).await;
+        }
+    }
+
+    /// Sends one batch, once.
+    async fn export(&mut self, batch: Vec<SpanRecord>) {
+        let spans = batch.len() as u64;
+        let batch = batch.into_iter().map(span_data).collect();
+        let failure = match timeout(self.export_timeout, self.exporter.export(batch)).await {
+            Ok(Ok(())) => None,
+            Ok(Err(error)) => Some(error.to_string()),
+            Err(_) => Some("no answer in time".to_owned()),
+        };
+        match failure {
+            None => self.exported(spans),
+            Some(detail) => self.not_exported(spans, detail),
+        }
+    }
+
+    fn exported(&mut self, spans: u64) {
+        self.exported.increment(spans);
+        if let Some(dropped_spans) = self.lost_since_away.take() {
+            self.events.emit(&LogEvent::CollectorBack { dropped_spans });
+        }
+    }
+
+    fn not_exported(&mut self, spans: u64, detail: String) {
+        self.lost.increment(spans);
+        if self.lost_since_away.is_none() {
+            self.events.emit(&LogEvent::CollectorAway { detail, spans });
+        }
+        self.lost_since_away = Some(self.lost_since_away.unwrap_or(0) + spans);
+    }
+}
+
+/// A client that follows nothing, repeats nothing and reads nothing from the environment.
+fn client(timeout: Duration) -> reqwest::Result<reqwest::Client> {
+    reqwest::Client::builder()
+        .no_proxy()
+        .redirect(reqwest::redirect::Policy::none())
+        .retry(reqwest::retry::never())
+        .connect_timeout(timeout)
+        .timeout(timeout)
+        .pool_max_idle_per_host(1)
+        .build()
+}
+
+/// The URL spans are posted to.
+fn endpoint(otlp_url: &str) -> Result<String, String> {
+    let mut url = reqwest::Url::parse(otlp_url).map_err(|error| error.to_string())?;
+    if !matches!(url.scheme(), "http" | "https") {
+        return Err("neither http nor https".to_owned());
+    }
+    if url.path() == "/" {
+        url.set_path(TRACES_PATH);
+    }
+    Ok(url.into())
+}
