Refuse to leave a site out of a submission by mistake

One that names only one of two sites is valid, the nodes of the other cannot use it, and after their grace they stop serving: seen in reading the state machine while writing the operators' page.

A node still accepts such a document from others that speak to its listener; this guards the command only.

--- a/extra/aspenspring.bash
+++ b/extra/aspenspring.bash
@@ -131,7 +131,7 @@
             esac
             ;;
         aspenspring_submit)
-            opts="--help --node --based-on --base --site --document --by --key-env --json"
+            opts="--help --node --based-on --base --site --document --drop-site --by --key-env --json"
             case "${prev}" in
                 --node)
                     COMPREPLY=()
@@ -153,6 +153,10 @@
                     COMPREPLY=()
                     return 0
                     ;;
+                --drop-site)
+                    COMPREPLY=()
+                    return 0
+                    ;;
                 --by)
                     COMPREPLY=()
                     return 0
--- a/extra/aspenspring.fish
+++ b/extra/aspenspring.fish
@@ -3,7 +3,7 @@
     set -e cmd[1]
     set -l target_cmd $argv
 
-    set -l known_value_flags 'at' 'base' 'based-on' 'body' 'by' 'call' 'calls' 'capacity' 'cold-ms' 'connections' 'deadline-ms' 'depth' 'document' 'header' 'key-env' 'lane-slots' 'listen' 'method' 'name' 'node' 'out' 'phase' 'queue-max' 'retries' 'rules' 'seed' 'service' 'service-ms' 'settings' 'site' 'slots' 'timeout-ms' 'trigger' 'url' 'version' 
+    set -l known_value_flags 'at' 'base' 'based-on' 'body' 'by' 'call' 'calls' 'capacity' 'cold-ms' 'connections' 'deadline-ms' 'depth' 'document' 'drop-site' 'header' 'key-env' 'lane-slots' 'listen' 'method' 'name' 'node' 'out' 'phase' 'queue-max' 'retries' 'rules' 'seed' 'service' 'service-ms' 'settings' 'site' 'slots' 'timeout-ms' 'trigger' 'url' 'version' 
 
     set -l i 1
     set -l cleaned_cmd
@@ -73,6 +73,7 @@
 complete -c aspenspring -n '__fish_aspenspring_using_command submit' -f -l base -r -d 'the base file of the settings, whose rules are submitted'
 complete -c aspenspring -n '__fish_aspenspring_using_command submit' -f -l site -r -d 'the overlay of a site, whose rules are submitted; may be repeated'
 complete -c aspenspring -n '__fish_aspenspring_using_command submit' -f -l document -r -d 'a file with a whole document, in place of --base and --site'
+complete -c aspenspring -n '__fish_aspenspring_using_command submit' -f -l drop-site -r -d 'a site that is in force and is meant to be left out; may be repeated'
 complete -c aspenspring -n '__fish_aspenspring_using_command submit' -f -l by -r -d 'who submits (the environment variable USER)'
 complete -c aspenspring -n '__fish_aspenspring_using_command submit' -f -l key-env -r -d 'the environment variable that holds the operators\' key (ASPENSPRING_OPERATOR_KEY)'
 complete -c aspenspring -n '__fish_aspenspring_using_command submit' -f -l json -d 'print the outcome in JSON'
--- a/src/cli/submit.rs
+++ b/src/cli/submit.rs
@@ -29,6 +29,9 @@
     /// a file with a whole document, in place of --base and --site
     #[argh(option)]
     pub document: Option<PathBuf>,
+    /// a site that is in force and is meant to be left out; may be repeated
+    #[argh(option)]
+    pub drop_site: Vec<String>,
     /// who submits (the environment variable USER)
     #[argh(option)]
     pub by: Option<String>,
@@ -51,6 +54,12 @@
         }
     };
     let remote = Remote::new(&args.node, &args.key_env)?;
+    let forgotten = forgotten_sites(args, &document, &remote.get("config")?.good()?)?;
+    if !forgotten.is_empty() {
+        eprintln!("Not submitted: {} in force and not named. Name the", are(&forgotten));
+        eprintln!("files of all sites with --site, or leave a site out with --drop-site.");
+        return Ok(Exit::Usage);
+    }
     let user = || std::env::var("USER").unwrap_or_else(|_| "operator".to_owned());
     let by = args.by.clone().unwrap_or_else(user);
     match remote.put_config(document, args.based_on, &by)? {
@@ -76,6 +85,31 @@
     }
 }
 
+/// The sites that are in force and that the document neither names nor is meant to leave out.
+///
+/// The nodes of a site that a document does not provide for cannot use it and stop serving.
+fn forgotten_sites(
+    args: &SubmitArgs,
+    document: &str,
+    in_force: &Value,
+) -> eyre::Result<Vec<String>> {
+    let document: Value = serde_json::from_str(document)?;
+    let mut forgotten = Vec::new();
+    let sites = in_force["document"]["sites"].as_object();
+    for site in sites.into_iter().flat_map(|sites| sites.keys()) {
+        if document["sites"].get(site).is_none() && !args.drop_site.contains(site) {
+            forgotten.push(site.clone());
+        }
+    }
+    Ok(forgotten)
+}
+
+/// The names of sites, with the verb that belongs to them.
+fn are(sites: &[String]) -> String {
+    let verb = if sites.len() == 1 { "is" } else { "are" };
+    format!("{} {verb}", sites.join(", "))
+}
+
 /// Reads a file with a whole document and checks it.
 pub(super) fn read_document(file: &Path) -> eyre::Result<Result<String, Vec<Problem>>> {
     let text = std::fs::read_to_string(file)
--- a/tests/cli_remote.rs
+++ b/tests/cli_remote.rs
@@ -1,5 +1,6 @@
 //! The commands that speak to a node's operators' listener.
 
+use std::io::{Read, Write};
 use std::net::SocketAddr;
 use std::process::{Command, Output};
 use std::sync::{Arc, Mutex};
@@ -76,7 +77,9 @@
     let sent = Arc::new(Mutex::new(None));
     let seen = Arc::clone(&sent);
     let (server, address) = listen(move |request| {
-        let OperatorRequest::Submit { submission, reply: to } = request else { return };
+        let OperatorRequest::Submit { submission, reply: to } = request else {
+            return answer(request);
+        };
         let document = serde_json::from_str(&submission.document).expect("JSON");
         *seen.lock().expect("a lock") =
             Some((submission.expected_version, submission.by, document));
@@ -123,15 +126,27 @@
     assert_eq!(unknown.status.code(), Some(4));
 }
 
+/// Reads what the other side still sends, so that closing resets nothing.
+fn drain(mut stream: std::net::TcpStream) {
+    stream.shutdown(std::net::Shutdown::Write).expect("one side is closed");
+    let _ = std::io::copy(&mut stream, &mut std::io::sink());
+}
+
 #[test]
 fn a_reply_that_is_lost_is_told_from_a_request_that_was_not_sent() {
     let lost = std::net::TcpListener::bind("127.0.0.1:0").expect("a listener");
     let address = lost.local_addr().expect("an address");
     let closer = std::thread::spawn(move || {
-        let (mut stream, _) = lost.accept().expect("a connection");
-        // The request is taken in and the connection closed without an answer.
         let mut some = [0; 16];
-        std::io::Read::read_exact(&mut stream, &mut some).expect("a request");
+        let (mut stream, _) = lost.accept().expect("a connection");
+        stream.read_exact(&mut some).expect("a request for what is in force");
+        let body = json!({"version": 7, "document": {}}).to_string();
+        let head = "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length";
+        write!(stream, "{head}: {}\r\n\r\n{body}", body.len()).expect("the answer is sent");
+        drain(stream);
+        // The submission is taken in and the connection closed without an answer.
+        let (mut stream, _) = lost.accept().expect("a connection");
+        stream.read_exact(&mut some).expect("a submission");
     });
     assert_eq!(run(address, &SUBMIT).status.code(), Some(4));
     closer.join().expect("the thread ends");
@@ -149,6 +164,24 @@
     server.stop().expect("the listener stops");
 }
 
+#[test]
+fn a_site_that_is_in_force_is_not_left_out_by_mistake() {
+    let (server, address) = listen(|request| {
+        if let OperatorRequest::Submit { reply, .. } = request {
+            let _ = reply.send(SubmitReply::Accepted { version: 9 });
+            return;
+        }
+        answer(request);
+    });
+    let one = [&SUBMIT[..5], &SUBMIT[7..]].concat();
+    let refused = run(address, &one);
+    assert_eq!(refused.status.code(), Some(2), "{refused:?}");
+    assert!(String::from_utf8_lossy(&refused.stderr).contains("jordan is in force"));
+    let dropped = run(address, &[&one[..], &["--drop-site", "jordan"]].concat());
+    assert_eq!(dropped.status.code(), Some(0), "{dropped:?}");
+    server.stop().expect("the listener stops");
+}
+
 fn answer(request: OperatorRequest) {
     match request {
         OperatorRequest::Config { version, reply } => {
@@ -157,7 +190,7 @@
                 version: version.unwrap_or(8),
                 by: Some("samira".to_owned()),
                 at_unix_ms: Some(2),
-                document: json!({"base": {}}),
+                document: json!({"base": {}, "sites": {"jordan": {}}}),
                 history: vec![entry],
             };
             let _ = reply.send((version != Some(99)).then_some(view));
@@ -186,7 +219,7 @@
     let shown = run(address, &["show", "--document"]);
     assert_eq!(shown.status.code(), Some(0), "{shown:?}");
     let document: Value = serde_json::from_slice(&shown.stdout).expect("JSON");
-    assert_eq!(document, json!({"base": {}}));
+    assert_eq!(document, json!({"base": {}, "sites": {"jordan": {}}}));
     let unknown = run(address, &["show", "--version", "99"]);
     assert_eq!(unknown.status.code(), Some(1));
     let listed = run(address, &["list", "--json"]);
