Give arms with few slots a longer queue and rounded limits

Cause: with 4 slots the queue and the overload threshold were reached by chance alone, and a limit of 3.6 was cut to 3, a quarter of the capacity. Change: waiting of up to 4 holding times is put down to chance where slots are few, never more than 5 times the policy's queueing delay; the limit is rounded.

--- a/src/admission/arm.rs
+++ b/src/admission/arm.rs
@@ -28,7 +28,9 @@
 /// fewer slots longer, so waiting counts as overload later.
 const DELAY_HOLDS_SLOTS: f64 = 16.0;
 /// The most holding times of waiting that are put down to chance.
-const DELAY_HOLDS_MAX: f64 = 2.0;
+const DELAY_HOLDS_MAX: f64 = 4.0;
+/// The most by which chance may lengthen the policy's queueing delay.
+const DELAY_STRETCH: u64 = 5;
 
 /// What the target offers to one arm.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -421,9 +423,11 @@
 
     /// The waiting time that counts as overload, in microseconds.
     fn delay_max_us(&self) -> u64 {
+        let policy_us = self.policy.queue_delay_ms * US_PER_MS;
         let slots = f64::from(self.limit());
         let holds = (DELAY_HOLDS_SLOTS / slots).min(DELAY_HOLDS_MAX);
-        (self.policy.queue_delay_ms * US_PER_MS).max((self.pace.hold_us() * holds) as u64)
+        let chance_us = (self.pace.hold_us() * holds) as u64;
+        chance_us.clamp(policy_us, policy_us * DELAY_STRETCH)
     }
 
     /// Whether the target is silent and the policy heeds it.
--- a/src/admission/limiter.rs
+++ b/src/admission/limiter.rs
@@ -74,7 +74,7 @@
 
     /// The limit, within `ceiling`.
     pub fn limit(&self, ceiling: u32) -> u32 {
-        (self.limit as u32).clamp(minimum(ceiling), ceiling.max(1))
+        (self.limit.round() as u32).clamp(minimum(ceiling), ceiling.max(1))
     }
 
     /// Forgets what was measured, for a target that has come up anew.
