Say "not run" only when no attempt of the hop may have run

Cause: a read that broke off was tried again; when the retry was refused (all targets gone, or every target already tried), the caller was told the verdict of the last attempt, "not run", although the first may have run. Besides, a retry of a service with one target was never sent at all: the only target had been tried, and nothing else could be picked.

Change: AttemptHistory keeps the latest verdict of a hop that is not "not run", and the hop concludes with it where its last attempt was refused. Where all targets of a service were tried, they are tried again.

--- a/src/node/hop.rs
+++ b/src/node/hop.rs
@@ -3,6 +3,7 @@
 use crate::call::{
     ArmId, AttemptId, ClassRank, HttpRequest, Key, Level, NodeId, RootId, TraceContext, Verdict,
 };
+use crate::retry::AttemptHistory;
 
 use super::event::Ticket;
 
@@ -51,6 +52,8 @@
     pub retries: u8,
     /// Nodes that were tried.
     pub tried: Vec<NodeId>,
+    /// What the attempts before the present one came to.
+    pub history: AttemptHistory,
     /// What the hop waits for.
     pub state: HopState,
 }
--- a/src/node/intake.rs
+++ b/src/node/intake.rs
@@ -8,6 +8,7 @@
 };
 use crate::clock::US_PER_MS;
 use crate::config::{ClassSettings, RetryRule};
+use crate::retry::AttemptHistory;
 use crate::routing::Pick;
 
 use super::event::{CallEnd, Intake, NodeAction, Ticket};
@@ -152,6 +153,7 @@
             deadline_us: now_us + deadline_ms(class, intake.deadline_ms) * US_PER_MS,
             retries: 0,
             tried: Vec::new(),
+            history: AttemptHistory::default(),
             state: HopState::New,
         })
     }
@@ -197,6 +199,7 @@
             deadline_us: above.deadline_us.min(now_us.saturating_add(asked_us)),
             retries: 0,
             tried: Vec::new(),
+            history: AttemptHistory::default(),
             state: HopState::New,
         })
     }
--- a/src/node/sending.rs
+++ b/src/node/sending.rs
@@ -114,7 +114,15 @@
             level: hop.level,
             avoid: &hop.tried,
         };
-        let node = self.router.pick(now_us, &ask, &mut self.rng).map_err(Verdict::NotRun)?;
+        let picked = self.router.pick(now_us, &ask, &mut self.rng);
+        // Where every target was tried, one that was is better than none.
+        let node = match picked {
+            Err(refusal) if refusal.reason == RefusalReason::NoTarget => {
+                self.router.pick(now_us, &Pick { avoid: &[], ..ask }, &mut self.rng)
+            }
+            picked => picked,
+        };
+        let node = node.map_err(Verdict::NotRun)?;
         let key = own.then(|| self.mint(now_us, node));
         Ok((node, key))
     }
@@ -374,6 +382,9 @@
         backoff_us: u64,
         out: &mut Vec<NodeAction>,
     ) {
+        if let Some(hop) = self.hops.get_mut(&id) {
+            hop.history.note(&last);
+        }
         if backoff_us == 0 {
             self.retry(now_us, id, out);
             return;
@@ -483,7 +494,8 @@
         verdict: Verdict,
         out: &mut Vec<NodeAction>,
     ) {
-        let Some(hop) = self.hops.remove(&id) else { return };
+        let Some(mut hop) = self.hops.remove(&id) else { return };
+        let verdict = hop.history.conclude(verdict);
         self.timers.clear(hop.deadline_us, Due::HopDeadline(id));
         if let Some(above) = hop.parent.and_then(|parent| self.inbound.get_mut(&parent)) {
             above.children.retain(|child| *child != id);
--- a/src/retry/mod.rs
+++ b/src/retry/mod.rs
@@ -7,9 +7,11 @@
 pub mod allowance;
 pub mod backoff;
 pub mod budget;
+pub mod history;
 pub mod step;
 
 pub use allowance::RootAllowances;
 pub use backoff::backoff_us;
 pub use budget::RetryBudget;
+pub use history::AttemptHistory;
 pub use step::{Failure, RetryStep, next_step};
--- /dev/null
+++ b/tests/node_retry.rs
@@ -0,0 +1,138 @@
+//! What a caller is told when attempts of its request ended in different ways.
+
+use std::sync::Arc;
+
+use aspenspring::call::{HttpRequest, NodeId, Verdict};
+use aspenspring::config::Settings;
+use aspenspring::duty::store::{StoreEvent, StoreOperation, StoreOutcome};
+use aspenspring::node::{
+    Announcement, Intake, Node, NodeAction, NodeEvent, NodeIdentity, TargetOutcome, Ticket,
+};
+
+const SERVICE: &str = "souq-stock";
+
+fn node() -> Node {
+    let settings: Settings = serde_json::from_value(serde_json::json!({
+        "site": "test",
+        "node": {"name": "stock-1", "failure_domain": "a", "service": SERVICE,
+                 "caller_listen": "127.0.0.1:0", "target_listen": "127.0.0.1:0",
+                 "peer_listen": "127.0.0.1:0", "operator_listen": "127.0.0.1:0"},
+        "platform": {"table_url": "http://127.0.0.1:1", "objects_url": "http://127.0.0.1:1"},
+        "rules": {
+            "classes": [{"name": "browse", "rank": 0, "deadline_ms": 2000,
+                         "deadline_max_ms": 5000}],
+            "routes": [{"service": SERVICE, "class": "browse"}],
+            "services": [{"name": SERVICE, "slots": 4, "connections": 8}],
+            "arms": [{"id": 0, "name": "full", "share": 1.0, "policy": "full"}],
+            "policies": [{"name": "full", "limit": {"kind": "static"}, "choice": "least_loaded",
+                          "retry": {"kind": "bounded", "allowance": 3, "budget_share": 0.1,
+                                    "backoff_ms": 5, "backoff_max_ms": 50}}]
+        }
+    }))
+    .expect("the settings are well formed");
+    let identity = NodeIdentity::builder()
+        .id(NodeId(7))
+        .peer_address(([127, 0, 0, 1], 7).into())
+        .seed(1)
+        .origin_unix_ms(1_700_000_000_000)
+        .build();
+    Node::new(0, identity, Arc::new(settings), Box::new(|_| Err("not used".to_owned())))
+}
+
+/// Starts a node over an empty table, with its target up.
+fn started() -> Node {
+    let mut node = node();
+    let mut out = Vec::new();
+    node.handle(0, NodeEvent::Tick, &mut out);
+    for action in out {
+        let NodeAction::Store(request) = action else {
+            continue;
+        };
+        let outcome = match request.operation {
+            StoreOperation::ReadRow { .. } => StoreOutcome::Row(None),
+            _ => StoreOutcome::Rows(Vec::new()),
+        };
+        let event = StoreEvent { id: request.id, outcome: Ok(outcome) };
+        node.handle(0, NodeEvent::Store(event), &mut Vec::new());
+    }
+    announce(&mut node, 0);
+    node
+}
+
+fn announce(node: &mut Node, now_us: u64) {
+    let announcement = Announcement {
+        url: "http://127.0.0.1:2".to_owned(),
+        service: SERVICE.to_owned(),
+        slots: 4,
+        connections: 8,
+    };
+    node.handle(now_us, NodeEvent::TargetAnnounced(announcement), &mut Vec::new());
+}
+
+/// Sends a read and lets its first run break off; returns what the caller is told by then.
+fn call_that_breaks(node: &mut Node, now_us: u64) -> Vec<Verdict> {
+    let request = HttpRequest {
+        method: "GET".to_owned(),
+        path: "/stock/1".to_owned(),
+        headers: Vec::new(),
+        body: Default::default(),
+    };
+    let intake = Intake {
+        ticket: Ticket(1),
+        service: SERVICE.to_owned(),
+        request,
+        deadline_ms: None,
+        key: None,
+        trace: None,
+    };
+    let mut out = Vec::new();
+    node.handle(now_us, NodeEvent::CallerCall(intake), &mut out);
+    let attempt = run_attempt(&out).unwrap_or_else(|| panic!("no run: {out:?}"));
+    let mut after = Vec::new();
+    let broke = NodeEvent::TargetEnded { attempt, outcome: TargetOutcome::Broke };
+    node.handle(now_us + 1_000, broke, &mut after);
+    replies(&after)
+}
+
+fn run_attempt(out: &[NodeAction]) -> Option<aspenspring::call::AttemptId> {
+    out.iter().find_map(|action| match action {
+        NodeAction::RunTarget(call) => Some(call.attempt),
+        _ => None,
+    })
+}
+
+fn replies(out: &[NodeAction]) -> Vec<Verdict> {
+    let mut replies = Vec::new();
+    for action in out {
+        if let NodeAction::Reply { end, .. } = action {
+            replies.push(end.verdict.clone());
+        }
+    }
+    replies
+}
+
+#[test]
+fn a_request_that_may_have_run_is_not_told_not_run_after_a_refused_retry() {
+    let mut node = started();
+    let told = call_that_breaks(&mut node, 1_000);
+    assert_eq!(told, [], "the retry is granted and waits");
+    let mut out = Vec::new();
+    node.handle(2_500, NodeEvent::Leave { asked_by: "operator" }, &mut out);
+    for step in 1..=300 {
+        node.handle(2_500 + step * 10_000, NodeEvent::Tick, &mut out);
+    }
+    let told = replies(&out);
+    assert_eq!(told.len(), 1);
+    assert!(matches!(told[0], Verdict::MayHaveRun(_)), "told {:?}", told[0]);
+}
+
+#[test]
+fn the_only_target_of_a_service_is_tried_again() {
+    let mut node = started();
+    assert_eq!(call_that_breaks(&mut node, 1_000), []);
+    let mut out = Vec::new();
+    for step in 1..=10 {
+        node.handle(2_000 + step * 10_000, NodeEvent::Tick, &mut out);
+    }
+    assert!(run_attempt(&out).is_some(), "told {:?} instead", replies(&out));
+}
--- a/tests/retry.rs
+++ b/tests/retry.rs
@@ -2,7 +2,9 @@
 
 use aspenspring::call::{HttpAnswer, RefusalReason, RootId, Verdict};
 use aspenspring::config::RetryRule;
-use aspenspring::retry::{Failure, RetryBudget, RetryStep, RootAllowances, next_step};
+use aspenspring::retry::{
+    AttemptHistory, Failure, RetryBudget, RetryStep, RootAllowances, next_step,
+};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
@@ -77,3 +79,19 @@
     let leaving = Verdict::not_run(RefusalReason::Leaving, 0);
     assert_eq!(step(&bounded(3), &leaving, true), RetryStep::AfterGrant { backoff_us: 0 });
 }
+
+#[test]
+fn a_hop_is_not_run_only_when_none_of_its_attempts_may_have_run() {
+    let refused = Verdict::not_run(RefusalReason::NoTarget, 10);
+    let doubt = Verdict::MayHaveRun(aspenspring::call::Doubt::ConnectionLost);
+    let mut history = AttemptHistory::default();
+    history.note(&refused);
+    assert_eq!(history.conclude(refused.clone()), refused);
+    history.note(&doubt);
+    history.note(&refused);
+    assert_eq!(history.conclude(refused.clone()), doubt);
+    history.note(&doubt);
+    assert_eq!(history.conclude(answered(200)), answered(200));
+    history.note(&answered(503));
+    assert_eq!(history.conclude(refused), answered(503));
+}
