Cut off senders that stall before a handler runs

Cause: rocket 0.5 has no timeout for a request's head and waits for the first 512 bytes of a body before any hook runs; a sender that stalls there held its connection for ever (four cases in tests/telemetry_web.rs failed first). Change: each listener watches its own connections and shuts down those that bring no whole request in time.

--- a/src/duty/web.rs
+++ b/src/duty/web.rs
@@ -5,7 +5,8 @@
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
-use std::sync::mpsc;
+use std::sync::atomic::AtomicU64;
+use std::sync::{Arc, mpsc};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
@@ -17,6 +18,8 @@
 use rocket::{Build, Config, Rocket, Shutdown};
 use thiserror::Error;
 
+use super::slow::SlowSenders;
+
 pub use super::problem::{Problem, problem_catchers};
 
 /// How long a listener may take to bind its address.
@@ -35,7 +38,8 @@
     pub workers: usize,
     /// The longest body of a request, in bytes.
     pub body_max_bytes: usize,
-    /// How long the sender of a request may take for its body, in milliseconds.
+    /// How long a sender may take for the first request of a connection, and for any body, in
+    /// milliseconds.
     pub read_timeout_ms: u64,
     /// How long requests in flight may take to end after a stop was asked for, in milliseconds.
     #[builder(default = 2_000)]
@@ -100,6 +104,7 @@
 pub struct WebServer {
     address: SocketAddr,
     shutdown: Shutdown,
+    slow_senders_cut: Arc<AtomicU64>,
     thread: JoinHandle<Result<(), WebError>>,
 }
 
@@ -111,7 +116,9 @@
     ) -> Result<Self, WebError> {
         let (bound_sender, bound_receiver) = mpsc::sync_channel(1);
         let rocket = rocket::custom(options.rocket_config()).register("/", problem_catchers());
-        let rocket = add_routes(rocket).attach(report_bound(bound_sender));
+        let slow_senders = SlowSenders::new(Duration::from_millis(options.read_timeout_ms));
+        let slow_senders_cut = slow_senders.cut_total();
+        let rocket = add_routes(rocket).attach(slow_senders).attach(report_bound(bound_sender));
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(options.workers)
             .max_blocking_threads(4)
@@ -125,7 +132,7 @@
             launched.map(drop).map_err(|error| launch_error(address, error))
         })?;
         match bound_receiver.recv_timeout(BIND_TIMEOUT) {
-            Ok((address, shutdown)) => Ok(Self { address, shutdown, thread }),
+            Ok((address, shutdown)) => Ok(Self { address, shutdown, slow_senders_cut, thread }),
             Err(_) if thread.is_finished() => {
                 Err(join(thread, address).err().unwrap_or_else(|| WebError::Launch {
                     address,
@@ -146,6 +153,11 @@
         self.shutdown.clone()
     }
 
+    /// How many connections were cut because no request came in time; for the metrics.
+    pub fn slow_senders_cut(&self) -> Arc<AtomicU64> {
+        Arc::clone(&self.slow_senders_cut)
+    }
+
     /// Whether the listener's thread has ended.
     pub fn is_finished(&self) -> bool {
         self.thread.is_finished()
--- a/tests/telemetry_web.rs
+++ b/tests/telemetry_web.rs
@@ -2,6 +2,7 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use aspenspring::duty::web::{Problem, WebError, WebOptions, WebServer, read_body};
@@ -31,7 +32,7 @@
 }
 
 fn start() -> WebServer {
-    let add = |rocket: Rocket<Build>| rocket.mount("/", routes![late, body]);
+    let add = |rocket: Rocket<Build>| rocket.mount("/", routes![late, body, slow]);
     WebServer::start(&options(SocketAddr::from(([127, 0, 0, 1], 0))), add).unwrap()
 }
 
@@ -85,6 +86,47 @@
     server.stop().unwrap();
 }
 
+/// A handler that takes longer than a sender may.
+#[get("/slow")]
+async fn slow() -> &'static str {
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    "slow"
+}
+
+#[test]
+fn senders_that_stall_before_the_handler_are_cut() {
+    let server = start();
+    let whole = "GET /late HTTP/1.1\r\nhost: x\r\n\r\n";
+    let body = "POST /body HTTP/1.1\r\nhost: x\r\ncontent-length: 5\r\n\r\n123";
+    for stalled in ["", "GET /la", &whole[..whole.len() - 2], body] {
+        // Reads until the listener closes the connection, and fails where it does not.
+        let answer = exchange(server.address(), stalled);
+        assert!(!answer.contains(" 200 "), "{answer}");
+    }
+    assert_eq!(server.slow_senders_cut().load(Ordering::Relaxed), 4);
+    server.stop().unwrap();
+}
+
+#[test]
+fn slow_handlers_and_waiting_connections_are_not_cut() {
+    let server = start();
+    let mut stream = TcpStream::connect(server.address()).unwrap();
+    for _ in 0..2 {
+        stream.write_all(b"GET /slow HTTP/1.1\r\nhost: x\r\n\r\n").unwrap();
+        let mut answer = [0; 1_024];
+        let mut length = 0;
+        while !answer[..length].ends_with(b"slow") {
+            let read = stream.read(&mut answer[length..]).unwrap();
+            assert!(read > 0, "closed in the middle");
+            length += read;
+        }
+        // Longer than a sender may take for its first request.
+        std::thread::sleep(Duration::from_millis(500));
+    }
+    assert_eq!(server.slow_senders_cut().load(Ordering::Relaxed), 0);
+    server.stop().unwrap();
+}
+
 #[test]
 fn a_taken_address_is_an_error() {
     let server = start();
