Compare calls through nodes with calls direct

Cause: the time that nodes add had no measure. Change: 'standin bench' runs closed-loop clients, alternating rounds direct and through nodes, and prints p50, p99, difference and ratio for each number of clients. Ruled out: one long round of each, since other work on the machine would fall on one side only.

--- a/src/standin/cli.rs
+++ b/src/standin/cli.rs
@@ -1,5 +1,6 @@
 //! The command line of the stand-ins.
 
+mod bench;
 mod load;
 
 use std::net::SocketAddr;
@@ -11,6 +12,7 @@
 use reqwest::{Method, Url};
 use tokio::signal::unix::{SignalKind, signal};
 
+pub use self::bench::BenchArgs;
 pub use self::load::LoadArgs;
 
 use super::client::client;
@@ -47,6 +49,8 @@
     Fetch(FetchArgs),
     /// Many calls of outside callers.
     Load(LoadArgs),
+    /// Calls through nodes beside calls direct.
+    Bench(BenchArgs),
 }
 
 /// the platform's table service, in memory
@@ -194,6 +198,7 @@
         StandinKind::Target(args) => run_target(&runtime, args),
         StandinKind::Fetch(args) => runtime.block_on(run_fetch(args)),
         StandinKind::Load(args) => load::run_load(args),
+        StandinKind::Bench(args) => bench::run_bench(args),
     }
 }
 
@@ -243,7 +248,8 @@
         headers.push((name.to_owned(), value.to_owned()));
     }
     let (method, url) = (args.method.clone(), args.url.clone());
-    let fetch = Fetch { method, url, body: args.body.clone().into_bytes(), headers };
+    let body = args.body.clone().into_bytes();
+    let fetch = Fetch { method, url, is_direct: false, body, headers };
     let client = client(Duration::from_millis(args.timeout_ms))?;
     let fetched = fetch.run(&client).await?;
     let depth = fetched.answer.depth();
--- a/src/standin/fetch.rs
+++ b/src/standin/fetch.rs
@@ -20,6 +20,8 @@
     pub method: Method,
     /// Where: the node's `caller_listen`, the service, then the path.
     pub url: Url,
+    /// Whether the URL is a target's own, which does not get the service.
+    pub is_direct: bool,
     /// The body.
     pub body: Vec<u8>,
     /// Headers besides the usual ones.
@@ -99,7 +101,12 @@
     pub async fn run(&self, client: &Client) -> Result<Fetched, FetchError> {
         let (service, echo) = self.expected().ok_or(FetchError::Service)?;
         let begun = Instant::now();
-        let request = client.request(self.method.clone(), self.url.clone());
+        let mut url = self.url.clone();
+        if self.is_direct {
+            let (path, _) = echo.path.split_once('?').unwrap_or((&echo.path, ""));
+            url.set_path(path);
+        }
+        let request = client.request(self.method.clone(), url);
         let mut request = request.body(self.body.clone());
         for (name, value) in &self.headers {
             request = request.header(name, value);
--- a/src/standin/load/client.rs
+++ b/src/standin/load/client.rs
@@ -129,7 +129,8 @@
             Method::GET => Vec::new(),
             _ => format!("{{\"n\":{}}}", due.number).into_bytes(),
         };
-        let fetch = Fetch { method: kind.method.clone(), url, body, headers };
+        let method = kind.method.clone();
+        let fetch = Fetch { method, url, is_direct: false, body, headers };
         let wait = Duration::from_millis(deadline_ms + VERDICT_GRACE_MS);
         let fetched = timeout(wait, fetch.run(&self.http)).await;
         let (outcome, reply) = match fetched {
--- a/src/standin/load/mod.rs
+++ b/src/standin/load/mod.rs
@@ -24,7 +24,7 @@
 pub use self::phase::{ParseError, Phase, Rate, Window};
 pub use self::record::{Outcome, Record};
 pub use self::recovery::{BUCKET_MS, Series};
-pub use self::summary::{Group, Summary};
+pub use self::summary::{Group, Summary, quantile};
 
 use self::client::{Clients, Due};
 use super::client::client;
--- a/src/standin/load/summary.rs
+++ b/src/standin/load/summary.rs
@@ -112,7 +112,7 @@
 }
 
 /// The nearest-rank quantile of sorted values.
-fn quantile(sorted: &[f64], share: f64) -> Option<f64> {
+pub fn quantile(sorted: &[f64], share: f64) -> Option<f64> {
     let rank = (sorted.len() as f64 * share).ceil() as usize;
     sorted.get(rank.max(1) - 1).copied()
 }
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -3,6 +3,7 @@
 //! Each one runs inside a test (`start`) or as a process (`aspenspring standin ..`).
 
 pub mod answer;
+pub mod bench;
 mod broken;
 pub mod cli;
 pub mod client;
--- a/tests/standin_load.rs
+++ b/tests/standin_load.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use aspenspring::standin::bench::{self, BenchOptions};
 use aspenspring::standin::exchange::Reply;
 use aspenspring::standin::load::{
     CallKind, LoadOptions, Outcome, Phase, Record, Series, Summary, Window, run, run_ms,
@@ -97,6 +98,27 @@
     Server::start(ANY, 2, relayed).expect("an entry")
 }
 
+#[tokio::test]
+async fn calls_through_and_direct_are_compared() {
+    let settings = TargetSettings::builder().service("shop").name("shop-1").listen(ANY);
+    let target = Target::start(settings.service_ms(5.0).build()).expect("a target");
+    let entry = entry(target.address());
+    let options = BenchOptions::builder()
+        .nodes(vec![entry.url().parse().expect("a URL")])
+        .targets(vec![target.url().parse().expect("a URL")])
+        .path("/shop/pages/1?x=1")
+        .concurrent(vec![1, 4])
+        .round_ms(100)
+        .rounds(1)
+        .build();
+    let comparisons = bench::run(&options).await.expect("a client");
+    assert_eq!(comparisons.len(), 2);
+    for comparison in comparisons {
+        assert!(comparison.direct.good > 0 && comparison.through.good > 0, "{comparison:?}");
+        assert_eq!((comparison.direct.bad, comparison.through.bad), (0, 0));
+    }
+}
+
 async fn records(entry: &Server, call: &str, retries: u32) -> Vec<Record> {
     let options = LoadOptions::builder()
         .nodes(vec![entry.url().parse().expect("a URL")])
