Spare targets without work of their own the timer

Cause: a sleep of no time took a call a tick of the timer. Change: no sleep where there is nothing to wait for.

--- a/src/standin/target/work.rs
+++ b/src/standin/target/work.rs
@@ -58,7 +58,11 @@
     while shared.fault().mode == FaultMode::Stall {
         sleep(Duration::from_millis(STALL_LOOK_MS)).await;
     }
-    sleep(own_time(shared, shared.fault())).await;
+    let own_time = own_time(shared, shared.fault());
+    if !own_time.is_zero() {
+        // Even a sleep of no time at all takes the timer a millisecond.
+        sleep(own_time).await;
+    }
     let settings = &shared.settings;
     let children = match settings.node {
         Some(node) if !settings.calls.is_empty() => {
