--- a/extra/aspenspring.bash
+++ b/extra/aspenspring.bash
@@ -69,6 +69,9 @@
             load)
                 cmd="aspenspring_standin_load"
                 ;;
+            bench)
+                cmd="aspenspring_standin_bench"
+                ;;
         esac
     done
 
@@ -272,7 +275,7 @@
             ;;
         aspenspring_standin)
             opts="--help"
-            cmds="table objects target collector fetch load"
+            cmds="table objects target collector fetch load bench"
             case "${prev}" in
                 *)
                     COMPREPLY=( $(compgen -W "${opts} ${cmds}" -- "${cur}") )
@@ -462,6 +465,39 @@
                     ;;
             esac
             ;;
+        aspenspring_standin_bench)
+            opts="--help --node --target --path --concurrent --round-ms --rounds --json"
+            case "${prev}" in
+                --node)
+                    COMPREPLY=()
+                    return 0
+                    ;;
+                --target)
+                    COMPREPLY=()
+                    return 0
+                    ;;
+                --path)
+                    COMPREPLY=()
+                    return 0
+                    ;;
+                --concurrent)
+                    COMPREPLY=()
+                    return 0
+                    ;;
+                --round-ms)
+                    COMPREPLY=()
+                    return 0
+                    ;;
+                --rounds)
+                    COMPREPLY=()
+                    return 0
+                    ;;
+                *)
+                    COMPREPLY=( $(compgen -W "${opts} ${cmds}" -- "${cur}") )
+                    return 0
+                    ;;
+            esac
+            ;;
     esac
 }
 
--- a/extra/aspenspring.fish
+++ b/extra/aspenspring.fish
@@ -3,7 +3,7 @@
     set -e cmd[1]
     set -l target_cmd $argv
 
-    set -l known_value_flags 'at' 'base' 'based-on' 'body' 'by' 'call' 'calls' 'capacity' 'cold-ms' 'connections' 'deadline-ms' 'depth' 'document' 'drop-site' 'header' 'key-env' 'lane-slots' 'listen' 'method' 'name' 'node' 'out' 'phase' 'queue-max' 'retries' 'rules' 'seed' 'service' 'service-ms' 'settings' 'site' 'slots' 'timeout-ms' 'trigger' 'url' 'version' 
+    set -l known_value_flags 'at' 'base' 'based-on' 'body' 'by' 'call' 'calls' 'capacity' 'cold-ms' 'concurrent' 'connections' 'deadline-ms' 'depth' 'document' 'drop-site' 'header' 'key-env' 'lane-slots' 'listen' 'method' 'name' 'node' 'out' 'path' 'phase' 'queue-max' 'retries' 'round-ms' 'rounds' 'rules' 'seed' 'service' 'service-ms' 'settings' 'site' 'slots' 'target' 'timeout-ms' 'trigger' 'url' 'version' 
 
     set -l i 1
     set -l cleaned_cmd
@@ -106,6 +106,7 @@
 complete -c aspenspring -n '__fish_aspenspring_using_command standin' -f -a 'collector' -d 'the operators\' collector of traces (OTLP over HTTP in JSON)'
 complete -c aspenspring -n '__fish_aspenspring_using_command standin' -f -a 'fetch' -d 'one call of an outside caller; fails unless the answer is whole and correct'
 complete -c aspenspring -n '__fish_aspenspring_using_command standin' -f -a 'load' -d 'offer calls to a site at set times, whatever becomes of earlier ones, and sum up what came back'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin' -f -a 'bench' -d 'compare calls through nodes with the same calls direct to the targets'
 complete -c aspenspring -n '__fish_aspenspring_using_command standin table' -f -l help -d 'display usage information'
 complete -c aspenspring -n '__fish_aspenspring_using_command standin table' -f -l listen -r -d 'where to listen, as ip:port'
 complete -c aspenspring -n '__fish_aspenspring_using_command standin objects' -f -l help -d 'display usage information'
@@ -147,3 +148,11 @@
 complete -c aspenspring -n '__fish_aspenspring_using_command standin load' -f -l seed -r -d 'the seed of arrivals and kinds (1)'
 complete -c aspenspring -n '__fish_aspenspring_using_command standin load' -f -l out -r -d 'the file that gets a line of JSON for each call'
 complete -c aspenspring -n '__fish_aspenspring_using_command standin load' -f -l json -d 'print the whole summary in JSON'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin bench' -f -l help -d 'display usage information'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin bench' -f -l node -r -d 'a node\'s base URL, http://caller_listen; may be repeated'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin bench' -f -l target -r -d 'a target\'s base URL; may be repeated'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin bench' -f -l path -r -d 'the service and the path, /SERVICE/PATH'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin bench' -f -l concurrent -r -d 'how many clients there are; may be repeated'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin bench' -f -l round-ms -r -d 'how long one round lasts, in milliseconds (2000)'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin bench' -f -l rounds -r -d 'how many rounds there are of each sort (3)'
+complete -c aspenspring -n '__fish_aspenspring_using_command standin bench' -f -l json -d 'print the comparisons in JSON'
