--- a/src/duty/peer/event.rs
+++ b/src/duty/peer/event.rs
@@ -15,6 +15,18 @@
     pub(super) request: u32,
 }
 
+impl ReturnPath {
+    /// The way back to `request` on the connection `pipe`, for tests that carry replies themselves.
+    pub fn from_parts(pipe: u32, request: u32) -> Self {
+        Self { pipe, request }
+    }
+
+    /// The connection and the request.
+    pub fn parts(self) -> (u32, u32) {
+        (self.pipe, self.request)
+    }
+}
+
 /// Something that happened on the connections.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum PeerEvent {
