Address a question about an attempt to the node life it went to

Ruled out: the ledger (the first key's owner was gone and ran nothing more) and the doubled frames (the book caught them).

Change: Message::Fence names the node life; any other life answers may-have-run.

--- a/src/call/frame.rs
+++ b/src/call/frame.rs
@@ -118,6 +118,8 @@
     Fence {
         /// The attempt in question.
         attempt: AttemptId,
+        /// The node life it was sent to. A later life at the same address knows nothing of it.
+        asked: NodeId,
         /// How long the sender would wait for the verdict, in microseconds.
         remaining_us: u64,
     },
--- a/src/node/receiving.rs
+++ b/src/node/receiving.rs
@@ -2,7 +2,7 @@
 
 use crate::admission::{Cancelled, Candidate, End, TargetState};
 use crate::call::{
-    AttemptId, CallFrame, Doubt, Message, Refusal, RefusalReason, TraceContext, Verdict,
+    AttemptId, CallFrame, Doubt, LoadReport, Message, Refusal, RefusalReason, TraceContext, Verdict,
 };
 use crate::clock::{US_PER_MS, US_PER_S};
 use crate::event::LogEvent;
@@ -34,7 +34,12 @@
         match message {
             Message::Call(frame) => self.receive_call(now_us, path, *frame, out),
             Message::Cancel(attempt) => self.receive_cancel(now_us, attempt, out),
-            Message::Fence { attempt, remaining_us } => {
+            Message::Fence { attempt, asked, .. } if asked != self.identity.id => {
+                // Whoever the attempt was sent to is gone, and with it the word on the attempt.
+                let verdict = Verdict::MayHaveRun(Doubt::ConnectionLost);
+                self.answer_with(path, attempt, verdict, LoadReport::default(), out);
+            }
+            Message::Fence { attempt, remaining_us, .. } => {
                 self.receive_fence(now_us, path, attempt, remaining_us, out);
             }
             Message::AskRetry { root, failed } => {
@@ -313,8 +318,7 @@
                 return;
             }
         };
-        let load = crate::call::LoadReport::default();
-        self.answer_with(path, attempt, verdict, load, out);
+        self.answer_with(path, attempt, verdict, LoadReport::default(), out);
     }
 
     /// The deadline of an attempt has passed.
--- a/src/node/sending.rs
+++ b/src/node/sending.rs
@@ -572,7 +572,7 @@
             let remaining_us = hop.deadline_us.saturating_sub(now_us);
             out.push(NodeAction::Send {
                 to: peer,
-                message: Message::Fence { attempt, remaining_us },
+                message: Message::Fence { attempt, asked: node, remaining_us },
             });
         }
     }
--- a/tests/codec.rs
+++ b/tests/codec.rs
@@ -101,8 +101,11 @@
         (attempt(), any::<u64>(), verdict(), load()).prop_map(|(attempt, node, verdict, load)| {
             Message::Answer(AnswerFrame { attempt, node: NodeId(node), verdict, load })
         });
-    let fence = (attempt(), any::<u64>())
-        .prop_map(|(attempt, remaining_us)| Message::Fence { attempt, remaining_us });
+    let fence = (attempt(), any::<u64>()).prop_map(|(attempt, remaining_us)| Message::Fence {
+        attempt,
+        asked: attempt.origin,
+        remaining_us,
+    });
     let ask = (any::<u128>(), attempt())
         .prop_map(|(root, failed)| Message::AskRetry { root: RootId(root), failed });
     let grant = (attempt(), any::<bool>())
