--- a/tests/once_faults.rs
+++ b/tests/once_faults.rs
@@ -21,6 +21,8 @@
     })
 }
 
+/// The flaws that random steps find. `CallsOutliveConnections` takes far more cases than a test has
+/// time for; its steps are kept as a trace.
 const FLAWS: [Flaw; 11] = [
     Flaw::SameIdentity,
     Flaw::EmptyHandover,
