Take only the word of the node life an attempt was sent to

Cause: when a VM is replaced while it runs an attempt, the connection is lost, the new life comes up at the same address, and the sender's fence reaches it. It never saw the attempt and says 'not run: fenced', truthfully for itself; the sender took that for the word of the life that ran it, and would retry an order that ran.

Change: an answer counts only if its node is the one the attempt was sent to; otherwise the hop goes on waiting and ends in doubt.

--- a/src/node/sending.rs
+++ b/src/node/sending.rs
@@ -179,6 +179,11 @@
             HopState::Fencing { attempt, node, .. } if attempt == answer.attempt => (node, now_us),
             _ => return,
         };
+        if answer.node != node {
+            // Another life at the same address never saw the attempt; the one that was asked may
+            // have run it. The hop goes on waiting, and ends in doubt.
+            return;
+        }
         let latency_us = now_us.saturating_sub(sent_us);
         self.note_latency(id, &answer.verdict, latency_us);
         self.outstanding.remove(&answer.attempt);
--- a/tests/node_retry.rs
+++ b/tests/node_retry.rs
@@ -2,7 +2,10 @@
 
 use std::sync::Arc;
 
-use aspenspring::call::{HttpRequest, NodeId, Verdict};
+use aspenspring::call::{
+    AnswerFrame, AttemptId, HttpAnswer, HttpRequest, LoadReport, Message, NodeId, RefusalReason,
+    Verdict,
+};
 use aspenspring::config::Settings;
 use aspenspring::duty::store::{StoreEvent, StoreOperation, StoreOutcome};
 use aspenspring::node::{
@@ -69,8 +72,8 @@
     node.handle(now_us, NodeEvent::TargetAnnounced(announcement), &mut Vec::new());
 }
 
-/// Sends a read and lets its first run break off; returns what the caller is told by then.
-fn call_that_breaks(node: &mut Node, now_us: u64) -> Vec<Verdict> {
+/// Sends a read and returns its first attempt, which runs.
+fn call_that_runs(node: &mut Node, now_us: u64) -> AttemptId {
     let request = HttpRequest {
         method: "GET".to_owned(),
         path: "/stock/1".to_owned(),
@@ -87,14 +90,19 @@
     };
     let mut out = Vec::new();
     node.handle(now_us, NodeEvent::CallerCall(intake), &mut out);
-    let attempt = run_attempt(&out).unwrap_or_else(|| panic!("no run: {out:?}"));
+    run_attempt(&out).unwrap_or_else(|| panic!("no run: {out:?}"))
+}
+
+/// Sends a read and lets its first run break off; returns what the caller is told by then.
+fn call_that_breaks(node: &mut Node, now_us: u64) -> Vec<Verdict> {
+    let attempt = call_that_runs(node, now_us);
     let mut after = Vec::new();
     let broke = NodeEvent::TargetEnded { attempt, outcome: TargetOutcome::Broke };
     node.handle(now_us + 1_000, broke, &mut after);
     replies(&after)
 }
 
-fn run_attempt(out: &[NodeAction]) -> Option<aspenspring::call::AttemptId> {
+fn run_attempt(out: &[NodeAction]) -> Option<AttemptId> {
     out.iter().find_map(|action| match action {
         NodeAction::RunTarget(call) => Some(call.attempt),
         _ => None,
@@ -136,3 +144,29 @@
     }
     assert!(run_attempt(&out).is_some(), "told {:?} instead", replies(&out));
 }
+
+/// A VM that was replaced while it ran an attempt comes back at the same address, and its new node
+/// life truthfully says that it fenced an attempt it never saw.
+#[test]
+fn the_word_of_another_node_life_is_not_taken() {
+    let mut node = started();
+    let attempt = call_that_runs(&mut node, 1_000);
+    let fenced = AnswerFrame {
+        attempt,
+        node: NodeId(99),
+        verdict: Verdict::not_run(RefusalReason::Fenced, 0),
+        load: LoadReport::default(),
+    };
+    let message = Message::Answer(fenced);
+    let mut out = Vec::new();
+    let peer = ([127, 0, 0, 1], 7).into();
+    node.handle(2_000, NodeEvent::PeerReply { peer, message }, &mut out);
+    for step in 1..=10 {
+        node.handle(2_000 + step * 10_000, NodeEvent::Tick, &mut out);
+    }
+    assert_eq!((replies(&out), run_attempt(&out)), (Vec::new(), None));
+    let answer = HttpAnswer { status: 200, headers: Vec::new(), body: Default::default() };
+    let outcome = TargetOutcome::Answered(answer.clone());
+    node.handle(200_000, NodeEvent::TargetEnded { attempt, outcome }, &mut out);
+    assert_eq!(replies(&out), vec![Verdict::Answered(answer)]);
+}
