Compare policy arms over repeated runs

Cause: the load program sums up one run; nothing put arms side by side over repeats, nor joined what clients saw with what nodes counted.

Ruled out: the ledgers of stand-in targets for wasted work, since they do not tell arms apart and no real target has one. Ruled out: a crate for Prometheus text, which brings chrono and regex for four counters of our own; a test reads what Metrics itself renders.

Change: compare, a module that takes records and scrapes and gives median, least and greatest per arm and kind, a picture (SVG) of goodput over time, and the command.

No run of the real processes has been compared yet.

--- a/extra/aspenspring.bash
+++ b/extra/aspenspring.bash
@@ -39,6 +39,9 @@
             leave)
                 cmd="aspenspring_leave"
                 ;;
+            compare)
+                cmd="aspenspring_compare"
+                ;;
             schema)
                 cmd="aspenspring_schema"
                 ;;
@@ -78,7 +81,7 @@
     case "${cmd}" in
         aspenspring)
             opts="--help"
-            cmds="node check settings submit show list status leave schema completions manual standin"
+            cmds="node check settings submit show list status leave compare schema completions manual standin"
             case "${prev}" in
                 *)
                     COMPREPLY=( $(compgen -W "${opts} ${cmds}" -- "${cur}") )
@@ -246,6 +249,31 @@
                     ;;
             esac
             ;;
+        aspenspring_compare)
+            opts="--help --run --during --trigger --plot --json"
+            case "${prev}" in
+                --run)
+                    COMPREPLY=()
+                    return 0
+                    ;;
+                --during)
+                    COMPREPLY=()
+                    return 0
+                    ;;
+                --trigger)
+                    COMPREPLY=()
+                    return 0
+                    ;;
+                --plot)
+                    COMPREPLY=()
+                    return 0
+                    ;;
+                *)
+                    COMPREPLY=( $(compgen -W "${opts} ${cmds}" -- "${cur}") )
+                    return 0
+                    ;;
+            esac
+            ;;
         aspenspring_schema)
             opts="--help --rules"
             case "${prev}" in
--- a/extra/aspenspring.fish
+++ b/extra/aspenspring.fish
@@ -3,7 +3,7 @@
     set -e cmd[1]
     set -l target_cmd $argv
 
-    set -l known_value_flags 'at' 'base' 'based-on' 'body' 'by' 'call' 'calls' 'capacity' 'cold-ms' 'concurrent' 'connections' 'deadline-ms' 'depth' 'document' 'drop-site' 'header' 'key-env' 'lane-slots' 'listen' 'method' 'name' 'node' 'out' 'path' 'phase' 'queue-max' 'retries' 'round-ms' 'rounds' 'rules' 'seed' 'service' 'service-ms' 'settings' 'site' 'slots' 'target' 'timeout-ms' 'trigger' 'url' 'version' 
+    set -l known_value_flags 'at' 'base' 'based-on' 'body' 'by' 'call' 'calls' 'capacity' 'cold-ms' 'concurrent' 'connections' 'deadline-ms' 'depth' 'document' 'drop-site' 'during' 'header' 'key-env' 'lane-slots' 'listen' 'method' 'name' 'node' 'out' 'path' 'phase' 'plot' 'queue-max' 'retries' 'round-ms' 'rounds' 'rules' 'run' 'seed' 'service' 'service-ms' 'settings' 'site' 'slots' 'target' 'timeout-ms' 'trigger' 'url' 'version' 
 
     set -l i 1
     set -l cleaned_cmd
@@ -50,6 +50,7 @@
 complete -c aspenspring -n '__fish_aspenspring_using_command' -f -a 'list' -d 'List the configurations that were accepted, the latest first.'
 complete -c aspenspring -n '__fish_aspenspring_using_command' -f -a 'status' -d 'Show the state of nodes: their targets, limits and floors, and what they send to.'
 complete -c aspenspring -n '__fish_aspenspring_using_command' -f -a 'leave' -d 'Tell a node to leave: it takes no new work, finishes what runs and then ends.'
+complete -c aspenspring -n '__fish_aspenspring_using_command' -f -a 'compare' -d 'Compare the policy arms of runs: goodput by kind of calls, latency, wasted work, attempts and recovery, each as the median over the runs with the least and the greatest.'
 complete -c aspenspring -n '__fish_aspenspring_using_command' -f -a 'schema' -d 'Print the JSON schema of the settings.'
 complete -c aspenspring -n '__fish_aspenspring_using_command' -f -a 'completions' -d 'Print completions for a shell.'
 complete -c aspenspring -n '__fish_aspenspring_using_command' -f -a 'manual' -d 'Print the manual page.'
@@ -95,6 +96,12 @@
 complete -c aspenspring -n '__fish_aspenspring_using_command leave' -f -l node -r -d 'the base URL of the node\'s operators\' listener, such as http://10.20.1.11:7003'
 complete -c aspenspring -n '__fish_aspenspring_using_command leave' -f -l key-env -r -d 'the environment variable that holds the operators\' key (ASPENSPRING_OPERATOR_KEY)'
 complete -c aspenspring -n '__fish_aspenspring_using_command leave' -f -l json -d 'print the reply in JSON'
+complete -c aspenspring -n '__fish_aspenspring_using_command compare' -f -l help -d 'display usage information'
+complete -c aspenspring -n '__fish_aspenspring_using_command compare' -f -l run -r -d 'a directory with what was kept of a run: records.jsonl, as `standin load --out` writes it, and of each node a scrape of its metrics after the run, NAME.prom, and before it, NAME.prom.before; may be repeated'
+complete -c aspenspring -n '__fish_aspenspring_using_command compare' -f -l during -r -d 'count only calls due in this time, as 10s..20s; recovery looks at the whole run'
+complete -c aspenspring -n '__fish_aspenspring_using_command compare' -f -l trigger -r -d 'when the trigger of overload was there, as 10s..20s, for the recovery time'
+complete -c aspenspring -n '__fish_aspenspring_using_command compare' -f -l plot -r -d 'write a picture of goodput over time to this file (SVG)'
+complete -c aspenspring -n '__fish_aspenspring_using_command compare' -f -l json -d 'print a list in JSON'
 complete -c aspenspring -n '__fish_aspenspring_using_command schema' -f -l help -d 'display usage information'
 complete -c aspenspring -n '__fish_aspenspring_using_command schema' -f -l rules -d 'print the schema of the rules of one site alone'
 complete -c aspenspring -n '__fish_aspenspring_using_command completions' -l help -d 'display usage information'
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -4,6 +4,7 @@
 //! those of `Exit`.
 
 mod check;
+mod compare;
 mod completions;
 mod leave;
 mod list;
@@ -29,6 +30,7 @@
 use crate::standin::cli::StandinArgs;
 
 pub use check::CheckArgs;
+pub use compare::CompareArgs;
 pub use completions::{CompletionsArgs, Shell, script};
 pub use leave::LeaveArgs;
 pub use list::ListArgs;
@@ -82,6 +84,8 @@
     Status(StatusArgs),
     /// Tell a node to leave.
     Leave(LeaveArgs),
+    /// Compare policy arms.
+    Compare(CompareArgs),
     /// Print the schema of the settings.
     Schema(SchemaArgs),
     /// Print shell completions.
@@ -149,6 +153,7 @@
         Command::List(args) => list::run(&args),
         Command::Status(args) => status::run(&args),
         Command::Leave(args) => leave::run(&args),
+        Command::Compare(args) => compare::run(&args),
         Command::Schema(args) => schema::run(&args),
         Command::Completions(args) => completions::run(&args),
         Command::Manual(_) => manual::run(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod call;
 pub mod cli;
 pub mod clock;
+pub mod compare;
 pub mod config;
 pub mod configuration;
 pub mod duty;
