--- /dev/null
+++ b/examples/peer_bench.rs
@@ -0,0 +1,166 @@
+//! Measures the transport between two processes.
+//!
+//! `peer_bench serve` answers calls and prints its address; `peer_bench call ADDRESS` measures round
+//! trips of 1 KiB each way with 1, 64 and 512 calls outstanding on one connection.
+
+use std::env;
+use std::fs;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant};
+
+use aspenspring::call::{
+    AnswerFrame, ArmId, AttemptId, CallFrame, ClassRank, HttpAnswer, HttpRequest, Level,
+    LoadReport, Message, NodeId, RootId, TraceContext, Verdict,
+};
+use aspenspring::clock::Clock;
+use aspenspring::duty::peer::{self, PeerDuty, PeerEvent, PeerOptions};
+use crossbeam_channel::{Receiver, bounded};
+use eyre::{Result, WrapErr, bail, eyre};
+
+/// The length of each body.
+const BODY_BYTES: usize = 1_024;
+/// Calls before anything is measured.
+const WARM_UP: u64 = 20_000;
+/// Calls measured at each number of outstanding ones.
+const MEASURED: u64 = 200_000;
+/// How long to wait for one event.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+fn main() -> Result<()> {
+    let arguments: Vec<String> = env::args().skip(1).collect();
+    let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    match arguments.as_slice() {
+        ["serve"] => serve(),
+        ["call", address] => measure(address.parse().wrap_err("no address")?),
+        _ => bail!("peer_bench serve | peer_bench call ADDRESS"),
+    }
+}
+
+/// Starts a transport whose events come through a ring.
+fn start(number: u64) -> Result<(PeerDuty, Receiver<PeerEvent>)> {
+    const RING_ENTRIES: usize = 4_096;
+    let (sender, events) = bounded(RING_ENTRIES);
+    let listen = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let options = PeerOptions::builder().listen(listen).node(NodeId(number)).build();
+    let sink = move |event| {
+        let _ = sender.send(event);
+    };
+    let duty = peer::start(options, Clock::start(), sink)?;
+    Ok((duty, events))
+}
+
+/// Answers calls until it is killed.
+fn serve() -> Result<()> {
+    let (duty, events) = start(1)?;
+    println!("{}", duty.address());
+    let handle = duty.handle();
+    for event in events {
+        let PeerEvent::Request { path, message: Message::Call(call) } = event else { continue };
+        handle.reply(path, &answer(call.attempt))?;
+    }
+    Ok(())
+}
+
+/// Measures against a server.
+fn measure(server: SocketAddr) -> Result<()> {
+    println!("before: {}", process());
+    let (duty, events) = start(2)?;
+    let handle = duty.handle();
+    handle.connect(server);
+    loop {
+        if matches!(events.recv_timeout(PATIENCE)?, PeerEvent::LinkUp { .. }) {
+            break;
+        }
+    }
+    for outstanding in [1, 64, 512] {
+        run(&duty, &events, server, outstanding, WARM_UP)?;
+        let begun = Instant::now();
+        let mut times = run(&duty, &events, server, outstanding, MEASURED)?;
+        let seconds = begun.elapsed().as_secs_f64();
+        times.sort_unstable();
+        let at = |share: f64| times[((times.len() - 1) as f64 * share) as usize];
+        println!(
+            "outstanding {outstanding}: p50 {:?}, p99 {:?}, {:.0} round trips/s",
+            at(0.50),
+            at(0.99),
+            MEASURED as f64 / seconds
+        );
+    }
+    println!("after: {}", process());
+    Ok(())
+}
+
+/// Makes `count` calls, `outstanding` at a time. Returns the time of each.
+fn run(
+    duty: &PeerDuty,
+    events: &Receiver<PeerEvent>,
+    server: SocketAddr,
+    outstanding: u64,
+    count: u64,
+) -> Result<Vec<Duration>> {
+    let handle = duty.handle();
+    let mut begun = vec![Instant::now(); count as usize];
+    let mut times = Vec::with_capacity(count as usize);
+    let mut next = 0;
+    while times.len() < count as usize {
+        while next < count && next - (times.len() as u64) < outstanding {
+            begun[next as usize] = Instant::now();
+            handle.send(server, &call(next))?;
+            next += 1;
+        }
+        match events.recv_timeout(PATIENCE)? {
+            PeerEvent::Reply { message: Message::Answer(answer), .. } => {
+                times.push(begun[answer.attempt.sequence as usize].elapsed());
+            }
+            PeerEvent::LinkLost { .. } => return Err(eyre!("the connection was lost")),
+            _ => (),
+        }
+    }
+    Ok(times)
+}
+
+/// Threads, memory and processor time of this process.
+fn process() -> String {
+    let threads = fs::read_dir("/proc/self/task").map_or(0, Iterator::count);
+    let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let resident = status.lines().find(|line| line.starts_with("VmRSS")).unwrap_or("VmRSS ?");
+    format!("{threads} threads, {}", resident.replace('\t', " "))
+}
+
+/// Call number `sequence`.
+fn call(sequence: u64) -> Message {
+    let class = ClassRank(1);
+    let root = RootId(u128::from(sequence));
+    Message::Call(Box::new(CallFrame {
+        attempt: AttemptId { origin: NodeId(2), sequence, nonce: 7 },
+        root,
+        entry: Some(NodeId(2)),
+        class,
+        level: Level::new(class, root),
+        arm: ArmId(0),
+        remaining_us: 5_000_000,
+        depth: 0,
+        retry: 0,
+        service: "souq-stock".to_owned(),
+        key: None,
+        trace: TraceContext { trace_id: root.0, parent_span_id: 1, sampled: false },
+        request: HttpRequest {
+            method: "GET".to_owned(),
+            path: "/items/1".to_owned(),
+            headers: vec![("accept".to_owned(), "application/json".to_owned())],
+            body: vec![b'x'; BODY_BYTES].into(),
+        },
+    }))
+}
+
+/// The answer to a call.
+fn answer(attempt: AttemptId) -> Message {
+    let body = vec![b'y'; BODY_BYTES].into();
+    let http = HttpAnswer { status: 200, headers: vec![], body };
+    Message::Answer(AnswerFrame {
+        attempt,
+        node: NodeId(1),
+        verdict: Verdict::Answered(http),
+        load: LoadReport::default(),
+    })
+}
