Compare all targets where the one in turn is ill

Cause: with five of six targets failing fast and three of them ejected, the good one got 42% of the calls: a failing target looks idle, cost only 4 times as much, and the good one was in turn or drawn in five of nine picks.

Ruled out, by the same run: raising the cost of errors alone (55%).

Change: errors count by their square, up to 31 times, so that single ones hardly count; where the target in turn is at least twice as bad as usual, all candidates are compared.

The new assertion failed first.

--- a/src/routing/cost.rs
+++ b/src/routing/cost.rs
@@ -8,10 +8,13 @@
 const NEAR_BONUS: f64 = 0.5;
 /// The utilisation of a near target from which its nearness is worth nothing.
 const NEAR_BONUS_ENDS: f64 = 0.8;
-/// How much a target that always fails is made to look worse, beside being ejected.
-const ERROR_FACTOR: f64 = 3.0;
+/// How much a target that always fails is made to look worse, beside being ejected. It answers fast
+/// and so looks idle; a well one is preferred until most of its slots are taken.
+const ERROR_FACTOR: f64 = 30.0;
 /// A target that is worse than usual by no more than this factor is taken to be well.
 const ILLNESS_TOLERANCE: f64 = 1.5;
+/// How many times worse than usual a target is that is called ill.
+const ILL_DEGRADATION: f64 = 2.0;
 /// By what part of its cost a target must be undercut to lose its turn.
 const CLEAR_MARGIN: f64 = 0.15;
 /// The share a target gets at the very beginning of its warm-up.
@@ -90,6 +93,11 @@
         self.total - self.near_bonus() < other.total - other.near_bonus() - margin
     }
 
+    /// Whether the target has been so much worse than usual that its turn means little.
+    pub fn is_ill(&self) -> bool {
+        self.degradation >= ILL_DEGRADATION
+    }
+
     /// What nearness is worth: less the busier the target is, and nothing for one that is ill.
     fn near_bonus(&self) -> f64 {
         if !self.near {
@@ -119,10 +127,11 @@
     f64::from(record.apparent_latency_us(terms.now_us) / usual_us).max(1.0)
 }
 
-/// A factor that grows with errors beyond the usual share, at least 1.
+/// A factor that grows with the square of errors beyond the usual share, at least 1: single errors
+/// hardly count.
 fn unreliability(record: &ArmRecord, terms: &Terms) -> f64 {
-    let excess = (record.errors - terms.usual.errors).max(0.0);
-    1.0 + ERROR_FACTOR * f64::from(excess)
+    let excess = f64::from(record.errors - terms.usual.errors).max(0.0);
+    1.0 + ERROR_FACTOR * excess * excess
 }
 
 /// The share of its work that a new target may get, from just above 0 to 1.
--- a/src/routing/pick.rs
+++ b/src/routing/pick.rs
@@ -256,7 +256,8 @@
     ///
     /// Turns spread the calls of one sender evenly, which two random targets would not; comparing
     /// finds out those that are busier or worse than the others. The margin keeps senders that see
-    /// the same reports from going to the same target all at once.
+    /// the same reports from going to the same target all at once. Where the one in turn is ill, one
+    /// at random may well be ill too, and all are compared.
     fn best_of_sample<R: Rng>(
         &self,
         candidates: &[usize],
@@ -271,10 +272,13 @@
         let mut best = candidates[turn % count];
         let mut best_cost = self.cost(best, terms);
         let drawn = candidates[rng.random_range(0..count)];
-        let drawn_cost = self.cost(drawn, terms);
-        if drawn_cost.clearly_beats(&best_cost) {
-            best = drawn;
-            best_cost = drawn_cost;
+        let rivals = if best_cost.is_ill() { candidates } else { &[drawn] };
+        for &rival in rivals {
+            let rival_cost = self.cost(rival, terms);
+            if rival_cost.clearly_beats(&best_cost) {
+                best = rival;
+                best_cost = rival_cost;
+            }
         }
         let Some(near) = self.near_in_turn(candidates, turn) else {
             return Some(best);
--- a/tests/routing_load.rs
+++ b/tests/routing_load.rs
@@ -229,6 +229,7 @@
     let ejected = views.iter().filter(|view| view.arms[0].ejected).count();
     println!("5 of 6 fail: {ejected} ejected, picked {picked:?}");
     assert_eq!(ejected, 3);
+    assert!(picked[5] >= 1_400, "the only good target got {}", picked[5]);
 }
 
 /// Runs `site` at a share of the capacity of its targets and returns the share of the calls that
