--- a/src/admission/floor.rs
+++ b/src/admission/floor.rs
@@ -101,7 +101,7 @@
     /// How many times the arrivals are of what fits.
     pub fn load(&self, capacity_per_us: f64) -> f64 {
         let fits = capacity_per_us * self.arrivals.time_us();
-        if fits > 0.0 { self.arrivals.total_from(0) / fits } else { 1.0 }
+        if fits > 0.0 { self.arrivals.total() / fits } else { 1.0 }
     }
 
     /// How many windows without overload it takes until calls of this level are admitted.
--- a/src/admission/histogram.rs
+++ b/src/admission/histogram.rs
@@ -34,6 +34,8 @@
     arrivals: u32,
     /// The time that the past stands for, in microseconds, weighted.
     time_us: f64,
+    /// All arrivals of the past, weighted.
+    total: f64,
 }
 
 impl Histogram {
@@ -62,9 +64,15 @@
                 *present = 0;
             }
         }
+        self.total = self.total_from(0);
         std::mem::take(&mut self.arrivals)
     }
 
+    /// All arrivals that the past stands for.
+    pub fn total(&self) -> f64 {
+        self.total
+    }
+
     /// The time that the counts stand for, in microseconds.
     pub fn time_us(&self) -> f64 {
         self.time_us
@@ -122,7 +130,7 @@
     /// Whether the present window is so different that the past says nothing about it.
     fn has_changed(&self, window_us: u64) -> bool {
         let expected = match self.time_us > 0.0 {
-            true => self.total_from(0) * window_us as f64 / self.time_us,
+            true => self.total * window_us as f64 / self.time_us,
             false => 0.0,
         };
         let arrivals = f64::from(self.arrivals);
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -155,3 +155,153 @@
     assert!(floor(600_000, 1) < Level(0x180));
     assert_eq!(floor(1_000_000, 1), Level::LOWEST);
 }
+
+fn rules_with_classes() -> Rules {
+    let mut rules = rules(r#"{"kind": "gradient", "tolerance": 2.0, "smoothing": 0.2}"#);
+    let class = r#"[{"name": "k", "rank": 3, "deadline_ms": 1, "deadline_max_ms": 1,
+        "reserved_share": 1.0}]"#;
+    rules.classes = serde_json::from_str(class).expect("the classes are well formed");
+    rules
+}
+
+/// An admission with four slots that has answered one call of 10 ms.
+fn warmed_up() -> Admission {
+    let mut admission = Admission::new(0, &rules_with_classes(), "s");
+    admission.set_target(0, TargetState::Serving, 4, 40);
+    admission.offer(0, call(9_999, 0x300, FAR_US), &mut Vec::new());
+    admission.finish(10_000, attempt(9_999), OK, &mut Vec::new());
+    admission
+}
+
+#[test]
+fn slots_are_kept_for_a_class_that_uses_them_but_not_for_ever() {
+    let mut admission = warmed_up();
+    let mut out = Vec::new();
+    let mut now_us = 10_000;
+    for sequence in 0..4 {
+        admission.offer(now_us, call(sequence, 0x300, FAR_US), &mut out);
+    }
+    // The class keeps all slots in use for five seconds, then its calls end.
+    while now_us < 5_000_000 {
+        now_us += 100_000;
+        admission.poll(now_us, &mut out);
+    }
+    for sequence in 0..4 {
+        admission.finish(now_us, attempt(sequence), OK, &mut out);
+    }
+    out.clear();
+    // The mean is just below four, so three slots are kept and one is left.
+    admission.offer(now_us, call(10, 0x100, FAR_US), &mut out);
+    admission.offer(now_us, call(11, 0x100, FAR_US), &mut out);
+    assert_eq!(ran(&out), [10], "the other slots are still kept");
+    while ran(&out).len() < 2 {
+        let wake_us = admission.next_wake_us().expect("a call waits");
+        assert!(wake_us > now_us && wake_us < 15_000_000);
+        now_us = wake_us;
+        admission.poll(now_us, &mut out);
+    }
+    assert_eq!(ran(&out), [10, 11]);
+}
+
+#[test]
+fn a_silent_target_gets_probes_only_until_it_answers() {
+    let mut admission = warmed_up();
+    let mut out = Vec::new();
+    for sequence in 0..4 {
+        admission.offer(20_000, call(sequence, 0x300, FAR_US), &mut out);
+    }
+    // Nothing is answered for a second; the callers give up.
+    admission.poll(1_000_000, &mut out);
+    for sequence in 0..4 {
+        admission.finish(1_100_000, attempt(sequence), End::Cancelled, &mut out);
+    }
+    out.clear();
+    for sequence in 10..14 {
+        admission.offer(1_200_000, call(sequence, 0x300, FAR_US), &mut out);
+    }
+    assert_eq!(ran(&out), [10]);
+    admission.finish(1_210_000, attempt(10), OK, &mut out);
+    assert_eq!(ran(&out), [10, 11, 12, 13]);
+}
+
+#[test]
+fn calls_that_seemed_too_late_do_not_lock_out_a_target_that_is_faster_now() {
+    let mut admission = warmed_up();
+    let mut out = Vec::new();
+    let mut now_us = 100_000;
+    // Slow answers teach that nearly every call takes more than 100 ms.
+    for sequence in 0..700 {
+        admission.offer(now_us, call(sequence, 0x300, u64::MAX), &mut out);
+        now_us += 200_000;
+        let end = End::Answered { latency_us: 200_000, healthy: true };
+        admission.finish(now_us, attempt(sequence), end, &mut out);
+    }
+    out.clear();
+    admission.offer(now_us, call(1_000, 0x300, now_us + 100_000), &mut out);
+    admission.offer(now_us, call(1_001, 0x300, now_us + 100_000), &mut out);
+    assert_eq!(ran(&out), [1_000], "one call runs although it seems to be too late");
+    assert_eq!(refused(&out), [(1_001, RefusalReason::Expired)]);
+    admission.finish(now_us, attempt(1_000), OK, &mut out);
+    for sequence in 1_002..1_200 {
+        admission.offer(now_us, call(sequence, 0x300, now_us + 100_000), &mut out);
+        now_us += 10_000;
+        admission.finish(now_us, attempt(sequence), OK, &mut out);
+    }
+    out.clear();
+    admission.offer(now_us, call(2_000, 0x300, now_us + 100_000), &mut out);
+    admission.offer(now_us, call(2_001, 0x300, now_us + 100_000), &mut out);
+    assert_eq!(ran(&out), [2_000, 2_001]);
+}
+
+#[test]
+fn a_floor_without_any_traffic_comes_down_by_itself_and_callers_come_back_spread() {
+    let mut admission = warmed_up();
+    let mut now_us = 20_000;
+    let mut sequence = 0;
+    let mut out = Vec::new();
+    while now_us < 1_000_000 {
+        for _ in 0..20 {
+            admission.offer(
+                now_us,
+                call(sequence, 0x100 + (sequence % 256) as u16, FAR_US),
+                &mut out,
+            );
+            sequence += 1;
+        }
+        now_us += 10_000;
+        for decision in std::mem::take(&mut out) {
+            let Decision::Run { attempt } = decision else {
+                continue;
+            };
+            admission.finish(now_us, attempt, OK, &mut out);
+        }
+    }
+    let floor =
+        |admission: &Admission, now_us| admission.load(now_us, ArmId(0), ClassRank(1)).floor;
+    assert!(floor(&admission, now_us) > Level(0x100));
+    out.clear();
+    for sequence in 10_000..10_100 {
+        admission.offer(now_us, call(sequence, 0x100, FAR_US), &mut out);
+    }
+    let mut times = std::collections::BTreeSet::new();
+    for decision in &out {
+        let Decision::Refuse { refusal, .. } = decision else {
+            continue;
+        };
+        assert_eq!(refusal.reason, RefusalReason::Shed);
+        assert!((10..=10_000).contains(&refusal.retry_after_ms));
+        times.insert(refusal.retry_after_ms);
+    }
+    assert!(times.len() > 50, "{times:?}");
+    let end_us = now_us;
+    while let Some(wake_us) = admission.next_wake_us() {
+        assert!(wake_us > now_us);
+        now_us = wake_us;
+        admission.poll(now_us, &mut out);
+        for decision in std::mem::take(&mut out) {
+            admission.finish(now_us, decision.attempt(), OK, &mut out);
+        }
+    }
+    assert_eq!(floor(&admission, now_us), Level::LOWEST);
+    assert!(now_us < end_us + 2_000_000);
+}
