Send a span for each hop, and test real processes under kill and freeze

Cause: nothing pushed spans, and no test ran the processes themselves under faults.

Ruled out: spans made in the threads, which know neither the hop nor its parent.

The runs are counted by the target stand-in by key; runs below the first service under keys minted for each attempt are not covered by that count.

--- a/src/duty/launch.rs
+++ b/src/duty/launch.rs
@@ -17,6 +17,7 @@
 use crate::logging::Logging;
 use crate::node::{Node, NodeEvent, NodeIdentity};
 use crate::telemetry::metrics::{LabelNames, Metrics};
+use crate::telemetry::trace::{SpanSink, TraceDuty, TraceOptions};
 
 use super::decider::{self, DeciderHandle, DeciderRing, Hands};
 use super::http::{BodyRoom, Gate, Side};
@@ -51,7 +52,10 @@
     let decider = decider.counting(metrics.watch_ring("decider", entries, move || watched.fill()));
     let id = NodeId(rand::rng().random());
     let peers = start_peers(&settings.node, id, clock, &decider)?;
-    let notes = Notes::new(events.clone(), metrics.calls(LabelNames::new(&settings.rules)));
+    let traces = start_traces(&settings, &metrics, &events)?;
+    let spans = traces.as_ref().map_or_else(SpanSink::disabled, TraceDuty::sink);
+    let calls = metrics.calls(LabelNames::new(&settings.rules));
+    let notes = Notes::new(events.clone(), calls, spans);
     let thread = start_decider(&settings, id, clock, &decider, ring, &peers, notes)?;
     let mut servers = start_listeners(&settings.node, &decider)?;
     servers.push(start_operator(&settings.node, &decider, metrics, events.clone())?);
@@ -68,6 +72,9 @@
         server.stop()?;
     }
     peers.stop();
+    if let Some(traces) = traces {
+        traces.stop();
+    }
     Ok(())
 }
 
@@ -206,6 +213,22 @@
     Ok(servers)
 }
 
+/// Starts the thread that sends spans, where the settings name a collector.
+fn start_traces(
+    settings: &Settings,
+    metrics: &Metrics,
+    events: &EventLog,
+) -> eyre::Result<Option<TraceDuty>> {
+    let Some(otlp_url) = &settings.telemetry.otlp_url else { return Ok(None) };
+    let options = TraceOptions::builder()
+        .otlp_url(otlp_url.clone())
+        .service(settings.node.service.clone())
+        .node_name(settings.node.name.clone())
+        .failure_domain(settings.node.failure_domain.clone())
+        .build();
+    Ok(Some(TraceDuty::start(&options, metrics, events.clone())?))
+}
+
 /// Gives the last replies time to reach their receivers.
 fn wait_for_replies(peers: &PeerDuty) {
     let until = Instant::now() + REPLIES_WAIT;
--- a/src/duty/note.rs
+++ b/src/duty/note.rs
@@ -1,9 +1,10 @@
-//! Where the node's notes go: the log and the metrics.
+//! Where the node's notes go: the log, the metrics and the collector of traces.
 
 use crate::call::{ArmId, LoadReport};
 use crate::event::EventLog;
 use crate::node::Note;
 use crate::telemetry::metrics::{CallMetrics, LabelNames};
+use crate::telemetry::trace::SpanSink;
 
 /// Takes the notes of one node.
 #[derive(Debug)]
@@ -12,12 +13,14 @@
     events: EventLog,
     /// The figures.
     calls: CallMetrics,
+    /// The spans.
+    spans: SpanSink,
 }
 
 impl Notes {
     /// Notes go to this log and these figures.
-    pub fn new(events: EventLog, calls: CallMetrics) -> Self {
-        Self { events, calls }
+    pub fn new(events: EventLog, calls: CallMetrics, spans: SpanSink) -> Self {
+        Self { events, calls, spans }
     }
 
     /// Takes one note.
@@ -39,6 +42,7 @@
             Note::TargetEnded { class, arm, took_us, wasted } => {
                 self.calls.target_ended(class, arm, took_us, wasted);
             }
+            Note::Span(span) => self.spans.push(*span),
             Note::RulesInForce { version, rules } => {
                 self.calls.set_config(version, LabelNames::new(&rules));
             }
--- a/src/node/intake.rs
+++ b/src/node/intake.rs
@@ -10,6 +10,7 @@
 use crate::config::{ClassSettings, RetryRule};
 use crate::retry::AttemptHistory;
 use crate::routing::Pick;
+use crate::telemetry::trace::is_sampled;
 
 use super::event::{CallEnd, Intake, NodeAction, Ticket};
 use super::hop::{Hop, HopId, HopKey, HopState};
@@ -219,13 +220,9 @@
     /// The trace of a request, which is the caller's own where it brought one.
     fn root_trace(&mut self, root: RootId, brought: Option<TraceContext>) -> TraceContext {
         let own_span_id = self.rng.random();
-        if let Some(trace) = brought {
-            return TraceContext { parent_span_id: own_span_id, ..trace };
-        }
-        let share = self.settings.telemetry.sample_share;
-        let wanted = self.settings.telemetry.otlp_url.is_some();
-        let sampled = wanted && self.rng.random_bool(share.clamp(0.0, 1.0));
-        TraceContext { trace_id: root.0, parent_span_id: own_span_id, sampled }
+        let trace_id = brought.map_or(root.0, |trace| trace.trace_id);
+        let sampled = is_sampled(&self.settings.telemetry, brought.as_ref(), trace_id);
+        TraceContext { trace_id, parent_span_id: own_span_id, sampled }
     }
 
     /// Answers a request that never became a hop.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -14,6 +14,7 @@
 mod roster;
 mod sending;
 mod settling;
+mod span;
 mod status;
 mod timer;
 
@@ -26,7 +27,7 @@
 use rand::rngs::SmallRng;
 
 use crate::admission::{Admission, Decision};
-use crate::call::{AnswerFrame, ArmId, AttemptId, CallFrame, Message, NodeId};
+use crate::call::{AnswerFrame, ArmId, AttemptId, CallFrame, Message, NodeId, Verdict};
 use crate::config::{RetryRule, Rules, Settings};
 use crate::configuration::BuildRules;
 use crate::event::LogEvent;
--- a/src/node/note.rs
+++ b/src/node/note.rs
@@ -6,6 +6,7 @@
 use crate::config::Rules;
 use crate::event::LogEvent;
 use crate::telemetry::metrics::{CallSource, Outcome, RetryOutcome};
+use crate::telemetry::trace::SpanRecord;
 
 /// Something for the log or the metrics.
 #[derive(Clone, Debug)]
@@ -63,6 +64,8 @@
         /// Whether nobody waited for its answer any more.
         wasted: bool,
     },
+    /// A hop, or a received attempt, of a trace that is recorded.
+    Span(Box<SpanRecord>),
     /// Rules are in force from now on.
     RulesInForce {
         /// Their version.
--- a/src/node/sending.rs
+++ b/src/node/sending.rs
@@ -515,6 +515,7 @@
             outcome: note::outcome_of(&verdict),
             took_us: now_us.saturating_sub(hop.started_us),
         }));
+        self.trace_hop(now_us, &hop, &verdict, out);
         let end = self.call_end(now_us, &hop, verdict);
         out.push(NodeAction::Reply { ticket: hop.ticket, end });
     }
--- a/src/node/settling.rs
+++ b/src/node/settling.rs
@@ -31,10 +31,11 @@
         verdict: Verdict,
         out: &mut Vec<NodeAction>,
     ) {
-        let Some(inbound) = self.inbound.get_mut(&attempt) else { return };
-        if inbound.settled {
+        let Some(inbound) = self.inbound.get(&attempt).filter(|inbound| !inbound.settled) else {
             return;
-        }
+        };
+        self.trace_inbound(now_us, inbound, &verdict, out);
+        let Some(inbound) = self.inbound.get_mut(&attempt) else { return };
         inbound.settled = true;
         self.book.settle(now_us, attempt, &verdict);
         out.push(NodeAction::Note(Note::ReceivedEnded {
--- /dev/null
+++ b/tests/process_site.rs
@@ -0,0 +1,101 @@
+//! Real processes: traces over a whole call, kills, freezes and planned stops.
+
+mod processes;
+
+use std::collections::HashMap;
+
+use processes::{Site, at};
+use serde_json::Value;
+
+/// A row of four services.
+const DEEP: [&str; 4] = ["front", "stock", "ledger", "vault"];
+/// A row of two services.
+const SHORT: [&str; 2] = ["front", "stock"];
+
+/// The value of a text field of a span.
+fn text<'a>(span: &'a Value, name: &str) -> &'a str {
+    span[name].as_str().unwrap_or("")
+}
+
+#[tokio::test]
+async fn one_call_leaves_one_tree_of_spans_through_four_services() {
+    let site = Site::start("tree", &DEEP, 1);
+    site.wait_until_served().await;
+    let trace = "0af7651916cd43dd8448eb211c80319c";
+    let url = format!("http://{}/front/page/traced", at(site.pairs[0].caller_port));
+    let parent = format!("00-{trace}-00f067aa0ba902b7-01");
+    let request = site.client.get(url).header("traceparent", parent);
+    assert_eq!(request.send().await.expect("the node answers").status(), 200);
+    let spans_url = format!("http://{}/spans", at(site.collector_port));
+    let of_trace = |all: &Value| -> Vec<Value> {
+        let all = all["spans"].as_array().cloned().unwrap_or_default();
+        all.into_iter().filter(|span| text(span, "traceId") == trace).collect()
+    };
+    // Two spans for each of the four hops: where it is sent on, and where it is received.
+    let all = site.wait_for(&spans_url, |all| of_trace(all).len() >= 8).await;
+    let spans = of_trace(&all);
+    assert_eq!(spans.len(), 8);
+    let parents: HashMap<&str, &str> =
+        spans.iter().map(|span| (text(span, "spanId"), text(span, "parentSpanId"))).collect();
+    let deepest =
+        spans.iter().find(|span| text(span, "name") == "serve vault").expect("it is there");
+    let mut above = text(deepest, "spanId");
+    let mut hops = 0;
+    while let Some(parent) = parents.get(above) {
+        above = parent;
+        hops += 1;
+    }
+    assert_eq!((above, hops), ("00f067aa0ba902b7", 8));
+}
+
+#[tokio::test]
+async fn a_planned_stop_cuts_nothing_off_and_exits_with_zero() {
+    let mut site = Site::start("stop", &SHORT, 2);
+    site.wait_until_served().await;
+    let mut answered = 0;
+    for call in 0..120 {
+        if call == 40 {
+            site.signal_node(3, libc::SIGTERM);
+        }
+        let path = format!("/confirm/{call}");
+        let answer = site.call(call % 2, "POST", &path, None).await;
+        let (status, verdict, _) = answer.expect("the entry node answers");
+        assert_eq!((status, verdict.as_str()), (200, "answered"), "call {call}");
+        answered += 1;
+    }
+    assert_eq!(answered, 120);
+    assert_eq!(site.wait_for_exit(3).await, Some(0));
+}
+
+#[tokio::test]
+async fn confirmations_run_at_most_once_through_a_kill_and_a_freeze() {
+    let site = Site::start("once", &SHORT, 2);
+    site.wait_until_served().await;
+    let mut answered = 0;
+    let mut calls = Vec::new();
+    for call in 0..60 {
+        match call {
+            15 => site.signal_node(2, libc::SIGSTOP),
+            30 => site.signal_node(2, libc::SIGCONT),
+            40 => site.signal_node(3, libc::SIGKILL),
+            _ => {}
+        }
+        let key = format!("order-{call}");
+        let path = format!("/confirm/{call}");
+        // The same key through both entry nodes at once.
+        let first = site.call(0, "POST", &path, Some(&key));
+        let second = site.call(1, "POST", &path, Some(&key));
+        let (first, second) = tokio::join!(first, second);
+        let statuses = [first, second].map(|answer| answer.map_or(0, |(status, ..)| status));
+        answered += statuses.iter().filter(|status| **status == 200).count();
+        calls.push(statuses);
+    }
+    assert!(answered > 60, "only {answered} of 120 were answered: {calls:?}");
+    for service in SHORT {
+        let runs = site.runs(service).await;
+        assert!(!runs.is_empty());
+        for (key, count) in runs {
+            assert_eq!(count, 1, "{key} ran {count} times at {service}");
+        }
+    }
+}
--- /dev/null
+++ b/tests/processes/mod.rs
@@ -0,0 +1,253 @@
+//! A small site of real processes on loopback, each ended by its id when the test ends.
+
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+
+/// How often something that is waited for is looked at.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+/// How often it is looked at before the test gives up.
+const LOOKS_MAX: u32 = 1_200;
+
+/// One node with its target.
+pub struct Pair {
+    pub service: &'static str,
+    pub caller_port: u16,
+    pub target_port: u16,
+    node: Child,
+    target: Child,
+}
+
+/// The processes of a site.
+pub struct Site {
+    pub pairs: Vec<Pair>,
+    pub table_port: u16,
+    pub collector_port: u16,
+    folder: PathBuf,
+    platform: Vec<Child>,
+    pub client: reqwest::Client,
+}
+
+impl Site {
+    /// Starts services in a row, the first calling the second and so on, `targets` of each.
+    pub fn start(name: &str, services: &[&'static str], targets: usize) -> Self {
+        let ports = free_ports(2 + services.len() * targets * 5);
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+        std::fs::create_dir_all(&folder).expect("the folder for settings can be made");
+        let (table_port, collector_port) = (ports[0], ports[1]);
+        let table = standin(&["table", "--listen", &at(table_port)]);
+        let collector = standin(&["collector", "--listen", &at(collector_port)]);
+        let client = reqwest::Client::builder()
+            .no_proxy()
+            .redirect(reqwest::redirect::Policy::none())
+            .retry(reqwest::retry::never())
+            .timeout(Duration::from_secs(10))
+            .build()
+            .expect("a client can be made");
+        let mut site = Self {
+            pairs: Vec::new(),
+            table_port,
+            collector_port,
+            folder,
+            platform: vec![table, collector],
+            client,
+        };
+        for (index, ports) in ports[2..].chunks(5).enumerate() {
+            site.start_pair(services, index / targets, index, ports);
+        }
+        site
+    }
+
+    /// Starts one node and its target.
+    fn start_pair(&mut self, services: &[&'static str], depth: usize, index: usize, ports: &[u16]) {
+        let service = services[depth];
+        let settings = json!({
+            "site": "test",
+            "node": {
+                "name": format!("{service}-{index}"), "failure_domain": "a", "service": service,
+                "caller_listen": at(ports[0]), "target_listen": at(ports[1]),
+                "peer_listen": at(ports[2]), "operator_listen": at(ports[3]), "leave_ms": 1500
+            },
+            "platform": {
+                "table_url": format!("http://{}", at(self.table_port)),
+                "objects_url": format!("http://{}", at(self.table_port)), "poll_ms": 1000
+            },
+            "telemetry": {
+                "otlp_url": format!("http://{}", at(self.collector_port)), "sample_share": 1.0
+            },
+            "rules": rules(services)
+        });
+        let file = self.folder.join(format!("{index}.json"));
+        std::fs::write(&file, settings.to_string()).expect("settings can be written");
+        let file = file.to_string_lossy().into_owned();
+        let node = program(&["node", "--settings", &file]);
+        let (listen, beside) = (at(ports[4]), at(ports[1]));
+        let mut arguments =
+            vec!["target", "--service", service, "--listen", &listen, "--node", &beside];
+        if let Some(below) = services.get(depth + 1) {
+            arguments.extend(["--calls", below]);
+        }
+        let target = standin(&arguments);
+        let (caller_port, target_port) = (ports[0], ports[4]);
+        self.pairs.push(Pair { service, caller_port, target_port, node, target });
+    }
+
+    /// Makes a call at a node and gives its status, its verdict and its body.
+    pub async fn call(
+        &self,
+        pair: usize,
+        method: &str,
+        path: &str,
+        key: Option<&str>,
+    ) -> Option<(u16, String, String)> {
+        let url = format!("http://{}/{}{path}", at(self.pairs[pair].caller_port), self.first());
+        let method = reqwest::Method::from_bytes(method.as_bytes()).expect("a method");
+        let mut request = self.client.request(method, url);
+        if let Some(key) = key {
+            request = request.header("idempotency-key", key);
+        }
+        let response = request.send().await.ok()?;
+        let status = response.status().as_u16();
+        let verdict = response.headers().get("aspenspring-verdict");
+        let verdict = verdict.and_then(|value| value.to_str().ok()).unwrap_or("").to_owned();
+        Some((status, verdict, response.text().await.ok()?))
+    }
+
+    /// Waits until every node answers a call whole.
+    pub async fn wait_until_served(&self) {
+        for pair in 0..self.pairs.len() {
+            for look in 0..LOOKS_MAX {
+                let answer = self.call(pair, "GET", "/page/ready", None).await;
+                if answer.is_some_and(|(status, ..)| status == 200) {
+                    break;
+                }
+                assert!(look + 1 < LOOKS_MAX, "node {pair} serves nothing");
+                tokio::time::sleep(LOOK_EVERY).await;
+            }
+        }
+    }
+
+    /// Reads JSON from a stand-in until `is_it` likes it.
+    pub async fn wait_for(&self, url: &str, is_it: impl Fn(&Value) -> bool) -> Value {
+        for _ in 0..LOOKS_MAX {
+            if let Some(value) = self.read(url).await.filter(&is_it) {
+                return value;
+            }
+            tokio::time::sleep(LOOK_EVERY).await;
+        }
+        panic!("{url} never said what was waited for");
+    }
+
+    /// Reads JSON from a stand-in.
+    pub async fn read(&self, url: &str) -> Option<Value> {
+        let response = self.client.get(url).send().await.ok()?;
+        serde_json::from_str(&response.text().await.ok()?).ok()
+    }
+
+    /// How often the targets of a service ran a request with each idempotency key.
+    pub async fn runs(&self, service: &str) -> Vec<(String, u64)> {
+        let mut runs = Vec::new();
+        for pair in self.pairs.iter().filter(|pair| pair.service == service) {
+            let url = format!("http://{}/_aspenspring/runs", at(pair.target_port));
+            let Some(value) = self.read(&url).await else { continue };
+            let Some(keys) = value["runs_by_key"].as_object() else { continue };
+            for (key, count) in keys {
+                runs.push((key.clone(), count.as_u64().unwrap_or(0)));
+            }
+        }
+        runs
+    }
+
+    /// The first service of the row.
+    pub fn first(&self) -> &'static str {
+        self.pairs[0].service
+    }
+
+    /// Sends a signal to a node.
+    pub fn signal_node(&self, pair: usize, signal: libc::c_int) {
+        let pid = self.pairs[pair].node.id() as libc::pid_t;
+        // SAFETY: the process was started by this test and has not been waited for.
+        unsafe { libc::kill(pid, signal) };
+    }
+
+    /// Waits until a node has ended and gives its exit code.
+    pub async fn wait_for_exit(&mut self, pair: usize) -> Option<i32> {
+        for _ in 0..LOOKS_MAX {
+            let ended = self.pairs[pair].node.try_wait().expect("a child can be waited for");
+            if let Some(status) = ended {
+                return status.code();
+            }
+            tokio::time::sleep(LOOK_EVERY).await;
+        }
+        panic!("node {pair} does not end");
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        let pairs = self.pairs.iter_mut().flat_map(|pair| [&mut pair.node, &mut pair.target]);
+        for child in pairs.chain(&mut self.platform) {
+            // A process that has ended already needs no end.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+/// The rules of a row of services.
+fn rules(services: &[&str]) -> Value {
+    let mut routes = vec![json!({ "service": services[0], "method": "POST",
+        "path_prefix": "/confirm", "class": "confirm" })];
+    let mut rows = Vec::new();
+    for (depth, service) in services.iter().enumerate() {
+        routes.push(json!({ "service": service, "class": "browse" }));
+        let calls: Vec<&&str> = services.get(depth + 1).into_iter().collect();
+        rows.push(json!({ "name": service, "slots": 32, "connections": 250, "calls": calls }));
+    }
+    json!({
+        "classes": [
+            { "name": "browse", "rank": 1, "deadline_ms": 3000, "deadline_max_ms": 8000 },
+            { "name": "confirm", "rank": 9, "at_most_once": true, "deadline_ms": 5000,
+              "deadline_max_ms": 8000 }
+        ],
+        "routes": routes,
+        "services": rows,
+        "arms": [{ "id": 0, "name": "main", "share": 1.0, "policy": "bounded" }],
+        "policies": [{ "name": "bounded", "limit": { "kind": "static" }, "choice": "least_loaded",
+            "retry": { "kind": "bounded", "allowance": 3, "budget_share": 0.2, "backoff_ms": 5,
+                       "backoff_max_ms": 100 } }]
+    })
+}
+
+/// Ports that are free now.
+fn free_ports(count: usize) -> Vec<u16> {
+    let listeners: Vec<TcpListener> =
+        (0..count).map(|_| TcpListener::bind("127.0.0.1:0").expect("a port is free")).collect();
+    listeners.iter().map(|bound| bound.local_addr().expect("it is bound").port()).collect()
+}
+
+/// An address on loopback.
+pub fn at(port: u16) -> String {
+    format!("127.0.0.1:{port}")
+}
+
+/// Starts a stand-in.
+fn standin(arguments: &[&str]) -> Child {
+    let mut all = vec!["standin"];
+    all.extend(arguments);
+    program(&all)
+}
+
+/// Starts the program.
+fn program(arguments: &[&str]) -> Child {
+    Command::new(env!("CARGO_BIN_EXE_aspenspring"))
+        .args(arguments)
+        .stdin(Stdio::null())
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("the program can be started")
+}
