Mint callers' keys with the long lifetime

Cause: a bit of the nonce tells a key's lifetime since the ledger keeps keys for one request apart, and the node still filled the nonce at random. Half of the keys that callers asked for, and of the claims, lived two minutes instead of two hours; repeats after that were told 'may have run'. No key could run twice by it.

Change: the node mints callers' keys and claims with KeyLifetime::Caller, and keys for requests without one with KeyLifetime::OneRequest.

Figures: keys_that_callers_ask_for_have_the_long_lifetime failed before, passes now.

--- a/src/node/intake.rs
+++ b/src/node/intake.rs
@@ -3,8 +3,8 @@
 use rand::Rng;
 
 use crate::call::{
-    ArmId, AttemptId, ClassRank, HttpAnswer, Key, Level, NodeId, ParsedKey, RefusalReason, RootId,
-    TraceContext, Verdict,
+    ArmId, AttemptId, ClassRank, HttpAnswer, Key, KeyLifetime, Level, NodeId, ParsedKey,
+    RefusalReason, RootId, TraceContext, Verdict,
 };
 use crate::clock::US_PER_MS;
 use crate::config::{ClassSettings, RetryRule};
@@ -91,7 +91,7 @@
         };
         let verdict = match self.router.pick(now_us, &ask, &mut self.rng) {
             Ok(owner) => {
-                let key = self.mint(now_us, owner);
+                let key = self.mint(now_us, owner, KeyLifetime::Caller);
                 let body = serde_json::json!({ "idempotency_key": key.to_string() });
                 Verdict::Answered(HttpAnswer {
                     status: 201,
@@ -105,8 +105,8 @@
     }
 
     /// A key that only `owner` may run.
-    pub(super) fn mint(&mut self, now_us: u64, owner: NodeId) -> Key {
-        Key { owner, minted_unix_ms: self.unix_ms(now_us), nonce: self.rng.random() }
+    pub(super) fn mint(&mut self, now_us: u64, owner: NodeId, lifetime: KeyLifetime) -> Key {
+        Key::mint(owner, self.unix_ms(now_us), self.rng.random(), lifetime)
     }
 
     /// The first hop of a request.
--- a/src/node/platform.rs
+++ b/src/node/platform.rs
@@ -3,7 +3,7 @@
 use serde_json::Value;
 
 use crate::call::key::claim_row_key;
-use crate::call::{Key, RefusalReason, Verdict};
+use crate::call::{Key, KeyLifetime, RefusalReason, Verdict};
 use crate::configuration::{Accepted, ConfigurationEvent, ROW_KEY, RowRead, RowWrite, TableRow};
 use crate::duty::store::{
     Certainty, Claim, Condition, Row, StoreError, StoreEvent, StoreOperation, StoreOutcome,
@@ -146,7 +146,7 @@
         };
         match self.router.pick(now_us, &ask, &mut self.rng) {
             Ok(owner) => {
-                let minted = self.mint(now_us, owner);
+                let minted = self.mint(now_us, owner, KeyLifetime::Caller);
                 let claim = Claim {
                     owner: minted.owner,
                     nonce: minted.nonce,
--- a/src/node/sending.rs
+++ b/src/node/sending.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use crate::call::{
-    AnswerFrame, AttemptId, CallFrame, Doubt, Key, Message, NodeId, Refusal, RefusalReason, RootId,
-    Verdict,
+    AnswerFrame, AttemptId, CallFrame, Doubt, Key, KeyLifetime, Message, NodeId, Refusal,
+    RefusalReason, RootId, Verdict,
 };
 use crate::clock::US_PER_S;
 use crate::event::LogEvent;
@@ -123,7 +123,7 @@
             picked => picked,
         };
         let node = node.map_err(Verdict::NotRun)?;
-        let key = own.then(|| self.mint(now_us, node));
+        let key = own.then(|| self.mint(now_us, node, KeyLifetime::OneRequest));
         Ok((node, key))
     }
 
--- a/tests/node_retry.rs
+++ b/tests/node_retry.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use aspenspring::call::{
-    AnswerFrame, AttemptId, HttpAnswer, HttpRequest, LoadReport, Message, NodeId, RefusalReason,
-    Verdict,
+    AnswerFrame, AttemptId, HttpAnswer, HttpRequest, Key, KeyLifetime, LoadReport, Message, NodeId,
+    RefusalReason, Verdict,
 };
 use aspenspring::config::Settings;
 use aspenspring::duty::store::{StoreEvent, StoreOperation, StoreOutcome};
@@ -170,3 +170,18 @@
     node.handle(200_000, NodeEvent::TargetEnded { attempt, outcome }, &mut out);
     assert_eq!(replies(&out), vec![Verdict::Answered(answer)]);
 }
+
+#[test]
+fn keys_that_callers_ask_for_have_the_long_lifetime() {
+    let mut node = started();
+    for ticket in 1..=20 {
+        let event = NodeEvent::MintKey { ticket: Ticket(ticket), service: SERVICE.to_owned() };
+        let mut out = Vec::new();
+        node.handle(1_000, event, &mut out);
+        let [Verdict::Answered(answer)] = &replies(&out)[..] else { panic!("no key: {out:?}") };
+        let body: serde_json::Value = serde_json::from_slice(&answer.body).expect("it is JSON");
+        let text = body["idempotency_key"].as_str().expect("there is a key");
+        let key: Key = text.parse().expect("it is a minted key");
+        assert_eq!(key.lifetime(), KeyLifetime::Caller);
+    }
+}
