Cancel calls whose caller has gone, and ask the ledger before refusing

Ruled out: cancelling keyed calls as well, whose outcome has to be known when the caller asks again.

The new test of the cancellation was not run against the code without it. tests/store.rs: the two cases of the deleted function are replaced by the same questions to the one that is left.

--- /dev/null
+++ b/examples/node_cost.rs
@@ -0,0 +1,168 @@
+//! What deciding about calls costs one node: time and memory for each call, without any I/O.
+//!
+//! `cargo run --release --example node_cost`
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use aspenspring::call::{HttpAnswer, HttpRequest, NodeId};
+use aspenspring::config::{self, Settings};
+use aspenspring::configuration::site_rules;
+use aspenspring::node::{
+    Announcement, Intake, Node, NodeAction, NodeEvent, NodeIdentity, TargetOutcome, Ticket,
+};
+
+/// Calls that are measured.
+const CALLS: u64 = 200_000;
+/// Calls before those, which fill tables and caches.
+const WARM_UP_CALLS: u64 = 20_000;
+/// The made-up time between two calls, in microseconds.
+const CALL_EVERY_US: u64 = 200;
+
+fn main() {
+    let files = [
+        "examples/sites/base.json",
+        "examples/sites/jordan.json",
+        "examples/sites/nodes/souq-catalogue-1.json",
+    ];
+    let files: Vec<std::path::PathBuf> = files.iter().map(Into::into).collect();
+    let settings = config::load(&files).expect("the example is valid").settings;
+    for (name, method, path) in
+        [("browse", "GET", "/pages/1"), ("at most once", "POST", "/confirmations/1")]
+    {
+        let mut driver = Driver::new(settings.clone());
+        driver.run(WARM_UP_CALLS, method, path);
+        let began = Instant::now();
+        let answered = driver.run(CALLS, method, path);
+        let ns = began.elapsed().as_nanos() / u128::from(CALLS);
+        println!("{name}: {ns} ns for a call that enters, is admitted and answered on one node");
+        println!("  answered {answered} of {CALLS}, resident {} KB", resident_kb());
+    }
+}
+
+/// A node with a target that answers at once.
+struct Driver {
+    node: Node,
+    service: String,
+    now_us: u64,
+    tickets: u64,
+}
+
+impl Driver {
+    fn new(mut settings: Settings) -> Self {
+        settings.telemetry.otlp_url = None;
+        let service = settings.node.service.clone();
+        let identity = NodeIdentity::builder()
+            .id(NodeId(1))
+            .peer_address(settings.node.peer_listen)
+            .seed(1)
+            .origin_unix_ms(1_800_000_000_000)
+            .build();
+        let build = site_rules(&settings.site);
+        let mut node = Node::new(0, identity, Arc::new(settings), build);
+        let announcement = Announcement {
+            url: "http://127.0.0.1:1".to_owned(),
+            service: service.clone(),
+            slots: 64,
+            connections: 640,
+        };
+        let mut out = Vec::new();
+        node.handle(1, NodeEvent::TargetAnnounced(announcement), &mut out);
+        let mut driver = Self { node, service, now_us: 1, tickets: 0 };
+        driver.settle_store(out);
+        driver
+    }
+
+    /// Answers the first reads and writes as an empty table does, so that the node serves.
+    fn settle_store(&mut self, mut actions: Vec<NodeAction>) {
+        use aspenspring::duty::store::{StoreEvent, StoreOperation, StoreOutcome};
+        for _ in 0..2_000 {
+            let mut next = Vec::new();
+            for action in actions {
+                let NodeAction::Store(request) = action else { continue };
+                let outcome = match request.operation {
+                    StoreOperation::ReadRows { .. } => StoreOutcome::Rows(Vec::new()),
+                    StoreOperation::ReadRow { .. } => StoreOutcome::Row(None),
+                    _ => StoreOutcome::Written { version: 1 },
+                };
+                let event = NodeEvent::Store(StoreEvent { id: request.id, outcome: Ok(outcome) });
+                self.node.handle(self.now_us, event, &mut next);
+            }
+            self.now_us += 10_000;
+            self.node.handle(self.now_us, NodeEvent::Tick, &mut next);
+            actions = next;
+        }
+    }
+
+    /// Makes calls one after the other and counts the whole answers.
+    fn run(&mut self, calls: u64, method: &str, path: &str) -> u64 {
+        let mut answered = 0;
+        let mut out = Vec::new();
+        for index in 0..calls {
+            self.now_us += CALL_EVERY_US;
+            if index % 1_000 == 0 {
+                self.node.handle(self.now_us, self.sign_of_life(), &mut out);
+            }
+            self.tickets += 1;
+            let event = NodeEvent::CallerCall(self.intake(method, path));
+            self.node.handle(self.now_us, event, &mut out);
+            answered += self.answer_all(&mut out);
+        }
+        answered
+    }
+
+    fn answer_all(&mut self, out: &mut Vec<NodeAction>) -> u64 {
+        let mut answered = 0;
+        while let Some(action) = out.pop() {
+            match action {
+                NodeAction::RunTarget(call) => {
+                    let answer =
+                        HttpAnswer { status: 200, headers: Vec::new(), body: call.request.body };
+                    let outcome = TargetOutcome::Answered(answer);
+                    let event = NodeEvent::TargetEnded { attempt: call.attempt, outcome };
+                    self.node.handle(self.now_us + 50, event, out);
+                }
+                NodeAction::Reply { end, .. } => {
+                    let whole = matches!(end.verdict, aspenspring::call::Verdict::Answered(_));
+                    answered += u64::from(whole);
+                }
+                _ => {}
+            }
+        }
+        answered
+    }
+
+    fn sign_of_life(&self) -> NodeEvent {
+        NodeEvent::TargetAnnounced(Announcement {
+            url: "http://127.0.0.1:1".to_owned(),
+            service: self.service.clone(),
+            slots: 64,
+            connections: 640,
+        })
+    }
+
+    fn intake(&self, method: &str, path: &str) -> Intake {
+        let request = HttpRequest {
+            method: method.to_owned(),
+            path: path.to_owned(),
+            headers: vec![("accept".to_owned(), "application/json".to_owned())],
+            body: bytes::Bytes::from_static(&[0; 256]),
+        };
+        Intake {
+            ticket: Ticket(self.tickets),
+            service: self.service.clone(),
+            request,
+            deadline_ms: None,
+            key: None,
+            trace: None,
+        }
+    }
+}
+
+/// The memory the process holds, in KB; 0 where the system does not tell.
+fn resident_kb() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with("VmRSS"));
+    let number = line.and_then(|line| line.split_whitespace().nth(1));
+    number.and_then(|number| number.parse().ok()).unwrap_or(0)
+}
--- a/src/duty/answer.rs
+++ b/src/duty/answer.rs
@@ -41,7 +41,8 @@
 
 /// The answer to a request that was refused before the node decided anything about it.
 pub fn refused(reason: RefusalReason) -> Problem {
-    not_run(&Refusal { reason, retry_after_ms: REFUSED_RETRY_MS })
+    let hopeless = reason == RefusalReason::Malformed;
+    not_run(&Refusal { reason, retry_after_ms: if hopeless { 0 } else { REFUSED_RETRY_MS } })
 }
 
 /// The answer to a request that was not run.
--- a/src/duty/decider.rs
+++ b/src/duty/decider.rs
@@ -84,15 +84,16 @@
         Ok(())
     }
 
-    /// Hands a new request in, unless the ring is too full, and returns where its end will come.
+    /// Hands a new request in, unless the ring is too full, and returns its ticket and where its end
+    /// will come.
     pub fn call(
         &self,
         make: impl FnOnce(Ticket) -> NodeEvent,
-    ) -> Result<oneshot::Receiver<CallEnd>, RingFull> {
+    ) -> Result<(Ticket, oneshot::Receiver<CallEnd>), RingFull> {
         let ticket = Ticket(self.tickets.fetch_add(1, Ordering::Relaxed));
         let (reply, end) = oneshot::channel();
         self.put(Entry::Call { ticket, event: make(ticket), reply })?;
-        Ok(end)
+        Ok((ticket, end))
     }
 
     /// Hands in something new that may be refused.
--- a/src/duty/http.rs
+++ b/src/duty/http.rs
@@ -16,6 +16,7 @@
 use super::decider::DeciderHandle;
 use super::problem::Problem;
 use super::target::HOP_BY_HOP;
+use super::web::CallerGone;
 use super::{answer, web};
 
 /// What the node's own paths begin with.
@@ -131,7 +132,7 @@
         if let Some(service) = path.strip_prefix(KEYS_PREFIX).filter(|_| self.side == Side::Caller)
         {
             let service = service.to_owned();
-            return self.ask(|ticket| NodeEvent::MintKey { ticket, service }).await;
+            return self.ask(request, |ticket| NodeEvent::MintKey { ticket, service }).await;
         }
         if path.starts_with(OWN_PREFIX) {
             return self.own_path(path, &body);
@@ -168,7 +169,7 @@
         };
         let side = self.side;
         let token = taken.token;
-        self.ask(|ticket| {
+        self.ask(request, |ticket| {
             let intake = Intake {
                 ticket,
                 service,
@@ -185,13 +186,27 @@
         .await
     }
 
-    /// Hands a request to the decider and waits for its end.
-    async fn ask(&self, make: impl FnOnce(Ticket) -> NodeEvent) -> Result<Served, Problem> {
-        let Ok(end) = self.decider.call(make) else {
+    /// Hands a request to the decider and waits for its end. When the caller goes away first, the
+    /// request is cancelled; its end then reaches nobody.
+    async fn ask(
+        &self,
+        request: &Request<'_>,
+        make: impl FnOnce(Ticket) -> NodeEvent,
+    ) -> Result<Served, Problem> {
+        let Ok((ticket, mut end)) = self.decider.call(make) else {
             return Err(answer::refused(RefusalReason::NodeFull));
         };
+        let gone = CallerGone::of(request);
+        let ended = tokio::select! {
+            ended = &mut end => ended,
+            () = gone.wait() => {
+                // Without room for it the request ends by its deadline.
+                let _ = self.decider.offer(NodeEvent::CallerGone { ticket });
+                end.await
+            }
+        };
         // The decider ends only when nothing is in flight, so a ticket it drops never began.
-        end.await.map(Served::End).map_err(|_| answer::refused(RefusalReason::Leaving))
+        ended.map(Served::End).map_err(|_| answer::refused(RefusalReason::Leaving))
     }
 }
 
@@ -237,7 +252,7 @@
         let name = found.name().as_str().to_ascii_lowercase();
         let value = found.value();
         match name.as_str() {
-            header::DEADLINE_MS => taken.deadline_ms = value.trim().parse().ok(),
+            header::DEADLINE_MS => taken.deadline_ms = Some(parse_deadline(value)?),
             header::IDEMPOTENCY_KEY => taken.key = Some(value.to_owned()),
             header::TRACEPARENT => taken.trace = TraceContext::parse(value),
             header::CALL if side == Side::Target => taken.token = Some(value.to_owned()),
@@ -250,6 +265,15 @@
     Ok(taken)
 }
 
+/// The time a caller gives its request, in milliseconds.
+fn parse_deadline(value: &str) -> Result<u64, Problem> {
+    let parsed = value.trim().parse::<u64>().ok().filter(|ms| *ms > 0);
+    parsed.ok_or_else(|| {
+        let detail = format!("{} is a whole number above 0", header::DEADLINE_MS);
+        Problem::new(400, "Bad Request").detail(detail)
+    })
+}
+
 /// The service a path names, and the path below it with its query.
 fn split(uri: &str) -> Option<(String, String)> {
     let rest = uri.strip_prefix('/')?;
--- a/src/duty/store.rs
+++ b/src/duty/store.rs
@@ -21,7 +21,6 @@
 use crate::clock::Clock;
 
 use circuit::Circuit;
-pub use claim::claim_row_key;
 use client::Client;
 
 /// A row of the table.
@@ -88,7 +87,7 @@
     },
     /// Claim a key, or learn who has claimed it.
     ClaimKey {
-        /// The row's key, from [`claim_row_key`].
+        /// The row's key, from [`claim_row_key`](crate::call::key::claim_row_key).
         key: String,
         /// The claim.
         claim: Claim,
--- a/src/duty/store/claim.rs
+++ b/src/duty/store/claim.rs
@@ -1,25 +1,10 @@
 //! Claiming an idempotency key of a caller's own making for one owner, once and for ever.
 
-use base64::Engine;
-use base64::engine::general_purpose::URL_SAFE_NO_PAD;
-
 use super::{Certainty, Claim, Condition, Row, StoreError, StoreOperation, StoreOutcome};
 
-/// The longest caller's key that is taken, in bytes.
-const KEY_MAX_BYTES: usize = 128;
 /// How often a claim whose answers get lost is tried.
 const TRIES: u32 = 3;
 
-/// The row that claims `key` for calls of `service`, or none if the key is empty or too long.
-///
-/// The caller's key is encoded whole, not hashed, so that two keys never share a row.
-pub fn claim_row_key(service: &str, key: &[u8]) -> Option<String> {
-    if key.is_empty() || key.len() > KEY_MAX_BYTES {
-        return None;
-    }
-    Some(format!("claim:{service}:{}", URL_SAFE_NO_PAD.encode(key)))
-}
-
 /// Creates the claim's row, and after a lost answer finds out who has claimed the key.
 ///
 /// A claim that takes effect after all, later than its failure was reported, names this owner, who
--- a/src/node/event.rs
+++ b/src/node/event.rs
@@ -72,6 +72,11 @@
         /// The service the key is for.
         service: String,
     },
+    /// Whoever made a request on one of the node's own listeners waits for it no longer.
+    CallerGone {
+        /// The request.
+        ticket: Ticket,
+    },
     /// A request of the target beside this node, on behalf of the call named by `token`.
     TargetCall {
         /// The request.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -213,6 +213,7 @@
             NodeEvent::MintKey { ticket, service } => {
                 self.mint_for_caller(now_us, ticket, &service, out);
             }
+            NodeEvent::CallerGone { ticket } => self.take_caller_gone(now_us, ticket, out),
             NodeEvent::TargetCall { intake, token } => {
                 self.take_target_call(now_us, intake, token.as_deref(), out);
             }
@@ -316,16 +317,18 @@
         self.sequence
     }
 
-    /// Makes the retry budgets those of the rules in force.
+    /// Makes the retry budgets those of the rules in force; what an arm has earned stays.
     fn reset_budgets(&mut self) {
-        self.budgets.clear();
+        let mut kept = std::mem::take(&mut self.budgets);
         for arm in &self.rules.arms {
             let id = ArmId(arm.id);
             let share = match self.rules.policy_of(id).retry {
                 RetryRule::Bounded { budget_share, .. } => budget_share,
                 RetryRule::None | RetryRule::Naive { .. } => 0.0,
             };
-            self.budgets.insert(id, RetryBudget::new(share));
+            let mut budget = kept.remove(&id).unwrap_or_else(|| RetryBudget::new(share));
+            budget.set_share(share);
+            self.budgets.insert(id, budget);
         }
     }
 }
--- a/src/node/platform.rs
+++ b/src/node/platform.rs
@@ -110,7 +110,7 @@
     ) {
         let operation = StoreOperation::Put {
             key: ROW_KEY.to_owned(),
-            value: serde_json::to_value(accepted).unwrap_or(Value::Null),
+            value: accepted.to_value().unwrap_or(Value::Null),
             condition: expected.map_or(Condition::Absent, Condition::Version),
         };
         let asked = Asked::ConfigurationWrite { submission: accepted.entry.submission };
@@ -226,6 +226,5 @@
 
 /// The configuration's row, or none where it makes no sense.
 fn table_row(row: Row) -> Option<TableRow> {
-    let accepted = serde_json::from_value(row.value).ok()?;
-    Some(TableRow { row_version: row.version, accepted })
+    TableRow::parse(&row.value, row.version)
 }
--- a/src/node/receiving.rs
+++ b/src/node/receiving.rs
@@ -81,11 +81,7 @@
         }
         let refusal = self.unfit(&frame);
         self.insert_inbound(now_us, path, frame, deadline_us);
-        if let Some(refusal) = refusal {
-            self.settle(now_us, attempt, Verdict::NotRun(refusal), out);
-            return;
-        }
-        self.offer(now_us, attempt, out);
+        self.offer(now_us, attempt, refusal, out);
     }
 
     /// Why an attempt cannot be taken in at all.
@@ -124,7 +120,16 @@
     }
 
     /// Offers an attempt to the ledger, where it has a key, and then to admission.
-    fn offer(&mut self, now_us: u64, attempt: AttemptId, out: &mut Vec<NodeAction>) {
+    ///
+    /// The ledger goes first: a key that has run gets its recorded answer even from a node that
+    /// takes no new work.
+    fn offer(
+        &mut self,
+        now_us: u64,
+        attempt: AttemptId,
+        refusal: Option<Refusal>,
+        out: &mut Vec<NodeAction>,
+    ) {
         let unix_ms = self.unix_ms(now_us);
         let Some(inbound) = self.inbound.get_mut(&attempt) else { return };
         if let Some(key) = inbound.frame.key {
@@ -141,6 +146,11 @@
                 }
             }
         }
+        if let Some(refusal) = refusal {
+            self.refuse_inbound(now_us, attempt, refusal, out);
+            return;
+        }
+        let Some(inbound) = self.inbound.get(&attempt) else { return };
         let candidate = Candidate {
             attempt,
             arm: inbound.frame.arm,
--- a/src/node/sending.rs
+++ b/src/node/sending.rs
@@ -12,7 +12,7 @@
 use crate::routing::{Observation, Outcome, Pick};
 use crate::telemetry::metrics::{CallSource, RetryOutcome};
 
-use super::event::{CallEnd, NodeAction, ReplyPath};
+use super::event::{CallEnd, NodeAction, ReplyPath, Ticket};
 use super::hop::{Hop, HopId, HopKey, HopState};
 use super::note::{self, Note};
 use super::{Due, LocalFrame, Node};
@@ -452,6 +452,19 @@
         self.conclude(now_us, id, verdict, out);
     }
 
+    /// Cancels the request of a caller that waits no longer. What must run at most once goes on, so
+    /// that its outcome is known when the caller asks again.
+    pub(super) fn take_caller_gone(
+        &mut self,
+        now_us: u64,
+        ticket: Ticket,
+        out: &mut Vec<NodeAction>,
+    ) {
+        let found = self.hops.iter().find(|(_, hop)| hop.ticket == ticket && !hop.at_most_once);
+        let Some(id) = found.map(|(id, _)| *id) else { return };
+        self.cancel_hop(now_us, id, out);
+    }
+
     /// Ends a hop nobody waits for any more.
     pub(super) fn cancel_hop(&mut self, now_us: u64, id: HopId, out: &mut Vec<NodeAction>) {
         let Some(hop) = self.hops.get(&id) else { return };
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -235,6 +235,18 @@
         self.deliver(seat, self.now_us, NodeEvent::CallerCall(intake));
     }
 
+    /// The caller of the last call goes away.
+    pub fn caller_gone(&mut self) {
+        let ticket = Ticket(self.calls.len() as u64 - 1);
+        let seat = self.calls[ticket.0 as usize].seat;
+        self.deliver(seat, self.now_us, NodeEvent::CallerGone { ticket });
+    }
+
+    /// Calls that run, wait or are being sent on, over all nodes.
+    pub fn in_flight(&self) -> u64 {
+        self.seats.iter().filter_map(|seat| seat.node.as_ref()).map(Node::in_flight).sum()
+    }
+
     /// Lets time pass until `until_us`.
     pub fn run(&mut self, until_us: u64) -> Checked {
         while let Some((&(at_us, sequence), _)) = self.queue.first_key_value() {
--- a/tests/site_faults.rs
+++ b/tests/site_faults.rs
@@ -146,3 +146,21 @@
     }
     Ok(())
 }
+
+#[test]
+fn a_read_whose_caller_has_gone_is_cancelled_at_every_hop() -> Checked {
+    let mut site = Site::start(13, Network::default());
+    site.run(3 * SECOND)?;
+    site.call(0, false);
+    site.run(site.now_us + 2 * MS)?;
+    if site.in_flight() == 0 {
+        return Err("the call was over before its caller went".to_owned());
+    }
+    site.caller_gone();
+    // The targets need a millisecond to give up; a run takes up to thirty.
+    site.run(site.now_us + 4 * MS)?;
+    match site.in_flight() {
+        0 => Ok(()),
+        left => Err(format!("{left} still in flight")),
+    }
+}
--- a/tests/store.rs
+++ b/tests/store.rs
@@ -6,10 +6,11 @@
 use std::sync::{Arc, mpsc};
 use std::time::Duration;
 
-use aspenspring::call::NodeId;
+use aspenspring::call::key::{FOREIGN_MAX_BYTES, claim_row_key};
+use aspenspring::call::{NodeId, ParsedKey};
 use aspenspring::duty::store::{
     self, Certainty, Claim, Condition, StoreEvent, StoreHandle, StoreOperation, StoreOptions,
-    StoreOutcome, StoreRequest, claim_row_key,
+    StoreOutcome, StoreRequest,
 };
 use aspenspring::standin::Server;
 use aspenspring::standin::platform::start_table;
@@ -74,7 +75,7 @@
 }
 
 fn claim_key(store: &mut Store, owner: u64) -> Result<StoreOutcome, Certainty> {
-    let key = claim_row_key("orders", b"order 17/a").unwrap();
+    let key = claim_row_key("orders", "order 17/a");
     store.run(StoreOperation::ClaimKey { key, claim: claim(owner) })
 }
 
@@ -152,10 +153,11 @@
 
 #[test]
 fn two_keys_never_share_a_row() {
-    assert_ne!(claim_row_key("a", b"x y"), claim_row_key("a", b"x/y"));
-    assert_ne!(claim_row_key("a", b"x"), claim_row_key("b", b"x"));
-    assert_eq!(claim_row_key("a", b""), None);
-    assert_eq!(claim_row_key("a", &[b'x'; 129]), None);
+    assert_ne!(claim_row_key("a", "x y"), claim_row_key("a", "x/y"));
+    assert_ne!(claim_row_key("a", "x"), claim_row_key("b", "x"));
+    assert_ne!(claim_row_key("ab", "c"), claim_row_key("a", "bc"));
+    assert!(ParsedKey::parse("").is_err());
+    assert!(ParsedKey::parse(&"x".repeat(FOREIGN_MAX_BYTES + 1)).is_err());
 }
 
 #[test]
