Record what a node is told and replay it against stated outcomes

Cause: the stated outcomes of traces covered the ledger and the attempt books alone; a run of whole processes could not be looked into after it had ended.

Ruled out: recording in the decider's own thread, which would wait for the disk; recording actions too, since a replay makes them again; stated digests, which would change with every line of a log event.

Change: the events of a node have a form in JSON (bodies as text or base64; the form between nodes stays as it was). Answers to attempts that the replay never made are counted, so that a trace that no longer fits the program is seen as such.

--- a/extra/aspenspring.bash
+++ b/extra/aspenspring.bash
@@ -42,6 +42,9 @@
             compare)
                 cmd="aspenspring_compare"
                 ;;
+            replay)
+                cmd="aspenspring_replay"
+                ;;
             schema)
                 cmd="aspenspring_schema"
                 ;;
@@ -81,7 +84,7 @@
     case "${cmd}" in
         aspenspring)
             opts="--help"
-            cmds="node check settings submit show list status leave compare schema completions manual standin"
+            cmds="node check settings submit show list status leave compare replay schema completions manual standin"
             case "${prev}" in
                 *)
                     COMPREPLY=( $(compgen -W "${opts} ${cmds}" -- "${cur}") )
@@ -90,12 +93,16 @@
             esac
             ;;
         aspenspring_node)
-            opts="--help --settings"
+            opts="--help --settings --record"
             case "${prev}" in
                 --settings)
                     COMPREPLY=()
                     return 0
                     ;;
+                --record)
+                    COMPREPLY=()
+                    return 0
+                    ;;
                 *)
                     COMPREPLY=( $(compgen -W "${opts} ${cmds}" -- "${cur}") )
                     return 0
@@ -274,6 +281,19 @@
                     ;;
             esac
             ;;
+        aspenspring_replay)
+            opts="--help --expect --json"
+            case "${prev}" in
+                --expect)
+                    COMPREPLY=()
+                    return 0
+                    ;;
+                *)
+                    COMPREPLY=( $(compgen -W "${opts} ${cmds}" -- "${cur}") )
+                    return 0
+                    ;;
+            esac
+            ;;
         aspenspring_schema)
             opts="--help --rules"
             case "${prev}" in
--- a/extra/aspenspring.fish
+++ b/extra/aspenspring.fish
@@ -3,7 +3,7 @@
     set -e cmd[1]
     set -l target_cmd $argv
 
-    set -l known_value_flags 'at' 'base' 'based-on' 'body' 'by' 'call' 'calls' 'capacity' 'cold-ms' 'concurrent' 'connections' 'deadline-ms' 'depth' 'document' 'drop-site' 'during' 'header' 'key-env' 'lane-slots' 'listen' 'method' 'name' 'node' 'out' 'path' 'phase' 'plot' 'queue-max' 'retries' 'round-ms' 'rounds' 'rules' 'run' 'seed' 'service' 'service-ms' 'settings' 'site' 'slots' 'target' 'timeout-ms' 'trigger' 'url' 'version' 
+    set -l known_value_flags 'at' 'base' 'based-on' 'body' 'by' 'call' 'calls' 'capacity' 'cold-ms' 'concurrent' 'connections' 'deadline-ms' 'depth' 'document' 'drop-site' 'during' 'expect' 'header' 'key-env' 'lane-slots' 'listen' 'method' 'name' 'node' 'out' 'path' 'phase' 'plot' 'queue-max' 'record' 'retries' 'round-ms' 'rounds' 'rules' 'run' 'seed' 'service' 'service-ms' 'settings' 'site' 'slots' 'target' 'timeout-ms' 'trigger' 'url' 'version' 
 
     set -l i 1
     set -l cleaned_cmd
@@ -51,12 +51,14 @@
 complete -c aspenspring -n '__fish_aspenspring_using_command' -f -a 'status' -d 'Show the state of nodes: their targets, limits and floors, and what they send to.'
 complete -c aspenspring -n '__fish_aspenspring_using_command' -f -a 'leave' -d 'Tell a node to leave: it takes no new work, finishes what runs and then ends.'
 complete -c aspenspring -n '__fish_aspenspring_using_command' -f -a 'compare' -d 'Compare the policy arms of runs: goodput by kind of calls, latency, wasted work, attempts and recovery, each as the median over the runs with the least and the greatest.'
+complete -c aspenspring -n '__fish_aspenspring_using_command' -f -a 'replay' -d 'Feed what a node was told, as recorded with `node --record`, to a fresh node and print what it decides.'
 complete -c aspenspring -n '__fish_aspenspring_using_command' -f -a 'schema' -d 'Print the JSON schema of the settings.'
 complete -c aspenspring -n '__fish_aspenspring_using_command' -f -a 'completions' -d 'Print completions for a shell.'
 complete -c aspenspring -n '__fish_aspenspring_using_command' -f -a 'manual' -d 'Print the manual page.'
 complete -c aspenspring -n '__fish_aspenspring_using_command' -f -a 'standin' -d 'run a small stand-in for something around a site: the platform\'s services, targets, the collector of traces'
 complete -c aspenspring -n '__fish_aspenspring_using_command node' -f -l help -d 'display usage information'
 complete -c aspenspring -n '__fish_aspenspring_using_command node' -f -l settings -r -d 'a file of settings; the base first, then each overlay'
+complete -c aspenspring -n '__fish_aspenspring_using_command node' -f -l record -r -d 'a new file that gets everything the node is told, for `replay`'
 complete -c aspenspring -n '__fish_aspenspring_using_command check' -f -l help -d 'display usage information'
 complete -c aspenspring -n '__fish_aspenspring_using_command check' -f -l settings -r -d 'a file of settings; the base first, then each overlay'
 complete -c aspenspring -n '__fish_aspenspring_using_command check' -f -l rules -r -d 'a file with the rules of one site alone'
@@ -102,6 +104,9 @@
 complete -c aspenspring -n '__fish_aspenspring_using_command compare' -f -l trigger -r -d 'when the trigger of overload was there, as 10s..20s, for the recovery time'
 complete -c aspenspring -n '__fish_aspenspring_using_command compare' -f -l plot -r -d 'write a picture of goodput over time to this file (SVG)'
 complete -c aspenspring -n '__fish_aspenspring_using_command compare' -f -l json -d 'print a list in JSON'
+complete -c aspenspring -n '__fish_aspenspring_using_command replay' -l help -d 'display usage information'
+complete -c aspenspring -n '__fish_aspenspring_using_command replay' -l expect -r -d 'a file in JSON with stated outcomes, to be compared'
+complete -c aspenspring -n '__fish_aspenspring_using_command replay' -l json -d 'print the report in JSON'
 complete -c aspenspring -n '__fish_aspenspring_using_command schema' -f -l help -d 'display usage information'
 complete -c aspenspring -n '__fish_aspenspring_using_command schema' -f -l rules -d 'print the schema of the rules of one site alone'
 complete -c aspenspring -n '__fish_aspenspring_using_command completions' -l help -d 'display usage information'
--- /dev/null
+++ b/src/call/body.rs
@@ -0,0 +1,49 @@
+//! How bytes are written: as they are between nodes, and readable in JSON.
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use serde::de::Error;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+/// The form of bytes in JSON.
+#[derive(Serialize, Deserialize)]
+#[serde(untagged)]
+enum Form {
+    /// Bytes that are UTF-8.
+    Text {
+        /// The text.
+        text: String,
+    },
+    /// Any bytes.
+    Base64 {
+        /// The bytes in base64.
+        base64: String,
+    },
+    /// The single bytes; they are read and never written.
+    List(Vec<u8>),
+}
+
+/// Writes bytes.
+pub(super) fn serialize<S: Serializer>(bytes: &Bytes, serializer: S) -> Result<S::Ok, S::Error> {
+    if !serializer.is_human_readable() {
+        return bytes.serialize(serializer);
+    }
+    let form = match std::str::from_utf8(bytes) {
+        Ok(text) => Form::Text { text: text.to_owned() },
+        Err(_) => Form::Base64 { base64: STANDARD.encode(bytes) },
+    };
+    form.serialize(serializer)
+}
+
+/// Reads bytes.
+pub(super) fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Bytes, D::Error> {
+    if !deserializer.is_human_readable() {
+        return Bytes::deserialize(deserializer);
+    }
+    match Form::deserialize(deserializer)? {
+        Form::Text { text } => Ok(text.into()),
+        Form::Base64 { base64 } => STANDARD.decode(base64).map(Bytes::from).map_err(Error::custom),
+        Form::List(bytes) => Ok(bytes.into()),
+    }
+}
--- a/src/call/frame.rs
+++ b/src/call/frame.rs
@@ -18,6 +18,7 @@
     /// End-to-end headers, names in lower case.
     pub headers: Vec<(String, String)>,
     /// The whole body.
+    #[serde(with = "super::body")]
     pub body: Bytes,
 }
 
@@ -29,6 +30,7 @@
     /// End-to-end headers, names in lower case.
     pub headers: Vec<(String, String)>,
     /// The whole body.
+    #[serde(with = "super::body")]
     pub body: Bytes,
 }
 
@@ -138,9 +140,9 @@
         granted: bool,
     },
     /// A message of the membership, encoded by its own module.
-    Gossip(Bytes),
+    Gossip(#[serde(with = "super::body")] Bytes),
     /// A message of the configuration, encoded by its own module.
-    Configuration(Bytes),
+    Configuration(#[serde(with = "super::body")] Bytes),
     /// Sent to see whether a connection still carries anything.
     Ping {
         /// The sender, so that the receiver can tell who is there.
--- a/src/call/mod.rs
+++ b/src/call/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Nothing here does I/O or reads a clock.
 
+mod body;
 pub mod codec;
 pub mod frame;
 pub mod id;
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -11,6 +11,7 @@
 mod manual;
 mod node;
 mod remote;
+mod replay;
 mod schema;
 mod settings;
 mod show;
@@ -36,6 +37,7 @@
 pub use list::ListArgs;
 pub use manual::{ManualArgs, page};
 pub use node::NodeArgs;
+pub use replay::ReplayArgs;
 pub use schema::SchemaArgs;
 pub use settings::SettingsArgs;
 pub use show::ShowArgs;
@@ -86,6 +88,8 @@
     Leave(LeaveArgs),
     /// Compare policy arms.
     Compare(CompareArgs),
+    /// Replay a recorded trace.
+    Replay(ReplayArgs),
     /// Print the schema of the settings.
     Schema(SchemaArgs),
     /// Print shell completions.
@@ -154,6 +158,7 @@
         Command::Status(args) => status::run(&args),
         Command::Leave(args) => leave::run(&args),
         Command::Compare(args) => compare::run(&args),
+        Command::Replay(args) => replay::run(&args),
         Command::Schema(args) => schema::run(&args),
         Command::Completions(args) => completions::run(&args),
         Command::Manual(_) => manual::run(),
--- a/src/cli/node.rs
+++ b/src/cli/node.rs
@@ -14,6 +14,9 @@
     /// a file of settings; the base first, then each overlay
     #[argh(option)]
     pub settings: Vec<PathBuf>,
+    /// a new file that gets everything the node is told, for `replay`
+    #[argh(option)]
+    pub record: Option<PathBuf>,
 }
 
 /// Runs a node.
@@ -22,6 +25,6 @@
         Ok(effective) => effective,
         Err(exit) => return Ok(exit),
     };
-    duty::run_node(effective.settings)?;
+    duty::run_node(effective.settings, args.record.as_deref())?;
     Ok(Exit::Done)
 }
--- a/src/configuration/event.rs
+++ b/src/configuration/event.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
+
 use crate::config::Rules;
 
 use super::document::{Accepted, HistoryEntry, TableRow};
@@ -49,7 +51,7 @@
 }
 
 /// A document an operator wants in force.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Submit {
     /// A random number that is drawn once for the submission.
     pub submission: u64,
--- a/src/duty/decider.rs
+++ b/src/duty/decider.rs
@@ -15,6 +15,7 @@
 use crate::duty::note::Notes;
 use crate::duty::operator::OperatorRequest;
 use crate::duty::peer::PeerHandle;
+use crate::duty::recorder::Recorder;
 use crate::duty::store::{Certainty, StoreError, StoreEvent, StoreHandle, StoreRequest};
 use crate::duty::target::TargetHandle;
 use crate::node::{CallEnd, Node, NodeAction, NodeEvent, TargetOutcome, Ticket};
@@ -145,23 +146,28 @@
     ring: DeciderRing,
     hands: Hands,
     notes: Notes,
+    recorder: Recorder,
 ) -> std::io::Result<JoinHandle<()>> {
     std::thread::Builder::new().name("decider".to_owned()).spawn(move || {
         let mut decider = Decider {
             clock,
             hands,
             notes,
+            recorder,
             desk: Desk::default(),
             next_show_us: 0,
             waiting: HashMap::new(),
             stop: false,
         };
         decider.run(&mut node, &ring.0);
+        decider.recorder.finish();
     })
 }
 
 /// What the thread keeps beside the node.
 struct Decider {
+    /// Writes down what the node is told, where that is wanted.
+    recorder: Recorder,
     /// The time.
     clock: Clock,
     /// The other threads.
@@ -231,7 +237,9 @@
     /// Lets the node decide and carries its actions out.
     fn handle(&mut self, node: &mut Node, event: NodeEvent) {
         let mut actions = Vec::new();
-        node.handle(self.clock.now_us(), event, &mut actions);
+        let now_us = self.clock.now_us();
+        self.recorder.take(now_us, &event);
+        node.handle(now_us, event, &mut actions);
         let mut failed = Vec::new();
         for action in actions {
             self.carry_out(action, &mut failed);
--- a/src/duty/http.rs
+++ b/src/duty/http.rs
@@ -11,7 +11,7 @@
 use rocket::route::{Handler, Outcome, Route};
 
 use crate::call::{HttpRequest, RefusalReason, TraceContext};
-use crate::node::{CallEnd, Intake, NodeEvent, Ticket, header};
+use crate::node::{Asker, CallEnd, Intake, NodeEvent, Ticket, header};
 
 use super::decider::DeciderHandle;
 use super::problem::Problem;
@@ -148,7 +148,7 @@
                     .map_err(|error| Problem::new(400, "Bad Request").detail(error.to_string()))?;
                 NodeEvent::TargetAnnounced(announcement)
             }
-            DRAIN_PATH if self.side == Side::Target => NodeEvent::Leave { asked_by: "target" },
+            DRAIN_PATH if self.side == Side::Target => NodeEvent::Leave { asked_by: Asker::Target },
             _ => return Err(Problem::new(404, "Not Found")),
         };
         let taken = self.decider.offer(event);
--- a/src/duty/launch.rs
+++ b/src/duty/launch.rs
@@ -1,5 +1,6 @@
 //! Starts all threads of a node, and stops them in order.
 
+use std::path::Path;
 use std::sync::{Arc, OnceLock};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
@@ -15,15 +16,17 @@
 use crate::config::{NodeSettings, Settings};
 use crate::event::{EventLog, LogEvent};
 use crate::logging::Logging;
-use crate::node::{Node, NodeEvent, NodeIdentity};
+use crate::node::{Asker, Node, NodeEvent, NodeIdentity};
+use crate::replay::{self, Header};
 use crate::telemetry::metrics::{LabelNames, Metrics};
 use crate::telemetry::trace::{SpanSink, TraceDuty, TraceOptions};
 
-use super::decider::{self, DeciderHandle, DeciderRing, Hands};
+use super::decider::{self, DeciderHandle, Hands};
 use super::http::{BodyRoom, Gate, Side};
 use super::note::Notes;
 use super::operator::{self, OperatorKey, OperatorOptions};
 use super::peer::{self, PeerDuty, PeerEvent, PeerHandle, PeerOptions, ReturnPath};
+use super::recorder::{self, Recorder, RecorderDuty};
 use super::store::{self, StoreHandle, StoreOptions};
 use super::target;
 use super::web::{WebOptions, WebServer};
@@ -35,12 +38,12 @@
 /// How often the launching thread looks whether the node has left.
 const WATCH_EVERY: Duration = Duration::from_millis(50);
 
-/// Runs a node until it has left.
+/// Runs a node until it has left. What it is told goes to the new file `record`, if one is named.
 ///
 /// # Errors
 ///
-/// An address that cannot be bound, or a thread that cannot be started.
-pub fn run_node(settings: Settings) -> eyre::Result<()> {
+/// An address that cannot be bound, a recording that cannot be written, or a thread that cannot be started.
+pub fn run_node(settings: Settings, record: Option<&Path>) -> eyre::Result<()> {
     let settings = Arc::new(settings);
     let clock = Clock::start();
     let logging = Logging::start(&settings.telemetry, std::io::stderr())?;
@@ -56,7 +59,13 @@
     let spans = traces.as_ref().map_or_else(SpanSink::disabled, TraceDuty::sink);
     let calls = metrics.calls(LabelNames::new(&settings.rules));
     let notes = Notes::new(events.clone(), calls, spans);
-    let thread = start_decider(&settings, id, clock, &decider, ring, &peers, notes)?;
+    let identity = identity(id, clock, &peers);
+    let started_us = clock.now_us();
+    let (recorder, recording) = start_recording(record, &settings, &identity, started_us)?;
+    let build = crate::configuration::site_rules(&settings.site);
+    let node = Node::new(started_us, identity, settings.clone(), build);
+    let hands = start_hands(&settings, clock, &decider, &peers)?;
+    let thread = decider::start(node, clock, ring, hands, notes, recorder)?;
     let mut servers = start_listeners(&settings.node, &decider)?;
     servers.push(start_operator(&settings.node, &decider, metrics, events.clone())?);
     events.emit(&LogEvent::NodeStarted {
@@ -75,6 +84,9 @@
     if let Some(traces) = traces {
         traces.stop();
     }
+    if let Some(recording) = recording {
+        recording.stop()?;
+    }
     Ok(())
 }
 
@@ -143,29 +155,46 @@
     }
 }
 
-/// Starts the threads behind the listeners.
-fn start_decider(
-    settings: &Arc<Settings>,
-    id: NodeId,
+/// Who the node is in this life.
+fn identity(id: NodeId, clock: Clock, peers: &PeerDuty) -> NodeIdentity {
+    NodeIdentity::builder()
+        .id(id)
+        .peer_address(peers.address())
+        .seed(rand::rng().random())
+        .origin_unix_ms(clock.unix_ms() - clock.now_us() / crate::clock::US_PER_MS)
+        .build()
+}
+
+/// Starts the recording of what the node is told, where one is wanted.
+fn start_recording(
+    record: Option<&Path>,
+    settings: &Settings,
+    identity: &NodeIdentity,
+    started_us: u64,
+) -> eyre::Result<(Recorder, Option<RecorderDuty>)> {
+    let Some(path) = record else { return Ok((Recorder::default(), None)) };
+    let header = Header {
+        format: replay::FORMAT,
+        version: env!("CARGO_PKG_VERSION").to_owned(),
+        started_us,
+        identity: identity.clone(),
+        settings: settings.clone(),
+    };
+    let (recorder, duty) = recorder::start(path, &header)?;
+    Ok((recorder, Some(duty)))
+}
+
+/// Starts the threads that carry the node's actions out.
+fn start_hands(
+    settings: &Settings,
     clock: Clock,
     decider: &DeciderHandle,
-    ring: DeciderRing,
     peers: &PeerDuty,
-    notes: Notes,
-) -> eyre::Result<JoinHandle<()>> {
+) -> eyre::Result<Hands> {
     let (target, target_rings) = target::rings(settings.node.ring_entries);
     target::start(target_rings, clock, decider.clone(), settings.node.body_max_bytes)?;
     let store = start_store(settings, decider)?;
-    let identity = NodeIdentity::builder()
-        .id(id)
-        .peer_address(peers.address())
-        .seed(rand::rng().random())
-        .origin_unix_ms(clock.unix_ms() - clock.now_us() / crate::clock::US_PER_MS)
-        .build();
-    let build = crate::configuration::site_rules(&settings.site);
-    let node = Node::new(clock.now_us(), identity, settings.clone(), build);
-    let hands = Hands { peers: peers.handle(), target, store };
-    Ok(decider::start(node, clock, ring, hands, notes)?)
+    Ok(Hands { peers: peers.handle(), target, store })
 }
 
 /// Starts the thread that talks to the platform.
@@ -264,8 +293,8 @@
         let mut interrupt = signal(SignalKind::interrupt())?;
         while !thread.is_finished() {
             tokio::select! {
-                _ = terminate.recv() => { decider.tell(NodeEvent::Leave { asked_by: "signal" }); }
-                _ = interrupt.recv() => { decider.tell(NodeEvent::Leave { asked_by: "signal" }); }
+                _ = terminate.recv() => { decider.tell(NodeEvent::Leave { asked_by: Asker::Signal }); }
+                _ = interrupt.recv() => { decider.tell(NodeEvent::Leave { asked_by: Asker::Signal }); }
                 () = tokio::time::sleep(WATCH_EVERY) => {}
             }
         }
--- a/src/duty/mod.rs
+++ b/src/duty/mod.rs
@@ -9,6 +9,7 @@
 pub mod operator;
 pub mod peer;
 pub mod problem;
+pub mod recorder;
 mod slow;
 pub mod store;
 pub mod target;
--- a/src/duty/peer/event.rs
+++ b/src/duty/peer/event.rs
@@ -2,12 +2,14 @@
 
 use std::net::SocketAddr;
 
+use serde::{Deserialize, Serialize};
+
 use crate::call::Message;
 
 /// Where the reply to a request must go: a connection, and the request on it.
 ///
 /// It is worth nothing to another process, and nothing after the connection has closed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ReturnPath {
     /// nng's number of the connection.
     pub(super) pipe: u32,
--- a/src/duty/store.rs
+++ b/src/duty/store.rs
@@ -104,7 +104,7 @@
 }
 
 /// What was done.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum StoreOutcome {
     /// The rows read.
     Rows(Vec<Row>),
@@ -127,7 +127,7 @@
 }
 
 /// Whether a request that failed may have taken effect.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Certainty {
     /// It did not take effect and will not.
     NotApplied,
@@ -136,7 +136,7 @@
 }
 
 /// A request that failed.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error, Serialize, Deserialize)]
 #[error("table service: {cause}")]
 pub struct StoreError {
     /// Whether it may have taken effect.
@@ -158,7 +158,7 @@
 }
 
 /// The outcome of a request.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct StoreEvent {
     /// The request's id.
     pub id: u64,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod membership;
 pub mod node;
 pub mod once;
+pub mod replay;
 pub mod retry;
 pub mod routing;
 pub mod standin;
--- a/src/node/event.rs
+++ b/src/node/event.rs
@@ -12,7 +12,7 @@
 use super::note::Note;
 
 /// A request that waits for its answer on one of the node's own listeners.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Ticket(pub u64);
 
 /// The way back to whoever sent a frame.
@@ -25,7 +25,7 @@
 }
 
 /// A request as one of the node's own listeners took it in.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Intake {
     /// Names the request until it is answered.
     pub ticket: Ticket,
@@ -42,7 +42,7 @@
 }
 
 /// What the target made of a request.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TargetOutcome {
     /// A whole answer.
     Answered(HttpAnswer),
@@ -61,7 +61,7 @@
 }
 
 /// Everything that can happen to a node.
-#[derive(Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum NodeEvent {
     /// An outside caller's request.
     CallerCall(Intake),
@@ -124,8 +124,8 @@
     TargetAnnounced(Announcement),
     /// The target beside this node, or the operator, wants the node to leave.
     Leave {
-        /// Who asked for it: `signal`, `operator` or `target`.
-        asked_by: &'static str,
+        /// Who asked for it.
+        asked_by: Asker,
     },
     /// An operator submits a configuration.
     Submit(Submit),
@@ -135,6 +135,31 @@
     Tick,
 }
 
+/// Who asked a node to leave.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Asker {
+    /// A signal to the process.
+    Signal,
+    /// An operator.
+    Operator,
+    /// The target beside the node.
+    Target,
+    /// A later life that holds the node's name.
+    Successor,
+}
+
+impl Asker {
+    /// The name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Signal => "signal",
+            Self::Operator => "operator",
+            Self::Target => "target",
+            Self::Successor => "successor",
+        }
+    }
+}
+
 /// What a target says about itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -25,6 +25,7 @@
 use bon::Builder;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use serde::{Deserialize, Serialize};
 
 use crate::admission::{Admission, Decision};
 use crate::call::{AnswerFrame, ArmId, AttemptId, CallFrame, Message, NodeId, Verdict};
@@ -36,8 +37,8 @@
 use crate::routing::Router;
 
 pub use event::{
-    Announcement, CallEnd, Intake, NodeAction, NodeEvent, ReplyPath, TargetCall, TargetOutcome,
-    Ticket,
+    Announcement, Asker, CallEnd, Intake, NodeAction, NodeEvent, ReplyPath, TargetCall,
+    TargetOutcome, Ticket,
 };
 pub use hop::{Hop, HopId, HopKey, HopState};
 pub use inbound::{Inbound, Stage};
@@ -49,7 +50,7 @@
 use timer::{Due, Timers};
 
 /// Who a node is.
-#[derive(Clone, Debug, Builder)]
+#[derive(Clone, Debug, Builder, Serialize, Deserialize)]
 pub struct NodeIdentity {
     /// This life of the node.
     pub id: NodeId,
--- a/src/node/receiving.rs
+++ b/src/node/receiving.rs
@@ -8,7 +8,7 @@
 use crate::event::LogEvent;
 use crate::once::{Arrival, FenceReply, Fingerprint, Offer, ReturnPath as WayBack};
 
-use super::event::{Announcement, NodeAction, ReplyPath, TargetCall, TargetOutcome};
+use super::event::{Announcement, Asker, NodeAction, ReplyPath, TargetCall, TargetOutcome};
 use super::inbound::{Inbound, Stage};
 use super::note::Note;
 use super::{Due, KnownTarget, Node};
@@ -392,12 +392,12 @@
     }
 
     /// Begins to leave: nothing new is taken in, and what is in flight is finished.
-    pub(super) fn leave(&mut self, now_us: u64, asked_by: &'static str, out: &mut Vec<NodeAction>) {
+    pub(super) fn leave(&mut self, now_us: u64, asked_by: Asker, out: &mut Vec<NodeAction>) {
         if self.leave_after_us.is_some() {
             return;
         }
         let in_flight = (self.hops.len() + self.inbound.len()) as u64;
-        self.log(LogEvent::LeavingStarted { asked_by, in_flight }, out);
+        self.log(LogEvent::LeavingStarted { asked_by: asked_by.name(), in_flight }, out);
         self.leave_after_us = Some(now_us + self.settings.node.leave_ms * US_PER_MS);
         self.announce_leaving(now_us, out);
     }
--- a/src/node/roster.rs
+++ b/src/node/roster.rs
@@ -20,7 +20,7 @@
 };
 use crate::routing::Peer;
 
-use super::event::NodeAction;
+use super::event::{Asker, NodeAction};
 use super::note::Note;
 use super::platform::Asked;
 use super::{Node, NodeIdentity};
@@ -252,7 +252,7 @@
                 let told = PeerVersion { peer, version: mark.version, confirmed: mark.confirmed };
                 self.tell_configuration(now_us, ConfigurationEvent::PeerHas(told), out);
             }
-            MembershipAction::Superseded { .. } => self.leave(now_us, "successor", out),
+            MembershipAction::Superseded { .. } => self.leave(now_us, Asker::Successor, out),
             MembershipAction::WriteRow { member, expected } => {
                 self.write_member(&member, expected, out);
             }
--- a/src/telemetry/metrics/calls.rs
+++ b/src/telemetry/metrics/calls.rs
@@ -86,7 +86,8 @@
 }
 
 impl RetryOutcome {
-    fn label(self) -> &'static str {
+    /// The name in metrics.
+    pub fn label(self) -> &'static str {
         match self {
             Self::Granted => "granted",
             Self::Allowance => "allowance",
--- a/tests/node_retry.rs
+++ b/tests/node_retry.rs
@@ -9,7 +9,7 @@
 use aspenspring::config::Settings;
 use aspenspring::duty::store::{StoreEvent, StoreOperation, StoreOutcome};
 use aspenspring::node::{
-    Announcement, Intake, Node, NodeAction, NodeEvent, NodeIdentity, TargetOutcome, Ticket,
+    Announcement, Asker, Intake, Node, NodeAction, NodeEvent, NodeIdentity, TargetOutcome, Ticket,
 };
 
 const SERVICE: &str = "souq-stock";
@@ -125,7 +125,7 @@
     let told = call_that_breaks(&mut node, 1_000);
     assert_eq!(told, [], "the retry is granted and waits");
     let mut out = Vec::new();
-    node.handle(2_500, NodeEvent::Leave { asked_by: "operator" }, &mut out);
+    node.handle(2_500, NodeEvent::Leave { asked_by: Asker::Operator }, &mut out);
     for step in 1..=300 {
         node.handle(2_500 + step * 10_000, NodeEvent::Tick, &mut out);
     }
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -13,7 +13,9 @@
 use aspenspring::config::Settings;
 use aspenspring::configuration::site_rules;
 use aspenspring::duty::peer::ReturnPath;
-use aspenspring::node::{CallEnd, Intake, Node, NodeAction, NodeEvent, NodeIdentity, Ticket};
+use aspenspring::node::{
+    Asker, CallEnd, Intake, Node, NodeAction, NodeEvent, NodeIdentity, Ticket,
+};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -182,7 +184,7 @@
 
     /// Asks a node to leave.
     pub fn leave(&mut self, index: usize) {
-        self.deliver(index, self.now_us, NodeEvent::Leave { asked_by: "signal" });
+        self.deliver(index, self.now_us, NodeEvent::Leave { asked_by: Asker::Signal });
         self.seats[index].left = true;
     }
 
