Keep a quiet node ready, and make room for 13,000 calls a second

Cause: (1) between two reads of the table a node that hears of nobody gets no event for 12 s or more, took that for a freeze of its own and was not ready until the table answered; with the table away it stopped serving. Found by the cost example, which refused every call. (2) the book of attempts kept every attempt for 10 s after its deadline in 32,768 entries, which refused calls beyond 2,700 a second.

Ruled out: a longer freeze time, which only moves the gap; forgetting attempts earlier without a watermark.

Change: the configuration wakes at half of its freeze time; the node's book keeps 3 s and 65,536 entries (13 MB at 200 bytes). The made-up targets of the fault test announce themselves every 2 s: before, they were gone after 10 s of a run.

--- a/examples/node_cost.rs
+++ b/examples/node_cost.rs
@@ -125,6 +125,7 @@
                 NodeAction::Reply { end, .. } => {
                     let whole = matches!(end.verdict, aspenspring::call::Verdict::Answered(_));
                     answered += u64::from(whole);
+                    assert!(whole, "{:?}", end.verdict);
                 }
                 _ => {}
             }
--- a/src/configuration/state.rs
+++ b/src/configuration/state.rs
@@ -162,6 +162,8 @@
     /// When `Tick` is due next.
     pub fn next_wake_us(&self) -> u64 {
         let mut wake_us = self.next_read_us.max(self.reading_until_us.unwrap_or(0));
+        // A quiet time must not be taken for a freeze of the process.
+        wake_us = wake_us.min(self.last_event_us + self.options.freeze_us / 2);
         if let Some(at_us) = self.fetch.next_wake_us(self.version()) {
             wake_us = wake_us.min(at_us);
         }
--- a/src/node/settling.rs
+++ b/src/node/settling.rs
@@ -3,6 +3,7 @@
 use crate::call::{
     AnswerFrame, ArmId, AttemptId, CallFrame, ClassRank, LoadReport, Message, NodeId, Verdict,
 };
+use crate::clock::US_PER_S;
 use crate::once::{AttemptBook, AttemptBookOptions, Ledger, LedgerOptions};
 
 use super::Node;
@@ -10,6 +11,12 @@
 use super::inbound::Stage;
 use super::note::{self, Note};
 
+/// How long a verdict is kept after its attempt's deadline. Whoever lost a connection asks within
+/// 1.5 s; later a watermark answers for the attempt.
+const BOOK_MARGIN_US: u64 = 3 * US_PER_S;
+/// How many attempts are remembered: 13 MB, and 13,000 calls a second with deadlines of 2 s.
+const BOOK_ENTRIES_MAX: usize = 65_536;
+
 /// The ledger of a new node.
 pub(super) fn new_ledger(owner: NodeId) -> Ledger {
     Ledger::new(owner, LedgerOptions::builder().build())
@@ -17,7 +24,11 @@
 
 /// The book of a new node.
 pub(super) fn new_book() -> AttemptBook {
-    AttemptBook::new(AttemptBookOptions::builder().build())
+    let options = AttemptBookOptions::builder()
+        .margin_us(BOOK_MARGIN_US)
+        .entries_max(BOOK_ENTRIES_MAX)
+        .build();
+    AttemptBook::new(options)
 }
 
 impl Node {
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -27,6 +27,8 @@
 pub const MS: u64 = 1_000;
 /// The retry allowance of every root in the made-up site.
 const ALLOWANCE: u32 = 3;
+/// How often a target announces itself, in microseconds.
+const ANNOUNCE_EVERY_US: u64 = 2_000 * MS;
 /// The wall clock at moment zero.
 const ORIGIN_UNIX_MS: u64 = 1_800_000_000_000;
 /// Tickets of targets' own calls begin here.
@@ -96,6 +98,16 @@
 impl Site {
     /// A site of three services in a row, two nodes each, all up.
     pub fn start(seed: u64, network: Network) -> Self {
+        Self::with(seed, network, &["front", "front", "mid", "mid", "deep", "deep"])
+    }
+
+    /// A site of one node, whose target calls nobody.
+    pub fn alone(seed: u64, network: Network) -> Self {
+        Self::with(seed, network, &["deep"])
+    }
+
+    /// A site with a node for each of these services.
+    fn with(seed: u64, network: Network, services: &[&'static str]) -> Self {
         let mut site = Self {
             now_us: 0,
             network,
@@ -109,8 +121,7 @@
             targets: Targets::default(),
             extra: HashMap::new(),
         };
-        for (index, service) in ["front", "front", "mid", "mid", "deep", "deep"].iter().enumerate()
-        {
+        for (index, service) in services.iter().enumerate() {
             site.seats.push(Seat {
                 node: None,
                 life: 0,
@@ -224,7 +235,7 @@
         };
         let intake = Intake {
             ticket: Ticket(id as u64),
-            service: "front".to_owned(),
+            service: self.seats[seat].service.to_owned(),
             request,
             deadline_ms: None,
             key,
@@ -233,7 +244,8 @@
         let due_us = self.now_us + 1_000 * MS;
         let is_up = self.seats[seat].node.is_some();
         let life = if is_up { self.seats[seat].life } else { u32::MAX };
-        self.calls.push(Call { seat, life, service: "front", path, shared, due_us, end: None });
+        let service = self.seats[seat].service;
+        self.calls.push(Call { seat, life, service, path, shared, due_us, end: None });
         self.deliver(seat, self.now_us, NodeEvent::CallerCall(intake));
     }
 
@@ -276,6 +288,13 @@
             return Ok(());
         }
         let Some(node) = &mut seat.node else { return Ok(()) };
+        if let NodeEvent::TargetAnnounced(announcement) = &delivery.event {
+            // A target repeats itself as long as its node lives.
+            let again = NodeEvent::TargetAnnounced(announcement.clone());
+            let event = Delivery { event: again, ..delivery };
+            self.sequence += 1;
+            self.queue.insert((self.now_us + ANNOUNCE_EVERY_US, self.sequence), event);
+        }
         let mut actions = Vec::new();
         node.handle(self.now_us, delivery.event, &mut actions);
         let version = node.config_version();
--- a/tests/site_faults.rs
+++ b/tests/site_faults.rs
@@ -164,3 +164,21 @@
         left => Err(format!("{left} still in flight")),
     }
 }
+
+#[test]
+fn a_node_whose_table_is_away_for_ten_minutes_goes_on_serving() -> Checked {
+    let mut site = Site::alone(17, Network::default());
+    site.run(8 * SECOND)?;
+    site.table.mode = TableMode::Down;
+    for minute in 1..=10 {
+        for call in 0..12 {
+            site.run((8_000 + minute * 60_000 + call * 5_000) * MS)?;
+            site.call(0, false);
+        }
+    }
+    site.run(site.now_us + 2 * SECOND)?;
+    match site.served() {
+        120 => Ok(()),
+        served => Err(format!("{served} of 120 served")),
+    }
+}
