--- a/src/cli/replay.rs
+++ b/src/cli/replay.rs
@@ -94,6 +94,9 @@
     for (outcome, count) in &report.retries {
         line(&mut page, &format!("retry: {outcome}"), *count);
     }
+    for (second, count) in report.answered_per_s.iter().enumerate() {
+        line(&mut page, &format!("answered to callers in second {second}"), *count);
+    }
     // Writing to a string has no way to fail.
     let _ = writeln!(page, "digest {}", report.digest);
     page
--- a/src/replay/tally.rs
+++ b/src/replay/tally.rs
@@ -7,6 +7,7 @@
 use sha2::{Digest, Sha256};
 
 use crate::call::{Message, Verdict};
+use crate::clock::US_PER_S;
 use crate::config::Rules;
 use crate::node::note::outcome_of;
 use crate::node::{CallEnd, NodeAction, NodeEvent, Note, TargetCall, Ticket, header};
@@ -24,6 +25,8 @@
     pub callers: Ends,
     /// Those of them whose class runs at most once.
     pub confirmations: Ends,
+    /// Outside callers' requests with a whole answer, by the second of the trace.
+    pub answered_per_s: Vec<u64>,
     /// Requests of the target beside the node, by their ends.
     pub target_calls: Ends,
     /// Attempts of other nodes, by the answers told to them.
@@ -145,6 +148,10 @@
     /// Counts an event before the node takes it in.
     pub fn take_event(&mut self, at_us: u64, event: &NodeEvent) {
         self.report.events += 1;
+        let second = ((at_us - self.started_us) / US_PER_S) as usize;
+        if self.report.answered_per_s.len() <= second {
+            self.report.answered_per_s.resize(second + 1, 0);
+        }
         self.report.duration_us = at_us - self.started_us;
         self.digest.update(at_us.to_be_bytes());
         match event {
@@ -228,6 +235,12 @@
             Side::Target => self.report.target_calls.count(&end.verdict),
             Side::Caller => {
                 self.report.callers.count(&end.verdict);
+                if matches!(end.verdict, Verdict::Answered(_)) {
+                    // The event that led to this end has made its second the last one.
+                    if let Some(last) = self.report.answered_per_s.last_mut() {
+                        *last += 1;
+                    }
+                }
                 if self.once_classes.contains(&end.class) {
                     self.report.confirmations.count(&end.verdict);
                 }
