--- /dev/null
+++ b/src/node/links.rs
@@ -0,0 +1,101 @@
+//! Connections that are lost or come back, and messages that never left.
+
+use std::net::SocketAddr;
+
+use crate::call::{AttemptId, Doubt, Message, NodeId, RefusalReason, Verdict};
+use crate::event::LogEvent;
+
+use super::Node;
+use super::event::NodeAction;
+use super::hop::{HopId, HopState};
+
+/// How long to wait for a new connection before an attempt counts as "may have run".
+const FENCE_WAIT_US: u64 = 1_500_000;
+
+impl Node {
+    /// A connection is lost: reads are tried again, what must run at most once is settled first.
+    pub(super) fn take_link_lost(
+        &mut self,
+        now_us: u64,
+        peer: SocketAddr,
+        out: &mut Vec<NodeAction>,
+    ) {
+        let Some(lost) = self.router.node_at(peer) else { return };
+        self.router.link_lost(now_us, lost);
+        let unsettled = self.attempts_at(lost).len() as u64;
+        let detail = "closed or silent".to_owned();
+        let event = LogEvent::PeerLinkLost { peer: lost, address: peer, unsettled, detail };
+        self.log(event, out);
+        for (id, attempt) in self.attempts_at(lost) {
+            let Some(hop) = self.hops.get(&id) else { continue };
+            if !hop.at_most_once {
+                let verdict = Verdict::MayHaveRun(Doubt::ConnectionLost);
+                self.end_attempt(now_us, id, attempt, lost, verdict, out);
+                continue;
+            }
+            let until_us = (now_us + FENCE_WAIT_US).min(hop.deadline_us);
+            self.enter(id, HopState::Fencing { attempt, node: lost, until_us });
+        }
+    }
+
+    /// A connection works again: attempts that were on the old one are settled over it.
+    pub(super) fn take_link_up(
+        &mut self,
+        now_us: u64,
+        peer: SocketAddr,
+        out: &mut Vec<NodeAction>,
+    ) {
+        let Some(node) = self.router.node_at(peer) else { return };
+        self.router.link_up(now_us, node);
+        self.log(LogEvent::PeerLinkUp { peer: node, address: peer }, out);
+        for (id, attempt) in self.attempts_at(node) {
+            let Some(hop) = self.hops.get(&id) else { continue };
+            if !matches!(hop.state, HopState::Fencing { .. }) {
+                continue;
+            }
+            let remaining_us = hop.deadline_us.saturating_sub(now_us);
+            out.push(NodeAction::Send {
+                to: peer,
+                message: Message::Fence { attempt, asked: node, remaining_us },
+            });
+        }
+    }
+
+    /// The hops whose attempt is at a node, in a stable order.
+    pub(super) fn attempts_at(&self, wanted: NodeId) -> Vec<(HopId, AttemptId)> {
+        let mut found = Vec::new();
+        for (id, hop) in &self.hops {
+            match hop.state {
+                HopState::Sent { attempt, node, .. } | HopState::Fencing { attempt, node, .. }
+                    if node == wanted =>
+                {
+                    found.push((*id, attempt));
+                }
+                _ => {}
+            }
+        }
+        found.sort_unstable_by_key(|(id, _)| *id);
+        found
+    }
+
+    /// A message did not leave this process.
+    pub(super) fn take_send_failed(
+        &mut self,
+        now_us: u64,
+        message: Message,
+        out: &mut Vec<NodeAction>,
+    ) {
+        match message {
+            Message::Call(frame) => {
+                let Some(id) = self.outstanding.get(&frame.attempt).copied() else { return };
+                let Some(hop) = self.hops.get(&id) else { return };
+                let HopState::Sent { node, .. } = hop.state else { return };
+                let verdict = Verdict::not_run(RefusalReason::NodeFull, 0);
+                self.end_attempt(now_us, id, frame.attempt, node, verdict, out);
+            }
+            Message::AskRetry { failed, .. } => self.take_grant(now_us, failed, false, out),
+            // A lost cancellation, fence or gossip is made good by deadlines and repeats.
+            _ => {}
+        }
+    }
+}
--- a/src/node/sending.rs
+++ b/src/node/sending.rs
@@ -1,28 +1,21 @@
-//! The sending side: attempts, their answers, retries, and connections that are lost.
-
-use std::net::SocketAddr;
+//! The sending side: attempts, their answers, and the end of a hop.
 
 use crate::call::{
     AnswerFrame, AttemptId, CallFrame, Doubt, Key, KeyLifetime, Message, NodeId, Refusal,
-    RefusalReason, RootId, Verdict,
+    RefusalReason, Verdict,
 };
 use crate::clock::US_PER_S;
 use crate::event::LogEvent;
-use crate::retry::{Failure, RetryStep, next_step};
 use crate::routing::{Observation, Outcome, Pick};
 use crate::telemetry::metrics::{CallSource, RetryOutcome};
 
-use super::event::{CallEnd, NodeAction, ReplyPath, Ticket};
+use super::event::{CallEnd, NodeAction, Ticket};
 use super::hop::{Hop, HopId, HopKey, HopState};
 use super::note::{self, Note};
 use super::{Due, LocalFrame, Node};
 
 /// How much earlier than the sender the receiver gives up, so that its "not run" arrives in time.
 const HOP_MARGIN_US: u64 = 3_000;
-/// How long an entry node may take to grant a retry.
-const GRANT_WAIT_US: u64 = 100_000;
-/// How long to wait for a new connection before an attempt counts as "may have run".
-const FENCE_WAIT_US: u64 = 1_500_000;
 /// How long after a service was first asked about a call waits for the first of its nodes.
 const RESOLVE_WAIT_US: u64 = 2 * US_PER_S;
 /// The weight of one answer in a service's typical latency, as a divisor.
@@ -97,7 +90,11 @@
     }
 
     /// The node that gets the next attempt, and the key it runs under.
-    fn choose(&mut self, now_us: u64, id: HopId) -> Result<(NodeId, Option<Key>), Verdict> {
+    pub(super) fn choose(
+        &mut self,
+        now_us: u64,
+        id: HopId,
+    ) -> Result<(NodeId, Option<Key>), Verdict> {
         let Some(hop) = self.hops.get(&id) else {
             return Err(Verdict::not_run(RefusalReason::Cancelled, 0));
         };
@@ -201,7 +198,7 @@
     }
 
     /// Ends an attempt of which no answer came.
-    fn end_attempt(
+    pub(super) fn end_attempt(
         &mut self,
         now_us: u64,
         id: HopId,
@@ -232,178 +229,6 @@
         self.router.observed(now_us, node, &observation);
     }
 
-    /// Decides what follows an attempt: another one, or the end of the hop.
-    fn after_attempt(
-        &mut self,
-        now_us: u64,
-        id: HopId,
-        failed: Option<AttemptId>,
-        verdict: Verdict,
-        out: &mut Vec<NodeAction>,
-    ) {
-        let Some(hop) = self.hops.get(&id) else { return };
-        let arm = hop.arm;
-        if failed.is_some() {
-            out.push(NodeAction::Note(Note::AttemptEnded {
-                service: hop.service.clone(),
-                arm,
-                outcome: note::outcome_of(&verdict),
-            }));
-        }
-        self.note_success(now_us, &verdict, arm);
-        let Some(hop) = self.hops.get(&id) else { return };
-        let expected_us = self.service_latency_us.get(&hop.service).copied().unwrap_or(0);
-        let floor = self.router.floor(now_us, &hop.service, arm, hop.class);
-        let failure = Failure::builder()
-            .verdict(&verdict)
-            .at_most_once(hop.at_most_once)
-            .retry(hop.retries)
-            .now_us(now_us)
-            .deadline_us(hop.deadline_us)
-            .expected_latency_us(expected_us)
-            .other_target_open(hop.level >= floor)
-            .build();
-        let step = next_step(&self.rules.policy_of(arm).retry, &failure, &mut self.rng);
-        match step {
-            RetryStep::Never => self.conclude(now_us, id, verdict, out),
-            RetryStep::After { backoff_us } => {
-                self.back_off(now_us, id, verdict, backoff_us, out);
-            }
-            RetryStep::AfterGrant { backoff_us } => {
-                self.ask_retry(now_us, id, failed, verdict, backoff_us, out);
-            }
-        }
-    }
-
-    /// Counts a good answer towards the retry budget of its arm.
-    fn note_success(&mut self, now_us: u64, verdict: &Verdict, arm: crate::call::ArmId) {
-        let Verdict::Answered(answer) = verdict else { return };
-        if answer.status >= 500 {
-            return;
-        }
-        if let Some(budget) = self.budgets.get_mut(&arm) {
-            budget.on_success(now_us);
-        }
-    }
-
-    /// Asks for leave to make one more attempt: this node's budget first, then the entry node.
-    fn ask_retry(
-        &mut self,
-        now_us: u64,
-        id: HopId,
-        failed: Option<AttemptId>,
-        last: Verdict,
-        backoff_us: u64,
-        out: &mut Vec<NodeAction>,
-    ) {
-        let Some(hop) = self.hops.get(&id) else { return };
-        let (root, entry, deadline_us) = (hop.root, hop.entry, hop.deadline_us);
-        let in_budget = self.budgets.get_mut(&hop.arm).is_some_and(|b| b.try_take(now_us));
-        if !in_budget {
-            self.note_retry(id, RetryOutcome::Budget, out);
-        }
-        let Some(entry) = entry.filter(|_| in_budget) else {
-            self.conclude(now_us, id, last, out);
-            return;
-        };
-        if entry == self.identity.id {
-            let granted = self.allowances.take(now_us, root);
-            self.follow_grant(now_us, id, last, backoff_us, granted, out);
-            return;
-        }
-        let failed =
-            failed.unwrap_or(AttemptId { origin: self.identity.id, sequence: id.0, nonce: 0 });
-        let until_us = (now_us + GRANT_WAIT_US).min(deadline_us);
-        let state = HopState::AskingRetry { failed, last: last.clone(), backoff_us, until_us };
-        self.enter(id, state);
-        self.outstanding.insert(failed, id);
-        if !self.send(entry, Message::AskRetry { root, failed }, out) {
-            self.outstanding.remove(&failed);
-            self.conclude(now_us, id, last, out);
-        }
-    }
-
-    /// Takes in the entry node's word on a retry.
-    fn take_grant(
-        &mut self,
-        now_us: u64,
-        failed: AttemptId,
-        granted: bool,
-        out: &mut Vec<NodeAction>,
-    ) {
-        let Some(id) = self.outstanding.remove(&failed) else { return };
-        let Some(hop) = self.hops.get(&id) else { return };
-        let HopState::AskingRetry { last, backoff_us, .. } = hop.state.clone() else { return };
-        self.follow_grant(now_us, id, last, backoff_us, granted, out);
-    }
-
-    /// Does what the entry node's word on a retry allows.
-    fn follow_grant(
-        &mut self,
-        now_us: u64,
-        id: HopId,
-        last: Verdict,
-        backoff_us: u64,
-        granted: bool,
-        out: &mut Vec<NodeAction>,
-    ) {
-        if granted {
-            self.note_retry(id, RetryOutcome::Granted, out);
-            self.back_off(now_us, id, last, backoff_us, out);
-        } else {
-            self.note_retry(id, RetryOutcome::Allowance, out);
-            self.conclude(now_us, id, last, out);
-        }
-    }
-
-    /// Counts the wish for one more attempt.
-    fn note_retry(&self, id: HopId, outcome: RetryOutcome, out: &mut Vec<NodeAction>) {
-        let Some(hop) = self.hops.get(&id) else { return };
-        let (service, arm) = (hop.service.clone(), hop.arm);
-        out.push(NodeAction::Note(Note::RetryDecided { service, arm, outcome }));
-    }
-
-    /// Answers a node that asks for leave to retry on behalf of a root that entered here.
-    pub(super) fn grant_retry(
-        &mut self,
-        now_us: u64,
-        path: ReplyPath,
-        root: RootId,
-        failed: AttemptId,
-        out: &mut Vec<NodeAction>,
-    ) {
-        let granted = self.allowances.take(now_us, root);
-        if let ReplyPath::Peer(path) = path {
-            out.push(NodeAction::Return { path, message: Message::RetryGrant { failed, granted } });
-        }
-    }
-
-    /// Waits for the moment of the next attempt.
-    fn back_off(
-        &mut self,
-        now_us: u64,
-        id: HopId,
-        last: Verdict,
-        backoff_us: u64,
-        out: &mut Vec<NodeAction>,
-    ) {
-        if let Some(hop) = self.hops.get_mut(&id) {
-            hop.history.note(&last);
-        }
-        if backoff_us == 0 {
-            self.retry(now_us, id, out);
-            return;
-        }
-        self.enter(id, HopState::BackingOff { last, until_us: now_us + backoff_us });
-    }
-
-    /// Makes a retry that was granted.
-    fn retry(&mut self, now_us: u64, id: HopId, out: &mut Vec<NodeAction>) {
-        let Some(hop) = self.hops.get_mut(&id) else { return };
-        hop.retries = hop.retries.saturating_add(1);
-        self.attempt(now_us, id, out);
-    }
-
     /// Puts a hop into a state that may end by itself.
     pub(super) fn enter(&mut self, id: HopId, state: HopState) {
         if let Some(until_us) = state.until_us() {
@@ -534,7 +359,7 @@
     }
 
     /// What whoever waits for a hop is told.
-    fn call_end(&self, now_us: u64, hop: &Hop, verdict: Verdict) -> CallEnd {
+    pub(super) fn call_end(&self, now_us: u64, hop: &Hop, verdict: Verdict) -> CallEnd {
         let class = self.rules.class_of_rank(hop.class).map_or("", |class| &class.name);
         let arm = self.rules.arm(hop.arm).map_or("", |arm| &arm.name);
         CallEnd {
@@ -548,92 +373,6 @@
         }
     }
 
-    /// A connection is lost: reads are tried again, what must run at most once is settled first.
-    pub(super) fn take_link_lost(
-        &mut self,
-        now_us: u64,
-        peer: SocketAddr,
-        out: &mut Vec<NodeAction>,
-    ) {
-        let Some(lost) = self.router.node_at(peer) else { return };
-        self.router.link_lost(now_us, lost);
-        let unsettled = self.attempts_at(lost).len() as u64;
-        let detail = "closed or silent".to_owned();
-        let event = LogEvent::PeerLinkLost { peer: lost, address: peer, unsettled, detail };
-        self.log(event, out);
-        for (id, attempt) in self.attempts_at(lost) {
-            let Some(hop) = self.hops.get(&id) else { continue };
-            if !hop.at_most_once {
-                let verdict = Verdict::MayHaveRun(Doubt::ConnectionLost);
-                self.end_attempt(now_us, id, attempt, lost, verdict, out);
-                continue;
-            }
-            let until_us = (now_us + FENCE_WAIT_US).min(hop.deadline_us);
-            self.enter(id, HopState::Fencing { attempt, node: lost, until_us });
-        }
-    }
-
-    /// A connection works again: attempts that were on the old one are settled over it.
-    pub(super) fn take_link_up(
-        &mut self,
-        now_us: u64,
-        peer: SocketAddr,
-        out: &mut Vec<NodeAction>,
-    ) {
-        let Some(node) = self.router.node_at(peer) else { return };
-        self.router.link_up(now_us, node);
-        self.log(LogEvent::PeerLinkUp { peer: node, address: peer }, out);
-        for (id, attempt) in self.attempts_at(node) {
-            let Some(hop) = self.hops.get(&id) else { continue };
-            if !matches!(hop.state, HopState::Fencing { .. }) {
-                continue;
-            }
-            let remaining_us = hop.deadline_us.saturating_sub(now_us);
-            out.push(NodeAction::Send {
-                to: peer,
-                message: Message::Fence { attempt, asked: node, remaining_us },
-            });
-        }
-    }
-
-    /// The hops whose attempt is at a node, in a stable order.
-    fn attempts_at(&self, wanted: NodeId) -> Vec<(HopId, AttemptId)> {
-        let mut found = Vec::new();
-        for (id, hop) in &self.hops {
-            match hop.state {
-                HopState::Sent { attempt, node, .. } | HopState::Fencing { attempt, node, .. }
-                    if node == wanted =>
-                {
-                    found.push((*id, attempt));
-                }
-                _ => {}
-            }
-        }
-        found.sort_unstable_by_key(|(id, _)| *id);
-        found
-    }
-
-    /// A message did not leave this process.
-    pub(super) fn take_send_failed(
-        &mut self,
-        now_us: u64,
-        message: Message,
-        out: &mut Vec<NodeAction>,
-    ) {
-        match message {
-            Message::Call(frame) => {
-                let Some(id) = self.outstanding.get(&frame.attempt).copied() else { return };
-                let Some(hop) = self.hops.get(&id) else { return };
-                let HopState::Sent { node, .. } = hop.state else { return };
-                let verdict = Verdict::not_run(RefusalReason::NodeFull, 0);
-                self.end_attempt(now_us, id, frame.attempt, node, verdict, out);
-            }
-            Message::AskRetry { failed, .. } => self.take_grant(now_us, failed, false, out),
-            // A lost cancellation, fence or gossip is made good by deadlines and repeats.
-            _ => {}
-        }
-    }
-
     /// Learns the typical latency of a service.
     fn note_latency(&mut self, id: HopId, verdict: &Verdict, latency_us: u64) {
         if !matches!(verdict, Verdict::Answered(_)) {
