Count refused work as wasted, and remember more attempts

Cause: target time of calls answered 500 or above, as after a refusal further down, was not counted as wasted. A node refused everything as node-full after 32,768 answers within deadline plus 10 s. Change: only an answer below 500 that somebody waits for is of use; the attempt book holds 131,072 attempts (26 MB when full). Ruled out: the target's slots (512 of 1,024 used) and its floor (0) as the cause of the refusals; the metrics showed 32,768 answers and then node-full only. A shorter memory, since late frames rely on it. Both new tests failed before the change.

--- a/src/node/note.rs
+++ b/src/node/note.rs
@@ -61,7 +61,8 @@
         arm: ArmId,
         /// How long the target had it, in microseconds.
         took_us: u64,
-        /// Whether nobody waited for its answer any more.
+        /// Whether it was for nothing: the target gave no answer of use, or nobody waited for it any
+        /// more.
         wasted: bool,
     },
     /// A hop, or a received attempt, of a trace that is recorded.
--- a/src/node/receiving.rs
+++ b/src/node/receiving.rs
@@ -230,11 +230,12 @@
             TargetOutcome::Aborted => End::Cancelled,
             _ => End::Failed { latency_us },
         };
+        let of_use = matches!(end, End::Answered { healthy: true, .. }) && !inbound.settled;
         out.push(NodeAction::Note(Note::TargetEnded {
             class: inbound.frame.class,
             arm: inbound.frame.arm,
             took_us: latency_us,
-            wasted: inbound.settled,
+            wasted: !of_use,
         }));
         let verdict = verdict_of(outcome);
         self.finish_key(now_us, attempt, &verdict, out);
--- a/src/once/attempt_book.rs
+++ b/src/once/attempt_book.rs
@@ -22,8 +22,9 @@
     #[builder(default = 10 * US_PER_S)]
     pub margin_us: u64,
     /// How many attempts are remembered at most. Beyond it the oldest refusals go behind the
-    /// watermarks early; then new attempts are refused.
-    #[builder(default = 32_768)]
+    /// watermarks early; then new attempts are refused. The default is 10,000 attempts a second that
+    /// are remembered for 13 s, which takes 26 MB.
+    #[builder(default = 131_072)]
     pub entries_max: usize,
     /// How much memory answers may take, in bytes; the oldest are dropped beyond it.
     #[builder(default = 8 << 20)]
--- a/src/telemetry/metrics/names.rs
+++ b/src/telemetry/metrics/names.rs
@@ -62,7 +62,7 @@
     TARGET_BUSY_MICROSECONDS_TOTAL "aspenspring_target_busy_microseconds_total" Counter Microseconds ["class", "arm"]
         "Time the target spent on calls."
     TARGET_WASTED_MICROSECONDS_TOTAL "aspenspring_target_wasted_microseconds_total" Counter Microseconds ["class", "arm"]
-        "Time the target spent on calls whose answer nobody could use any more."
+        "Time the target spent on calls that gave no answer of use (a status of 500 or more, or none) or whose answer nobody waited for any more."
     LIMIT "aspenspring_limit" Gauge Count ["arm"]
         "How many calls the target may run at once."
     RUNNING "aspenspring_running" Gauge Count ["arm"]
--- a/tests/node_retry.rs
+++ b/tests/node_retry.rs
@@ -9,7 +9,8 @@
 use aspenspring::config::Settings;
 use aspenspring::duty::store::{StoreEvent, StoreOperation, StoreOutcome};
 use aspenspring::node::{
-    Announcement, Asker, Intake, Node, NodeAction, NodeEvent, NodeIdentity, TargetOutcome, Ticket,
+    Announcement, Asker, Intake, Node, NodeAction, NodeEvent, NodeIdentity, Note, TargetOutcome,
+    Ticket,
 };
 
 const SERVICE: &str = "souq-stock";
@@ -185,3 +186,28 @@
         assert_eq!(key.lifetime(), KeyLifetime::Caller);
     }
 }
+
+/// Whether the target's time for a call that ends like this counts as wasted.
+fn is_wasted(outcome: TargetOutcome) -> bool {
+    let mut node = started();
+    let attempt = call_that_runs(&mut node, 1_000);
+    let mut out = Vec::new();
+    node.handle(2_000, NodeEvent::TargetEnded { attempt, outcome }, &mut out);
+    let mut notes = out.iter().filter_map(|action| match action {
+        NodeAction::Note(Note::TargetEnded { wasted, .. }) => Some(*wasted),
+        _ => None,
+    });
+    notes.next().expect("the end is noted")
+}
+
+#[test]
+fn the_time_of_a_call_without_an_answer_of_use_is_wasted() {
+    let answered = |status| {
+        let answer = HttpAnswer { status, headers: Vec::new(), body: Default::default() };
+        TargetOutcome::Answered(answer)
+    };
+    assert!(!is_wasted(answered(200)));
+    assert!(!is_wasted(answered(404)), "a client's error is an answer");
+    assert!(is_wasted(answered(503)), "a call further down was refused");
+    assert!(is_wasted(TargetOutcome::Broke));
+}
--- a/tests/once_attempts.rs
+++ b/tests/once_attempts.rs
@@ -166,3 +166,16 @@
     let shed = Verdict::not_run(RefusalReason::Shed, 0);
     assert_eq!(outward(shed.clone()), shed);
 }
+
+/// A book that is too small refuses calls of a node that has processor time left.
+#[test]
+fn the_usual_book_has_room_for_ten_thousand_answers_a_second() {
+    let mut book = AttemptBook::new(AttemptBookOptions::builder().build());
+    for sequence in 0..160_000 {
+        let now_us = sequence * 100;
+        book.expire(now_us);
+        let arrival = book.arrive(now_us, attempt(sequence), now_us + 2_000_000, PATH);
+        assert_eq!(arrival, Arrival::New, "attempt {sequence}");
+        book.settle(now_us + 5_000, attempt(sequence), &answer());
+    }
+}
