--- a/src/node/settling.rs
+++ b/src/node/settling.rs
@@ -14,8 +14,6 @@
 /// How long a verdict is kept after its attempt's deadline. Whoever lost a connection asks within
 /// 1.5 s; later a watermark answers for the attempt.
 const BOOK_MARGIN_US: u64 = 3 * US_PER_S;
-/// How many attempts are remembered: 13 MB, and 13,000 calls a second with deadlines of 2 s.
-const BOOK_ENTRIES_MAX: usize = 65_536;
 
 /// The ledger of a new node.
 pub(super) fn new_ledger(owner: NodeId) -> Ledger {
@@ -24,11 +22,7 @@
 
 /// The book of a new node.
 pub(super) fn new_book() -> AttemptBook {
-    let options = AttemptBookOptions::builder()
-        .margin_us(BOOK_MARGIN_US)
-        .entries_max(BOOK_ENTRIES_MAX)
-        .build();
-    AttemptBook::new(options)
+    AttemptBook::new(AttemptBookOptions::builder().margin_us(BOOK_MARGIN_US).build())
 }
 
 impl Node {
