End the node, not its stand-ins, at a panic

Cause: panic = "abort" in the profiles ended the table stand-in at the first request in its mode "down", which breaks connections by unwinding.

Ruled out: breaking connections without unwinding, which rocket 0.5 offers no way to do.

--- a/src/duty/launch.rs
+++ b/src/duty/launch.rs
@@ -38,12 +38,23 @@
 /// How often the launching thread looks whether the node has left.
 const WATCH_EVERY: Duration = Duration::from_millis(50);
 
+/// Ends the process at the first panic of any thread: a node that has lost a duty must not look
+/// alive, and what it may have run is then told as such by the others.
+fn abort_on_panic() {
+    let report = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        report(panic);
+        std::process::abort();
+    }));
+}
+
 /// Runs a node until it has left. What it is told goes to the new file `record`, if one is named.
 ///
 /// # Errors
 ///
 /// An address that cannot be bound, a recording that cannot be written, or a thread that cannot be started.
 pub fn run_node(settings: Settings, record: Option<&Path>) -> eyre::Result<()> {
+    abort_on_panic();
     let settings = Arc::new(settings);
     let clock = Clock::start();
     let logging = Logging::start(&settings.telemetry, std::io::stderr())?;
