Give test processes ports that outgoing connections cannot take

Cause: one_call_leaves_one_tree_of_spans waited 60 s for a node that served nothing, while 12 copies of another test binary ran beside it. The ports had been found free, given back, and were taken by somebody else before the node bound them; the free ports came from the range of outgoing connections.

Ruled out: not by a trace of that run, which kept none; it follows from the range and did not recur.

Change: ports are taken in turn from 12,000 to 30,000, tried by binding. The assertions are as they were.

--- a/tests/processes/mod.rs
+++ b/tests/processes/mod.rs
@@ -3,10 +3,17 @@
 use std::net::TcpListener;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use serde_json::{Value, json};
 
+/// The lowest port that is tried.
+const PORT_MIN: u16 = 12_000;
+/// How many ports are tried.
+const PORT_COUNT: u32 = 18_000;
+/// How far apart the first ports of two processes with neighbouring ids are.
+const PORT_STRIDE: u32 = 211;
 /// How often something that is waited for is looked at.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
 /// How often it is looked at before the test gives up.
@@ -222,11 +229,20 @@
     })
 }
 
-/// Ports that are free now.
+/// Ports that are free now, below those that the system gives to outgoing connections, one of which
+/// could otherwise take a port before its process is up.
 fn free_ports(count: usize) -> Vec<u16> {
-    let listeners: Vec<TcpListener> =
-        (0..count).map(|_| TcpListener::bind("127.0.0.1:0").expect("a port is free")).collect();
-    listeners.iter().map(|bound| bound.local_addr().expect("it is bound").port()).collect()
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let first = std::process::id().wrapping_mul(PORT_STRIDE);
+    let mut ports = Vec::new();
+    while ports.len() < count {
+        let step = first.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
+        let port = PORT_MIN + (step % PORT_COUNT) as u16;
+        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            ports.push(port);
+        }
+    }
+    ports
 }
 
 /// An address on loopback.
