Never retry a key used for another request

Cause: a refusal with KeyMismatch fell under the reasons that waiting may mend; a run with the stand-ins showed two attempts for one such call. KeyInherited fell there too, and waited before the heir was asked.

Change: KeyMismatch is final under both rules. KeyInherited allows another attempt at once, out of the allowance.

Measured: the new test in tests/retry.rs failed first (AfterGrant { backoff_us: 9058 } instead of Never), and passes now.

--- a/src/retry/step.rs
+++ b/src/retry/step.rs
@@ -132,7 +132,8 @@
         | RefusalReason::NotReady
         | RefusalReason::TargetUnreachable
         | RefusalReason::Fenced
-        | RefusalReason::KeyDelegated(_) => Chance::AtOnce,
+        | RefusalReason::KeyDelegated(_)
+        | RefusalReason::KeyInherited(_) => Chance::AtOnce,
         _ => later,
     }
 }
@@ -145,6 +146,7 @@
             | RefusalReason::Cancelled
             | RefusalReason::Malformed
             | RefusalReason::KeyInvalid
+            | RefusalReason::KeyMismatch
     )
 }
 
--- a/tests/retry.rs
+++ b/tests/retry.rs
@@ -1,6 +1,6 @@
 //! The bounds on extra attempts, and which verdicts allow one.
 
-use aspenspring::call::{HttpAnswer, RefusalReason, RootId, Verdict};
+use aspenspring::call::{HttpAnswer, NodeId, RefusalReason, RootId, Verdict};
 use aspenspring::config::RetryRule;
 use aspenspring::retry::{
     AttemptHistory, Failure, RetryBudget, RetryStep, RootAllowances, next_step,
@@ -80,6 +80,16 @@
     assert_eq!(step(&bounded(3), &leaving, true), RetryStep::AfterGrant { backoff_us: 0 });
 }
 
+#[test]
+fn a_key_that_was_used_for_another_request_is_not_tried_again() {
+    let mismatch = Verdict::not_run(RefusalReason::KeyMismatch, 0);
+    for rule in [bounded(3), RetryRule::Naive { retries: 3 }] {
+        assert_eq!(step(&rule, &mismatch, true), RetryStep::Never);
+    }
+    let inherited = Verdict::not_run(RefusalReason::KeyInherited(NodeId(1)), 0);
+    assert_eq!(step(&bounded(3), &inherited, true), RetryStep::AfterGrant { backoff_us: 0 });
+}
+
 #[test]
 fn a_hop_is_not_run_only_when_none_of_its_attempts_may_have_run() {
     let refused = Verdict::not_run(RefusalReason::NoTarget, 10);
