Hand the keys of a node that stops to another node

Cause: hand_over and adopt were not wired, so after each planned stop all keys of the node were told may-have-run.

Change: a leaving node with nothing in flight sends its ledger to one usable node of its service (Handover, at most body_max_bytes and 8 MiB) and waits up to 2 s for HandoverTaken; then it names the heir for 0.3 s (KeyInherited) and exits. The heir names up to 32 inherited nodes in its member record for two hours; senders follow chains of heirs. A brought key whose owner is unknown waits for the first nodes of a service like any other call (before, a fresh entry said KeyOwnerGone at once). Asking for a key makes the node look for the service (before, it refused for ever where nothing had called that service). A leaving node does not ask its closed ledger: that would name the heir before it has the keys.

Ruled out: repeating a lost handover (the loss of one costs doubt only); a broadcast of the heir beside the gossip.

Tests changed: the made-up targets announce themselves every 2 s as real ones do; they went silent after 10 s, which made later calls not-ready. The random test also uses minted keys.

Left: no log event tells of a handover; inherited keyspaces stay in the heir's memory, empty; senders that have not heard of the heir say may-have-run; Member grew a field, so nodes of builds before and after do not read each other's membership records. A handover between real processes was not run by hand.

--- a/src/call/codec.rs
+++ b/src/call/codec.rs
@@ -80,11 +80,14 @@
             Verdict::Answered(http) => http.body.len(),
             Verdict::NotRun(_) | Verdict::MayHaveRun(_) => 0,
         },
-        Message::Gossip(payload) | Message::Configuration(payload) => payload.len(),
+        Message::Gossip(payload)
+        | Message::Configuration(payload)
+        | Message::Handover { ledger: payload, .. } => payload.len(),
         Message::Cancel(_)
         | Message::Fence { .. }
         | Message::AskRetry { .. }
         | Message::RetryGrant { .. }
+        | Message::HandoverTaken { .. }
         | Message::Ping { .. }
         | Message::Pong { .. } => 0,
     }
--- a/src/call/frame.rs
+++ b/src/call/frame.rs
@@ -159,4 +159,17 @@
         /// The load of the answering node.
         load: LoadReport,
     },
+    /// The keys of a node that leaves, for the one node that takes them over. Answered with
+    /// `HandoverTaken` when it has them, and not at all when it cannot take them.
+    Handover {
+        /// The ledger of the leaving node, encoded by its own module.
+        ledger: Bytes,
+        /// The leaving node, and the nodes whose keys it had taken over itself; itself last.
+        owners: Vec<NodeId>,
+    },
+    /// The keys of a node that leaves were taken over.
+    HandoverTaken {
+        /// The node that leaves.
+        owner: NodeId,
+    },
 }
--- a/src/duty/peer/link.rs
+++ b/src/duty/peer/link.rs
@@ -394,13 +394,17 @@
 fn answer_within_us(message: &Message) -> Option<u64> {
     /// How long an entry node may take for its leave, which it gives from memory.
     const RETRY_GRANT_US: u64 = 1_000_000;
+    /// How long an heir may take with the keys of a node that leaves.
+    const HANDOVER_US: u64 = 2_000_000;
     match message {
         Message::Call(call) => Some(call.remaining_us),
         Message::Fence { remaining_us, .. } => Some(*remaining_us),
         Message::AskRetry { .. } => Some(RETRY_GRANT_US),
+        Message::Handover { .. } => Some(HANDOVER_US),
         Message::Answer(_)
         | Message::Cancel(_)
         | Message::RetryGrant { .. }
+        | Message::HandoverTaken { .. }
         | Message::Gossip(_)
         | Message::Configuration(_)
         | Message::Ping { .. }
@@ -411,7 +415,9 @@
 /// What a received message says about what was sent.
 fn sign_of(message: &Message) -> Sign {
     match message {
-        Message::Answer(_) | Message::RetryGrant { .. } => Sign::Answer,
+        Message::Answer(_) | Message::RetryGrant { .. } | Message::HandoverTaken { .. } => {
+            Sign::Answer
+        }
         Message::Pong { .. } => Sign::Pong,
         _ => Sign::Other,
     }
--- a/src/membership/event.rs
+++ b/src/membership/event.rs
@@ -55,6 +55,11 @@
     },
     /// The version of the configuration that the node has in force changed.
     Configuration(ConfigurationMark),
+    /// The node took over the keys of nodes that left.
+    Inherited {
+        /// These nodes, the oldest first.
+        owners: &'a [NodeId],
+    },
     /// The node leaves.
     Leave,
     /// Time has passed.
--- a/src/membership/member.rs
+++ b/src/membership/member.rs
@@ -43,6 +43,9 @@
     /// later one counts. A node that finds its predecessor at its name sets its own just after it,
     /// so a clock that is behind does no harm.
     pub started_unix_ms: u64,
+    /// Nodes that left and whose keys this one has, the oldest first.
+    #[serde(default)]
+    pub inherited: Vec<NodeId>,
 }
 
 impl Member {
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -9,6 +9,7 @@
 mod contact;
 mod event;
 mod gossip;
+mod inherited;
 mod interest;
 mod member;
 mod options;
--- a/src/membership/state.rs
+++ b/src/membership/state.rs
@@ -9,6 +9,7 @@
 
 use super::contact::Contacts;
 use super::event::{MembershipAction, MembershipEvent};
+use super::inherited::Inherited;
 use super::interest::{Interests, ServiceTag};
 use super::member::{Member, MemberState};
 use super::options::MembershipOptions;
@@ -58,6 +59,8 @@
     /// In how many rounds the new version of the configuration is still told to more peers.
     pub(super) repeat_hello: u32,
     pub(super) contacts: Contacts,
+    /// The nodes that left this one their keys.
+    inherited: Inherited,
 }
 
 impl Membership {
@@ -82,6 +85,7 @@
             beat: 1,
             revision: 1,
             started_unix_ms: own.started_unix_ms,
+            inherited: Vec::new(),
         };
         Self {
             own,
@@ -97,6 +101,7 @@
             superseded: false,
             repeat_hello: 0,
             contacts: Contacts::default(),
+            inherited: Inherited::default(),
             options,
         }
     }
@@ -130,6 +135,11 @@
             MembershipEvent::Gossip { bytes } => self.take_gossip(now_us, bytes, out),
             MembershipEvent::Heard { node } => self.view.heard(node, now_us),
             MembershipEvent::Configuration(mark) => self.take_configuration(mark, rng, out),
+            MembershipEvent::Inherited { owners } => {
+                if self.inherited.add(now_us, owners) {
+                    self.name_inherited(now_us, rng, out);
+                }
+            }
             MembershipEvent::Leave => self.leave(now_us, rng, out),
             MembershipEvent::Tick => {}
             MembershipEvent::WantService(service) => {
@@ -197,6 +207,12 @@
         self.change_own(now_us, rng, out);
     }
 
+    /// Spreads whose keys this node has.
+    fn name_inherited(&mut self, now_us: u64, rng: &mut SmallRng, out: &mut Vec<MembershipAction>) {
+        self.own.inherited = self.inherited.list();
+        self.change_own(now_us, rng, out);
+    }
+
     fn leave(&mut self, now_us: u64, rng: &mut SmallRng, out: &mut Vec<MembershipAction>) {
         if self.is_leaving() {
             return;
@@ -236,6 +252,9 @@
         }
         if now_us >= self.next_gossip_us {
             self.view.age(now_us, &self.options, out);
+            if self.inherited.age(now_us) {
+                self.name_inherited(now_us, rng, out);
+            }
             self.gossip(now_us, rng, out);
             let interval_us = self.options.gossip_interval_us(self.view.len());
             self.next_gossip_us = now_us + jitter(interval_us, rng);
--- a/src/node/intake.rs
+++ b/src/node/intake.rs
@@ -80,6 +80,7 @@
         service: &str,
         out: &mut Vec<NodeAction>,
     ) {
+        self.want_service(now_us, service, out);
         let root = RootId(self.rng.random());
         let arm = self.rules.arm_for(root).id;
         let ask = Pick {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -4,7 +4,9 @@
 //! `duty::decider`); tests own several and carry the actions between them.
 
 mod event;
+mod handover;
 pub mod header;
+mod heirs;
 mod hop;
 mod inbound;
 mod intake;
@@ -45,6 +47,8 @@
 pub use note::Note;
 pub use status::NodeStatus;
 
+use handover::Parting;
+use heirs::Heirs;
 use platform::Asked;
 use roster::Roster;
 use timer::{Due, Timers};
@@ -82,6 +86,8 @@
     budgets: HashMap<ArmId, RetryBudget>,
     /// What was run under keys of this node.
     ledger: Ledger,
+    /// Who has the keys of nodes that left.
+    heirs: Heirs,
     /// What became of attempts received.
     book: AttemptBook,
     /// The other nodes and the configuration in force.
@@ -106,6 +112,8 @@
     local: VecDeque<LocalFrame>,
     /// When the node may stop, once it leaves.
     leave_after_us: Option<u64>,
+    /// The handing over of its keys, once nothing is in flight.
+    parting: Option<Parting>,
     /// Whether the node has asked to be stopped.
     exited: bool,
     /// What requests to the table service were for.
@@ -153,6 +161,7 @@
             allowances: RootAllowances::new(),
             budgets: HashMap::new(),
             ledger: settling::new_ledger(identity.id),
+            heirs: Heirs::default(),
             book: settling::new_book(),
             roster: Roster::new(now_us, &identity, &settings, build),
             hops: HashMap::new(),
@@ -165,6 +174,7 @@
             timers: Timers::default(),
             local: VecDeque::new(),
             leave_after_us: None,
+            parting: None,
             exited: false,
             asked: HashMap::new(),
             sequence: 0,
@@ -192,7 +202,7 @@
             self.admission.next_wake_us(),
             self.roster.next_wake_us(),
             self.target_silent_us(),
-            self.leave_after_us.filter(|_| !self.exited),
+            self.stop_us().filter(|_| !self.exited),
         ];
         sources.into_iter().flatten().min()
     }
--- a/src/node/receiving.rs
+++ b/src/node/receiving.rs
@@ -45,6 +45,9 @@
             Message::AskRetry { root, failed } => {
                 self.grant_retry(now_us, path, root, failed, out);
             }
+            Message::Handover { ledger, owners } => {
+                self.take_handover(now_us, path, &ledger, &owners, out);
+            }
             Message::Gossip(bytes) => self.take_gossip(now_us, &bytes, out),
             Message::Configuration(bytes) => self.take_configuration(now_us, &bytes, out),
             // Pings are answered by the connection itself, and replies never open an exchange.
@@ -81,6 +84,11 @@
         }
         let refusal = self.unfit(&frame);
         self.insert_inbound(now_us, path, frame, deadline_us);
+        if let Some(refusal) = refusal.filter(|_| self.parting.is_some()) {
+            // The ledger is closed, and would name the heir before the heir has the keys.
+            self.settle(now_us, attempt, Verdict::NotRun(refusal), out);
+            return;
+        }
         self.offer(now_us, attempt, refusal, out);
     }
 
@@ -91,7 +99,7 @@
             return refuse(RefusalReason::Malformed, 0);
         }
         if self.leave_after_us.is_some() {
-            return refuse(RefusalReason::Leaving, 0);
+            return refuse(self.leaving_reason(frame.key.is_some()), 0);
         }
         if self.target.is_none() || !self.roster.is_ready() {
             return refuse(RefusalReason::NotReady, NO_TARGET_RETRY_MS);
@@ -402,12 +410,20 @@
         self.announce_leaving(now_us, out);
     }
 
+    /// When a leaving node may stop next, in microseconds since the process started.
+    pub(super) fn stop_us(&self) -> Option<u64> {
+        self.parting.map(|parting| parting.until_us).or(self.leave_after_us)
+    }
+
     /// Asks to be stopped once nothing is in flight any more.
     pub(super) fn check_left(&mut self, now_us: u64, out: &mut Vec<NodeAction>) {
         let due = self.leave_after_us.is_some_and(|at_us| at_us <= now_us);
         if !due || self.exited || !self.hops.is_empty() || !self.inbound.is_empty() {
             return;
         }
+        if !self.part(now_us, out) {
+            return;
+        }
         self.exited = true;
         let began_us = self.leave_after_us.unwrap_or(now_us);
         let leave_ms = self.settings.node.leave_ms;
--- a/src/node/roster.rs
+++ b/src/node/roster.rs
@@ -91,6 +91,11 @@
         self.membership.member_count()
     }
 
+    /// The nodes whose keys this node has, the oldest first.
+    pub(super) fn inherited(&self) -> Vec<NodeId> {
+        self.membership.own().inherited.clone()
+    }
+
     /// When either wants to be told that time has passed, in microseconds.
     pub(super) fn next_wake_us(&self) -> Option<u64> {
         Some(self.membership.next_wake_us().min(self.configuration.next_wake_us()))
@@ -272,6 +277,7 @@
     /// A member whose target is not there, yet or for now, is no choice but does not count as
     /// leaving, which would be for good.
     fn put_member(&mut self, now_us: u64, member: &Member, out: &mut Vec<NodeAction>) {
+        self.heirs.note(now_us, &member.inherited, member.node);
         if member.slots == 0 {
             self.router.remove(now_us, member.node);
             return;
--- a/src/node/sending.rs
+++ b/src/node/sending.rs
@@ -64,9 +64,15 @@
     /// Lets a hop wait whose service was asked about so lately that its nodes may not be known
     /// yet. Says whether it waits.
     fn resolve(&mut self, now_us: u64, id: HopId, verdict: &Verdict) -> bool {
-        let Verdict::NotRun(Refusal { reason: RefusalReason::NoTarget, .. }) = verdict else {
-            return false;
+        let is_unknown = match verdict {
+            Verdict::NotRun(refusal) => refusal.reason == RefusalReason::NoTarget,
+            // Whoever has the key may become known with the other nodes of the service.
+            Verdict::MayHaveRun(doubt) => *doubt == Doubt::KeyOwnerGone,
+            Verdict::Answered(_) => false,
         };
+        if !is_unknown {
+            return false;
+        }
         let Some(hop) = self.hops.get(&id) else { return false };
         let Some(wanted_us) = self.wanted.get(&hop.service) else { return false };
         let until_us = (wanted_us + RESOLVE_WAIT_US).min(hop.deadline_us);
@@ -102,9 +108,10 @@
             return Err(Verdict::not_run(RefusalReason::Cancelled, 0));
         };
         if let HopKey::Brought(key) = hop.key {
-            let known = key.owner == self.identity.id || self.router.address(key.owner).is_some();
+            let holder = self.heirs.holder_of(key.owner);
+            let known = holder == self.identity.id || self.router.address(holder).is_some();
             let gone = Verdict::MayHaveRun(Doubt::KeyOwnerGone);
-            return if known { Ok((key.owner, Some(key))) } else { Err(gone) };
+            return if known { Ok((holder, Some(key))) } else { Err(gone) };
         }
         let own = hop.key == HopKey::Own;
         let ask = Pick {
@@ -157,6 +164,7 @@
             Message::RetryGrant { failed, granted } => {
                 self.take_grant(now_us, failed, granted, out);
             }
+            Message::HandoverTaken { owner } => self.handover_taken(now_us, owner),
             Message::Pong { from, load, .. } => self.take_pong(now_us, from, &load, out),
             // Nothing else is ever a reply.
             _ => {}
@@ -197,9 +205,19 @@
         };
         self.router.observed(now_us, node, &observation);
         self.note_floor(now_us, id);
+        self.note_heir(now_us, node, &answer.verdict);
         self.after_attempt(now_us, id, Some(answer.attempt), answer.verdict, out);
     }
 
+    /// Notes the heir that a leaving node names, so that the next attempt goes there.
+    fn note_heir(&mut self, now_us: u64, owner: NodeId, verdict: &Verdict) {
+        let Verdict::NotRun(Refusal { reason: RefusalReason::KeyInherited(heir), .. }) = verdict
+        else {
+            return;
+        };
+        self.heirs.note(now_us, &[owner], *heir);
+    }
+
     /// Ends an attempt of which no answer came.
     fn end_attempt(
         &mut self,
@@ -629,6 +647,7 @@
                 self.end_attempt(now_us, id, frame.attempt, node, verdict, out);
             }
             Message::AskRetry { failed, .. } => self.take_grant(now_us, failed, false, out),
+            Message::Handover { .. } => self.handover_unsent(now_us),
             // A lost cancellation, fence or gossip is made good by deadlines and repeats.
             _ => {}
         }
--- a/tests/codec.rs
+++ b/tests/codec.rs
@@ -117,7 +117,14 @@
         sequence,
         load,
     });
+    let handover = (body(), any::<Vec<u64>>()).prop_map(|(ledger, owners)| Message::Handover {
+        ledger,
+        owners: owners.into_iter().map(NodeId).collect(),
+    });
+    let taken = any::<u64>().prop_map(|owner| Message::HandoverTaken { owner: NodeId(owner) });
     prop_oneof![
+        handover,
+        taken,
         call(),
         answer,
         attempt().prop_map(Message::Cancel),
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use aspenspring::call::{HttpRequest, Message, NodeId, RootId, Verdict};
+use aspenspring::call::{HttpRequest, Key, Message, NodeId, RootId, Verdict};
 use aspenspring::config::Settings;
 use aspenspring::configuration::site_rules;
 use aspenspring::duty::peer::ReturnPath;
@@ -33,6 +33,8 @@
 const ORIGIN_UNIX_MS: u64 = 1_800_000_000_000;
 /// Tickets of targets' own calls begin here.
 const CHILD_TICKETS: u64 = 1 << 40;
+/// Tickets of callers who want a key begin here.
+const MINT_TICKETS: u64 = 1 << 41;
 
 /// Something that arrives at a node.
 #[derive(Debug)]
@@ -81,6 +83,12 @@
     pub network: Network,
     pub table: Table,
     pub calls: Vec<Call>,
+    /// The keys that callers were given.
+    pub minted: Vec<Key>,
+    /// Whether the keys of a leaving node are lost on their way.
+    pub lose_handovers: bool,
+    /// Whether all messages of the membership are lost.
+    pub lose_gossip: bool,
     rng: SmallRng,
     queue: BTreeMap<(u64, u64), Delivery>,
     sequence: u64,
@@ -113,6 +121,9 @@
             network,
             table: Table::default(),
             calls: Vec::new(),
+            minted: Vec::new(),
+            lose_handovers: false,
+            lose_gossip: false,
             rng: SmallRng::seed_from_u64(seed),
             queue: BTreeMap::new(),
             sequence: 0,
@@ -222,6 +233,19 @@
         self.call_path(seat, true, format!("/confirm/{key}"), Some(key.to_owned()));
     }
 
+    /// Asks a node for a key for the first service.
+    pub fn mint(&mut self, seat: usize) {
+        let ticket = Ticket(MINT_TICKETS);
+        let event = NodeEvent::MintKey { ticket, service: "front".to_owned() };
+        self.deliver(seat, self.now_us, event);
+    }
+
+    /// The seat of the node with this id, while it is up.
+    pub fn seat_of(&self, node: NodeId) -> Option<usize> {
+        let is_there = |seat: &Seat| seat.node.as_ref().is_some_and(|there| there.id() == node);
+        self.seats.iter().position(is_there)
+    }
+
     /// Makes a call for a path.
     fn call_path(&mut self, seat: usize, confirm: bool, path: String, key: Option<String>) {
         let id = self.calls.len();
@@ -384,6 +408,9 @@
 
     /// Takes the end of a call, of an outside caller or of a target.
     fn replied(&mut self, index: usize, ticket: Ticket, end: CallEnd) -> Checked {
+        if ticket.0 >= MINT_TICKETS {
+            return self.take_minted(&end);
+        }
         if ticket.0 >= CHILD_TICKETS {
             let events = self.targets.child_ended(index, ticket, &end, &mut self.rng);
             self.deliver_all(index, events);
@@ -402,6 +429,16 @@
         self.check_not_run(ticket.0 as usize)
     }
 
+    /// Takes a key that a caller was given.
+    fn take_minted(&mut self, end: &CallEnd) -> Checked {
+        let Verdict::Answered(answer) = &end.verdict else { return Ok(()) };
+        let body: serde_json::Value =
+            serde_json::from_slice(&answer.body).map_err(|error| error.to_string())?;
+        let text = body["idempotency_key"].as_str().unwrap_or_default();
+        self.minted.push(text.parse::<Key>().map_err(|error| error.to_string())?);
+        Ok(())
+    }
+
     /// Sends a message to an address.
     fn send(&mut self, from: usize, to: SocketAddr, message: Message) -> Checked {
         if let Message::Call(frame) = &message {
@@ -413,6 +450,14 @@
                 }
             }
         }
+        let is_lost = match message {
+            Message::Handover { .. } => self.lose_handovers,
+            Message::Gossip(_) => self.lose_gossip,
+            _ => false,
+        };
+        if is_lost {
+            return Ok(());
+        }
         let Some(to) = self.seats.iter().position(|seat| seat.address == to) else { return Ok(()) };
         let path = ReturnPath::from_parts(from as u32, self.seats[from].life);
         self.carry(from, to, message, |message| NodeEvent::PeerRequest { path, message });
@@ -471,6 +516,16 @@
         up.map(|seat| seat.version).collect()
     }
 
+    /// How often the first service ran the requests with this key.
+    pub fn runs_of_key(&self, key: Key) -> u32 {
+        self.targets.runs("front", &format!("/confirm/{key}"))
+    }
+
+    /// What the last call came to.
+    pub fn last_verdict(&self) -> Option<Verdict> {
+        Some(self.calls.last()?.end.as_ref()?.verdict.clone())
+    }
+
     /// How many calls were answered whole.
     pub fn served(&self) -> usize {
         let whole = |call: &&Call| {
