--- a/src/call/mod.rs
+++ b/src/call/mod.rs
@@ -12,6 +12,6 @@
     AnswerFrame, CallFrame, HttpAnswer, HttpRequest, LoadReport, Message, TraceContext,
 };
 pub use id::{AttemptId, NodeId, RootId};
-pub use key::Key;
+pub use key::{Key, KeyTextError, ParsedKey};
 pub use level::{ArmId, ClassRank, Level};
 pub use verdict::{Doubt, Refusal, RefusalReason, Verdict};
--- a/src/call/verdict.rs
+++ b/src/call/verdict.rs
@@ -70,6 +70,10 @@
     KeyInvalid,
     /// The request is malformed or names an unknown service.
     Malformed,
+    /// The owner of the idempotency key has left, and this node holds its keys unchanged.
+    KeyInherited(NodeId),
+    /// The idempotency key was used before for a different request.
+    KeyMismatch,
 }
 
 /// Why nobody can say whether an attempt ran.
@@ -91,4 +95,8 @@
     KeyRunning,
     /// The call was cancelled while the target was running it.
     Cancelled,
+    /// It was settled earlier, and the node no longer holds the answer.
+    AnswerForgotten,
+    /// The node asked does not own the idempotency key and cannot tell what its owner did.
+    KeyElsewhere,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod duty;
 pub mod event;
 pub mod logging;
+pub mod once;
 pub mod retry;
 pub mod routing;
--- /dev/null
+++ b/src/once/mod.rs
@@ -0,0 +1,19 @@
+//! At most one run: of a key over the whole fleet, and of an attempt at its receiving node.
+//!
+//! The [`Ledger`] beside each target remembers the keys its node owns; the [`AttemptBook`] every
+//! attempt that arrived. Both are plain state machines without I/O, clock or randomness. The design
+//! and its alternatives are in `docs/DESIGN-once.md`.
+
+mod attempt_book;
+mod fingerprint;
+mod floor;
+mod handover;
+mod keyspace;
+mod ledger;
+mod outcome;
+
+pub use attempt_book::{Arrival, AttemptBook, AttemptBookOptions, FenceReply, ReturnPath};
+pub use fingerprint::Fingerprint;
+pub use handover::{AdoptError, Handover, HandoverError};
+pub use ledger::{DelegateError, Ledger, LedgerOptions, Offer};
+pub use outcome::{Outcome, outward};
--- /dev/null
+++ b/tests/once_attempts.rs
@@ -0,0 +1,149 @@
+//! The attempt book's rules, one at a time.
+
+use aspenspring::call::{AttemptId, Doubt, HttpAnswer, NodeId, Refusal, RefusalReason, Verdict};
+use aspenspring::once::{
+    Arrival, AttemptBook, AttemptBookOptions, FenceReply, Outcome, ReturnPath, outward,
+};
+
+const DEADLINE_US: u64 = 1_000;
+const MARGIN_US: u64 = 500;
+const PATH: ReturnPath = ReturnPath(1);
+const OTHER_PATH: ReturnPath = ReturnPath(2);
+
+fn book() -> AttemptBook {
+    AttemptBook::new(AttemptBookOptions::builder().margin_us(MARGIN_US).build())
+}
+
+fn attempt(sequence: u64) -> AttemptId {
+    AttemptId { origin: NodeId(9), sequence, nonce: 0 }
+}
+
+fn answer() -> Verdict {
+    Verdict::Answered(HttpAnswer { status: 200, headers: Vec::new(), body: vec![1; 64].into() })
+}
+
+fn refused(reason: RefusalReason) -> Arrival {
+    Arrival::Refused(Refusal { reason, retry_after_ms: 0 })
+}
+
+fn forgotten() -> Verdict {
+    Verdict::MayHaveRun(Doubt::AnswerForgotten)
+}
+
+#[test]
+fn repeated_attempt_gets_the_first_verdict() {
+    let mut book = book();
+    assert_eq!(book.arrive(0, attempt(1), DEADLINE_US, PATH), Arrival::New);
+    assert_eq!(book.arrive(1, attempt(1), DEADLINE_US, OTHER_PATH), Arrival::InProgress);
+    assert_eq!(book.in_progress(), 1);
+    assert_eq!(book.settle(2, attempt(1), &answer()), vec![PATH, OTHER_PATH]);
+    assert_eq!(book.settle(3, attempt(1), &forgotten()), Vec::new());
+    assert_eq!(book.in_progress(), 0);
+    assert_eq!(book.arrive(4, attempt(1), DEADLINE_US, PATH), Arrival::Repeat(answer()));
+    let reply = book.fence(5, attempt(1), DEADLINE_US, PATH);
+    assert_eq!(reply, FenceReply::Settled(answer()));
+}
+
+#[test]
+fn fenced_attempt_never_runs_however_late_it_arrives() {
+    let mut book = book();
+    assert_eq!(book.fence(0, attempt(5), DEADLINE_US, PATH), FenceReply::NowFenced);
+    assert_eq!(
+        book.fence(0, attempt(5), DEADLINE_US, PATH).clone(),
+        FenceReply::Settled(Verdict::not_run(RefusalReason::Fenced, 0))
+    );
+    let late = refused(RefusalReason::Fenced);
+    assert_eq!(book.arrive(1, attempt(5), DEADLINE_US, PATH), late);
+    book.expire(DEADLINE_US + MARGIN_US);
+    assert!(book.is_empty());
+    assert_eq!(book.arrive(1 << 40, attempt(5), 2 << 40, PATH), late);
+    assert_eq!(book.arrive(1 << 40, attempt(6), 2 << 40, PATH), Arrival::New);
+}
+
+#[test]
+fn forgotten_attempt_is_neither_run_again_nor_called_not_run() {
+    let mut book = book();
+    assert_eq!(book.arrive(0, attempt(1), DEADLINE_US, PATH), Arrival::New);
+    book.settle(1, attempt(1), &answer());
+    assert_eq!(book.fence(1, attempt(7), DEADLINE_US, PATH), FenceReply::NowFenced);
+    assert_eq!(book.next_wake_us(), Some(DEADLINE_US + MARGIN_US));
+    book.expire(DEADLINE_US + MARGIN_US);
+    assert!(book.is_empty());
+    let late_us = 1 << 40;
+    assert_eq!(book.arrive(late_us, attempt(1), late_us, PATH), Arrival::Repeat(forgotten()));
+    let reply = book.fence(late_us, attempt(1), late_us, PATH);
+    assert_eq!(reply, FenceReply::Settled(forgotten()));
+}
+
+#[test]
+fn attempt_in_progress_is_not_forgotten() {
+    let mut book = book();
+    assert_eq!(book.arrive(0, attempt(1), DEADLINE_US, PATH), Arrival::New);
+    book.expire(1 << 40);
+    assert_eq!(book.arrive(1 << 40, attempt(1), 2 << 40, OTHER_PATH), Arrival::InProgress);
+    let reply = book.fence(1 << 40, attempt(1), 2 << 40, OTHER_PATH);
+    assert_eq!(reply, FenceReply::InProgress);
+    assert_eq!(book.settle(1 << 40, attempt(1), &answer()), vec![PATH, OTHER_PATH]);
+}
+
+#[test]
+fn full_book_refuses_for_good() {
+    let options = AttemptBookOptions::builder().margin_us(MARGIN_US).entries_max(1).build();
+    let mut book = AttemptBook::new(options);
+    assert_eq!(book.arrive(0, attempt(1), DEADLINE_US, PATH), Arrival::New);
+    let full = refused(RefusalReason::NodeFull);
+    assert_eq!(book.arrive(1, attempt(2), DEADLINE_US, PATH), full);
+    assert_eq!(book.fence(1, attempt(3), DEADLINE_US, PATH), FenceReply::NowFenced);
+    book.settle(2, attempt(1), &answer());
+    book.expire(DEADLINE_US + MARGIN_US);
+    let late_us = 1 << 40;
+    for sequence in 2..=3 {
+        let arrival = book.arrive(late_us, attempt(sequence), late_us, PATH);
+        assert_eq!(arrival, refused(RefusalReason::Fenced));
+    }
+    assert_eq!(book.arrive(late_us, attempt(4), late_us, PATH), Arrival::New);
+}
+
+#[test]
+fn unknown_origins_stay_refused_while_a_refused_frame_may_come_again() {
+    let options = AttemptBookOptions::builder().origins_max(1).origin_idle_us(1_000).build();
+    let mut book = AttemptBook::new(options);
+    assert_eq!(book.arrive(0, attempt(1), 10, PATH), Arrival::New);
+    let stranger = AttemptId { origin: NodeId(10), sequence: 1, nonce: 0 };
+    assert_eq!(book.fence(900, stranger, 10, PATH), FenceReply::NowFenced);
+    book.forget_silent_origins(1_000);
+    let full = refused(RefusalReason::NodeFull);
+    assert_eq!(book.arrive(1_001, stranger, 2_000, PATH), full);
+}
+
+#[test]
+fn dropped_answers_are_doubts() {
+    let options = AttemptBookOptions::builder().answers_max_bytes(0).build();
+    let mut book = AttemptBook::new(options);
+    assert_eq!(book.arrive(0, attempt(1), DEADLINE_US, PATH), Arrival::New);
+    book.settle(1, attempt(1), &answer());
+    let reply = book.fence(2, attempt(1), DEADLINE_US, PATH);
+    assert_eq!(reply, FenceReply::Settled(forgotten()));
+}
+
+#[test]
+fn request_was_not_run_only_if_no_attempt_was() {
+    let shed = Verdict::not_run(RefusalReason::Shed, 0);
+    let lost = Verdict::MayHaveRun(Doubt::ConnectionLost);
+    let mut outcome = Outcome::default();
+    outcome.record(attempt(1), &lost);
+    outcome.record(attempt(2), &shed);
+    assert_eq!(outcome.conclude(shed.clone()), lost);
+    // The fence was answered after all: the first attempt did not run.
+    outcome.record(attempt(1), &Verdict::not_run(RefusalReason::Fenced, 0));
+    assert_eq!(outcome.conclude(shed.clone()), shed);
+    assert_eq!(outcome.conclude(answer()), answer());
+}
+
+#[test]
+fn key_that_went_elsewhere_is_not_called_not_run_outside() {
+    let moved = Verdict::not_run(RefusalReason::KeyDelegated(NodeId(3)), 0);
+    assert_eq!(outward(moved), Verdict::MayHaveRun(Doubt::KeyOwnerGone));
+    let shed = Verdict::not_run(RefusalReason::Shed, 0);
+    assert_eq!(outward(shed.clone()), shed);
+}
