--- a/src/once/attempt_book.rs
+++ b/src/once/attempt_book.rs
@@ -11,7 +11,7 @@
 use super::keyspace::answer_bytes;
 
 /// The memory of one entry without its answer, in bytes, as measured for the design note.
-const ENTRY_BYTES: usize = 192;
+const ENTRY_BYTES: usize = 200;
 /// The memory of the watermarks of one origin, in bytes.
 const FLOOR_BYTES: usize = 64;
 
--- a/src/once/handover.rs
+++ b/src/once/handover.rs
@@ -1,6 +1,6 @@
 //! The whole ledger of a node that leaves in an orderly way, for the node that takes its place.
 
-use std::collections::VecDeque;
+use std::collections::BTreeSet;
 
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
@@ -40,7 +40,7 @@
     /// The key within its keyspace.
     slot: Slot,
     /// The request that used it first.
-    fingerprint: Option<Fingerprint>,
+    fingerprint: Fingerprint,
     /// What became of it.
     state: SettledState,
 }
@@ -209,9 +209,8 @@
     /// The ledger as it is handed over, with the newest answers that fit in `answers_max_bytes`.
     fn record(&self, heir: NodeId, answers_max_bytes: usize) -> Handover {
         let first_kept = self.first_answer_within(answers_max_bytes);
-        let kept: VecDeque<(NodeId, Slot)> =
+        let kept: BTreeSet<(NodeId, Slot)> =
             self.answered.iter().skip(first_kept).copied().collect();
-        let kept: std::collections::BTreeSet<(NodeId, Slot)> = kept.into_iter().collect();
         let mut spaces = Vec::with_capacity(self.spaces.len());
         for (owner, space) in &self.spaces {
             let mut entries = Vec::with_capacity(space.entries.len());
--- a/src/once/keyspace.rs
+++ b/src/once/keyspace.rs
@@ -49,8 +49,8 @@
 /// One remembered key.
 #[derive(Clone, Debug)]
 pub(super) struct Entry {
-    /// The request that used the key first; none for a delegated key.
-    pub fingerprint: Option<Fingerprint>,
+    /// The request that used the key first; without meaning for a delegated key.
+    pub fingerprint: Fingerprint,
     /// What became of it.
     pub state: State,
 }
@@ -103,10 +103,15 @@
     }
 }
 
-/// The memory an answer takes, in bytes, as far as its content goes.
+/// What an answer takes beside its content, in bytes: its place in the order of answers, the shared
+/// part of its body and the spare room of both, as measured for the design note.
+const ANSWER_OVERHEAD_BYTES: usize = 64;
+
+/// The memory a remembered answer takes, in bytes.
 pub(super) fn answer_bytes(answer: &HttpAnswer) -> usize {
     let headers: usize = answer.headers.iter().map(|(name, value)| name.len() + value.len()).sum();
     size_of::<HttpAnswer>()
+        + ANSWER_OVERHEAD_BYTES
         + answer.body.len()
         + headers
         + answer.headers.len() * size_of::<(String, String)>()
--- a/src/once/ledger.rs
+++ b/src/once/ledger.rs
@@ -12,7 +12,7 @@
 use super::keyspace::{Entry, Holder, Keyspace, Slot, State, answer_bytes};
 
 /// The memory of one settled entry without its answer, in bytes, as measured for the design note.
-pub(super) const ENTRY_BYTES: usize = 96;
+pub(super) const ENTRY_BYTES: usize = 72;
 
 /// The limits of a ledger.
 #[derive(Clone, Copy, Debug, Builder)]
@@ -131,7 +131,7 @@
             return settled_not_run(RefusalReason::NodeFull);
         }
         let holder = Box::new(Holder { attempt, waiters: Vec::new() });
-        let entry = Entry { fingerprint: Some(fingerprint), state: State::Held(holder) };
+        let entry = Entry { fingerprint, state: State::Held(holder) };
         space.entries.insert(slot, entry);
         Offer::Run
     }
@@ -222,7 +222,7 @@
         if is_full {
             return Err(DelegateError::Full);
         }
-        let entry = Entry { fingerprint: None, state: State::Delegated(to) };
+        let entry = Entry { fingerprint: Fingerprint(0), state: State::Delegated(to) };
         space.entries.insert(slot, entry);
         Ok(key.delegated_to(to))
     }
@@ -301,7 +301,10 @@
     attempt: AttemptId,
     waiters_max: usize,
 ) -> Offer {
-    if entry.fingerprint.is_some_and(|first| first != fingerprint) {
+    if let State::Delegated(to) = entry.state {
+        return settled_not_run(RefusalReason::KeyDelegated(to));
+    }
+    if entry.fingerprint != fingerprint {
         return settled_not_run(RefusalReason::KeyMismatch);
     }
     match &mut entry.state {
--- a/src/once/mod.rs
+++ b/src/once/mod.rs
@@ -1,8 +1,9 @@
 //! At most one run: of a key over the whole fleet, and of an attempt at its receiving node.
 //!
 //! The [`Ledger`] beside each target remembers the keys its node owns; the [`AttemptBook`] every
-//! attempt that arrived. Both are plain state machines without I/O, clock or randomness. The design
-//! and its alternatives are in `docs/DESIGN-once.md`.
+//! attempt that arrived; the [`SenderBook`] every attempt that was sent. An [`Outcome`] joins the
+//! verdicts of a request's attempts. All are plain state machines without I/O, clock or randomness.
+//! The design and its alternatives are in `docs/DESIGN-once.md`.
 
 mod attempt_book;
 mod fingerprint;
@@ -10,6 +11,7 @@
 mod handover;
 mod keyspace;
 mod ledger;
+mod mint;
 mod outcome;
 mod sender_book;
 
@@ -17,5 +19,6 @@
 pub use fingerprint::Fingerprint;
 pub use handover::{AdoptError, Handover, HandoverError};
 pub use ledger::{DelegateError, Ledger, LedgerOptions, Offer};
+pub use mint::{mint, mint_for_request};
 pub use outcome::{Outcome, Scope, outward};
 pub use sender_book::{CallToken, GivenUp, SenderBook};
--- /dev/null
+++ b/tests/once_world/node.rs
@@ -0,0 +1,61 @@
+//! One node with what is queued and running there.
+
+use std::collections::HashSet;
+
+use aspenspring::call::{AttemptId, Key, NodeId};
+use aspenspring::once::{AttemptBook, AttemptBookOptions, Ledger, LedgerOptions};
+
+const TTL_MS: u64 = 60_000;
+const SKEW_MAX_MS: u64 = 1_000;
+const MARGIN_US: u64 = 2_000_000;
+
+/// An attempt that holds a key.
+#[derive(Clone, Copy, Debug)]
+pub struct Held {
+    pub attempt: AttemptId,
+    pub key: Key,
+}
+
+pub struct Node {
+    pub id: NodeId,
+    pub ledger: Ledger,
+    pub book: AttemptBook,
+    pub queue: Vec<Held>,
+    pub running: Vec<Held>,
+    pub seen: HashSet<AttemptId>,
+    pub frozen: bool,
+}
+
+impl Node {
+    pub fn new(id: NodeId) -> Self {
+        Self {
+            id,
+            ledger: new_ledger(id),
+            book: new_book(),
+            queue: Vec::new(),
+            running: Vec::new(),
+            seen: HashSet::new(),
+            frozen: false,
+        }
+    }
+}
+
+pub fn new_ledger(owner: NodeId) -> Ledger {
+    let options = LedgerOptions::builder()
+        .key_ttl_ms(TTL_MS)
+        .skew_max_ms(SKEW_MAX_MS)
+        .entries_max(6)
+        .answers_max_bytes(400)
+        .waiters_max(2)
+        .build();
+    Ledger::new(owner, options)
+}
+
+pub fn new_book() -> AttemptBook {
+    let options = AttemptBookOptions::builder()
+        .margin_us(MARGIN_US)
+        .entries_max(12)
+        .answers_max_bytes(400)
+        .build();
+    AttemptBook::new(options)
+}
