--- a/src/duty/slow.rs
+++ b/src/duty/slow.rs
@@ -1,10 +1,12 @@
-//! Cuts off senders that do not finish a request in time.
+//! Watches a listener's connections: cuts off slow senders, and notices callers that have gone.
 //!
 //! Rocket 0.5 has no timeout for a request's head, and it waits for the first 512 bytes of a body
-//! before any hook or handler of ours runs. So the listener's connections are watched from outside:
-//! one that has no request in flight for too long is shut down.
+//! before any hook or handler of ours runs. Nor does it end a handler whose caller has gone. So the
+//! connections are watched from outside: one that has no request in flight for too long is shut
+//! down, and one that vanishes while a request is in flight is reported to its handler.
 
 use std::collections::{HashMap, HashSet};
+use std::convert::Infallible;
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::os::fd::{AsRawFd, FromRawFd, OwnedFd, RawFd};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -12,7 +14,9 @@
 use std::time::Duration;
 
 use rocket::fairing::{Fairing, Info, Kind};
+use rocket::request::{FromRequest, Outcome};
 use rocket::{Data, Orbit, Request, Response, Rocket};
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 /// How long a connection that has served a request may wait for the next one.
@@ -22,13 +26,40 @@
 /// How many looks fit into the time a sender may take.
 const LOOKS_PER_TIMEOUT: u32 = 4;
 
+/// Tells a handler that its caller has gone; a request guard.
+///
+/// It is noticed within a second. Where the listener has no watch it is never told.
+#[derive(Clone, Debug, Default)]
+pub struct CallerGone(Arc<Notify>);
+
+impl CallerGone {
+    /// The same for every use within one request.
+    pub fn of(request: &Request<'_>) -> Self {
+        request.local_cache(Self::default).clone()
+    }
+
+    /// Waits until the caller has gone. Only one may wait.
+    pub async fn wait(&self) {
+        self.0.notified().await;
+    }
+}
+
+#[rocket::async_trait]
+impl<'r> FromRequest<'r> for CallerGone {
+    type Error = Infallible;
+
+    async fn from_request(request: &'r Request<'_>) -> Outcome<Self, Infallible> {
+        Outcome::Success(Self::of(request))
+    }
+}
+
 /// What is known about one connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug)]
 enum Activity {
     /// It was seen, and no whole request has come yet.
     New(Instant),
-    /// A request is in flight.
-    Busy,
+    /// A request is in flight; its handler is told when the connection is gone.
+    Busy(CallerGone),
     /// Its last request was answered, or bytes of the answer were last seen to leave.
     Idle {
         /// When.
@@ -70,8 +101,15 @@
 
     /// Notes what happens on the connection of `request`.
     fn note(&self, request: &Request<'_>, activity: Activity) {
-        if let Some(remote) = request.remote() {
-            self.connections().insert(remote, activity);
+        let Some(remote) = request.remote() else {
+            return;
+        };
+        let is_new = matches!(activity, Activity::Busy(_));
+        let before = self.connections().insert(remote, activity);
+        // A connection has one request at a time: the one before was on a connection that has
+        // gone, whose caller's port is in use again.
+        if let (true, Some(Activity::Busy(gone))) = (is_new, before) {
+            gone.0.notify_one();
         }
     }
 
@@ -94,11 +132,17 @@
         let streams = accepted_streams(listener);
         let present: HashSet<SocketAddr> = streams.iter().map(|(remote, _)| *remote).collect();
         let mut connections = self.connections();
-        connections.retain(|remote, _| present.contains(remote));
+        connections.retain(|remote, activity| {
+            let is_present = present.contains(remote);
+            if let (false, Activity::Busy(gone)) = (is_present, activity) {
+                gone.0.notify_one();
+            }
+            is_present
+        });
         for (remote, stream) in streams {
             let known = connections.entry(remote).or_insert(Activity::New(now));
             refresh(known, &stream, now);
-            if !self.is_overdue(*known, now) {
+            if !self.is_overdue(known, now) {
                 continue;
             }
             // Counted first, so that whoever sees the connection end finds it counted.
@@ -109,11 +153,11 @@
         }
     }
 
-    fn is_overdue(&self, activity: Activity, now: Instant) -> bool {
+    fn is_overdue(&self, activity: &Activity, now: Instant) -> bool {
         match activity {
-            Activity::Busy => false,
-            Activity::New(since) => now.duration_since(since) > self.shared.read_timeout,
-            Activity::Idle { since, .. } => now.duration_since(since) > IDLE_MAX,
+            Activity::Busy(_) => false,
+            Activity::New(since) => now.duration_since(*since) > self.shared.read_timeout,
+            Activity::Idle { since, .. } => now.duration_since(*since) > IDLE_MAX,
         }
     }
 }
@@ -130,7 +174,7 @@
     }
 
     async fn on_request(&self, request: &mut Request<'_>, _: &mut Data<'_>) {
-        self.note(request, Activity::Busy);
+        self.note(request, Activity::Busy(CallerGone::of(request)));
     }
 
     async fn on_response<'r>(&self, request: &'r Request<'_>, _: &mut Response<'r>) {
--- a/src/duty/web.rs
+++ b/src/duty/web.rs
@@ -21,6 +21,7 @@
 use super::slow::SlowSenders;
 
 pub use super::problem::{Problem, problem_catchers};
+pub use super::slow::CallerGone;
 
 /// How long a listener may take to bind its address.
 const BIND_TIMEOUT: Duration = Duration::from_secs(10);
