--- a/src/mesh/ingress.rs
+++ b/src/mesh/ingress.rs
@@ -32,6 +32,8 @@
 const BUFFER_BYTES: usize = 64 * 1024;
 /// When a caller should come back that came before the node was ready, in milliseconds.
 const RETRY_AFTER_NOT_READY_MS: u64 = 500;
+/// When a caller should come back that reached a node about to end, in milliseconds.
+const RETRY_AFTER_CLOSING_MS: u64 = 300;
 /// When a caller should come back whose body does not fit into memory, in milliseconds.
 const RETRY_AFTER_NO_MEMORY_MS: u64 = 1_000;
 
@@ -126,6 +128,9 @@
     };
     let attempt_id = header_text(&parts.headers, &node.vocabulary.attempt_id);
     let parent = node.ancestry.parent(attempt_id);
+    if parent.is_none() && node.is_closing() {
+        return refusal(StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER_CLOSING_MS);
+    }
     if parent.is_none() && !admits(node, &route) {
         return refusal(StatusCode::SERVICE_UNAVAILABLE, come_back_ms(node, &route));
     }
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -60,6 +60,8 @@
     roots: RefCell<HashMap<String, Instant>>,
     /// What other nodes were told last of the target's work.
     told_load: Cell<Load>,
+    /// Of how many of these routes other nodes were told last.
+    told_roots: Cell<usize>,
     /// The share of the target's answers that were failures of late, 0 to 1.
     pub own_failing: Cell<f64>,
     /// Shares the requests of split routes.
@@ -78,7 +80,8 @@
     pub has_looked_around: Cell<bool>,
     in_force: RefCell<Option<InForce>>,
     read_site: ReadSite,
-    is_stopping: Cell<bool>,
+    /// When the node was told to stop.
+    stopping_since: Cell<Option<Instant>>,
     /// The links on which other nodes call this one.
     callers: RefCell<Vec<Rc<Link>>>,
 }
@@ -94,6 +97,7 @@
             ancestry: Ancestry::default(),
             roots: RefCell::default(),
             told_load: Cell::default(),
+            told_roots: Cell::default(),
             own_failing: Cell::default(),
             splitter: Splitter::default(),
             budgets: RetryBudgets::new(&settings.retry),
@@ -104,7 +108,7 @@
             has_looked_around: Cell::default(),
             in_force: RefCell::default(),
             read_site,
-            is_stopping: Cell::default(),
+            stopping_since: Cell::default(),
             callers: RefCell::default(),
             settings,
             vocabulary,
@@ -139,17 +143,25 @@
 
     /// Whether the node takes new requests of callers.
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping.get() && self.has_looked_around.get() && self.site_version() > 0
+        !self.is_stopping() && self.has_looked_around.get() && self.site_version() > 0
     }
 
     /// Whether the node was told to stop.
     pub fn is_stopping(&self) -> bool {
-        self.is_stopping.get()
+        self.stopping_since.get().is_some()
+    }
+
+    /// Whether a request that came now would most likely be cut off by the end of the process.
+    ///
+    /// Callers are told that the node stops, but may have nowhere else to go.
+    pub fn is_closing(&self) -> bool {
+        let grace = Duration::from_millis(self.settings.timing.stop_grace_ms);
+        self.stopping_since.get().is_some_and(|since| since.elapsed() > grace / 2)
     }
 
     /// Takes no new work for the target any more, and tells the other nodes.
     pub fn stop(&self) {
-        self.is_stopping.set(true);
+        self.stopping_since.set(Some(Instant::now()));
         self.tell_status();
     }
 
@@ -165,7 +177,7 @@
         Status {
             service: self.own_service(),
             instance: current.as_ref().map(|known| known.id.clone()).unwrap_or_default(),
-            ready: current.is_some() && !self.is_stopping.get(),
+            ready: current.is_some() && !self.is_stopping(),
             cold: current.is_some_and(|known| known.is_cold),
             site_version: self.site_version(),
             roots: self.roots.borrow().keys().cloned().collect(),
@@ -187,6 +199,10 @@
     /// Adjusts what is admitted, and tells other nodes where the target's work has changed a lot.
     pub fn adjust(&self) {
         self.roots.borrow_mut().retain(|_, last| last.elapsed() < ROOTS_REMEMBERED);
+        let roots = self.roots.borrow().len();
+        if self.told_roots.replace(roots) != roots {
+            self.tell_status();
+        }
         let Some(site) = self.site() else { return };
         let services = self.directory.services(&self.status());
         self.overload.adjust(&services, site.rank_max());
--- a/src/mesh/overload.rs
+++ b/src/mesh/overload.rs
@@ -21,14 +21,14 @@
 /// none is idle, little enough that a chain of ten calls still meets its objective.
 const WORK_WANTED: f64 = 1.0;
 /// How fast the level falls with the work beyond that, for each adjustment.
-const FALL_RATE: f64 = 0.10;
+const FALL_RATE: f64 = 0.15;
 /// The most that a level falls at once. What is refused now lightens the load only after the requests
 /// under way have ended, so a faster fall overshoots.
-const FALL_MAX: f64 = 0.12;
+const FALL_MAX: f64 = 0.15;
 /// How fast the level rises with the room that is left, for each adjustment.
-const RISE_RATE: f64 = 0.10;
+const RISE_RATE: f64 = 0.12;
 /// The most that a level rises at once.
-const RISE_MAX: f64 = 0.03;
+const RISE_MAX: f64 = 0.07;
 /// The lowest level: some requests of the most important rank always pass, to see what becomes of
 /// them.
 const LEVEL_MIN: f64 = 0.2;
--- a/src/mesh/sender.rs
+++ b/src/mesh/sender.rs
@@ -165,7 +165,7 @@
                 let _in_flight = InFlight(&peer.in_flight);
                 let end = timeout_at(self.request.deadline + LAST_WORD, pending.end()).await;
                 let end = end.unwrap_or(CallEnd::MayHaveRun(Doubt::Timeout));
-                if matches!(end, CallEnd::MayHaveRun(_) | CallEnd::NotRun(_)) {
+                if speaks_against_node(&end) {
                     peer.avoid();
                 }
                 peer.note_answer(is_failure(&end));
@@ -199,6 +199,15 @@
     }
 }
 
+/// Whether an end shows that the node or its target is away for now.
+fn speaks_against_node(end: &CallEnd) -> bool {
+    match end {
+        CallEnd::Answered(_) | CallEnd::MayHaveRun(Doubt::Timeout | Doubt::TargetBroke) => false,
+        CallEnd::MayHaveRun(Doubt::LinkLost) => true,
+        CallEnd::NotRun(reason) => !matches!(reason, NotRun::Declined | NotRun::Expired),
+    }
+}
+
 /// Whether an end speaks against the target.
 fn is_failure(end: &CallEnd) -> bool {
     match end {
