Reserve a part of a busy service for each route, and outlive signals

A reload signal ended the process; a panic left a node that looked alive. Change: each route may use a tenth of a busy service whatever its rank; a restarted node is told by its peers which incarnations of its target have left; the reload signal and panics are handled.

--- a/src/mesh/ancestry.rs
+++ b/src/mesh/ancestry.rs
@@ -49,6 +49,11 @@
         Running { ancestry: self, id }
     }
 
+    /// How many of the requests that run began by the route `root`.
+    pub fn running_of(&self, root: &str) -> usize {
+        self.running.borrow().values().filter(|origin| &*origin.root == root).count()
+    }
+
     /// The origin of the request for which the target makes the call `id`, if it makes it.
     pub fn parent(&self, id: &str) -> Option<Origin> {
         let (parent, _) = id.rsplit_once(SEPARATOR)?;
--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -277,9 +277,11 @@
     view.load.waiting += status.load.waiting;
     view.load.limit += status.load.limit;
     view.load.wait_ms = view.load.wait_ms.max(status.load.wait_ms);
-    for root in &status.roots {
-        if !view.roots.contains(root) {
-            view.roots.insert(root.clone());
+    for work in &status.roots {
+        if let Some(running) = view.roots.get_mut(&work.root) {
+            *running += work.running;
+            continue;
         }
+        view.roots.insert(work.root.clone(), work.running);
     }
 }
--- a/src/mesh/frame.rs
+++ b/src/mesh/frame.rs
@@ -38,8 +38,6 @@
     Ping,
     /// The state of the sender's target has changed, or was asked for.
     Status(Status),
-    /// What the sender's target has to do.
-    Load(Load),
     /// Asks for the configuration.
     SiteWanted,
     /// The configuration in force at the sender, as the platform's adapter encoded it.
@@ -62,7 +60,7 @@
     pub status: Status,
     /// The other nodes it knows.
     pub known: Vec<Neighbour>,
-    /// Incarnations of targets that are leaving or have left.
+    /// Incarnations of the receiver's target that an earlier life of the receiver said had left.
     pub left_instances: Vec<String>,
 }
 
@@ -89,11 +87,22 @@
     /// The version of the configuration in force at the node.
     pub site_version: u64,
     /// The routes by which requests began that have reached the target of late.
-    pub roots: Vec<String>,
+    pub roots: Vec<RootWork>,
+    /// Incarnations that are leaving, have left or were replaced.
+    pub left: Vec<String>,
     /// What the target has to do.
     pub load: Load,
 }
 
+/// What a target does for requests that began by one route.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RootWork {
+    /// The route.
+    pub root: String,
+    /// Requests it is running.
+    pub running: u32,
+}
+
 /// What a target has to do.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Load {
--- a/src/mesh/launch.rs
+++ b/src/mesh/launch.rs
@@ -86,10 +86,17 @@
     response
 }
 
-/// Waits until the node is told to stop, and then until it has finished.
-pub async fn run_until_stopped(node: &Rc<Node>) -> io::Result<()> {
+/// Waits until the node is told to stop, and then until it has finished. `on_reload` is called when
+/// the settings file has changed.
+pub async fn run_until_stopped(node: &Rc<Node>, on_reload: impl Fn()) -> io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
-    terminate.recv().await;
+    let mut reload = signal(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = reload.recv() => on_reload(),
+        }
+    }
     let told = Instant::now();
     node.stop();
     let grace = Duration::from_millis(node.settings.timing.stop_grace_ms);
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -13,7 +13,7 @@
 use super::ancestry::Ancestry;
 use super::budget::RetryBudgets;
 use super::directory::Directory;
-use super::frame::{Frame, Hello, Load, Status};
+use super::frame::{Frame, Hello, Load, RootWork, Status};
 use super::link::Link;
 use super::overload::Overload;
 use super::settings::MeshSettings;
@@ -24,8 +24,9 @@
 
 /// How long a route by which requests have reached the target is remembered as such.
 const ROOTS_REMEMBERED: Duration = Duration::from_secs(20);
-/// Other nodes are told of the target's work at each adjustment while it is above this share of what
-/// the target can run.
+/// Other nodes are told of the target's work this often while it is above `TELL_ABOVE`.
+const TELL_EVERY: Duration = Duration::from_millis(180);
+/// The share of what the target can run from which on other nodes are told of its work.
 const TELL_ABOVE: f64 = 0.9;
 
 /// Reads a configuration in the form in which the platform's adapter holds it.
@@ -58,8 +59,8 @@
     pub ancestry: Ancestry,
     /// The routes by which requests began that reach the target, and when one did last.
     roots: RefCell<HashMap<String, Instant>>,
-    /// What other nodes were told last of the target's work.
-    told_load: Cell<Load>,
+    /// When other nodes were told last of the target's work.
+    told: Cell<Option<Instant>>,
     /// Of how many of these routes other nodes were told last.
     told_roots: Cell<usize>,
     /// The share of the target's answers that were failures of late, 0 to 1.
@@ -96,7 +97,7 @@
             overload: Overload::default(),
             ancestry: Ancestry::default(),
             roots: RefCell::default(),
-            told_load: Cell::default(),
+            told: Cell::default(),
             told_roots: Cell::default(),
             own_failing: Cell::default(),
             splitter: Splitter::default(),
@@ -180,11 +181,22 @@
             ready: current.is_some() && !self.is_stopping(),
             cold: current.is_some_and(|known| known.is_cold),
             site_version: self.site_version(),
-            roots: self.roots.borrow().keys().cloned().collect(),
+            roots: self.root_work(),
+            left: self.target.left(),
             load: self.target.load(),
         }
     }
 
+    /// What the target does for requests of each route.
+    fn root_work(&self) -> Vec<RootWork> {
+        let roots = self.roots.borrow();
+        let work = roots.keys().map(|root| RootWork {
+            root: root.clone(),
+            running: self.ancestry.running_of(root) as u32,
+        });
+        work.collect()
+    }
+
     /// Notes that a request that began by the route `root` has reached the target.
     pub fn note_root(&self, root: &str) {
         let now = Instant::now();
@@ -207,29 +219,29 @@
         let services = self.directory.services(&self.status());
         self.overload.adjust(&services, site.rank_max());
         let load = self.target.load();
-        if work_share(load) > TELL_ABOVE && self.told_load.get() != load {
-            self.told_load.set(load);
-            let frame = Frame::Load(load);
-            for link in self.callers.borrow().iter() {
-                link.send(&frame);
-            }
+        let is_due = self.told.get().is_none_or(|told| told.elapsed() >= TELL_EVERY);
+        if work_share(load) > TELL_ABOVE && is_due {
+            self.tell_status();
         }
     }
 
     /// What the node says of itself when it meets another one.
-    pub fn hello(&self) -> Hello {
+    ///
+    /// `left_instances` are those of the other node's target that are known to have left.
+    pub fn hello(&self, left_instances: Vec<String>) -> Hello {
         Hello {
             address: self.settings.listen.peers,
             failure_domain: self.settings.node.failure_domain.clone(),
             life: self.life,
             status: self.status(),
             known: self.directory.neighbours(),
-            left_instances: self.target.left(),
+            left_instances,
         }
     }
 
     /// Tells the state of the node to all that call it.
     pub fn tell_status(&self) {
+        self.told.set(Some(Instant::now()));
         let frame = Frame::Status(self.status());
         for link in self.callers.borrow().iter() {
             link.send(&frame);
--- a/src/mesh/overload.rs
+++ b/src/mesh/overload.rs
@@ -7,7 +7,7 @@
 //! through.
 
 use std::cell::RefCell;
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::time::Duration;
 
 use rand::Rng;
@@ -33,13 +33,28 @@
 /// them.
 const LEVEL_MIN: f64 = 0.2;
 
+/// The part of a busy service that each route may use whatever its rank. Refusing a route that uses
+/// less makes hardly any room for others, and no route is starved.
+const RESERVED_SHARE: f64 = 0.10;
+/// How fast the probability moves that holds a route to that part, for each adjustment.
+const RESERVED_STEP: f64 = 0.05;
+
 /// What a node knows of one service.
 #[derive(Clone, Debug, Default)]
 pub struct ServiceView {
     /// What its targets have to do, all together.
     pub load: Load,
-    /// The routes by which the requests began that reach its targets.
-    pub roots: HashSet<String>,
+    /// The routes by which the requests began that reach its targets, and how many of each run.
+    pub roots: HashMap<String, u32>,
+}
+
+/// What is known of a route by which requests begin.
+#[derive(Clone, Copy, Debug)]
+struct RootLevel {
+    /// The lowest level of the services that its requests reach.
+    level: f64,
+    /// The probability with which its requests are admitted at least.
+    reserved: f64,
 }
 
 /// Which requests are admitted.
@@ -50,8 +65,8 @@
 pub struct Overload {
     /// The levels of the services.
     levels: RefCell<HashMap<String, f64>>,
-    /// The lowest level of the services that requests of a route reach.
-    by_root: RefCell<HashMap<String, f64>>,
+    /// What is known of each route by which requests begin.
+    by_root: RefCell<HashMap<String, RootLevel>>,
 }
 
 impl Overload {
@@ -64,28 +79,57 @@
             let level = levels.entry(service.clone()).or_insert(top);
             *level = (*level + step(view.load)).clamp(LEVEL_MIN, top);
         }
-        let mut by_root = self.by_root.borrow_mut();
-        by_root.clear();
+        self.adjust_roots(services, &levels, top);
+    }
+
+    /// Adjusts what is known of each route.
+    fn adjust_roots(
+        &self,
+        services: &HashMap<String, ServiceView>,
+        levels: &HashMap<String, f64>,
+        top: f64,
+    ) {
+        let mut seen: HashMap<&str, (f64, f64)> = HashMap::new();
         for (service, view) in services {
             let level = levels.get(service).copied().unwrap_or(top);
-            for root in &view.roots {
-                let lowest = by_root.entry(root.clone()).or_insert(top);
-                *lowest = lowest.min(level);
+            let limit = f64::from(view.load.limit.max(1));
+            for (root, running) in &view.roots {
+                let (lowest, used) = seen.entry(root).or_insert((top, 0.0));
+                if level < *lowest {
+                    *lowest = level;
+                    *used = f64::from(*running) / limit;
+                }
             }
         }
+        let mut by_root = self.by_root.borrow_mut();
+        by_root.retain(|root, _| seen.contains_key(root.as_str()));
+        for (root, (level, used)) in seen {
+            let entry = by_root.entry(root.to_owned());
+            let known = entry.or_insert(RootLevel { level, reserved: 0.0 });
+            known.level = level;
+            let change = if used < RESERVED_SHARE { RESERVED_STEP } else { -RESERVED_STEP };
+            known.reserved = (known.reserved + change).clamp(0.0, 1.0);
+        }
     }
 
     /// Whether a request of a caller on `route` is admitted.
     pub fn admits(&self, route: &Route, rng: &mut impl Rng) -> bool {
-        let passing = self.level(route) - f64::from(route.rank);
+        let passing = self.passing(route);
         passing >= 1.0 || (passing > 0.0 && rng.random::<f64>() < passing)
     }
 
+    /// The probability with which a request of a caller on `route` is admitted.
+    pub fn passing(&self, route: &Route) -> f64 {
+        let by_level = self.level(route) - f64::from(route.rank);
+        let known = self.by_root.borrow().get(&*route.name).copied();
+        by_level.max(known.map_or(0.0, |known| known.reserved)).clamp(0.0, 1.0)
+    }
+
     /// The lowest level of the services that requests of `route` reach.
     pub fn level(&self, route: &Route) -> f64 {
         let levels = self.levels.borrow();
         let own = route.split.iter().filter_map(|share| levels.get(&share.service).copied());
-        let reached = self.by_root.borrow().get(&*route.name).copied();
+        let reached = self.by_root.borrow().get(&*route.name).map(|known| known.level);
         own.chain(reached).fold(f64::INFINITY, f64::min)
     }
 }
--- a/src/mesh/peers.rs
+++ b/src/mesh/peers.rs
@@ -57,7 +57,8 @@
 /// Serves a link that this node has dialled, until it ends.
 async fn run_link(node: &Rc<Node>, peer: &Rc<Peer>, stream: TcpStream) {
     let (link, reader) = Link::start(stream);
-    link.send(&Frame::Hello(node.hello()));
+    let left = peer.status.borrow().left.clone();
+    link.send(&Frame::Hello(node.hello(left)));
     let pinging = spawn_local(ping(Rc::clone(&link)));
     let take = |frame| match frame {
         Frame::Hello(hello) => {
@@ -74,7 +75,6 @@
             want_site(node, &status, &link);
             peer.take_status(status);
         }
-        Frame::Load(load) => peer.take_load(load),
         Frame::Site { document } => match node.take_document(&document) {
             Ok(_) => {}
             Err(error) => eprintln!("a peer sent a bad configuration: {error:#}"),
@@ -142,8 +142,11 @@
     let take = |frame| match frame {
         Frame::Hello(hello) => {
             take_hello(&node, &hello);
+            for id in &hello.left_instances {
+                node.target.leave(id);
+            }
             node.add_caller(&link);
-            link.send(&Frame::Hello(node.hello()));
+            link.send(&Frame::Hello(node.hello(Vec::new())));
         }
         Frame::Call(call) => {
             let id = call.id;
@@ -162,7 +165,7 @@
                 link.send(&Frame::Site { document: in_force.document });
             }
         }
-        Frame::Answer { .. } | Frame::Status(_) | Frame::Load(_) | Frame::Site { .. } => {}
+        Frame::Answer { .. } | Frame::Status(_) | Frame::Site { .. } => {}
     };
     link.read_all(reader, take).await;
     // Nobody can be told the answers any more.
--- a/src/mesh/settings.rs
+++ b/src/mesh/settings.rs
@@ -5,7 +5,7 @@
 use serde::Deserialize;
 
 /// Everything a node is told at its start, apart from what the platform's adapter reads.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct MeshSettings {
     /// Who the node is.
     pub node: NodeSection,
@@ -20,7 +20,7 @@
 }
 
 /// Who a node is.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct NodeSection {
     /// The name of its VM.
     pub name: String,
@@ -35,7 +35,7 @@
 }
 
 /// Where a node listens.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct ListenSection {
     /// For callers and for the target's own calls.
     pub callers: SocketAddr,
@@ -50,21 +50,21 @@
 }
 
 /// The target beside a node.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct TargetSection {
     /// Its address.
     pub address: SocketAddr,
 }
 
 /// How long things may take.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct TimingSection {
     /// How long a node that was told to stop may still run, in milliseconds.
     pub stop_grace_ms: u64,
 }
 
 /// How many more arrivals than requests a service may see, over all nodes together.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct RetrySection {
     /// Repeats as a share of requests.
     pub share: f64,
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -9,7 +9,7 @@
 mod store;
 mod watch;
 
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 
 use eyre::WrapErr;
@@ -25,20 +25,42 @@
 pub fn run() -> eyre::Result<()> {
     let path = std::env::var_os(SETTINGS_ENV)
         .ok_or_else(|| eyre::eyre!("the environment variable {SETTINGS_ENV} is not set"))?;
-    let settings = settings::read(Path::new(&path))?;
+    let path = PathBuf::from(path);
+    let settings = settings::read(&path)?;
+    end_at_panic();
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .wrap_err("the runtime cannot be started")?;
-    LocalSet::new().block_on(&runtime, run_node(settings))
+    LocalSet::new().block_on(&runtime, run_node(path, settings))
 }
 
-async fn run_node(settings: PlatformSettings) -> eyre::Result<()> {
+/// Ends the process at a panic: a node whose task is gone must not look alive.
+fn end_at_panic() {
+    let report = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        report(panic);
+        std::process::abort();
+    }));
+}
+
+/// Reads the settings file again. What a node was told at its start holds until its next start, so
+/// all that can be done is to say whether the file is valid.
+fn check_settings(path: &Path, node: &Node) {
+    match settings::read(path) {
+        Ok(read) if read.mesh == node.settings => println!("the settings file was read again"),
+        Ok(_) => println!("the settings file has changed; the change holds from the next start"),
+        Err(error) => eprintln!("the changed settings file is of no use: {error:#}"),
+    }
+}
+
+async fn run_node(path: PathBuf, settings: PlatformSettings) -> eyre::Result<()> {
     let PlatformSettings { mesh, store } = settings;
     let node = Rc::new(Node::new(mesh, names::vocabulary(), Box::new(read_document)));
     launch::start(&node).wrap_err("the node cannot listen")?;
     heartbeat::start(&node).wrap_err("the node cannot listen for its target")?;
     spawn_local(watch::watch_site(Rc::clone(&node), store.address));
     spawn_local(members::join(Rc::clone(&node), store.address));
-    launch::run_until_stopped(&node).await.wrap_err("signals cannot be heard")
+    let on_reload = || check_settings(&path, &node);
+    launch::run_until_stopped(&node, on_reload).await.wrap_err("signals cannot be heard")
 }
