--- a/src/mesh/gate.rs
+++ b/src/mesh/gate.rs
@@ -13,6 +13,9 @@
 /// The share of a target's slots that is used. Some targets slow down when nearly full (by 1.3 from
 /// 0.95 of their slots on), which costs more than the slots left free.
 const USED_SHARE: f64 = 0.94;
+/// How much waiting a rank outweighs. What was admitted at its entry is to be carried through: with
+/// strict ranks, admitted requests of low rank wait until they expire, and all they ran is wasted.
+const RANK_DELAY: Duration = Duration::from_millis(40);
 /// How many requests may wait, as a multiple of those that may run.
 const WAITING_PER_SLOT: usize = 4;
 
@@ -31,8 +34,8 @@
     typical_run_us: Cell<u64>,
 }
 
-/// A place in the queue: the rank first, then the order of arrival.
-type Place = (u8, u64);
+/// A place in the queue: the moment of arrival, put off by the rank, then the order of arrival.
+type Place = (Instant, u64);
 
 /// A request that waits.
 #[derive(Debug)]
@@ -103,7 +106,7 @@
         }
         let ticket = self.next_ticket.get();
         self.next_ticket.set(ticket + 1);
-        let place = (rank, ticket);
+        let place = (Instant::now() + RANK_DELAY * u32::from(rank), ticket);
         let (admitted, admission) = oneshot::channel();
         self.waiting.borrow_mut().insert(place, Waiter { since: Instant::now(), admitted });
         let _waiting = Waiting { gate: self, place };
--- a/src/mesh/ingress.rs
+++ b/src/mesh/ingress.rs
@@ -212,8 +212,10 @@
         }
         Ok(())
     };
-    let is_read = timeout_at(deadline, read_all).await;
-    is_read.unwrap_or_else(|_| Err(refusal(StatusCode::REQUEST_TIMEOUT, 0)))?;
+    let Ok(is_read) = timeout_at(deadline, read_all).await else {
+        return Err(refusal(StatusCode::REQUEST_TIMEOUT, 0));
+    };
+    is_read?;
     Ok(read.freeze())
 }
 
--- a/src/mesh/sender.rs
+++ b/src/mesh/sender.rs
@@ -87,7 +87,7 @@
         // What is known of an earlier attempt that may have run outlives a later refusal.
         let mut doubt = None;
         for _ in 0..OFFERS_MAX {
-            let Some(destination) = self.pick() else { break };
+            let Some(destination) = self.pick().or_else(|| self.pick_again()) else { break };
             last = self.attempt(&destination).await;
             if let CallEnd::MayHaveRun(found) = last {
                 doubt = Some(found);
@@ -107,6 +107,16 @@
         }
     }
 
+    /// A target that has had the request already, if there is no other.
+    fn pick_again(&mut self) -> Option<Destination> {
+        if self.arrivals == 0 {
+            return None;
+        }
+        self.tried.clear();
+        self.tried_own = false;
+        self.pick()
+    }
+
     /// The next target, if there is one.
     fn pick(&self) -> Option<Destination> {
         let node = self.node;
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -19,7 +19,7 @@
 use crate::mesh::node::Node;
 
 pub use document::read_document;
-pub use settings::{PlatformSettings, SETTINGS_ENV};
+pub use settings::{PlatformSettings, SETTINGS_ENV, parse as parse_settings};
 
 /// Runs a node on the platform until it is told to stop.
 pub fn run() -> eyre::Result<()> {
--- /dev/null
+++ b/tests/mesh/decisions.rs
@@ -0,0 +1,152 @@
+//! Routes, the queue, and what is admitted under overload.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use aspenspring::mesh::frame::Load;
+use aspenspring::mesh::gate::{Gate, GateError};
+use aspenspring::mesh::overload::{Overload, ServiceView};
+use aspenspring::mesh::site::{Limits, RouteKind, Site};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::sleep;
+
+use super::support::route;
+
+#[test]
+fn a_request_takes_the_route_of_its_host_with_the_longest_prefix() {
+    let mut routes = Vec::new();
+    for (name, prefix) in [("a", "/a/"), ("ab", "/a/b/"), ("abc", "/a/b/c/")] {
+        let mut route = route(name, "stock", RouteKind::Idempotent, 0);
+        prefix.clone_into(&mut route.prefix);
+        routes.push(route);
+    }
+    let site = Site::new(1, routes, HashMap::new(), Limits::default());
+    let name = |host, path| site.route(host, path).map(|route| route.name.to_string());
+    assert_eq!(name("shop.test", "/a/b/x").as_deref(), Some("ab"));
+    assert_eq!(name("SHOP.test:80", "/a/b/c/").as_deref(), Some("abc"));
+    assert_eq!(name("shop.test", "/a/bc").as_deref(), Some("a"));
+    assert_eq!(name("shop.test", "/a").as_deref(), None);
+    assert_eq!(name("other.test", "/a/b/x").as_deref(), None);
+}
+
+/// Runs a test of the queue on a paused clock.
+fn paused(test: impl Future<Output = ()>) {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    let runtime = builder.enable_all().start_paused(true).build().unwrap();
+    LocalSet::new().block_on(&runtime, test);
+}
+
+#[test]
+fn the_queue_prefers_rank_but_lets_nobody_wait_for_ever() {
+    paused(async {
+        let gate: Rc<Gate> = Rc::default();
+        gate.set_slots(1);
+        let running = gate.enter(0).await.unwrap();
+        let order = Rc::new(std::cell::RefCell::new(Vec::new()));
+        let wait = |rank, label: &'static str| {
+            let (gate, order) = (Rc::clone(&gate), Rc::clone(&order));
+            spawn_local(async move {
+                let slot = gate.enter(rank).await;
+                order.borrow_mut().push(label);
+                drop(slot);
+            });
+        };
+        wait(2, "early, unimportant");
+        sleep(Duration::from_millis(70)).await;
+        wait(2, "late, unimportant");
+        wait(0, "late, important");
+        sleep(Duration::from_millis(20)).await;
+        wait(0, "latest, important");
+        sleep(Duration::from_millis(1)).await;
+        drop(running);
+        sleep(Duration::from_millis(1)).await;
+        let order = order.borrow().clone();
+        let expected =
+            ["late, important", "early, unimportant", "latest, important", "late, unimportant"];
+        assert_eq!(order, expected);
+    });
+}
+
+#[test]
+fn a_request_that_gives_up_leaves_the_queue_and_a_closed_queue_refuses() {
+    paused(async {
+        let gate: Rc<Gate> = Rc::default();
+        gate.set_slots(1);
+        let running = gate.enter(0).await.unwrap();
+        let given_up = tokio::time::timeout(Duration::from_millis(5), gate.enter(0)).await;
+        assert!(given_up.is_err());
+        assert_eq!(gate.load().waiting, 0);
+        let waiting = spawn_local({
+            let gate = Rc::clone(&gate);
+            async move { gate.enter(0).await.map(drop) }
+        });
+        sleep(Duration::from_millis(1)).await;
+        gate.close();
+        assert_eq!(waiting.await.unwrap(), Err(GateError::Closed));
+        drop(running);
+        assert_eq!(gate.load().running, 0);
+    });
+}
+
+/// A service with the given work, reached by requests of the given routes.
+fn view(running: u32, waiting: u32, roots: &[(&str, u32)]) -> ServiceView {
+    let roots = roots.iter().map(|(name, running)| ((*name).to_owned(), *running)).collect();
+    ServiceView { load: Load { running, waiting, limit: 100, wait_ms: 0 }, roots }
+}
+
+/// The probabilities of admission for `browse` (rank 2), `look` (rank 1) and `confirm` (rank 0) of
+/// the service `page`, all of which reach `stock`, after that had the given work for `steps`.
+fn passing(overload: &Overload, stock: &ServiceView, steps: usize) -> [f64; 3] {
+    let roots = [("browse", 0), ("look", 0), ("confirm", 0)];
+    let services = HashMap::from([
+        ("page".to_owned(), view(10, 0, &roots)),
+        ("stock".to_owned(), stock.clone()),
+        ("other".to_owned(), view(10, 0, &[("upload", 10)])),
+    ]);
+    for _ in 0..steps {
+        overload.adjust(&services, 2);
+    }
+    let of = |name, rank| overload.passing(&route(name, "page", RouteKind::Idempotent, rank));
+    [of("browse", 2), of("look", 1), of("confirm", 0)]
+}
+
+#[test]
+fn the_least_important_routes_that_reach_a_busy_service_are_refused_first() {
+    let overload = Overload::default();
+    let busy = view(100, 200, &[("browse", 60), ("look", 20), ("confirm", 20)]);
+    let [browse, look, confirm] = passing(&overload, &busy, 4);
+    assert!(browse < 0.7, "{browse}");
+    assert_eq!((look, confirm), (1.0, 1.0));
+    let [browse, look, confirm] = passing(&overload, &busy, 7);
+    assert_eq!(browse, 0.0);
+    assert!(look < 1.0, "{look}");
+    assert_eq!(confirm, 1.0);
+    let upload = route("upload", "other", RouteKind::AtMostOnce, 2);
+    assert_eq!(overload.passing(&upload), 1.0, "it does not reach the busy service");
+    // Admission comes back once there is room.
+    let [browse, ..] = passing(&overload, &view(20, 0, &[("browse", 20)]), 60);
+    assert_eq!(browse, 1.0);
+}
+
+#[test]
+fn a_route_that_uses_little_of_a_busy_service_is_not_refused_for_it() {
+    let overload = Overload::default();
+    let busy = view(100, 200, &[("browse", 0), ("look", 5), ("confirm", 95)]);
+    let [_, look, confirm] = passing(&overload, &busy, 60);
+    assert_eq!(look, 1.0, "refusing it would make room for hardly anything");
+    assert!(confirm < 0.5, "{confirm}");
+    assert!(confirm > 0.0, "some pass, to see what becomes of them");
+    let heavy = view(100, 200, &[("browse", 0), ("look", 50), ("confirm", 50)]);
+    let [_, look, _] = passing(&overload, &heavy, 60);
+    assert_eq!(look, 0.0);
+}
+
+#[test]
+fn nothing_is_refused_before_anything_is_known() {
+    let overload = Overload::default();
+    let mut rng = SmallRng::seed_from_u64(1);
+    assert!(overload.admits(&route("browse", "page", RouteKind::Idempotent, 9), &mut rng));
+}
--- /dev/null
+++ b/tests/mesh/exchange.rs
@@ -0,0 +1,138 @@
+//! Answers of a target that are cut, spoilt, late or doubled.
+
+use std::net::SocketAddr;
+
+use aspenspring::mesh::http1::{Connection, ExchangeError, Reply};
+use http::Method;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+
+use super::support::run;
+
+const HEAD: &[u8] = b"GET / HTTP/1.1\r\nhost: t\r\n\r\n";
+
+/// A server that writes `answers` one after the other: each once something was read.
+async fn serve(answers: Vec<&'static [u8]>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    spawn_local(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        for answer in answers {
+            let mut scratch = [0; 4096];
+            if !matches!(stream.read(&mut scratch).await, Ok(read) if read > 0) {
+                return;
+            }
+            stream.write_all(answer).await.unwrap();
+        }
+    });
+    address
+}
+
+async fn exchange(connection: &mut Connection, id: &str) -> Result<Reply, ExchangeError> {
+    connection
+        .exchange(&Method::GET, HEAD, b"", |reply| reply.header("x-attempt") == Some(id))
+        .await
+}
+
+async fn first(answer: &'static [u8]) -> Result<Reply, ExchangeError> {
+    let address = serve(vec![answer]).await;
+    let mut connection = Connection::open(address).await.unwrap();
+    exchange(&mut connection, "1").await
+}
+
+#[test]
+fn whole_answers_of_each_framing_are_taken() {
+    run(async {
+        let reply = first(b"HTTP/1.1 200 OK\r\nX-Attempt: 1\r\ncontent-length: 2\r\n\r\nok").await;
+        let reply = reply.unwrap();
+        assert_eq!((&reply.body[..], reply.is_reusable), (&b"ok"[..], true));
+        let chunked = b"HTTP/1.1 200 OK\r\nx-attempt: 1\r\ntransfer-encoding: chunked\r\n\r\n\
+                        2\r\nok\r\n1\r\n!\r\n0\r\nx-sum: 3\r\n\r\n";
+        assert_eq!(&first(chunked).await.unwrap().body[..], b"ok!");
+        let reply = first(b"HTTP/1.1 200 OK\r\nx-attempt: 1\r\n\r\nto the end").await.unwrap();
+        assert_eq!((&reply.body[..], reply.is_reusable), (&b"to the end"[..], false));
+        let interim = b"HTTP/1.1 100 C\r\n\r\nHTTP/1.1 204 N\r\nx-attempt: 1\r\n\r\n";
+        assert_eq!(first(interim).await.unwrap().status, 204);
+    });
+}
+
+#[test]
+fn answers_that_are_cut_or_spoilt_are_errors() {
+    run(async {
+        for answer in [
+            &b"HTTP/1.1 200 OK\r\nx-attempt: 1\r\ncontent-length: 9\r\n\r\nok"[..],
+            b"HTTP/1.1 200 OK\r\nx-attempt: 1\r\n",
+            b"HTTP/1.1 200 OK\r\nx-attempt: 1\r\ntransfer-encoding: chunked\r\n\r\n9\r\nok",
+            b"HTTP/1.1 200 OK\r\nx-attempt: 1\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n",
+            b"HTTP/1.1 200 OK\r\nx-attempt: 1\r\ncontent-length: 99999999999\r\n\r\n",
+            b"\x00\x01\x02 this is nothing\r\n\r\n",
+        ] {
+            let text = String::from_utf8_lossy(answer).into_owned();
+            assert!(first(answer).await.is_err(), "taken as whole: {text}");
+        }
+    });
+}
+
+#[test]
+fn a_late_second_answer_is_skipped_and_the_right_one_taken() {
+    run(async {
+        let address = serve(vec![
+            b"HTTP/1.1 200 OK\r\nx-attempt: 1\r\ncontent-length: 3\r\n\r\none",
+            b"HTTP/1.1 200 OK\r\nx-attempt: 1\r\ncontent-length: 3\r\n\r\none\
+              HTTP/1.1 200 OK\r\nx-attempt: 2\r\ncontent-length: 3\r\n\r\ntwo",
+        ])
+        .await;
+        let mut connection = Connection::open(address).await.unwrap();
+        assert_eq!(&exchange(&mut connection, "1").await.unwrap().body[..], b"one");
+        assert!(connection.is_usable());
+        assert_eq!(&exchange(&mut connection, "2").await.unwrap().body[..], b"two");
+    });
+}
+
+#[test]
+fn a_connection_on_which_something_came_unasked_is_not_used_again() {
+    run(async {
+        let address = serve(vec![
+            b"HTTP/1.1 200 OK\r\nx-attempt: 1\r\ncontent-length: 3\r\n\r\noneHTTP/1.1 200 OK\r\n",
+        ])
+        .await;
+        let mut connection = Connection::open(address).await.unwrap();
+        exchange(&mut connection, "1").await.unwrap();
+        assert!(!connection.is_usable());
+    });
+}
+
+#[test]
+fn a_connection_is_not_used_past_the_time_its_peer_keeps_it() {
+    run(async {
+        let address = serve(vec![
+            b"HTTP/1.1 200 OK\r\nx-attempt: 1\r\nkeep-alive: timeout=0\r\ncontent-length: 0\r\n\r\n",
+            b"",
+        ])
+        .await;
+        let mut connection = Connection::open(address).await.unwrap();
+        exchange(&mut connection, "1").await.unwrap();
+        assert!(!connection.is_usable());
+    });
+}
+
+#[test]
+fn an_answer_before_the_body_was_written_ends_the_use_of_the_connection() {
+    run(async {
+        let early = b"HTTP/1.1 400 X\r\nx-attempt: 1\r\ncontent-length: 0\r\n\r\n";
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        spawn_local(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            stream.write_all(early).await.unwrap();
+            // Reads nothing, and keeps the connection.
+            std::future::pending::<()>().await;
+        });
+        let mut connection = Connection::open(address).await.unwrap();
+        let body = vec![b'x'; 16 * 1024 * 1024];
+        let is_mine = |reply: &Reply| reply.header("x-attempt") == Some("1");
+        let reply = connection.exchange(&Method::POST, HEAD, &body, is_mine).await.unwrap();
+        assert_eq!((reply.status, reply.is_reusable), (400, false));
+    });
+}
--- /dev/null
+++ b/tests/mesh/main.rs
@@ -0,0 +1,9 @@
+//! The call path: its decisions by themselves, and whole nodes on loopback with stand-in targets.
+
+mod decisions;
+mod exchange;
+mod nodes;
+mod properties;
+mod stop;
+mod support;
+mod targets;
--- /dev/null
+++ b/tests/mesh/nodes.rs
@@ -0,0 +1,196 @@
+//! Whole nodes: who gets a request, what the target sees, what the caller is told.
+
+use std::time::Duration;
+
+use aspenspring::mesh::target::TargetState;
+use tokio::io::AsyncWriteExt;
+use tokio::time::sleep;
+
+use super::support::{
+    Reaction, acquaint, ask, connect, header, heartbeat, read_message, request, run, start, status,
+};
+
+const FAST: Reaction = Reaction::Answer(200, 0);
+
+#[test]
+fn a_request_reaches_the_target_of_another_node_and_its_answer_comes_back() {
+    run(async {
+        let entry = start("page-1", "page", vec![FAST]).await;
+        let other = start("stock-1", "stock", vec![FAST]).await;
+        acquaint(&entry, &other).await;
+        let text = "POST /book/7?x=1 HTTP/1.1\r\nhost: shop.test\r\nx-attempt: a1\r\n\
+                    x-calling: forged\r\nx-expected: forged\r\nx-other: kept\r\n\
+                    x-deadline: 900\r\ncontent-length: 5\r\n\r\nhello";
+        let answer = ask(&entry, text).await;
+        assert_eq!(status(&answer), 200);
+        assert!(answer.ends_with("stock-1"), "{answer}");
+        assert_eq!(header(&answer, "x-signature").as_deref(), Some("stock-1"));
+        let seen = other.target.seen.borrow()[0].clone();
+        assert!(seen.starts_with("POST /book/7?x=1 HTTP/1.1\r\n"), "{seen}");
+        assert!(seen.ends_with("\r\n\r\nhello"), "{seen}");
+        assert_eq!(header(&seen, "x-attempt").as_deref(), Some("a1"));
+        assert_eq!(header(&seen, "x-calling").as_deref(), Some("page"));
+        assert_eq!(header(&seen, "x-expected").as_deref(), Some("stock-1"));
+        assert_eq!(header(&seen, "x-other").as_deref(), Some("kept"));
+        let left_ms: u64 = header(&seen, "x-deadline").unwrap().parse().unwrap();
+        assert!(left_ms <= 900, "more time than is left: {left_ms}");
+        assert_eq!(entry.target.arrivals(), 0);
+    });
+}
+
+#[test]
+fn a_path_without_a_route_is_not_found_and_one_with_a_route_but_no_target_is_not_run() {
+    run(async {
+        let entry = start("page-1", "page", vec![FAST]).await;
+        assert_eq!(status(&ask(&entry, &request("nowhere", "a1")).await), 404);
+        let answer = ask(&entry, &request("book", "a2")).await;
+        assert_eq!(status(&answer), 503);
+        assert!(header(&answer, "retry-after").is_some(), "{answer}");
+    });
+}
+
+#[test]
+fn what_may_run_once_is_not_sent_again_after_a_broken_answer() {
+    run(async {
+        let first = start("stock-1", "stock", vec![Reaction::Break]).await;
+        let second = start("stock-2", "stock", vec![Reaction::Break]).await;
+        acquaint(&first, &second).await;
+        let answer = ask(&first, &request("book", "a1")).await;
+        assert_eq!(status(&answer), 502, "it may have run, so it is not refused");
+        assert_eq!(first.target.arrivals() + second.target.arrivals(), 1);
+    });
+}
+
+#[test]
+fn a_read_is_sent_to_another_target_after_a_broken_answer_while_the_budget_lasts() {
+    run(async {
+        let first = start("stock-1", "stock", vec![FAST]).await;
+        let second = start("stock-2", "stock", vec![FAST]).await;
+        acquaint(&first, &second).await;
+        for number in 0..60 {
+            let answer = ask(&first, &request("read", &format!("a{number}"))).await;
+            assert_eq!(status(&answer), 200);
+        }
+        first.target.reactions.replace(vec![Reaction::Break, FAST]);
+        let before = first.target.arrivals();
+        for number in 0.. {
+            assert_eq!(status(&ask(&first, &request("read", &format!("b{number}"))).await), 200);
+            if first.target.arrivals() > before {
+                break;
+            }
+        }
+    });
+}
+
+#[test]
+fn a_read_is_sent_to_the_only_target_again() {
+    run(async {
+        let entry = start("stock-1", "stock", vec![FAST]).await;
+        for number in 0..30 {
+            ask(&entry, &request("read", &format!("a{number}"))).await;
+        }
+        entry.target.reactions.replace(vec![Reaction::Break, FAST]);
+        assert_eq!(status(&ask(&entry, &request("read", "b1")).await), 200);
+        assert_eq!(entry.target.arrivals(), 32);
+    });
+}
+
+#[test]
+fn a_request_that_a_target_declined_is_refused_and_not_failed() {
+    run(async {
+        let entry = start("stock-1", "stock", vec![Reaction::Decline]).await;
+        let answer = ask(&entry, &request("book", "a1")).await;
+        assert_eq!(status(&answer), 503);
+        assert!(header(&answer, "retry-after").is_some());
+    });
+}
+
+#[test]
+fn a_target_that_fails_with_a_status_that_promises_not_run_is_not_believed() {
+    run(async {
+        let entry = start("stock-1", "stock", vec![Reaction::Answer(503, 0)]).await;
+        let answer = ask(&entry, &request("book", "a1")).await;
+        assert_eq!(status(&answer), 502, "the target did not say that it had not run");
+        assert_eq!(header(&answer, "x-signature"), None, "another status than the target gave");
+    });
+}
+
+#[test]
+fn a_draining_target_gets_nothing_more_and_its_requests_go_elsewhere() {
+    run(async {
+        let first = start("stock-1", "stock", vec![FAST]).await;
+        let second = start("stock-2", "stock", vec![FAST]).await;
+        acquaint(&first, &second).await;
+        let mut draining = heartbeat("stock-1", "stock", 2);
+        draining.state = TargetState::Draining;
+        first.node.target.take_heartbeat(&draining);
+        for number in 0..10 {
+            // The second node has not been told; the first one still refuses.
+            for node in [&first, &second] {
+                let answer = ask(node, &request("book", &format!("a{number}"))).await;
+                assert_eq!(status(&answer), 200);
+            }
+        }
+        assert_eq!(first.target.arrivals(), 0);
+        assert_eq!(second.target.arrivals(), 20);
+    });
+}
+
+#[test]
+fn a_caller_that_leaves_ends_the_work_at_the_target() {
+    run(async {
+        let entry = start("page-1", "page", vec![FAST]).await;
+        let other = start("stock-1", "stock", vec![Reaction::Answer(200, 60_000)]).await;
+        acquaint(&entry, &other).await;
+        let mut caller = connect(&entry).await;
+        caller.write_all(request("read", "a1").as_bytes()).await.unwrap();
+        while other.target.arrivals() == 0 {
+            sleep(Duration::from_millis(5)).await;
+        }
+        drop(caller);
+        while other.target.cut_off.get() == 0 {
+            sleep(Duration::from_millis(5)).await;
+        }
+        assert_eq!(other.node.target.load().running, 0);
+        assert_eq!(entry.node.in_flight.get(), 0);
+    });
+}
+
+#[test]
+fn a_request_past_its_route_s_time_gets_its_answer_though_the_target_goes_on() {
+    run(async {
+        let entry = start("stock-1", "stock", vec![Reaction::Answer(200, 60_000)]).await;
+        let answer = ask(&entry, &request("hasty", "a1")).await;
+        assert_eq!(status(&answer), 504);
+    });
+}
+
+#[test]
+fn calls_of_a_target_are_told_from_those_of_callers() {
+    run(async {
+        let entry = start("stock-1", "stock", vec![Reaction::Answer(200, 400)]).await;
+        let mut caller = connect(&entry).await;
+        caller.write_all(request("read", "a1").as_bytes()).await.unwrap();
+        while entry.target.arrivals() == 0 {
+            sleep(Duration::from_millis(5)).await;
+        }
+        let parent = entry.node.ancestry.parent("a1.b2").expect("the target runs a1");
+        assert_eq!((&*parent.root, parent.rank), ("read", 1));
+        assert!(entry.node.ancestry.parent("a1x.b2").is_none());
+        assert!(entry.node.ancestry.parent("a1").is_none());
+        read_message(&mut caller).await.expect("an answer");
+        assert!(entry.node.ancestry.parent("a1.b2").is_none(), "it has ended");
+    });
+}
+
+#[test]
+fn another_incarnation_at_the_address_does_not_run_what_was_meant_for_the_first() {
+    run(async {
+        let misdirect = Reaction::Misdirect("stock-1b".to_owned());
+        let entry = start("stock-1", "stock", vec![misdirect, FAST]).await;
+        assert_eq!(status(&ask(&entry, &request("book", "a1")).await), 503);
+        assert!(entry.node.target.current().is_none(), "the one that answered is not known");
+        entry.node.target.take_heartbeat(&heartbeat("stock-1b", "stock", 1));
+        assert_eq!(status(&ask(&entry, &request("book", "a2")).await), 200);
+    });
+}
--- /dev/null
+++ b/tests/mesh/properties.rs
@@ -0,0 +1,151 @@
+//! What holds for any input.
+
+use std::rc::Rc;
+
+use aspenspring::mesh::budget::RetryBudgets;
+use aspenspring::mesh::frame::{self, Call, CallEnd, Doubt, Frame, Load, TargetAnswer};
+use aspenspring::mesh::gate::Gate;
+use aspenspring::mesh::settings::RetrySection;
+use aspenspring::mesh::site::{RouteKind, Share};
+use aspenspring::mesh::split::Splitter;
+use bytes::BytesMut;
+use futures_util::FutureExt;
+use proptest::collection::vec;
+use proptest::prelude::*;
+
+use super::support::route;
+
+fn frames() -> impl Strategy<Value = Frame> {
+    let bytes = || vec(any::<u8>(), 0..300);
+    let call = (bytes(), bytes(), any::<u32>()).prop_map(|(head, body, remaining_ms)| {
+        Frame::Call(Call {
+            id: 7,
+            service: "stock".to_owned(),
+            attempt_id: "a.b".to_owned(),
+            remaining_ms,
+            root: "browse".to_owned(),
+            rank: 2,
+            head_only: false,
+            head: head.into(),
+            body: body.into(),
+        })
+    });
+    let answer = (any::<u16>(), bytes(), any::<u64>()).prop_map(|(status, body, id)| {
+        let answer = TargetAnswer { status, headers: "a: b\r\n".into(), body: body.into() };
+        Frame::Answer { id, end: CallEnd::Answered(answer), load: Load::default() }
+    });
+    let lost = any::<u64>().prop_map(|id| Frame::Answer {
+        id,
+        end: CallEnd::MayHaveRun(Doubt::Timeout),
+        load: Load { running: 1, waiting: 2, limit: 3, wait_ms: 4 },
+    });
+    prop_oneof![call, answer, lost, Just(Frame::Ping), Just(Frame::SiteWanted)]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(8), ..ProptestConfig::default() })]
+
+    /// However a stream of frames is cut into reads, the same frames come out.
+    #[test]
+    fn frames_survive_any_cut(sent in vec(frames(), 1..8), cut in 1_usize..200) {
+        let mut stream = BytesMut::new();
+        for frame in &sent {
+            frame::encode(frame, &mut stream);
+        }
+        let mut buffer = BytesMut::new();
+        let mut received = Vec::new();
+        for part in stream.chunks(cut) {
+            buffer.extend_from_slice(part);
+            while let Some(frame) = frame::decode(&mut buffer).unwrap() {
+                received.push(frame);
+            }
+        }
+        prop_assert_eq!(received, sent);
+        prop_assert!(buffer.is_empty());
+    }
+
+    /// Bytes that are no frame are an error or wait for more; they never end the process.
+    #[test]
+    fn any_bytes_are_refused_or_wait(bytes in vec(any::<u8>(), 0..400)) {
+        let mut buffer = BytesMut::from(&bytes[..]);
+        while let Ok(Some(_)) = frame::decode(&mut buffer) {}
+    }
+
+    /// The share of each service never differs from its weight by more than one request for each.
+    #[test]
+    fn shares_hold_for_any_number_of_requests(weights in vec(1_u32..100, 2..5), count in 1_u32..600) {
+        let mut route = route("split", "stock", RouteKind::Idempotent, 0);
+        route.split = Vec::new();
+        for (index, weight) in weights.iter().enumerate() {
+            route.split.push(Share { service: format!("s{index}"), weight: *weight });
+        }
+        let splitter = Splitter::default();
+        let mut given = vec![0_u32; weights.len()];
+        for _ in 0..count {
+            given[splitter.next(&route)] += 1;
+        }
+        let total: u32 = weights.iter().sum();
+        for (given, weight) in given.iter().zip(&weights) {
+            let owed = f64::from(count) * f64::from(*weight) / f64::from(total);
+            prop_assert!((f64::from(*given) - owed).abs() <= weights.len() as f64);
+        }
+    }
+
+    /// Never do more requests run than there are slots, and none is lost, whatever comes and goes.
+    #[test]
+    fn the_queue_keeps_to_the_slots(steps in vec((0_u8..4, 0_u8..3), 1..120), slots in 1_u32..12) {
+        let gate: Rc<Gate> = Rc::default();
+        gate.set_slots(slots);
+        let limit = gate.load().limit;
+        let mut waiting = Vec::new();
+        let mut running = Vec::new();
+        for (step, rank) in steps {
+            match step {
+                0 | 1 => waiting.push(Box::pin({
+                    let gate = Rc::clone(&gate);
+                    async move { gate.enter(rank).await }
+                })),
+                2 if !running.is_empty() => drop(running.remove(0)),
+                3 if !waiting.is_empty() => drop(waiting.remove(0)),
+                _ => {}
+            }
+            let mut still = Vec::new();
+            for mut request in waiting {
+                match request.as_mut().now_or_never() {
+                    Some(Ok(slot)) => running.push(slot),
+                    Some(Err(_)) => {}
+                    None => still.push(request),
+                }
+            }
+            waiting = still;
+            prop_assert!(running.len() as u32 <= limit);
+            prop_assert_eq!(gate.load().running, running.len() as u32);
+            prop_assert_eq!(gate.load().waiting, waiting.len() as u32);
+            prop_assert!(waiting.is_empty() || running.len() as u32 == limit);
+        }
+    }
+
+    /// Over a chain of four levels in which every failed call is repeated while a budget lasts, the
+    /// repeats that reach the last level keep to the share that is allowed.
+    #[test]
+    fn repeats_of_repeats_keep_to_the_share(fanout in 1_u32..4, requests in 200_u32..400) {
+        let share = 0.2;
+        let budgets = RetryBudgets::new(&RetrySection { share, slack: 49.0, window_ms: 10_000 });
+        let mut arrivals = f64::from(requests);
+        let mut first = f64::from(requests);
+        for level in 0..4 {
+            let service = format!("level-{level}");
+            let mut repeats = 0.0;
+            for _ in 0..arrivals as u32 {
+                budgets.earn(&service);
+                if budgets.try_take(&service) {
+                    repeats += 1.0;
+                }
+            }
+            arrivals += repeats;
+            prop_assert!(arrivals <= first * (1.0 + share) + 2.0 * f64::from(fanout).powi(level));
+            arrivals *= f64::from(fanout);
+            first *= f64::from(fanout);
+        }
+    }
+}
--- /dev/null
+++ b/tests/mesh/stop.rs
@@ -0,0 +1,71 @@
+//! A planned stop cuts nothing off.
+
+use std::time::Duration;
+
+use tokio::io::AsyncWriteExt;
+use tokio::time::sleep;
+
+use super::support::{
+    GRACE_MS, Reaction, acquaint, ask, connect, header, read_message, request, run, start, status,
+};
+
+#[test]
+fn an_answer_arrives_though_another_request_waits_behind_it() {
+    run(async {
+        let entry = start("stock-1", "stock", vec![Reaction::Answer(200, 150)]).await;
+        let mut caller = connect(&entry).await;
+        caller.write_all(request("read", "a1").as_bytes()).await.unwrap();
+        while entry.target.arrivals() == 0 {
+            sleep(Duration::from_millis(5)).await;
+        }
+        entry.node.stop();
+        // Long enough that not all of it is read before the connection is closed.
+        let behind = format!(
+            "GET /read/2 HTTP/1.1\r\nhost: shop.test\r\nx-attempt: a2\r\nx-pad: {}\r\n\r\n",
+            "x".repeat(3_000)
+        );
+        for _ in 0..60 {
+            caller.write_all(behind.as_bytes()).await.unwrap();
+        }
+        sleep(Duration::from_millis(300)).await;
+        let answer = read_message(&mut caller).await.expect("the answer arrives");
+        assert_eq!(status(&answer), 200);
+        assert_eq!(header(&answer, "connection").as_deref(), Some("close"));
+        assert_eq!(read_message(&mut caller).await, None, "closed behind the answer");
+        assert_eq!(entry.target.arrivals(), 1, "nothing behind it was passed on");
+    });
+}
+
+#[test]
+fn a_stopping_node_finishes_what_it_has_and_gets_nothing_from_others() {
+    run(async {
+        let entry = start("page-1", "page", vec![Reaction::Answer(200, 0)]).await;
+        let leaving = start("stock-1", "stock", vec![Reaction::Answer(200, 200)]).await;
+        acquaint(&entry, &leaving).await;
+        let mut caller = connect(&entry).await;
+        caller.write_all(request("book", "a1").as_bytes()).await.unwrap();
+        while leaving.target.arrivals() == 0 {
+            sleep(Duration::from_millis(5)).await;
+        }
+        leaving.node.stop();
+        assert!(!leaving.node.is_ready());
+        let answer = read_message(&mut caller).await.expect("an answer");
+        assert_eq!(status(&answer), 200);
+        assert_eq!(status(&ask(&entry, &request("book", "a2")).await), 503);
+        assert_eq!(leaving.target.arrivals(), 1);
+    });
+}
+
+#[test]
+fn a_node_about_to_end_refuses_what_it_could_not_finish() {
+    run(async {
+        let entry = start("stock-1", "stock", vec![Reaction::Answer(200, 0)]).await;
+        entry.node.stop();
+        assert!(!entry.node.is_closing());
+        sleep(Duration::from_millis(GRACE_MS / 2 + 50)).await;
+        let answer = ask(&entry, &request("read", "a1")).await;
+        assert_eq!(status(&answer), 503);
+        assert!(header(&answer, "retry-after").is_some());
+        assert_eq!(entry.target.arrivals(), 0);
+    });
+}
--- /dev/null
+++ b/tests/mesh/targets.rs
@@ -0,0 +1,59 @@
+//! What a target says about itself, also late and out of order.
+
+use aspenspring::mesh::target::{Target, TargetState};
+
+use super::support::heartbeat;
+
+fn target() -> Target {
+    Target::new("127.0.0.1:9".parse().unwrap())
+}
+
+fn current(target: &Target) -> Option<String> {
+    target.current().map(|instance| instance.id.clone())
+}
+
+#[test]
+fn a_heartbeat_that_was_overtaken_changes_nothing() {
+    let target = target();
+    assert!(target.take_heartbeat(&heartbeat("one", "stock", 5)));
+    assert!(!target.take_heartbeat(&heartbeat("one", "page", 4)));
+    assert_eq!(target.current().unwrap().service, "stock");
+}
+
+#[test]
+fn a_late_heartbeat_of_an_incarnation_that_is_gone_does_not_replace_the_present_one() {
+    let target = target();
+    target.take_heartbeat(&heartbeat("old", "stock", 7));
+    target.take_heartbeat(&heartbeat("new", "page", 1));
+    assert!(!target.take_heartbeat(&heartbeat("old", "stock", 6)));
+    assert_eq!(current(&target).as_deref(), Some("new"));
+}
+
+#[test]
+fn the_incarnation_that_answers_is_the_one_to_go_by() {
+    let target = target();
+    target.take_heartbeat(&heartbeat("new", "page", 1));
+    // Held up since before this node's start, so nothing shows that it is late.
+    target.take_heartbeat(&heartbeat("old", "stock", 7));
+    assert_eq!(current(&target).as_deref(), Some("old"));
+    assert!(target.take_sighting("new"));
+    assert_eq!(current(&target).as_deref(), Some("new"));
+    assert!(target.take_sighting("never heard of"));
+    assert_eq!(current(&target), None);
+}
+
+#[test]
+fn an_incarnation_that_has_left_never_comes_back() {
+    let target = target();
+    target.take_heartbeat(&heartbeat("one", "stock", 1));
+    let mut draining = heartbeat("one", "stock", 2);
+    draining.state = TargetState::Draining;
+    assert!(target.take_heartbeat(&draining));
+    assert_eq!(current(&target), None);
+    assert!(!target.take_heartbeat(&heartbeat("one", "stock", 3)));
+    assert!(target.take_heartbeat(&heartbeat("two", "stock", 1)));
+    // A late farewell of the first one does not concern the second.
+    assert!(!target.leave("one"));
+    assert_eq!(current(&target).as_deref(), Some("two"));
+    assert_eq!(target.left(), ["one"]);
+}
