Log the end of requests and what a node believes; serve metrics on the call path

Cause: an on-call engineer had nothing to go by on the users' machines. Change: numbered events 1000 to 1041 (start, reload, target, links, end of a request and of a call, with the inputs that decided), at most 200 lines of requests in 10 s and one in 500 of those that went well; counters, latencies and the state on the metrics address. What nothing used is gone (services of a configuration, slack and window of the budget); the longest head is enforced.

--- a/extra/aspenspring.bash
+++ b/extra/aspenspring.bash
@@ -18,6 +18,9 @@
             node)
                 cmd="aspenspring_node"
                 ;;
+            mesh)
+                cmd="aspenspring_mesh"
+                ;;
             check)
                 cmd="aspenspring_check"
                 ;;
@@ -84,7 +87,7 @@
     case "${cmd}" in
         aspenspring)
             opts="--help"
-            cmds="node check settings submit show list status leave compare replay schema completions manual standin"
+            cmds="node mesh check settings submit show list status leave compare replay schema completions manual standin"
             case "${prev}" in
                 *)
                     COMPREPLY=( $(compgen -W "${opts} ${cmds}" -- "${cur}") )
@@ -109,6 +112,15 @@
                     ;;
             esac
             ;;
+        aspenspring_mesh)
+            opts="--help"
+            case "${prev}" in
+                *)
+                    COMPREPLY=( $(compgen -W "${opts} ${cmds}" -- "${cur}") )
+                    return 0
+                    ;;
+            esac
+            ;;
         aspenspring_check)
             opts="--help --settings --rules --document --site --json"
             case "${prev}" in
--- a/extra/aspenspring.fish
+++ b/extra/aspenspring.fish
@@ -43,6 +43,7 @@
 
 complete -c aspenspring -n '__fish_aspenspring_using_command' -f -l help -d 'display usage information'
 complete -c aspenspring -n '__fish_aspenspring_using_command' -f -a 'node' -d 'Run the node beside one target until it is told to leave.'
+complete -c aspenspring -n '__fish_aspenspring_using_command' -f -a 'mesh' -d 'Run the node beside one target on the users\' platform, until it is told to stop. Its settings are in the file that the environment variable `ASPENSPRING_CONFIG` names.'
 complete -c aspenspring -n '__fish_aspenspring_using_command' -f -a 'check' -d 'Check settings, or rules alone, and name everything that is wrong.'
 complete -c aspenspring -n '__fish_aspenspring_using_command' -f -a 'settings' -d 'Print the settings in effect with the origin of each value.'
 complete -c aspenspring -n '__fish_aspenspring_using_command' -f -a 'submit' -d 'Submit a configuration for all sites; it comes into force everywhere, or is refused.'
@@ -59,6 +60,7 @@
 complete -c aspenspring -n '__fish_aspenspring_using_command node' -f -l help -d 'display usage information'
 complete -c aspenspring -n '__fish_aspenspring_using_command node' -f -l settings -r -d 'a file of settings; the base first, then each overlay'
 complete -c aspenspring -n '__fish_aspenspring_using_command node' -f -l record -r -d 'a new file that gets everything the node is told, for `replay`'
+complete -c aspenspring -n '__fish_aspenspring_using_command mesh' -f -l help -d 'display usage information'
 complete -c aspenspring -n '__fish_aspenspring_using_command check' -f -l help -d 'display usage information'
 complete -c aspenspring -n '__fish_aspenspring_using_command check' -f -l settings -r -d 'a file of settings; the base first, then each overlay'
 complete -c aspenspring -n '__fish_aspenspring_using_command check' -f -l rules -r -d 'a file with the rules of one site alone'
--- a/src/event.rs
+++ b/src/event.rs
@@ -353,6 +353,109 @@
         /// Spans dropped since it was away.
         dropped_spans: u64,
     }
+    /// A node of the mesh has started.
+    1000 Info MeshStarted {
+        /// The name of its VM.
+        node_name: String,
+        /// The failure domain of the VM.
+        failure_domain: String,
+        /// The service of the target beside it, as the settings say.
+        service: String,
+        /// The version of the program.
+        version: &'static str,
+    }
+    /// The settings file was read again.
+    1001 Info SettingsReread {
+        /// `unchanged`, `from_next_start` or `refused`.
+        outcome: &'static str,
+        /// What is wrong with them; empty where nothing is.
+        detail: String,
+    }
+    /// Something that another process sent could not be used.
+    1002 Warning InputRefused {
+        /// What it was: `heartbeat`, `configuration` or `connection`.
+        input: &'static str,
+        /// What is wrong with it.
+        detail: String,
+    }
+    /// What is believed of the target beside the node has changed.
+    1010 Info TargetChanged {
+        /// The incarnation that takes work; empty where there is none.
+        instance: String,
+        /// Its service.
+        service: String,
+        /// `ready`, `cold` or `none`.
+        state: &'static str,
+        /// What was learnt: `heartbeat`, `farewell`, `refused_connection` or `other_incarnation`.
+        learned_from: &'static str,
+        /// How many requests it may run at once.
+        limit: u32,
+    }
+    /// Another node can be called.
+    1020 Info LinkUp {
+        /// Its address.
+        peer: SocketAddr,
+        /// The service of its target.
+        service: String,
+        /// The version of its configuration.
+        config_version: u64,
+    }
+    /// Another node can no longer be called.
+    1021 Warning LinkLost {
+        /// Its address.
+        peer: SocketAddr,
+        /// Calls that waited for its answer; they may have run.
+        waiting: u32,
+        /// How long nothing had been heard of it, in milliseconds.
+        silent_ms: u64,
+        /// What was noticed.
+        detail: String,
+    }
+    /// A request got its final answer: one that was refused, failed, repeated or late, or one of the
+    /// few others that are written as a sample.
+    1040 Info RequestEnded {
+        /// The id of the caller's attempt.
+        attempt: String,
+        /// The route by which a caller's request began it all.
+        root: String,
+        /// The service that was chosen; empty where none was.
+        service: String,
+        /// `answered`, `not_run` or `may_have_run`.
+        verdict: &'static str,
+        /// Why, where it was not answered: the reason's name.
+        reason: &'static str,
+        /// The status that the caller got.
+        status: u32,
+        /// The nodes it was offered to, in order; `own` is this one.
+        offered: String,
+        /// How often it reached a target.
+        arrivals: u32,
+        /// The probability of admission of its route at its end, in hundredths.
+        admitted_percent: u32,
+        /// The version of the configuration by which it was routed.
+        config_version: u64,
+        /// How long it took, in milliseconds.
+        took_ms: u64,
+    }
+    /// A call of another node was refused, or its target failed it.
+    1041 Info CallEnded {
+        /// The id of the caller's attempt.
+        attempt: String,
+        /// The route by which a caller's request began it all.
+        root: String,
+        /// `answered`, `not_run` or `may_have_run`.
+        verdict: &'static str,
+        /// Why, where it was not answered: the reason's name.
+        reason: &'static str,
+        /// How long it waited and ran, in milliseconds.
+        took_ms: u64,
+        /// Requests that the target was running at its end.
+        running: u32,
+        /// Requests that waited for the target at its end.
+        waiting: u32,
+        /// How many the target may run at once.
+        limit: u32,
+    }
 }
 
 impl LogEvent {
--- a/src/event/flood.rs
+++ b/src/event/flood.rs
@@ -7,6 +7,11 @@
 
 /// Length of the window in which repetitions are counted, in microseconds.
 const WINDOW_US: u64 = 10 * US_PER_S;
+/// How often an event of one request is written in a window: more than others, as the trail of a
+/// request is what explains its failure.
+const REQUESTS_PER_WINDOW: u32 = 200;
+/// The numbers of events of one request.
+const REQUEST_NUMBERS: std::ops::Range<u16> = 1_040..1_050;
 /// How often one kind of event is written in a window.
 const WRITTEN_PER_WINDOW: u32 = 20;
 
@@ -43,7 +48,9 @@
             window.start_us = now_us;
             window.written = 0;
         }
-        if window.written >= WRITTEN_PER_WINDOW {
+        let is_of_request = REQUEST_NUMBERS.contains(&event.number());
+        let most = if is_of_request { REQUESTS_PER_WINDOW } else { WRITTEN_PER_WINDOW };
+        if window.written >= most {
             window.suppressed += 1;
             return None;
         }
--- a/src/mesh/frame.rs
+++ b/src/mesh/frame.rs
@@ -150,6 +150,27 @@
     MayHaveRun(Doubt),
 }
 
+impl CallEnd {
+    /// The name of the verdict in logs.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Answered(_) => "answered",
+            Self::NotRun(_) => "not_run",
+            Self::MayHaveRun(_) => "may_have_run",
+        }
+    }
+
+    /// The name of the reason in logs.
+    pub fn reason(&self) -> &'static str {
+        match self {
+            Self::Answered(answer) if answer.status >= 500 => "target-failed",
+            Self::Answered(_) => "answered",
+            Self::NotRun(reason) => reason.name(),
+            Self::MayHaveRun(doubt) => doubt.name(),
+        }
+    }
+}
+
 /// The whole answer of a target.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TargetAnswer {
@@ -168,6 +189,10 @@
     NoTarget,
     /// The target is leaving, or its node is.
     Leaving,
+    /// The entry node had no room for the request.
+    Shed,
+    /// The entry node is about to end.
+    Closing,
     /// The queue was full.
     QueueFull,
     /// The deadline passed in the queue.
@@ -191,6 +216,8 @@
         match self {
             Self::NoTarget => "no-target",
             Self::Leaving => "leaving",
+            Self::Shed => "shed",
+            Self::Closing => "closing",
             Self::QueueFull => "queue-full",
             Self::Expired => "expired",
             Self::Unreachable => "target-unreachable",
--- a/src/mesh/ingress.rs
+++ b/src/mesh/ingress.rs
@@ -18,13 +18,14 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
-use super::frame::TargetAnswer;
+use super::frame::{Doubt, NotRun, TargetAnswer};
 use super::linger::LingeringStream;
 use super::node::{Counted, Node};
 use super::peers::pause_after;
 use super::receiver::put_header;
 use super::sender::{self, Outcome, Request};
 use super::site::Route;
+use super::trail::{Ended, Trail, note_end};
 
 /// How much memory request bodies may take, as a share of what the node may use.
 const BODIES_SHARE: f64 = 0.25;
@@ -60,7 +61,7 @@
             Ok((stream, _)) => {
                 spawn_local(serve_connection(Rc::clone(&node), stream));
             }
-            Err(error) => pause_after(&error).await,
+            Err(error) => pause_after(&node.log, &error).await,
         }
     }
 }
@@ -121,6 +122,9 @@
         return refusal(StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER_NOT_READY_MS);
     };
     let (parts, body) = request.into_parts();
+    if head_bytes(&parts) > site.limits.head_max_bytes {
+        return plain(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
+    }
     let host = parts.headers.get(HOST).and_then(|value| value.to_str().ok());
     let host = host.or(parts.uri.host()).unwrap_or("");
     let Some(route) = site.route(host, parts.uri.path()) else {
@@ -128,11 +132,13 @@
     };
     let attempt_id = header_text(&parts.headers, &node.vocabulary.attempt_id);
     let parent = node.ancestry.parent(attempt_id);
-    if parent.is_none() && node.is_closing() {
-        return refusal(StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER_CLOSING_MS);
-    }
-    if parent.is_none() && !admits(node, &route) {
-        return refusal(StatusCode::SERVICE_UNAVAILABLE, come_back_ms(node, &route));
+    let root = parent.as_ref().map_or(&route.name, |parent| &parent.root).clone();
+    if let Some(refused) = refused_at_entry(node, &route).filter(|_| parent.is_none()) {
+        let response = response_to(&refused);
+        let status = response.status().as_u16();
+        let ended = Ended { attempt_id, route: &route, root: &root, arrived, status };
+        note_end(node, &ended, &refused, &Trail::default());
+        return response;
     }
     let caller_ms = header_number(&parts.headers, &node.vocabulary.deadline_ms);
     let wait_ms = caller_ms.map_or(route.timeout_ms, |caller_ms| caller_ms.min(route.timeout_ms));
@@ -149,16 +155,24 @@
         head: request_head(node, &parts),
         body,
         deadline,
-        root: parent.as_ref().map_or(&route.name, |parent| &parent.root).clone(),
+        root,
         rank: parent.as_ref().map_or(route.rank, |parent| parent.rank),
     };
-    finish(node, &route, &request).await
+    let (outcome, trail) = sender::send(node, &route, &request).await;
+    let response = response_to(&outcome);
+    let status = response.status().as_u16();
+    let ended = Ended { attempt_id, route: &route, root: &request.root, arrived, status };
+    note_end(node, &ended, &outcome, &trail);
+    response
 }
 
-/// Whether there is room for a request of a caller.
-fn admits(node: &Node, route: &Route) -> bool {
-    let mut rng = node.rng.borrow_mut();
-    node.overload.admits(route, &mut *rng)
+/// The refusal of a request of a caller for which there is no room.
+fn refused_at_entry(node: &Node, route: &Route) -> Option<Outcome> {
+    if node.is_closing() {
+        return Some(Outcome::refused(NotRun::Closing, RETRY_AFTER_CLOSING_MS));
+    }
+    let admitted = node.overload.admits(route, &mut *node.rng.borrow_mut());
+    (!admitted).then(|| Outcome::refused(NotRun::Shed, come_back_ms(node, route)))
 }
 
 /// When a caller should come back whose request was refused, in milliseconds: soon enough to be
@@ -169,14 +183,14 @@
     (objective_ms as f64 * share) as u64
 }
 
-/// Sends a request and turns its outcome into a response.
-async fn finish(node: &Rc<Node>, route: &Route, request: &Request) -> Response {
-    match sender::send(node, route, request).await {
+/// The response that tells an outcome.
+fn response_to(outcome: &Outcome) -> Response {
+    match outcome {
         Outcome::Answered(answer) => target_answer(answer),
         Outcome::NotRun { retry_after_ms, .. } => {
-            refusal(StatusCode::SERVICE_UNAVAILABLE, retry_after_ms)
+            refusal(StatusCode::SERVICE_UNAVAILABLE, *retry_after_ms)
         }
-        Outcome::MayHaveRun(super::frame::Doubt::Timeout) => plain(StatusCode::GATEWAY_TIMEOUT),
+        Outcome::MayHaveRun(Doubt::Timeout) => plain(StatusCode::GATEWAY_TIMEOUT),
         Outcome::MayHaveRun(_) => plain(StatusCode::BAD_GATEWAY),
     }
 }
@@ -219,6 +233,18 @@
     Ok(read.freeze())
 }
 
+/// The length of the head of a request, in bytes.
+fn head_bytes(parts: &http::request::Parts) -> usize {
+    /// What stands around the name and the value of a header.
+    const AROUND_BYTES: usize = 4;
+    let target = parts.uri.path_and_query().map_or(1, |target| target.as_str().len());
+    let mut length = parts.method.as_str().len() + target;
+    for (name, value) in &parts.headers {
+        length += name.as_str().len() + value.len() + AROUND_BYTES;
+    }
+    length
+}
+
 /// The request line and the headers that travel on.
 fn request_head(node: &Node, parts: &http::request::Parts) -> Bytes {
     let vocabulary = &node.vocabulary;
@@ -272,12 +298,12 @@
 }
 
 /// The target's answer as it is written to the caller.
-fn target_answer(answer: TargetAnswer) -> Response {
+fn target_answer(answer: &TargetAnswer) -> Response {
     if is_promise(answer.status) {
         // The target says so of a request that it has run; the caller would take it as not run.
         return plain(StatusCode::BAD_GATEWAY);
     }
-    let mut response = http::Response::new(Full::new(answer.body));
+    let mut response = http::Response::new(Full::new(answer.body.clone()));
     let status = StatusCode::from_u16(answer.status);
     *response.status_mut() = status.unwrap_or(StatusCode::BAD_GATEWAY);
     let headers = response.headers_mut();
--- a/src/mesh/launch.rs
+++ b/src/mesh/launch.rs
@@ -16,6 +16,8 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
+use crate::event::{EventLog, LogEvent};
+
 use super::node::Node;
 use super::overload::ADJUST_EVERY;
 use super::{ingress, peers, socket};
@@ -29,7 +31,7 @@
 const STOP_CHECK: Duration = Duration::from_millis(50);
 
 /// Runs `serve` for each connection to `listener`, with the path and the whole body of each request.
-pub async fn serve_simple<F, Fut>(listener: TcpListener, answer: F)
+pub async fn serve_simple<F, Fut>(log: EventLog, listener: TcpListener, answer: F)
 where
     F: Fn(http::Request<Incoming>) -> Fut + Clone + 'static,
     Fut: Future<Output = http::Response<Full<Bytes>>> + 'static,
@@ -38,7 +40,7 @@
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(error) => {
-                peers::pause_after(&error).await;
+                peers::pause_after(&log, &error).await;
                 continue;
             }
         };
@@ -61,6 +63,7 @@
     let callers = socket::listen(listen.callers)?;
     let others = socket::listen(listen.peers)?;
     let readiness = socket::listen(listen.readiness)?;
+    let metrics = socket::listen(listen.metrics)?;
     spawn_local(ingress::accept(Rc::clone(node), callers));
     spawn_local(peers::accept(Rc::clone(node), others));
     let asked = Rc::clone(node);
@@ -71,10 +74,15 @@
             adjusted.adjust();
         }
     });
-    spawn_local(serve_simple(readiness, move |_| {
+    spawn_local(serve_simple(node.log.clone(), readiness, move |_| {
         let is_ready = asked.is_ready();
         async move { status_only(if is_ready { 200 } else { 503 }) }
     }));
+    let scraped = Rc::clone(node);
+    spawn_local(serve_simple(node.log.clone(), metrics, move |_| {
+        let text = scraped.metrics.render(&scraped);
+        async move { http::Response::new(Full::new(text.into())) }
+    }));
     Ok(())
 }
 
@@ -98,6 +106,8 @@
         }
     }
     let told = Instant::now();
+    let in_flight = node.in_flight.get() as u64;
+    node.log.emit(&LogEvent::LeavingStarted { asked_by: "signal", in_flight });
     node.stop();
     let grace = Duration::from_millis(node.settings.timing.stop_grace_ms);
     let end = told + grace.saturating_sub(STOP_MARGIN);
@@ -108,5 +118,8 @@
         }
         sleep(STOP_CHECK).await;
     }
+    let took_ms = told.elapsed().as_millis() as u64;
+    let cut_off = (node.in_flight.get() + node.serving.get()) as u64;
+    node.log.emit(&LogEvent::LeavingFinished { took_ms, cut_off });
     Ok(())
 }
--- /dev/null
+++ b/src/mesh/metrics.rs
@@ -0,0 +1,110 @@
+//! Counters and latencies of the call path, and the text that is scraped.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use metrics::{Counter, Gauge, Histogram, counter, gauge, histogram, with_local_recorder};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle, PrometheusRecorder};
+
+use super::node::Node;
+
+/// Upper bounds of the buckets of latencies, in seconds.
+const BUCKETS_S: &[f64] = &[0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0];
+/// Requests of callers and of the target, by the route that began them and their end.
+const REQUESTS: &str = "aspenspring_mesh_requests_total";
+/// The time from the head of a request to its answer, by the route that began it.
+const LATENCY: &str = "aspenspring_mesh_request_seconds";
+/// Calls that this node ran on its target, or refused, by their end.
+const CALLS: &str = "aspenspring_mesh_calls_total";
+
+/// The metrics of one node. Handles are kept, so that an increment costs one look-up.
+pub struct MeshMetrics {
+    recorder: PrometheusRecorder,
+    handle: PrometheusHandle,
+    requests: RefCell<HashMap<(Rc<str>, &'static str), Counter>>,
+    latencies: RefCell<HashMap<Rc<str>, Histogram>>,
+    calls: RefCell<HashMap<&'static str, Counter>>,
+}
+
+impl MeshMetrics {
+    /// A recorder with nothing in it.
+    pub fn new() -> Self {
+        // The only error is an empty list of buckets; then a plain summary is kept instead.
+        let builder = PrometheusBuilder::new().set_buckets(BUCKETS_S);
+        let recorder = builder.unwrap_or_else(|_| PrometheusBuilder::new()).build_recorder();
+        let handle = recorder.handle();
+        Self {
+            recorder,
+            handle,
+            requests: RefCell::default(),
+            latencies: RefCell::default(),
+            calls: RefCell::default(),
+        }
+    }
+
+    /// Counts a request with its end, and how long it took in seconds.
+    pub fn note_request(&self, root: &Rc<str>, end: &'static str, took_s: f64) {
+        let mut requests = self.requests.borrow_mut();
+        let counter = requests.entry((Rc::clone(root), end)).or_insert_with(|| {
+            let root = root.to_string();
+            with_local_recorder(&self.recorder, || counter!(REQUESTS, "root" => root, "end" => end))
+        });
+        counter.increment(1);
+        let mut latencies = self.latencies.borrow_mut();
+        let histogram = latencies.entry(Rc::clone(root)).or_insert_with(|| {
+            let root = root.to_string();
+            with_local_recorder(&self.recorder, || histogram!(LATENCY, "root" => root))
+        });
+        histogram.record(took_s);
+    }
+
+    /// Counts a call for the target with its end.
+    pub fn note_call(&self, end: &'static str) {
+        let mut calls = self.calls.borrow_mut();
+        let counter = calls.entry(end).or_insert_with(|| {
+            with_local_recorder(&self.recorder, || counter!(CALLS, "end" => end))
+        });
+        counter.increment(1);
+    }
+
+    /// The text that is scraped, with the node's state at this moment.
+    pub fn render(&self, node: &Node) -> String {
+        let load = node.target.load();
+        for (name, value) in [
+            ("aspenspring_mesh_running", f64::from(load.running)),
+            ("aspenspring_mesh_waiting", f64::from(load.waiting)),
+            ("aspenspring_mesh_limit", f64::from(load.limit)),
+            ("aspenspring_mesh_wait_milliseconds", f64::from(load.wait_ms)),
+            ("aspenspring_mesh_in_flight", node.in_flight.get() as f64),
+            ("aspenspring_mesh_held_bytes", node.held_bytes.get() as f64),
+            ("aspenspring_mesh_site_version", node.site_version() as f64),
+            ("aspenspring_mesh_peers_linked", node.directory.neighbours().len() as f64),
+            ("aspenspring_mesh_log_left_out", node.log.suppressed_total() as f64),
+        ] {
+            self.gauge(name).set(value);
+        }
+        if let Some(site) = node.site() {
+            for route in site.routes() {
+                let name = route.name.to_string();
+                let passing = with_local_recorder(
+                    &self.recorder,
+                    || gauge!("aspenspring_mesh_admitted_share", "root" => name),
+                );
+                passing.set(node.overload.passing(&route));
+            }
+        }
+        self.handle.run_upkeep();
+        self.handle.render()
+    }
+
+    fn gauge(&self, name: &'static str) -> Gauge {
+        with_local_recorder(&self.recorder, || gauge!(name))
+    }
+}
+
+impl Default for MeshMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -10,11 +10,14 @@
 use rand::rngs::SmallRng;
 use tokio::time::Instant;
 
+use crate::event::{EventLog, LogEvent};
+
 use super::ancestry::Ancestry;
 use super::budget::RetryBudgets;
 use super::directory::Directory;
 use super::frame::{Frame, Hello, Load, RootWork, Status};
 use super::link::Link;
+use super::metrics::MeshMetrics;
 use super::overload::Overload;
 use super::settings::MeshSettings;
 use super::site::Site;
@@ -77,6 +80,10 @@
     pub serving: Cell<usize>,
     /// Bytes of request bodies held.
     pub held_bytes: Cell<usize>,
+    /// Where events are logged.
+    pub log: EventLog,
+    /// What is counted.
+    pub metrics: MeshMetrics,
     /// Whether other nodes have been looked for.
     pub has_looked_around: Cell<bool>,
     in_force: RefCell<Option<InForce>>,
@@ -89,7 +96,12 @@
 
 impl Node {
     /// A node that knows nothing yet but its settings.
-    pub fn new(settings: MeshSettings, vocabulary: Vocabulary, read_site: ReadSite) -> Self {
+    pub fn new(
+        settings: MeshSettings,
+        vocabulary: Vocabulary,
+        read_site: ReadSite,
+        log: EventLog,
+    ) -> Self {
         Self {
             life: rand::random(),
             directory: Directory::new(settings.listen.peers, &settings.node.failure_domain),
@@ -106,6 +118,8 @@
             in_flight: Cell::default(),
             serving: Cell::default(),
             held_bytes: Cell::default(),
+            log,
+            metrics: MeshMetrics::new(),
             has_looked_around: Cell::default(),
             in_force: RefCell::default(),
             read_site,
@@ -132,11 +146,16 @@
     }
 
     /// Takes in a configuration. Says whether it is in force now; an older one never is.
-    pub fn take_document(&self, document: &Bytes) -> eyre::Result<bool> {
+    pub fn take_document(
+        &self,
+        document: &Bytes,
+        learned_from: &'static str,
+    ) -> eyre::Result<bool> {
         let site = (self.read_site)(document)?;
         if site.version <= self.site_version() {
             return Ok(false);
         }
+        self.log.emit(&LogEvent::ConfigInForce { config_version: site.version, learned_from });
         let in_force = InForce { site: Rc::new(site), document: document.clone() };
         self.in_force.replace(Some(in_force));
         Ok(true)
@@ -172,6 +191,24 @@
         current.map_or_else(|| self.settings.node.service.clone(), |known| known.service.clone())
     }
 
+    /// Tells other nodes, and the log, that what is believed of the target has changed.
+    pub fn target_changed(&self, learned_from: &'static str) {
+        let current = self.target.current();
+        let state = match &current {
+            Some(instance) if instance.is_cold => "cold",
+            Some(_) => "ready",
+            None => "none",
+        };
+        self.log.emit(&LogEvent::TargetChanged {
+            instance: current.map(|instance| instance.id.clone()).unwrap_or_default(),
+            service: self.own_service(),
+            state,
+            learned_from,
+            limit: self.target.load().limit,
+        });
+        self.tell_status();
+    }
+
     /// The state of the node.
     pub fn status(&self) -> Status {
         let current = self.target.current();
--- a/src/mesh/peers.rs
+++ b/src/mesh/peers.rs
@@ -10,6 +10,8 @@
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{Instant, sleep};
 
+use crate::event::{EventLog, LogEvent};
+
 use super::directory::Peer;
 use super::frame::{Call, Frame, Hello, Status};
 use super::link::Link;
@@ -65,6 +67,11 @@
             take_hello(node, &hello);
             node.directory.take_hello(&hello);
             peer.link.replace(Some(Rc::clone(&link)));
+            node.log.emit(&LogEvent::LinkUp {
+                peer: peer.address,
+                service: hello.status.service.clone(),
+                config_version: hello.status.site_version,
+            });
             want_site(node, &hello.status, &link);
         }
         Frame::Answer { id, end, load } => {
@@ -75,14 +82,25 @@
             want_site(node, &status, &link);
             peer.take_status(status);
         }
-        Frame::Site { document } => match node.take_document(&document) {
+        Frame::Site { document } => match node.take_document(&document, "peer") {
             Ok(_) => {}
-            Err(error) => eprintln!("a peer sent a bad configuration: {error:#}"),
+            Err(error) => {
+                let detail = format!("{}: {error:#}", peer.address);
+                node.log.emit(&LogEvent::InputRefused { input: "configuration", detail });
+            }
         },
         Frame::Call(_) | Frame::Cancel { .. } | Frame::Ping | Frame::SiteWanted => {}
     };
-    link.read_all(reader, take).await;
+    let error = link.read_all(reader, take).await;
     pinging.abort();
+    if peer.link.borrow().is_some() {
+        node.log.emit(&LogEvent::LinkLost {
+            peer: peer.address,
+            waiting: peer.in_flight.get(),
+            silent_ms: link.heard().elapsed().as_millis() as u64,
+            detail: error.to_string(),
+        });
+    }
     peer.link.replace(None);
     peer.status.borrow_mut().ready = false;
 }
@@ -124,14 +142,14 @@
                     spawn_local(serve_link(Rc::clone(&node), stream));
                 }
             }
-            Err(error) => pause_after(&error).await,
+            Err(error) => pause_after(&node.log, &error).await,
         }
     }
 }
 
 /// Waits a little after a connection could not be accepted, so that the loop does not spin.
-pub async fn pause_after(error: &io::Error) {
-    eprintln!("a connection could not be accepted: {error}");
+pub async fn pause_after(log: &EventLog, error: &io::Error) {
+    log.emit(&LogEvent::InputRefused { input: "connection", detail: error.to_string() });
     sleep(REDIAL_MIN).await;
 }
 
--- a/src/mesh/receiver.rs
+++ b/src/mesh/receiver.rs
@@ -11,6 +11,8 @@
 use http::Method;
 use tokio::time::{Instant, timeout_at};
 
+use crate::event::LogEvent;
+
 use super::ancestry::Origin;
 use super::frame::{Call, CallEnd, Doubt, NotRun, TargetAnswer};
 use super::gate::GateError;
@@ -33,6 +35,31 @@
 
 /// Runs a call on the target. Dropping the future withdraws the call.
 pub async fn serve(node: &Rc<Node>, call: &Call, deadline: Instant) -> CallEnd {
+    let began = Instant::now();
+    let end = admit(node, call, deadline).await;
+    node.metrics.note_call(end.reason());
+    let is_failure = match &end {
+        CallEnd::Answered(answer) => answer.status >= 500,
+        CallEnd::NotRun(_) | CallEnd::MayHaveRun(_) => true,
+    };
+    if is_failure {
+        let load = node.target.load();
+        node.log.emit(&LogEvent::CallEnded {
+            attempt: call.attempt_id.clone(),
+            root: call.root.clone(),
+            verdict: end.name(),
+            reason: end.reason(),
+            took_ms: began.elapsed().as_millis() as u64,
+            running: load.running,
+            waiting: load.waiting,
+            limit: load.limit,
+        });
+    }
+    end
+}
+
+/// Waits for a slot, and runs a call in it.
+async fn admit(node: &Rc<Node>, call: &Call, deadline: Instant) -> CallEnd {
     let _serving = Counted::new(&node.serving, 1);
     if node.is_stopping() {
         return CallEnd::NotRun(NotRun::Leaving);
@@ -76,7 +103,7 @@
     let refused = matches!(error, ExchangeError::Connect(cause)
         if cause.kind() == std::io::ErrorKind::ConnectionRefused);
     if refused && node.target.lose(&instance.id) {
-        node.tell_status();
+        node.target_changed("refused_connection");
     }
     CallEnd::NotRun(NotRun::Unreachable)
 }
@@ -114,7 +141,7 @@
     if reply.status == http::StatusCode::MISDIRECTED_REQUEST.as_u16() {
         let id = reply.header(vocabulary.instance_id.as_str());
         if id.is_some_and(|id| node.target.take_sighting(id)) {
-            node.tell_status();
+            node.target_changed("other_incarnation");
         }
         return CallEnd::NotRun(NotRun::Unreachable);
     }
--- a/src/mesh/sender.rs
+++ b/src/mesh/sender.rs
@@ -12,6 +12,7 @@
 use super::node::{Counted, Node};
 use super::receiver;
 use super::site::{Route, RouteKind};
+use super::trail::Trail;
 
 /// How often a call that was refused without having reached a target is offered elsewhere.
 const OFFERS_MAX: usize = 6;
@@ -58,6 +59,23 @@
     MayHaveRun(Doubt),
 }
 
+impl Outcome {
+    /// A refusal.
+    pub fn refused(reason: NotRun, retry_after_ms: u64) -> Self {
+        Self::NotRun { reason, retry_after_ms }
+    }
+
+    /// The names of the verdict and of the reason in logs and metrics.
+    pub fn names(&self) -> (&'static str, &'static str) {
+        match self {
+            Self::Answered(answer) if answer.status >= 500 => ("answered", "target-failed"),
+            Self::Answered(_) => ("answered", "answered"),
+            Self::NotRun { reason, .. } => ("not_run", reason.name()),
+            Self::MayHaveRun(doubt) => ("may_have_run", doubt.name()),
+        }
+    }
+}
+
 /// One request on its way.
 struct Sending<'a> {
     node: &'a Rc<Node>,
@@ -68,17 +86,28 @@
     tried: Vec<SocketAddr>,
     /// Whether the target beside this node has had it.
     tried_own: bool,
-    /// How often it has reached a target.
-    arrivals: u32,
+    /// Where it was offered, and how often it has reached a target.
+    trail: Trail,
 }
 
 /// Sends a request until it has its final answer. Dropping the future withdraws it.
-pub async fn send(node: &Rc<Node>, route: &Route, request: &Request) -> Outcome {
+/// Also tells where it was offered.
+pub async fn send(node: &Rc<Node>, route: &Route, request: &Request) -> (Outcome, Trail) {
     let service = &route.split[node.splitter.next(route)].service;
     node.budgets.earn(service);
-    let mut sending =
-        Sending { node, route, service, request, tried: Vec::new(), tried_own: false, arrivals: 0 };
-    sending.run().await
+    let mut sending = Sending {
+        node,
+        route,
+        service,
+        request,
+        tried: Vec::new(),
+        tried_own: false,
+        trail: Trail::default(),
+    };
+    let outcome = sending.run().await;
+    let mut trail = sending.trail;
+    service.clone_into(&mut trail.service);
+    (outcome, trail)
 }
 
 impl Sending<'_> {
@@ -109,7 +138,7 @@
 
     /// A target that has had the request already, if there is no other.
     fn pick_again(&mut self) -> Option<Destination> {
-        if self.arrivals == 0 {
+        if self.trail.arrivals == 0 {
             return None;
         }
         self.tried.clear();
@@ -150,8 +179,8 @@
         if !has_arrived {
             return true;
         }
-        self.arrivals += 1;
-        self.arrivals < self.route.attempts_max && self.node.budgets.try_take(self.service)
+        self.trail.arrivals += 1;
+        self.trail.arrivals < self.route.attempts_max && self.node.budgets.try_take(self.service)
     }
 
     /// Sends the request to one target.
@@ -159,6 +188,7 @@
         match destination {
             Destination::Own => {
                 self.tried_own = true;
+                self.trail.offered.push(None);
                 let call = self.call();
                 let end = receiver::serve(self.node, &call, self.request.deadline).await;
                 note_failure(&self.node.own_failing, is_failure(&end));
@@ -166,6 +196,7 @@
             }
             Destination::Peer(peer) => {
                 self.tried.push(peer.address);
+                self.trail.offered.push(Some(peer.address));
                 let Some(link) = peer.open_link() else { return CallEnd::NotRun(NotRun::Unsent) };
                 let mut pending = match link.call(self.call()) {
                     Ok(pending) => pending,
@@ -233,7 +264,9 @@
         NotRun::NoTarget | NotRun::Leaving | NotRun::Unreachable | NotRun::Unsent => {
             RETRY_AFTER_NO_TARGET_MS
         }
-        NotRun::QueueFull | NotRun::Expired | NotRun::Declined => RETRY_AFTER_BUSY_MS,
+        NotRun::Shed | NotRun::Closing | NotRun::QueueFull | NotRun::Expired | NotRun::Declined => {
+            RETRY_AFTER_BUSY_MS
+        }
     }
 }
 
--- a/src/mesh/settings.rs
+++ b/src/mesh/settings.rs
@@ -68,8 +68,4 @@
 pub struct RetrySection {
     /// Repeats as a share of requests.
     pub share: f64,
-    /// Repeats allowed beside that share, within one window.
-    pub slack: f64,
-    /// The length of the window, in milliseconds.
-    pub window_ms: u64,
 }
--- a/src/mesh/site.rs
+++ b/src/mesh/site.rs
@@ -44,15 +44,6 @@
     pub split: Vec<Share>,
 }
 
-/// What is known of a service.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Service {
-    /// The path of its health check.
-    pub health_path: String,
-    /// How many connections one of its targets accepts.
-    pub connections_max: u32,
-}
-
 /// What a caller may send.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
@@ -83,8 +74,6 @@
 pub struct Site {
     /// Its version; higher ones replace lower ones.
     pub version: u64,
-    /// What is known of each service.
-    pub services: HashMap<String, Service>,
     /// What a caller may send.
     pub limits: Limits,
     /// The routes by host, then by prefix.
@@ -95,13 +84,8 @@
 
 impl Site {
     /// A configuration with the given routes.
-    pub fn new(
-        version: u64,
-        routes: Vec<Route>,
-        services: HashMap<String, Service>,
-        limits: Limits,
-    ) -> Self {
-        let mut site = Self { version, services, limits, ..Self::default() };
+    pub fn new(version: u64, routes: Vec<Route>, limits: Limits) -> Self {
+        let mut site = Self { version, limits, ..Self::default() };
         for route in routes {
             site.rank_max = site.rank_max.max(route.rank);
             let of_host = site.routes.entry(route.host.clone()).or_default();
@@ -129,6 +113,11 @@
         None
     }
 
+    /// All routes, in no order.
+    pub fn routes(&self) -> Vec<Rc<Route>> {
+        self.routes.values().flat_map(HashMap::values).cloned().collect()
+    }
+
     /// The least important rank of any route.
     pub fn rank_max(&self) -> u8 {
         self.rank_max
--- /dev/null
+++ b/src/mesh/trail.rs
@@ -0,0 +1,75 @@
+//! What is written about a request when it has its final answer.
+//!
+//! A line for each request costs more than the request on a small VM, so only those are written that
+//! somebody may ask about, and a sample of the others.
+
+use std::net::SocketAddr;
+
+use rand::Rng;
+use tokio::time::Instant;
+
+use crate::event::LogEvent;
+
+use super::node::Node;
+use super::sender::Outcome;
+use super::site::Route;
+
+/// One in this many requests that went well is written.
+const SAMPLED_ONE_IN: u32 = 500;
+
+/// Where a request was offered.
+#[derive(Clone, Debug, Default)]
+pub struct Trail {
+    /// The service that was chosen; empty where none was.
+    pub service: String,
+    /// The nodes it was offered to, in order; none is this one.
+    pub offered: Vec<Option<SocketAddr>>,
+    /// How often it reached a target.
+    pub arrivals: u32,
+}
+
+/// A request as the trail needs it.
+pub struct Ended<'a> {
+    /// The id of the caller's attempt.
+    pub attempt_id: &'a str,
+    /// The route that it took.
+    pub route: &'a Route,
+    /// The route by which a caller's request began it all.
+    pub root: &'a std::rc::Rc<str>,
+    /// When its head was there.
+    pub arrived: Instant,
+    /// The status that the caller got.
+    pub status: u16,
+}
+
+/// Counts a request that has its final answer, and writes about it where somebody may ask.
+pub fn note_end(node: &Node, ended: &Ended<'_>, outcome: &Outcome, trail: &Trail) {
+    let took = ended.arrived.elapsed();
+    let (verdict, reason) = outcome.names();
+    node.metrics.note_request(ended.root, reason, took.as_secs_f64());
+    let took_ms = took.as_millis() as u64;
+    let went_well = verdict == "answered"
+        && ended.status < 500
+        && trail.arrivals <= 1
+        && took_ms <= ended.route.objective_ms;
+    if went_well && node.rng.borrow_mut().random_range(0..SAMPLED_ONE_IN) > 0 {
+        return;
+    }
+    let mut offered = Vec::new();
+    for peer in &trail.offered {
+        offered.push(peer.map_or_else(|| "own".to_owned(), |address| address.to_string()));
+    }
+    node.log.emit(&LogEvent::RequestEnded {
+        attempt: ended.attempt_id.to_owned(),
+        root: ended.root.to_string(),
+        service: trail.service.clone(),
+        verdict,
+        reason,
+        status: u32::from(ended.status),
+        offered: offered.join(" "),
+        arrivals: trail.arrivals,
+        admitted_percent: (node.overload.passing(ended.route) * 100.0) as u32,
+        config_version: node.site_version(),
+        took_ms,
+    });
+}
--- a/src/platform/document.rs
+++ b/src/platform/document.rs
@@ -1,11 +1,9 @@
 //! The operator's configuration as it lies in the store.
 
-use std::collections::HashMap;
-
 use eyre::{WrapErr, eyre};
 use serde::Deserialize;
 
-use crate::mesh::site::{Limits, Route, RouteKind, Service, Share, Site};
+use crate::mesh::site::{Limits, Route, RouteKind, Share, Site};
 
 /// The letter before the number of a version.
 const VERSION_PREFIX: char = 'r';
@@ -16,7 +14,7 @@
     resources: Vec<Resource>,
 }
 
-/// One entry; which of the three kinds it is decides what `specification` holds.
+/// One entry; which kind it is decides what `specification` holds.
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Resource {
@@ -56,15 +54,6 @@
     weight: u32,
 }
 
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct ServiceSpecification {
-    #[serde(default)]
-    health_path: String,
-    #[serde(default)]
-    max_connections: u32,
-}
-
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct LimitsSpecification {
@@ -79,7 +68,6 @@
     let document: Document = serde_json::from_slice(bytes)?;
     let version = read_version(&document.version)?;
     let mut routes = Vec::new();
-    let mut services = HashMap::new();
     let mut limits = Limits::default();
     for resource in document.resources {
         let name = resource.metadata.name;
@@ -88,20 +76,12 @@
                 read_route(&name, resource.specification)
                     .wrap_err_with(|| format!("the route {name}"))?,
             ),
-            "services" => {
-                let found: ServiceSpecification = serde_json::from_value(resource.specification)?;
-                let service = Service {
-                    health_path: found.health_path,
-                    connections_max: found.max_connections,
-                };
-                services.insert(name, service);
-            }
             "limits" => limits = read_limits(resource.specification)?,
-            // Kinds that a later platform adds concern nobody here.
+            // What the platform says of services, and kinds that it may add, concern nobody here.
             _ => {}
         }
     }
-    Ok(Site::new(version, routes, services, limits))
+    Ok(Site::new(version, routes, limits))
 }
 
 fn read_version(text: &str) -> eyre::Result<u64> {
--- a/src/platform/heartbeat.rs
+++ b/src/platform/heartbeat.rs
@@ -10,6 +10,7 @@
 use serde::Deserialize;
 use tokio::task::spawn_local;
 
+use crate::event::LogEvent;
 use crate::mesh::launch::{serve_simple, status_only};
 use crate::mesh::node::Node;
 use crate::mesh::socket;
@@ -46,8 +47,9 @@
 /// Listens for the target.
 pub fn start(node: &Rc<Node>) -> io::Result<()> {
     let listener = socket::listen(node.settings.listen.targets)?;
+    let log = node.log.clone();
     let node = Rc::clone(node);
-    spawn_local(serve_simple(listener, move |request| {
+    spawn_local(serve_simple(log, listener, move |request| {
         let node = Rc::clone(&node);
         async move { answer(&node, request).await }
     }));
@@ -61,7 +63,7 @@
     }
     if let Some(id) = path.strip_prefix(DEREGISTER_PATH) {
         if node.target.leave(id) {
-            node.tell_status();
+            node.target_changed("farewell");
         }
         return accepted();
     }
@@ -71,12 +73,13 @@
     match serde_json::from_slice::<Body>(&body.to_bytes()) {
         Ok(body) => {
             if node.target.take_heartbeat(&heartbeat(id, body)) {
-                node.tell_status();
+                node.target_changed("heartbeat");
             }
             accepted()
         }
         Err(error) => {
-            eprintln!("a heartbeat of {id} cannot be read: {error}");
+            let detail = format!("{id}: {error}");
+            node.log.emit(&LogEvent::InputRefused { input: "heartbeat", detail });
             status_only(400)
         }
     }
--- a/src/platform/members.rs
+++ b/src/platform/members.rs
@@ -11,6 +11,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::store::Store;
+use crate::event::LogEvent;
 use crate::mesh::node::Node;
 use crate::mesh::peers;
 
@@ -31,7 +32,8 @@
     let mut store = Store::new(address);
     let mut pause = PAUSE_MIN;
     while let Err(error) = announce(&node, &mut store).await {
-        eprintln!("the store does not serve the list of nodes: {error:#}");
+        let detail = format!("the list of nodes: {error:#}");
+        node.log.emit(&LogEvent::StoreAway { store: "table", detail });
         if started.elapsed() > WITHOUT_STORE {
             node.has_looked_around.set(true);
         }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -15,6 +15,10 @@
 use eyre::WrapErr;
 use tokio::task::{LocalSet, spawn_local};
 
+use crate::clock::Clock;
+use crate::config::TelemetrySettings;
+use crate::event::{EventLog, LogEvent};
+use crate::logging::Logging;
 use crate::mesh::launch;
 use crate::mesh::node::Node;
 
@@ -47,16 +51,25 @@
 /// Reads the settings file again. What a node was told at its start holds until its next start, so
 /// all that can be done is to say whether the file is valid.
 fn check_settings(path: &Path, node: &Node) {
-    match settings::read(path) {
-        Ok(read) if read.mesh == node.settings => println!("the settings file was read again"),
-        Ok(_) => println!("the settings file has changed; the change holds from the next start"),
-        Err(error) => eprintln!("the changed settings file is of no use: {error:#}"),
-    }
+    let (outcome, detail) = match settings::read(path) {
+        Ok(read) if read.mesh == node.settings => ("unchanged", String::new()),
+        Ok(_) => ("from_next_start", String::new()),
+        Err(error) => ("refused", format!("{error:#}")),
+    };
+    node.log.emit(&LogEvent::SettingsReread { outcome, detail });
 }
 
 async fn run_node(path: PathBuf, settings: PlatformSettings) -> eyre::Result<()> {
     let PlatformSettings { mesh, store } = settings;
-    let node = Rc::new(Node::new(mesh, names::vocabulary(), Box::new(read_document)));
+    let logging = Logging::start(&TelemetrySettings::default(), std::io::stdout())?;
+    let log = EventLog::new(logging.logger.clone(), Clock::start());
+    log.emit(&LogEvent::MeshStarted {
+        node_name: mesh.node.name.clone(),
+        failure_domain: mesh.node.failure_domain.clone(),
+        service: mesh.node.service.clone(),
+        version: env!("CARGO_PKG_VERSION"),
+    });
+    let node = Rc::new(Node::new(mesh, names::vocabulary(), Box::new(read_document), log));
     launch::start(&node).wrap_err("the node cannot listen")?;
     heartbeat::start(&node).wrap_err("the node cannot listen for its target")?;
     spawn_local(watch::watch_site(Rc::clone(&node), store.address));
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -55,11 +55,7 @@
     );
     rest.insert(
         "retry".to_owned(),
-        serde_json::json!({
-            "share": bound(&bounds, "retryBudgetRatio")?,
-            "slack": bound(&bounds, "retryBudgetSlack")?,
-            "window_ms": (bound(&bounds, "budgetWindowS")? * 1000.0) as u64,
-        }),
+        serde_json::json!({ "share": bound(&bounds, "retryBudgetRatio")? }),
     );
     Ok(serde_json::from_value(Value::Object(rest))?)
 }
--- a/src/platform/watch.rs
+++ b/src/platform/watch.rs
@@ -6,9 +6,10 @@
 
 use bytes::Bytes;
 use rand::Rng;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use super::store::{Changes, Row, Store};
+use crate::event::LogEvent;
 use crate::mesh::node::Node;
 
 /// The table of what the operator writes.
@@ -28,14 +29,23 @@
     let mut store = Store::new(address);
     let mut version = None;
     let mut pause = PAUSE_MIN;
+    let mut away_since: Option<Instant> = None;
     loop {
         match follow(&node, &mut store, version).await {
             Ok(seen) => {
                 version = seen;
                 pause = PAUSE_MIN;
+                if let Some(since) = away_since.take() {
+                    let away_ms = since.elapsed().as_millis() as u64;
+                    node.log.emit(&LogEvent::StoreBack { store: "table", away_ms });
+                }
             }
             Err(error) => {
-                eprintln!("the store does not serve the configuration: {error:#}");
+                if away_since.is_none() {
+                    away_since = Some(Instant::now());
+                    let detail = format!("{error:#}");
+                    node.log.emit(&LogEvent::StoreAway { store: "table", detail });
+                }
                 let spread = rand::rng().random_range(0.5..1.5);
                 sleep(pause.mul_f64(spread)).await;
                 pause = (pause * 2).min(PAUSE_MAX);
@@ -69,7 +79,7 @@
         if row.key != KEY || row.deleted {
             continue;
         }
-        if node.take_document(&Bytes::from(row.value()?))? {
+        if node.take_document(&Bytes::from(row.value()?), "table")? {
             node.tell_status();
         }
     }
--- a/tests/mesh/decisions.rs
+++ b/tests/mesh/decisions.rs
@@ -23,7 +23,7 @@
         prefix.clone_into(&mut route.prefix);
         routes.push(route);
     }
-    let site = Site::new(1, routes, HashMap::new(), Limits::default());
+    let site = Site::new(1, routes, Limits::default());
     let name = |host, path| site.route(host, path).map(|route| route.name.to_string());
     assert_eq!(name("shop.test", "/a/b/x").as_deref(), Some("ab"));
     assert_eq!(name("SHOP.test:80", "/a/b/c/").as_deref(), Some("abc"));
--- a/tests/mesh/properties.rs
+++ b/tests/mesh/properties.rs
@@ -130,7 +130,7 @@
     #[test]
     fn repeats_of_repeats_keep_to_the_share(fanout in 1_u32..4, requests in 200_u32..400) {
         let share = 0.2;
-        let budgets = RetryBudgets::new(&RetrySection { share, slack: 49.0, window_ms: 10_000 });
+        let budgets = RetryBudgets::new(&RetrySection { share });
         let mut arrivals = f64::from(requests);
         let mut first = f64::from(requests);
         for level in 0..4 {
--- a/tests/mesh/support.rs
+++ b/tests/mesh/support.rs
@@ -1,12 +1,12 @@
 //! Whole nodes on loopback, each with a stand-in target that does what a test tells it.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
+use aspenspring::event::EventLog;
 use aspenspring::mesh::launch;
 use aspenspring::mesh::node::Node;
 use aspenspring::mesh::peers;
@@ -82,7 +82,7 @@
         route("book", "stock", RouteKind::AtMostOnce, 0),
         slow,
     ];
-    Site::new(1, routes, HashMap::new(), Limits::default())
+    Site::new(1, routes, Limits::default())
 }
 
 /// A node with its target.
@@ -151,7 +151,7 @@
         },
         target: TargetSection { address: at(7006) },
         timing: TimingSection { stop_grace_ms: GRACE_MS },
-        retry: RetrySection { share: 0.2, slack: 10.0, window_ms: 10_000 },
+        retry: RetrySection { share: 0.2 },
     };
     let target = Rc::new(StandIn {
         name: name.to_owned(),
@@ -161,9 +161,10 @@
     });
     let listener = TcpListener::bind(settings.target.address).await.unwrap();
     spawn_local(serve_target(Rc::clone(&target), listener));
-    let node = Rc::new(Node::new(settings, vocabulary(), Box::new(|_| Ok(site()))));
+    let node =
+        Rc::new(Node::new(settings, vocabulary(), Box::new(|_| Ok(site())), EventLog::discard()));
     launch::start(&node).unwrap();
-    node.take_document(&"site".into()).unwrap();
+    node.take_document(&"site".into(), "test").unwrap();
     node.has_looked_around.set(true);
     node.target.take_heartbeat(&heartbeat(name, service, 1));
     TestNode { node, target }
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -23,7 +23,7 @@
     let upload = site.route("shop.test", "/upload/7").unwrap();
     assert_eq!(upload.kind, RouteKind::AtMostOnce, "uploads must not be repeated");
     assert_eq!(site.limits.idle_timeout_ms, 15_000);
-    assert_eq!(site.services["stock"].connections_max, 280);
+    assert_eq!(site.limits.head_max_bytes, 16_384);
 }
 
 #[test]
@@ -36,7 +36,7 @@
     ] {
         assert!(DOCUMENT.contains(from), "{from}");
         let broken = DOCUMENT.replace(from, to);
-        let error = read_document(broken.as_bytes()).err().expect("refused");
+        let error = read_document(broken.as_bytes()).expect_err("refused");
         assert!(format!("{error:#}").contains(place), "{error:#}");
     }
 }
@@ -57,10 +57,7 @@
         ("{{internalPortRange.0}}", "4"),
         ("{{applicationAddress|json}}", "\"127.0.0.1:5\""),
         ("{{platform.address|json}}", "\"127.0.0.1:6\""),
-        (
-            "{{bounds|json}}",
-            r#"{"graceS":6,"retryBudgetRatio":0.2,"retryBudgetSlack":49,"budgetWindowS":10}"#,
-        ),
+        ("{{bounds|json}}", r#"{"graceS":6,"retryBudgetRatio":0.2,"seedLagS":3}"#),
     ] {
         assert!(text.contains(name), "{name}");
         text = text.replace(name, value);
@@ -75,7 +72,7 @@
     assert_eq!(settings.mesh.node.failure_domain, "a");
     assert_eq!(settings.mesh.listen.peers, "127.0.0.1:4".parse().unwrap());
     assert_eq!(settings.mesh.timing.stop_grace_ms, 6_000);
-    assert_eq!(settings.mesh.retry.window_ms, 10_000);
+    assert_eq!(settings.mesh.retry.share, 0.2);
     assert_eq!(settings.store.address, "127.0.0.1:6".parse().unwrap());
 }
 
@@ -89,7 +86,7 @@
     ] {
         let text = filled_in();
         assert!(text.contains(from), "{from}");
-        let error = parse_settings(&text.replace(from, to)).err().expect("refused");
+        let error = parse_settings(&text.replace(from, to)).expect_err("refused");
         assert!(format!("{error:#}").contains(told), "{error:#}");
     }
 }
