--- a/src/mesh/sender.rs
+++ b/src/mesh/sender.rs
@@ -161,25 +161,24 @@
 
     /// Whether the request may be sent once more after `end`.
     fn may_repeat(&mut self, end: &CallEnd) -> bool {
+        let has_arrived = match end {
+            CallEnd::NotRun(reason) => reason.has_arrived(),
+            CallEnd::Answered(_) | CallEnd::MayHaveRun(_) => true,
+        };
+        self.trail.arrivals += u32::from(has_arrived);
         if self.request.deadline <= Instant::now() {
             return false;
         }
-        let has_arrived = match end {
-            CallEnd::NotRun(NotRun::Expired) => return false,
-            CallEnd::NotRun(reason) => reason.has_arrived(),
-            CallEnd::MayHaveRun(_) if self.route.kind == RouteKind::AtMostOnce => return false,
-            CallEnd::MayHaveRun(_) => true,
+        let is_right = match end {
+            CallEnd::NotRun(reason) => *reason != NotRun::Expired,
+            CallEnd::MayHaveRun(_) => self.route.kind == RouteKind::Idempotent,
             CallEnd::Answered(answer) => {
-                if answer.status < 500 || self.route.kind == RouteKind::AtMostOnce {
-                    return false;
-                }
-                true
+                answer.status >= 500 && self.route.kind == RouteKind::Idempotent
             }
         };
-        if !has_arrived {
-            return true;
+        if !is_right || !has_arrived {
+            return is_right;
         }
-        self.trail.arrivals += 1;
         self.trail.arrivals < self.route.attempts_max && self.node.budgets.try_take(self.service)
     }
 
