Test the program as a process against stand-ins for the store and a target

Start, readiness, reload and planned stop; a configuration that never goes back through a forgotten history and an absence of the store; two nodes that find each other; routes told over a busy link.

--- a/tests/mesh/nodes.rs
+++ b/tests/mesh/nodes.rs
@@ -194,3 +194,20 @@
         assert_eq!(status(&ask(&entry, &request("book", "a2")).await), 200);
     });
 }
+
+#[test]
+fn other_nodes_learn_at_once_by_which_routes_requests_reach_a_target() {
+    run(async {
+        let entry = start("page-1", "page", vec![FAST]).await;
+        let other = start("stock-1", "stock", vec![FAST]).await;
+        acquaint(&entry, &other).await;
+        let peer = entry.node.directory.get(other.node.settings.listen.peers).unwrap();
+        // A link that is never quiet is never pinged.
+        for number in 0.. {
+            ask(&entry, &request("read", &format!("a{number}"))).await;
+            if peer.status.borrow().roots.iter().any(|work| work.root == "read") {
+                return;
+            }
+        }
+    });
+}
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -1,5 +1,8 @@
 //! The adapter to the users' platform: what it reads, and that its names stay in its folder.
 
+mod process;
+mod store;
+
 use std::fs;
 use std::path::{Path, PathBuf};
 
--- /dev/null
+++ b/tests/platform/process.rs
@@ -0,0 +1,235 @@
+//! The real program with the platform's settings file, against stand-ins for the store and a target.
+
+use std::fs;
+use std::io::{BufReader, Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use super::store::{Store, read_request};
+
+/// How long anything may take.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// A node as a process; killed when dropped.
+struct Process {
+    child: Child,
+    ip: Ipv4Addr,
+    folder: PathBuf,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        drop(self.child.kill());
+        drop(self.child.wait());
+        drop(fs::remove_dir_all(&self.folder));
+    }
+}
+
+impl Process {
+    /// Starts a node of the service `stock` and its target, which answers with its own name.
+    fn start(store: &Store, name: &str) -> Self {
+        static NEXT: AtomicU8 = AtomicU8::new(1);
+        let last = NEXT.fetch_add(1, Ordering::Relaxed);
+        let id = std::process::id();
+        // Other tests of this machine draw from the first half of the second byte.
+        let ip = Ipv4Addr::new(127, 128 + (id >> 8) as u8 % 120, id as u8, last);
+        let folder = std::env::temp_dir().join(format!("aspenspring-test-{id}-{last}"));
+        fs::create_dir_all(&folder).unwrap();
+        let at = |port: u16| format!("{ip}:{port}");
+        let settings = serde_json::json!({
+            "node": {
+                "name": name, "failure_domain": "a", "service": "stock",
+                "memory_mb": 256, "descriptors": 1000,
+            },
+            "listen": {
+                "callers": at(7001), "readiness": at(7002), "targets": at(7003),
+                "peers": at(7004), "metrics": at(7005),
+            },
+            "target": { "address": at(7006) },
+            "store": { "address": store.address.to_string() },
+            "bounds": { "graceS": 6, "retryBudgetRatio": 0.2 },
+        });
+        let file = folder.join("settings.json");
+        fs::write(&file, settings.to_string()).unwrap();
+        serve_target(SocketAddr::from((ip, 7006)), name.to_owned());
+        let child = Command::new(env!("CARGO_BIN_EXE_aspenspring"))
+            .arg("mesh")
+            .env("ASPENSPRING_CONFIG", &file)
+            .stdout(fs::File::create(folder.join("log")).unwrap())
+            .stderr(Stdio::inherit())
+            .spawn()
+            .unwrap();
+        Self { child, ip, folder }
+    }
+
+    /// Sends a request to one of the node's listeners; none where it does not listen.
+    fn ask(&self, port: u16, text: &str) -> Option<String> {
+        let mut stream = TcpStream::connect((self.ip, port)).ok()?;
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream.write_all(text.as_bytes()).ok()?;
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).ok()?;
+        Some(answer)
+    }
+
+    fn get(&self, port: u16, path: &str) -> String {
+        let text = format!(
+            "GET {path} HTTP/1.1\r\nHost: shop.test\r\nAttempt-Id: a1\r\nConnection: close\r\n\r\n"
+        );
+        self.ask(port, &text).unwrap_or_default()
+    }
+
+    fn heartbeat(&self, instance: &str, sequence: u64) {
+        let body = serde_json::json!({
+            "address": "x",
+            "information": { "service": "stock", "version": "v1", "zone": "a", "slots": 9 },
+            "status": { "state": "ready", "sequence": sequence, "coldRemainingMs": 0 },
+        })
+        .to_string();
+        let text = format!(
+            "POST /aspenspring/Instances.Heartbeat/{instance} HTTP/1.1\r\nHost: x\r\n\
+             Connection: close\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        wait_for(|| self.ask(7003, &text).is_some_and(|answer| answer.contains(" 200 ")));
+    }
+
+    fn log(&self) -> String {
+        fs::read_to_string(self.folder.join("log")).unwrap()
+    }
+
+    fn signal(&self, signal: libc::c_int) {
+        // SAFETY: the child is this test's own and has not been waited for, so its id is still its.
+        assert_eq!(unsafe { libc::kill(self.child.id() as libc::pid_t, signal) }, 0);
+    }
+
+    fn is_ready(&self) -> bool {
+        self.get(7002, "/readiness").contains(" 200 ")
+    }
+
+    fn site_version(&self) -> String {
+        let text = self.get(7005, "/metrics");
+        let line = text.lines().find(|line| line.starts_with("aspenspring_mesh_site_version"));
+        line.and_then(|line| line.split(' ').nth(1)).unwrap_or_default().to_owned()
+    }
+}
+
+fn wait_for(mut is_true: impl FnMut() -> bool) {
+    let began = Instant::now();
+    while !is_true() {
+        assert!(began.elapsed() < PATIENCE, "waited in vain");
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
+fn serve_target(address: SocketAddr, name: String) {
+    let listener = TcpListener::bind(address).unwrap();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (stream, name) = (stream.unwrap(), name.clone());
+            thread::spawn(move || {
+                let mut writer = stream.try_clone().unwrap();
+                let mut reader = BufReader::new(stream);
+                while read_request(&mut reader).is_some() {
+                    let answer = format!(
+                        "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nResponse-Signature: {name}\r\n\
+                         Content-Length: {}\r\n\r\n{name}",
+                        name.len()
+                    );
+                    drop(writer.write_all(answer.as_bytes()));
+                }
+            });
+        }
+    });
+}
+
+/// A configuration with one route to `stock`.
+fn document(version: u32, prefix: &str) -> Vec<u8> {
+    serde_json::json!({
+        "version": format!("r{version}"),
+        "resources": [{
+            "resourceKind": "routes",
+            "metadata": { "name": "look" },
+            "specification": {
+                "host": "shop.test", "prefix": prefix, "kind": "idempotent", "timeoutMs": 5000,
+                "targetLatencyMs": 500, "priority": 1, "service": "stock", "attempts": 2,
+            },
+        }],
+    })
+    .to_string()
+    .into_bytes()
+}
+
+#[test]
+fn a_node_serves_from_its_start_to_its_planned_stop() {
+    let store = Store::start();
+    let mut node = Process::start(&store, "one");
+    wait_for(|| store.keys("nodes").len() == 1);
+    assert!(!node.is_ready(), "no configuration is known yet");
+    assert!(node.get(7001, "/look/1").contains(" 503 "));
+    store.put("op", "config", &document(4, "/look/"));
+    wait_for(|| node.is_ready());
+    node.heartbeat("i-1", 1);
+    let answer = node.get(7001, "/look/1");
+    assert!(answer.contains(" 200 ") && answer.ends_with("one"), "{answer}");
+    assert!(node.get(7001, "/other/1").contains(" 404 "));
+    node.signal(libc::SIGHUP);
+    wait_for(|| node.log().contains("\"name\":\"SettingsReread\""));
+    assert!(node.get(7001, "/look/1").contains(" 200 "), "the reload signal ended it");
+    node.signal(libc::SIGTERM);
+    wait_for(|| !node.is_ready());
+    assert!(node.child.wait().unwrap().success());
+    let log = node.log();
+    for name in ["MeshStarted", "ConfigInForce", "TargetChanged", "LeavingFinished"] {
+        assert!(log.contains(&format!("\"name\":\"{name}\"")), "{name} in {log}");
+    }
+}
+
+#[test]
+fn a_configuration_is_in_force_whatever_the_store_does_and_never_goes_back() {
+    let store = Store::start();
+    store.put("op", "config", &document(4, "/look/"));
+    let node = Process::start(&store, "one");
+    wait_for(|| node.is_ready());
+    node.heartbeat("i-1", 1);
+    store.put("op", "config", &document(9, "/new/"));
+    wait_for(|| node.site_version() == "9");
+    assert!(node.get(7001, "/look/1").contains(" 404 "));
+    assert!(node.get(7001, "/new/1").contains(" 200 "));
+    store.put("op", "config", &document(7, "/look/"));
+    store.forget();
+    store.put("op", "config", &document(12, "/newer/"));
+    wait_for(|| node.site_version() == "12");
+    store.set_away(true);
+    wait_for(|| node.log().contains("\"name\":\"StoreAway\""));
+    assert!(node.get(7001, "/newer/1").contains(" 200 "), "the store is not on the path of a call");
+    store.put("op", "config", &document(13, "/newest/"));
+    store.set_away(false);
+    wait_for(|| node.site_version() == "13");
+    let versions: Vec<_> = node
+        .log()
+        .lines()
+        .filter(|line| line.contains("\"name\":\"ConfigInForce\""))
+        .map(|line| serde_json::from_str::<serde_json::Value>(line).unwrap())
+        .map(|line| line["config_version"].as_u64().unwrap())
+        .collect();
+    assert_eq!(versions, [4, 9, 12, 13]);
+}
+
+#[test]
+fn nodes_find_each_other_and_tell_each_other_of_a_configuration() {
+    let store = Store::start();
+    store.put("op", "config", &document(4, "/look/"));
+    let first = Process::start(&store, "one");
+    wait_for(|| first.is_ready());
+    let second = Process::start(&store, "two");
+    wait_for(|| second.is_ready());
+    second.heartbeat("i-2", 1);
+    // The first node has no target; what it takes in runs beside the second.
+    wait_for(|| first.get(7001, "/look/1").ends_with("two"));
+    assert_eq!(store.keys("nodes").len(), 2);
+}
