Make tests fail for the faults they are meant for

Found by breaking the code on purpose: the refusal of a node about to end was covered by another refusal, and what may run once was never repeated for want of budget.

--- a/tests/mesh/nodes.rs
+++ b/tests/mesh/nodes.rs
@@ -52,12 +52,18 @@
 #[test]
 fn what_may_run_once_is_not_sent_again_after_a_broken_answer() {
     run(async {
-        let first = start("stock-1", "stock", vec![Reaction::Break]).await;
-        let second = start("stock-2", "stock", vec![Reaction::Break]).await;
+        let first = start("stock-1", "stock", vec![FAST]).await;
+        let second = start("stock-2", "stock", vec![FAST]).await;
         acquaint(&first, &second).await;
-        let answer = ask(&first, &request("book", "a1")).await;
+        // Enough for the budget to allow a repeat.
+        for number in 0..30 {
+            ask(&first, &request("read", &format!("a{number}"))).await;
+        }
+        first.target.reactions.replace(vec![Reaction::Break]);
+        second.target.reactions.replace(vec![Reaction::Break]);
+        let answer = ask(&first, &request("book", "b1")).await;
         assert_eq!(status(&answer), 502, "it may have run, so it is not refused");
-        assert_eq!(first.target.arrivals() + second.target.arrivals(), 1);
+        assert_eq!(first.target.arrivals() + second.target.arrivals(), 31);
     });
 }
 
--- a/tests/mesh/stop.rs
+++ b/tests/mesh/stop.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::time::sleep;
 
 use super::support::{
@@ -31,11 +31,29 @@
         let answer = read_message(&mut caller).await.expect("the answer arrives");
         assert_eq!(status(&answer), 200);
         assert_eq!(header(&answer, "connection").as_deref(), Some("close"));
-        assert_eq!(read_message(&mut caller).await, None, "closed behind the answer");
+        let mut rest = [0; 1];
+        let closed = caller.read(&mut rest).await;
+        assert_eq!(closed.expect("closed behind the answer, and not reset"), 0);
         assert_eq!(entry.target.arrivals(), 1, "nothing behind it was passed on");
     });
 }
 
+#[test]
+fn an_answer_is_not_held_for_the_one_behind_it() {
+    run(async {
+        let reactions = vec![Reaction::Answer(200, 0), Reaction::Answer(200, 60_000)];
+        let entry = start("stock-1", "stock", reactions).await;
+        let mut caller = connect(&entry).await;
+        let both = request("read", "a1") + &request("read", "a2");
+        caller.write_all(both.as_bytes()).await.unwrap();
+        while entry.target.arrivals() < 2 {
+            sleep(Duration::from_millis(5)).await;
+        }
+        let answer = read_message(&mut caller).await.expect("the first answer");
+        assert_eq!(header(&answer, "x-attempt").as_deref(), Some("a1"));
+    });
+}
+
 #[test]
 fn a_stopping_node_finishes_what_it_has_and_gets_nothing_from_others() {
     run(async {
@@ -59,13 +77,15 @@
 #[test]
 fn a_node_about_to_end_refuses_what_it_could_not_finish() {
     run(async {
-        let entry = start("stock-1", "stock", vec![Reaction::Answer(200, 0)]).await;
+        let entry = start("page-1", "page", vec![Reaction::Answer(200, 0)]).await;
+        let other = start("stock-1", "stock", vec![Reaction::Answer(200, 0)]).await;
+        acquaint(&entry, &other).await;
         entry.node.stop();
-        assert!(!entry.node.is_closing());
+        assert_eq!(status(&ask(&entry, &request("read", "a0")).await), 200);
         sleep(Duration::from_millis(GRACE_MS / 2 + 50)).await;
         let answer = ask(&entry, &request("read", "a1")).await;
         assert_eq!(status(&answer), 503);
         assert!(header(&answer, "retry-after").is_some());
-        assert_eq!(entry.target.arrivals(), 0);
+        assert_eq!(other.target.arrivals(), 1);
     });
 }
