--- a/tests/platform/process.rs
+++ b/tests/platform/process.rs
@@ -201,6 +201,8 @@
     assert!(node.get(7001, "/look/1").contains(" 404 "));
     assert!(node.get(7001, "/new/1").contains(" 200 "));
     store.put("op", "config", &document(7, "/look/"));
+    store.wait_until_seen();
+    assert!(node.get(7001, "/new/1").contains(" 200 "), "an older one came into force");
     store.forget();
     store.put("op", "config", &document(12, "/newer/"));
     wait_for(|| node.site_version() == "12");
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -21,6 +21,8 @@
     /// Versions up to this one are forgotten.
     forgotten: u64,
     is_away: bool,
+    /// The version after which changes of the operator's table were asked for last.
+    asked_after: u64,
 }
 
 /// The stand-in.
@@ -69,6 +71,13 @@
         changed.notify_all();
     }
 
+    /// Waits until somebody has seen all that the operator has written.
+    pub fn wait_until_seen(&self) {
+        let (state, changed) = &*self.state;
+        let state = state.lock().unwrap();
+        drop(changed.wait_while(state, |state| state.asked_after < state.version).unwrap());
+    }
+
     /// The keys of a table.
     pub fn keys(&self, table: &str) -> Vec<String> {
         let state = self.state.0.lock().unwrap();
@@ -115,6 +124,10 @@
             return (200, answer(&state, table, |key, _| key >= from));
         }
         let after: u64 = argument("after").unwrap().parse().unwrap();
+        if table == "op" {
+            state.asked_after = after;
+            changed.notify_all();
+        }
         let wait = Duration::from_millis(argument("waitMs").unwrap().parse().unwrap());
         let has_news = |state: &mut State| {
             let is_new = |((of, _), (_, version)): (&(String, String), &(String, u64))| {
