--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -160,8 +160,23 @@
 fetch_page
 echo
 echo "An order confirmation, which runs at most once:"
-"$program" standin fetch --url "http://$entry/souq-orders/orders/7/confirm" --depth 3 \
-    --method POST --body '{"order":7}'
+confirm_order() {
+    "$program" standin fetch --url "http://$entry/souq-orders/orders/7/confirm" --depth 3 \
+        --method POST --body '{"order":7}'
+}
+# The entry may have met the nodes of the pages before those of the orders. What was not run may be
+# asked again; anything else is final.
+tenths=0
+until confirm_order >"$work/confirm.log" 2>&1; do
+    check_running
+    tenths=$((tenths + 1))
+    if [ "$tenths" -ge "$START_TENTHS" ] || ! grep -q 'verdict "not-run' "$work/confirm.log"; then
+        cat "$work/confirm.log" >&2
+        exit 1
+    fi
+    sleep 0.1
+done
+cat "$work/confirm.log"
 check_running
 
 if [ "$once" = true ]; then
