--- a/src/cli.rs
+++ b/src/cli.rs
@@ -9,6 +9,7 @@
 mod leave;
 mod list;
 mod manual;
+mod mesh;
 mod node;
 mod remote;
 mod replay;
@@ -36,6 +37,7 @@
 pub use leave::LeaveArgs;
 pub use list::ListArgs;
 pub use manual::{ManualArgs, page};
+pub use mesh::MeshArgs;
 pub use node::NodeArgs;
 pub use replay::ReplayArgs;
 pub use schema::SchemaArgs;
@@ -72,6 +74,8 @@
 pub enum Command {
     /// Run a node.
     Node(NodeArgs),
+    /// Run a node on the users' platform.
+    Mesh(MeshArgs),
     /// Check settings.
     Check(CheckArgs),
     /// Print effective settings.
@@ -150,6 +154,7 @@
 pub fn run(command: Command) -> Exit {
     let result = match command {
         Command::Node(args) => node::run(&args),
+        Command::Mesh(_) => crate::platform::run().map(|()| Exit::Done),
         Command::Check(args) => check::run(&args),
         Command::Settings(args) => settings::run(&args),
         Command::Submit(args) => submit::run(&args),
--- /dev/null
+++ b/src/mesh/directory.rs
@@ -0,0 +1,268 @@
+//! The other nodes, and the choice of the one that gets a call.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::Rng;
+use tokio::time::Instant;
+
+use super::frame::{Hello, Load, Neighbour, Status};
+use super::link::Link;
+
+/// How busy a target in the own failure domain may be before one elsewhere is taken, as a share of
+/// what it can run. Bytes between failure domains cost; a queue costs more.
+const NEAR_UNTIL: f64 = 0.95;
+/// What being in another failure domain counts, on the scale of that share.
+const FAR_COST: f64 = 0.35;
+/// How much busier a target counts that has started only lately.
+const COLD_FACTOR: f64 = 2.0;
+/// How much busier a node counts of which nothing was heard for `SUSPECT_AFTER`.
+const SUSPECT_COST: f64 = 3.0;
+/// After this silence on a link that has calls waiting, others are preferred.
+const SUSPECT_AFTER: Duration = Duration::from_millis(900);
+/// Ties are broken by chance within this share, so that senders do not all pick the same target.
+const TIE_SPREAD: f64 = 0.06;
+/// How long a target is avoided after it failed a call, at least.
+const AVOID_AFTER_FAILURE: Duration = Duration::from_millis(400);
+
+/// Another node.
+#[derive(Debug)]
+pub struct Peer {
+    /// Where it listens for other nodes.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub failure_domain: RefCell<String>,
+    /// A number drawn at the start of its process.
+    pub life: Cell<u64>,
+    /// The connection that calls go over.
+    pub link: RefCell<Option<Rc<Link>>>,
+    /// What it said last about itself.
+    pub status: RefCell<Status>,
+    /// Calls that wait for its answer.
+    pub in_flight: Cell<u32>,
+    in_flight_at_report: Cell<u32>,
+    avoided_until: Cell<Option<Instant>>,
+    /// The share of its answers that were failures of late, 0 to 1.
+    failing: Cell<f64>,
+}
+
+impl Peer {
+    fn new(address: SocketAddr, failure_domain: &str) -> Self {
+        Self {
+            address,
+            failure_domain: RefCell::new(failure_domain.to_owned()),
+            life: Cell::default(),
+            link: RefCell::default(),
+            status: RefCell::default(),
+            in_flight: Cell::default(),
+            in_flight_at_report: Cell::default(),
+            avoided_until: Cell::default(),
+            failing: Cell::default(),
+        }
+    }
+
+    /// The connection that calls go over, if it is open.
+    pub fn open_link(&self) -> Option<Rc<Link>> {
+        self.link.borrow().as_ref().filter(|link| link.is_open()).cloned()
+    }
+
+    /// Takes in what the target has to do.
+    pub fn take_load(&self, load: Load) {
+        self.status.borrow_mut().load = load;
+        self.in_flight_at_report.set(self.in_flight.get());
+    }
+
+    /// Takes in its state.
+    pub fn take_status(&self, status: Status) {
+        let load = status.load;
+        *self.status.borrow_mut() = status;
+        self.take_load(load);
+    }
+
+    /// Gives it no calls for a moment.
+    pub fn avoid(&self) {
+        self.avoided_until.set(Some(Instant::now() + AVOID_AFTER_FAILURE));
+    }
+
+    /// Counts an answer, to prefer targets that fail less.
+    pub fn note_answer(&self, is_failure: bool) {
+        note_failure(&self.failing, is_failure);
+    }
+
+    /// How busy its target is, as a share of what it can run.
+    fn busy(&self, now: Instant) -> f64 {
+        let status = self.status.borrow();
+        let sent_since = self.in_flight.get().saturating_sub(self.in_flight_at_report.get());
+        let mut busy = busy_share(status.load, sent_since, status.cold);
+        if self.avoided_until.get().is_some_and(|until| now < until) {
+            busy += SUSPECT_COST;
+        }
+        let link = self.link.borrow();
+        let silent = link.as_ref().is_some_and(|link| now - link.heard() > SUSPECT_AFTER);
+        if silent && self.in_flight.get() > 0 {
+            busy += SUSPECT_COST;
+        }
+        busy + self.failing.get()
+    }
+}
+
+/// Moves a share of failures by one answer.
+pub fn note_failure(failing: &Cell<f64>, is_failure: bool) {
+    /// The weight of one answer.
+    const WEIGHT: f64 = 0.05;
+    let seen = if is_failure { 1.0 } else { 0.0 };
+    failing.set(failing.get() + WEIGHT * (seen - failing.get()));
+}
+
+/// How busy a target is, as a share of what it can run.
+pub fn busy_share(load: Load, sent_since: u32, is_cold: bool) -> f64 {
+    let work = f64::from(load.running + load.waiting + sent_since);
+    let busy = (work + 1.0) / f64::from(load.limit.max(1));
+    if is_cold { busy * COLD_FACTOR } else { busy }
+}
+
+/// Where a call goes.
+#[derive(Clone, Debug)]
+pub enum Destination {
+    /// The target beside this node.
+    Own,
+    /// The target beside another node.
+    Peer(Rc<Peer>),
+}
+
+/// The target beside this node, as a candidate for a call.
+#[derive(Clone, Copy, Debug)]
+pub struct OwnCandidate {
+    /// How busy it is.
+    pub busy: f64,
+}
+
+/// What is asked of the directory.
+pub struct Wanted<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// The target beside this node, if it may take the call.
+    pub own: Option<OwnCandidate>,
+    /// Nodes that were tried already.
+    pub tried: &'a [SocketAddr],
+}
+
+/// The other nodes.
+#[derive(Debug)]
+pub struct Directory {
+    own_address: SocketAddr,
+    own_failure_domain: String,
+    peers: RefCell<HashMap<SocketAddr, Rc<Peer>>>,
+}
+
+impl Directory {
+    /// A directory without any other node.
+    pub fn new(own_address: SocketAddr, own_failure_domain: &str) -> Self {
+        Self {
+            own_address,
+            own_failure_domain: own_failure_domain.to_owned(),
+            peers: RefCell::default(),
+        }
+    }
+
+    /// Adds a node. Gives it back if it was not known.
+    pub fn add(&self, address: SocketAddr, failure_domain: &str) -> Option<Rc<Peer>> {
+        if address == self.own_address {
+            return None;
+        }
+        let mut peers = self.peers.borrow_mut();
+        if let Some(known) = peers.get(&address) {
+            if !failure_domain.is_empty() {
+                failure_domain.clone_into(&mut known.failure_domain.borrow_mut());
+            }
+            return None;
+        }
+        let peer = Rc::new(Peer::new(address, failure_domain));
+        peers.insert(address, Rc::clone(&peer));
+        Some(peer)
+    }
+
+    /// The node at `address`, if it is known.
+    pub fn get(&self, address: SocketAddr) -> Option<Rc<Peer>> {
+        self.peers.borrow().get(&address).cloned()
+    }
+
+    /// Forgets the node at `address`.
+    pub fn remove(&self, address: SocketAddr) {
+        self.peers.borrow_mut().remove(&address);
+    }
+
+    /// All other nodes.
+    pub fn all(&self) -> Vec<Rc<Peer>> {
+        self.peers.borrow().values().cloned().collect()
+    }
+
+    /// All other nodes that are connected, as they are told of.
+    pub fn neighbours(&self) -> Vec<Neighbour> {
+        let peers = self.peers.borrow();
+        let connected = peers.values().filter(|peer| peer.open_link().is_some());
+        let tell = |peer: &Rc<Peer>| Neighbour {
+            address: peer.address,
+            failure_domain: peer.failure_domain.borrow().clone(),
+        };
+        connected.map(tell).collect()
+    }
+
+    /// Takes in what a node says of itself over a link that it was called on.
+    pub fn take_hello(&self, hello: &Hello) {
+        let Some(peer) = self.get(hello.address) else { return };
+        hello.failure_domain.clone_into(&mut peer.failure_domain.borrow_mut());
+        peer.life.set(hello.life);
+        peer.take_status(hello.status.clone());
+    }
+
+    /// The destination of a call: the least busy target, near ones first.
+    ///
+    /// Nodes that were tried already are not taken again.
+    pub fn pick(&self, wanted: &Wanted<'_>, rng: &mut impl Rng) -> Option<Destination> {
+        let now = Instant::now();
+        let mut best: Option<(f64, Destination)> = None;
+        if let Some(own) = wanted.own {
+            best = Some((own.busy, Destination::Own));
+        }
+        for peer in self.peers.borrow().values() {
+            if wanted.tried.contains(&peer.address) || peer.open_link().is_none() {
+                continue;
+            }
+            {
+                let status = peer.status.borrow();
+                if !status.ready || status.service != wanted.service {
+                    continue;
+                }
+            }
+            let mut cost = peer.busy(now);
+            if *peer.failure_domain.borrow() != self.own_failure_domain {
+                cost = cost.max(NEAR_UNTIL - FAR_COST) + FAR_COST;
+            }
+            cost += rng.random::<f64>() * TIE_SPREAD;
+            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+                best = Some((cost, Destination::Peer(Rc::clone(peer))));
+            }
+        }
+        best.map(|(_, destination)| destination)
+    }
+
+    /// What the targets of a service have to do, all together, as far as it is known.
+    pub fn load_of(&self, service: &str) -> Load {
+        let mut sum = Load::default();
+        for peer in self.peers.borrow().values() {
+            let status = peer.status.borrow();
+            if !status.ready || status.service != service || peer.open_link().is_none() {
+                continue;
+            }
+            sum.running += status.load.running;
+            sum.waiting += status.load.waiting;
+            sum.limit += status.load.limit;
+            sum.wait_ms = sum.wait_ms.max(status.load.wait_ms);
+        }
+        sum
+    }
+}
--- /dev/null
+++ b/src/mesh/frame.rs
@@ -0,0 +1,249 @@
+//! What nodes say to each other, and its encoding.
+//!
+//! A frame is a length of four bytes and that many bytes of postcard.
+
+use std::net::SocketAddr;
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// The bytes of a frame's length.
+const LENGTH_BYTES: usize = 4;
+/// The longest frame that is taken, in bytes: the longest body a caller may send, and its head.
+pub const FRAME_MAX_BYTES: usize = 80 * 1024 * 1024;
+
+/// One message.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Frame {
+    /// Who the sender is; the first frame in each direction.
+    Hello(Hello),
+    /// A request for the target beside the receiver.
+    Call(Call),
+    /// What became of a call.
+    Answer {
+        /// The number of the call.
+        id: u64,
+        /// What became of it.
+        end: CallEnd,
+        /// What the target has to do.
+        load: Load,
+    },
+    /// Nobody waits for the answer to a call any more.
+    Cancel {
+        /// The number of the call.
+        id: u64,
+    },
+    /// Asks for a `Status`, to see whether the connection still works.
+    Ping,
+    /// The state of the sender's target has changed, or was asked for.
+    Status(Status),
+    /// Asks for the configuration.
+    SiteWanted,
+    /// The configuration in force at the sender, as the platform's adapter encoded it.
+    Site {
+        /// The encoded configuration.
+        document: Bytes,
+    },
+}
+
+/// Who a node is.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Hello {
+    /// Where other nodes reach it.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub failure_domain: String,
+    /// A number drawn at the start of its process.
+    pub life: u64,
+    /// Its state.
+    pub status: Status,
+    /// The other nodes it knows.
+    pub known: Vec<Neighbour>,
+    /// Incarnations of targets that are leaving or have left.
+    pub left_instances: Vec<String>,
+}
+
+/// A node as another one tells of it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Neighbour {
+    /// Where other nodes reach it.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub failure_domain: String,
+}
+
+/// The state of the target beside a node, and the version of its configuration.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Status {
+    /// The service of the target.
+    pub service: String,
+    /// The incarnation of the target; empty where none is known.
+    pub instance: String,
+    /// Whether the target takes new work.
+    pub ready: bool,
+    /// Whether the target has started only lately and is still slow.
+    pub cold: bool,
+    /// The version of the configuration in force at the node.
+    pub site_version: u64,
+    /// What the target has to do.
+    pub load: Load,
+}
+
+/// What a target has to do.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Load {
+    /// Requests it is running.
+    pub running: u32,
+    /// Requests that wait for it at its node.
+    pub waiting: u32,
+    /// How many requests it may run at once.
+    pub limit: u32,
+    /// How long the request that began last had waited, in milliseconds.
+    pub wait_ms: u32,
+}
+
+/// A request for the target beside the receiver.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Call {
+    /// Its number on this connection.
+    pub id: u64,
+    /// The service it is for.
+    pub service: String,
+    /// The id of the caller's attempt.
+    pub attempt_id: String,
+    /// How long an answer is of use, in milliseconds.
+    pub remaining_ms: u32,
+    /// The rank in the queue; the lowest goes first.
+    pub rank: u8,
+    /// Whether it was begun by a target on behalf of another request.
+    pub nested: bool,
+    /// Whether the method asks for a head without a body.
+    pub head_only: bool,
+    /// The request line and the headers, each ended by CR LF, without the blank line.
+    pub head: Bytes,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+/// What became of a call.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum CallEnd {
+    /// The target's whole answer.
+    Answered(TargetAnswer),
+    /// The target did not run the request and never will run this call.
+    NotRun(NotRun),
+    /// Nobody can say whether the target ran the request.
+    MayHaveRun(Doubt),
+}
+
+/// The whole answer of a target.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TargetAnswer {
+    /// The status.
+    pub status: u16,
+    /// The headers, each ended by CR LF, without those that concern one connection.
+    pub headers: Bytes,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+/// Why a call was not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum NotRun {
+    /// There is no target of the service beside the node.
+    NoTarget,
+    /// The target is leaving, or its node is.
+    Leaving,
+    /// The queue was full.
+    QueueFull,
+    /// The deadline passed in the queue.
+    Expired,
+    /// No connection to the target could be made.
+    Unreachable,
+    /// The request reached the target, which said that it did not run it.
+    Declined,
+    /// The connection to the node was lost before the call was sent.
+    Unsent,
+}
+
+impl NotRun {
+    /// Whether the request has reached a target all the same.
+    pub fn has_arrived(self) -> bool {
+        self == Self::Declined
+    }
+
+    /// The name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NoTarget => "no-target",
+            Self::Leaving => "leaving",
+            Self::QueueFull => "queue-full",
+            Self::Expired => "expired",
+            Self::Unreachable => "target-unreachable",
+            Self::Declined => "target-declined",
+            Self::Unsent => "unsent",
+        }
+    }
+}
+
+/// Why nobody can say whether a call ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Doubt {
+    /// No answer came in time.
+    Timeout,
+    /// The connection to the node was lost.
+    LinkLost,
+    /// The target broke off, or its answer made no sense.
+    TargetBroke,
+}
+
+impl Doubt {
+    /// The name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Timeout => "timeout",
+            Self::LinkLost => "link-lost",
+            Self::TargetBroke => "target-broke",
+        }
+    }
+}
+
+/// Why bytes are no frame.
+#[derive(Debug, Error)]
+pub enum FrameError {
+    /// The frame is longer than is allowed.
+    #[error("a frame of {0} bytes")]
+    TooLong(usize),
+    /// The frame does not decode.
+    #[error("a malformed frame")]
+    Malformed(#[from] postcard::Error),
+}
+
+/// Appends a frame to `out`.
+pub fn encode(frame: &Frame, out: &mut BytesMut) {
+    let start = out.len();
+    out.put_u32(0);
+    let written = postcard::to_io(frame, out.writer()).map(|_| ());
+    debug_assert!(written.is_ok(), "writing to memory cannot fail");
+    let length = (out.len() - start - LENGTH_BYTES) as u32;
+    out[start..start + LENGTH_BYTES].copy_from_slice(&length.to_be_bytes());
+}
+
+/// Takes the first whole frame out of `buffer`, where there is one.
+pub fn decode(buffer: &mut BytesMut) -> Result<Option<Frame>, FrameError> {
+    if buffer.len() < LENGTH_BYTES {
+        return Ok(None);
+    }
+    let length = u32::from_be_bytes([buffer[0], buffer[1], buffer[2], buffer[3]]) as usize;
+    if length > FRAME_MAX_BYTES {
+        return Err(FrameError::TooLong(length));
+    }
+    if buffer.len() < LENGTH_BYTES + length {
+        buffer.reserve(LENGTH_BYTES + length - buffer.len());
+        return Ok(None);
+    }
+    let frame = postcard::from_bytes(&buffer[LENGTH_BYTES..LENGTH_BYTES + length])?;
+    buffer.advance(LENGTH_BYTES + length);
+    Ok(Some(frame))
+}
--- /dev/null
+++ b/src/mesh/http1.rs
@@ -0,0 +1,343 @@
+//! One HTTP/1.1 exchange at a time over a kept connection, as a client.
+//!
+//! hyper's client takes the next bytes on a connection as the answer to the request it wrote last.
+//! A target may send a second answer to an earlier request, late, on a kept connection; only the id
+//! in it tells, so answers are matched here before they are taken.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::{Buf, Bytes, BytesMut};
+use http::Method;
+use thiserror::Error;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+use super::socket;
+
+/// The most headers of an answer.
+const HEADERS_MAX: usize = 96;
+/// The longest head of an answer, in bytes.
+const HEAD_MAX_BYTES: usize = 64 * 1024;
+/// The longest body of an answer, in bytes: a node holds answers whole.
+const BODY_MAX_BYTES: usize = 32 * 1024 * 1024;
+/// What is read at once, in bytes.
+const READ_BYTES: usize = 16 * 1024;
+/// How much sooner than its peer says a kept connection is taken as closed.
+const IDLE_MARGIN: Duration = Duration::from_millis(700);
+/// How long a kept connection is used whose peer does not say how long it keeps it.
+const IDLE_DEFAULT: Duration = Duration::from_secs(4);
+/// The most answers to other requests that are skipped before the right one.
+const SKIPPED_MAX: usize = 4;
+
+/// Why an exchange has no answer.
+#[derive(Debug, Error)]
+pub enum ExchangeError {
+    /// No connection could be made.
+    #[error("cannot connect: {0}")]
+    Connect(io::Error),
+    /// The connection broke before the whole answer was there.
+    #[error("broken off: {0}")]
+    Broken(io::Error),
+    /// What came is no answer in HTTP/1.1.
+    #[error("not an answer: {0}")]
+    Malformed(&'static str),
+}
+
+/// A connection that carries one exchange at a time.
+#[derive(Debug)]
+pub struct Connection {
+    stream: TcpStream,
+    buffer: BytesMut,
+    usable_until: Instant,
+}
+
+/// A whole answer.
+#[derive(Debug)]
+pub struct Reply {
+    /// The status.
+    pub status: u16,
+    /// The headers in the order they came.
+    pub headers: Vec<(Bytes, Bytes)>,
+    /// The whole body.
+    pub body: Bytes,
+    /// Whether the connection may carry another exchange.
+    pub is_reusable: bool,
+}
+
+impl Reply {
+    /// The value of the first header of a name, where it is text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let is_named = |(key, _): &&(Bytes, Bytes)| key.eq_ignore_ascii_case(name.as_bytes());
+        let (_, value) = self.headers.iter().find(is_named)?;
+        std::str::from_utf8(value).ok()
+    }
+}
+
+/// How the body of an answer ends.
+enum Framing {
+    Length(usize),
+    Chunked,
+    UntilClose,
+}
+
+impl Connection {
+    /// Connects.
+    pub async fn open(address: SocketAddr) -> Result<Self, ExchangeError> {
+        let stream = socket::connect(address).await.map_err(ExchangeError::Connect)?;
+        let usable_until = Instant::now() + IDLE_DEFAULT;
+        Ok(Self { stream, buffer: BytesMut::new(), usable_until })
+    }
+
+    /// Whether another request may be written: the peer has neither closed the connection nor sent
+    /// anything that nobody asked for, and will not close it at this very moment.
+    pub fn is_usable(&self) -> bool {
+        if !self.buffer.is_empty() || Instant::now() >= self.usable_until {
+            return false;
+        }
+        let mut probe = [0; 1];
+        matches!(self.stream.try_read(&mut probe), Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Writes a request and reads the answer that `is_mine` accepts; others are skipped.
+    ///
+    /// After an error, or if the future is dropped, the connection must not be used again.
+    pub async fn exchange(
+        &mut self,
+        method: &Method,
+        head: &[u8],
+        body: &[u8],
+        is_mine: impl Fn(&Reply) -> bool,
+    ) -> Result<Reply, ExchangeError> {
+        let (mut reader, mut writer) = self.stream.split();
+        let buffer = &mut self.buffer;
+        let write = async {
+            if body.len() <= READ_BYTES {
+                let whole = [head, body].concat();
+                writer.write_all(&whole).await
+            } else {
+                writer.write_all(head).await?;
+                writer.write_all(body).await
+            }
+        };
+        let read = async {
+            for _ in 0..=SKIPPED_MAX {
+                let reply = read_reply(&mut reader, buffer, method).await?;
+                if is_mine(&reply) {
+                    return Ok(reply);
+                }
+                if !reply.is_reusable {
+                    break;
+                }
+            }
+            Err(ExchangeError::Malformed("answers to other requests only"))
+        };
+        tokio::pin!(write);
+        tokio::pin!(read);
+        // An answer may come before the whole request is written.
+        let mut is_written = false;
+        let reply = loop {
+            tokio::select! {
+                biased;
+                reply = &mut read => break reply,
+                written = &mut write, if !is_written => {
+                    is_written = true;
+                    // A peer that answers early may stop reading; its answer decides.
+                    drop(written);
+                }
+            }
+        };
+        let mut reply = reply?;
+        // The rest of the request must not be taken for another one.
+        reply.is_reusable &= is_written;
+        self.usable_until = Instant::now() + idle_time(&reply);
+        Ok(reply)
+    }
+}
+
+/// How long a connection may be kept after an answer.
+fn idle_time(reply: &Reply) -> Duration {
+    let Some(text) = reply.header("keep-alive") else { return IDLE_DEFAULT };
+    let parameters = text.split(',');
+    let timeout_s = parameters
+        .filter_map(|parameter| parameter.trim().strip_prefix("timeout="))
+        .find_map(|value| value.trim().parse::<u64>().ok());
+    timeout_s
+        .map_or(IDLE_DEFAULT, |seconds| Duration::from_secs(seconds).saturating_sub(IDLE_MARGIN))
+}
+
+/// Reads one whole answer; interim ones are skipped.
+async fn read_reply(
+    reader: &mut (impl AsyncReadExt + Unpin),
+    buffer: &mut BytesMut,
+    method: &Method,
+) -> Result<Reply, ExchangeError> {
+    loop {
+        let mut reply = read_head(reader, buffer).await?;
+        if (100..200).contains(&reply.status) {
+            continue;
+        }
+        let framing = framing(&reply, method)?;
+        reply.is_reusable &= !matches!(framing, Framing::UntilClose);
+        reply.body = match framing {
+            Framing::Length(length) => read_length(reader, buffer, length).await?,
+            Framing::Chunked => read_chunks(reader, buffer).await?,
+            Framing::UntilClose => read_to_end(reader, buffer).await?,
+        };
+        return Ok(reply);
+    }
+}
+
+async fn read_head(
+    reader: &mut (impl AsyncReadExt + Unpin),
+    buffer: &mut BytesMut,
+) -> Result<Reply, ExchangeError> {
+    loop {
+        if let Some(reply) = parse_head(buffer)? {
+            return Ok(reply);
+        }
+        if buffer.len() > HEAD_MAX_BYTES {
+            return Err(ExchangeError::Malformed("the head is too long"));
+        }
+        read_more(reader, buffer).await?;
+    }
+}
+
+fn parse_head(buffer: &mut BytesMut) -> Result<Option<Reply>, ExchangeError> {
+    let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
+    let mut head = httparse::Response::new(&mut headers);
+    let parsed = head.parse(buffer).map_err(|_| ExchangeError::Malformed("no status line"))?;
+    let httparse::Status::Complete(length) = parsed else { return Ok(None) };
+    let status = head.code.unwrap_or(0);
+    let is_http_11 = head.version == Some(1);
+    // One copy of the head, of which names and values are views.
+    let bytes = Bytes::copy_from_slice(&buffer[..length]);
+    let start = buffer.as_ptr() as usize;
+    let view = |part: &[u8]| {
+        let at = part.as_ptr() as usize - start;
+        bytes.slice(at..at + part.len())
+    };
+    let mut found = Vec::with_capacity(head.headers.len());
+    for header in head.headers.iter() {
+        let value = if header.value.is_empty() { Bytes::new() } else { view(header.value) };
+        found.push((view(header.name.as_bytes()), value));
+    }
+    buffer.advance(length);
+    let mut reply = Reply { status, headers: found, body: Bytes::new(), is_reusable: is_http_11 };
+    let connection = reply.header("connection").unwrap_or("");
+    if connection.split(',').any(|token| token.trim().eq_ignore_ascii_case("close")) {
+        reply.is_reusable = false;
+    }
+    Ok(Some(reply))
+}
+
+fn framing(reply: &Reply, method: &Method) -> Result<Framing, ExchangeError> {
+    if method == Method::HEAD || matches!(reply.status, 204 | 304) {
+        return Ok(Framing::Length(0));
+    }
+    if let Some(coding) = reply.header("transfer-encoding") {
+        let is_chunked = coding.trim().eq_ignore_ascii_case("chunked");
+        return if is_chunked {
+            Ok(Framing::Chunked)
+        } else {
+            Err(ExchangeError::Malformed("an unknown transfer coding"))
+        };
+    }
+    let Some(length) = reply.header("content-length") else { return Ok(Framing::UntilClose) };
+    let length = length.trim().parse::<usize>();
+    match length {
+        Ok(length) if length <= BODY_MAX_BYTES => Ok(Framing::Length(length)),
+        _ => Err(ExchangeError::Malformed("an impossible length")),
+    }
+}
+
+async fn read_length(
+    reader: &mut (impl AsyncReadExt + Unpin),
+    buffer: &mut BytesMut,
+    length: usize,
+) -> Result<Bytes, ExchangeError> {
+    while buffer.len() < length {
+        buffer.reserve(length - buffer.len());
+        read_more(reader, buffer).await?;
+    }
+    Ok(buffer.split_to(length).freeze())
+}
+
+async fn read_chunks(
+    reader: &mut (impl AsyncReadExt + Unpin),
+    buffer: &mut BytesMut,
+) -> Result<Bytes, ExchangeError> {
+    let mut body = BytesMut::new();
+    loop {
+        let (size_end, size) = loop {
+            match httparse::parse_chunk_size(buffer) {
+                Ok(httparse::Status::Complete(found)) => break found,
+                Ok(httparse::Status::Partial) => read_more(reader, buffer).await?,
+                Err(_) => return Err(ExchangeError::Malformed("no chunk size")),
+            }
+        };
+        buffer.advance(size_end);
+        if size == 0 {
+            return read_trailers(reader, buffer).await.map(|()| body.freeze());
+        }
+        if size > (BODY_MAX_BYTES - body.len()) as u64 {
+            return Err(ExchangeError::Malformed("the body is too long"));
+        }
+        let chunk = read_length(reader, buffer, size as usize + 2).await?;
+        if !chunk.ends_with(b"\r\n") {
+            return Err(ExchangeError::Malformed("no end of a chunk"));
+        }
+        body.extend_from_slice(&chunk[..size as usize]);
+    }
+}
+
+/// Reads past the trailers of a chunked body.
+async fn read_trailers(
+    reader: &mut (impl AsyncReadExt + Unpin),
+    buffer: &mut BytesMut,
+) -> Result<(), ExchangeError> {
+    loop {
+        while let Some(end) = buffer.windows(2).position(|pair| pair == b"\r\n") {
+            buffer.advance(end + 2);
+            if end == 0 {
+                return Ok(());
+            }
+        }
+        if buffer.len() > HEAD_MAX_BYTES {
+            return Err(ExchangeError::Malformed("the trailers are too long"));
+        }
+        read_more(reader, buffer).await?;
+    }
+}
+
+async fn read_to_end(
+    reader: &mut (impl AsyncReadExt + Unpin),
+    buffer: &mut BytesMut,
+) -> Result<Bytes, ExchangeError> {
+    loop {
+        if buffer.len() > BODY_MAX_BYTES {
+            return Err(ExchangeError::Malformed("the body is too long"));
+        }
+        buffer.reserve(READ_BYTES);
+        let read = reader.read_buf(buffer).await.map_err(ExchangeError::Broken)?;
+        if read == 0 {
+            return Ok(buffer.split().freeze());
+        }
+    }
+}
+
+async fn read_more(
+    reader: &mut (impl AsyncReadExt + Unpin),
+    buffer: &mut BytesMut,
+) -> Result<(), ExchangeError> {
+    if buffer.capacity() - buffer.len() < READ_BYTES / 4 {
+        buffer.reserve(READ_BYTES);
+    }
+    let read = reader.read_buf(buffer).await.map_err(ExchangeError::Broken)?;
+    if read == 0 {
+        return Err(ExchangeError::Broken(io::ErrorKind::UnexpectedEof.into()));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/mesh/ingress.rs
@@ -0,0 +1,299 @@
+//! Takes in the requests of callers, and of the target beside the node.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{BufMut, Bytes, BytesMut};
+use http::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST, RETRY_AFTER};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep_until, timeout_at};
+
+use super::frame::TargetAnswer;
+use super::node::{Counted, Node};
+use super::peers::pause_after;
+use super::receiver::put_header;
+use super::sender::{self, Outcome, Request};
+use super::site::Route;
+
+/// How much memory request bodies may take, as a share of what the node may use.
+const BODIES_SHARE: f64 = 0.25;
+/// The buffer of a connection, in bytes: at least the longest head.
+const BUFFER_BYTES: usize = 64 * 1024;
+/// When a caller should come back that came before the node was ready, in milliseconds.
+const RETRY_AFTER_NOT_READY_MS: u64 = 500;
+/// When a caller should come back whose body does not fit into memory, in milliseconds.
+const RETRY_AFTER_NO_MEMORY_MS: u64 = 1_000;
+
+/// A response as it is written.
+type Response = http::Response<Full<Bytes>>;
+
+/// What is known of a connection of a caller.
+struct Connection {
+    /// Where it comes from.
+    remote: SocketAddr,
+    /// Whether a request on it is being answered.
+    is_busy: Cell<bool>,
+    /// When its last answer was given.
+    idle_since: Cell<Instant>,
+}
+
+/// Takes in connections of callers.
+pub async fn accept(node: Rc<Node>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, remote)) => {
+                spawn_local(serve_connection(Rc::clone(&node), stream, remote));
+            }
+            Err(error) => pause_after(&error).await,
+        }
+    }
+}
+
+/// Serves a connection until either side closes it.
+async fn serve_connection(node: Rc<Node>, stream: TcpStream, remote: SocketAddr) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let state = Rc::new(Connection {
+        remote,
+        is_busy: Cell::new(false),
+        idle_since: Cell::new(Instant::now()),
+    });
+    let service = service_fn(|request| {
+        let node = Rc::clone(&node);
+        let state = Rc::clone(&state);
+        async move { Ok::<_, Infallible>(answer(&node, &state, request).await) }
+    });
+    let mut builder = hyper::server::conn::http1::Builder::new();
+    builder.pipeline_flush(true).max_buf_size(BUFFER_BYTES);
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    loop {
+        let limits = node.site().map(|site| site.limits).unwrap_or_default();
+        let idle_until = state.idle_since.get() + Duration::from_millis(limits.idle_timeout_ms);
+        let check_at =
+            idle_until.max(Instant::now() + Duration::from_millis(limits.head_timeout_ms));
+        tokio::select! {
+            _ = connection.as_mut() => return,
+            () = sleep_until(check_at) => {}
+        }
+        if !state.is_busy.get() && idle_until <= Instant::now() {
+            connection.as_mut().graceful_shutdown();
+        }
+    }
+}
+
+/// Answers one request.
+async fn answer(
+    node: &Rc<Node>,
+    connection: &Connection,
+    request: http::Request<Incoming>,
+) -> Response {
+    let _in_flight = sender::count(node);
+    connection.is_busy.set(true);
+    let mut response = respond(node, connection, request).await;
+    connection.is_busy.set(false);
+    connection.idle_since.set(Instant::now());
+    if node.is_stopping() {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+async fn respond(
+    node: &Rc<Node>,
+    connection: &Connection,
+    request: http::Request<Incoming>,
+) -> Response {
+    let arrived = Instant::now();
+    let Some(site) = node.site() else {
+        return refusal(StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER_NOT_READY_MS);
+    };
+    let (parts, body) = request.into_parts();
+    let host = parts.headers.get(HOST).and_then(|value| value.to_str().ok());
+    let host = host.or(parts.uri.host()).unwrap_or("");
+    let Some(route) = site.route(host, parts.uri.path()) else {
+        return plain(StatusCode::NOT_FOUND);
+    };
+    let caller_ms = header_number(&parts.headers, &node.vocabulary.deadline_ms);
+    let wait_ms = caller_ms.map_or(route.timeout_ms, |caller_ms| caller_ms.min(route.timeout_ms));
+    let deadline = arrived + Duration::from_millis(wait_ms);
+    let body = match read_body(node, body, site.limits.body_max_bytes, deadline).await {
+        Ok(body) => body,
+        Err(response) => return response,
+    };
+    let _held = Counted::new(&node.held_bytes, body.len());
+    let request = Request {
+        attempt_id: header_text(&parts.headers, &node.vocabulary.attempt_id).to_owned(),
+        head_only: parts.method == Method::HEAD,
+        head: request_head(node, &parts),
+        body,
+        deadline,
+        is_nested: connection.remote.ip() == node.settings.listen.callers.ip()
+            || connection.remote.ip().is_loopback(),
+    };
+    finish(node, &route, &request).await
+}
+
+/// Sends a request and turns its outcome into a response.
+async fn finish(node: &Rc<Node>, route: &Route, request: &Request) -> Response {
+    match sender::send(node, route, request).await {
+        Outcome::Answered(answer) => target_answer(answer),
+        Outcome::NotRun { retry_after_ms, .. } => {
+            refusal(StatusCode::SERVICE_UNAVAILABLE, retry_after_ms)
+        }
+        Outcome::MayHaveRun(super::frame::Doubt::Timeout) => plain(StatusCode::GATEWAY_TIMEOUT),
+        Outcome::MayHaveRun(_) => plain(StatusCode::BAD_GATEWAY),
+    }
+}
+
+/// Reads a whole body, or says how the request ends instead.
+async fn read_body(
+    node: &Rc<Node>,
+    mut body: Incoming,
+    max_bytes: usize,
+    deadline: Instant,
+) -> Result<Bytes, Response> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let announced = body.size_hint().upper().unwrap_or(0) as usize;
+    if announced > max_bytes {
+        return Err(plain(StatusCode::PAYLOAD_TOO_LARGE));
+    }
+    let memory_bytes = node.settings.node.memory_mb as f64 * 1024.0 * 1024.0;
+    let room = (memory_bytes * BODIES_SHARE) as usize;
+    if node.held_bytes.get() + announced > room {
+        return Err(refusal(StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER_NO_MEMORY_MS));
+    }
+    let mut read = BytesMut::with_capacity(announced);
+    let read_all = async {
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else { return Err(plain(StatusCode::BAD_REQUEST)) };
+            let Ok(data) = frame.into_data() else { continue };
+            if read.len() + data.len() > max_bytes {
+                return Err(plain(StatusCode::PAYLOAD_TOO_LARGE));
+            }
+            read.extend_from_slice(&data);
+        }
+        Ok(())
+    };
+    let is_read = timeout_at(deadline, read_all).await;
+    is_read.unwrap_or_else(|_| Err(refusal(StatusCode::REQUEST_TIMEOUT, 0)))?;
+    Ok(read.freeze())
+}
+
+/// The request line and the headers that travel on.
+fn request_head(node: &Node, parts: &http::request::Parts) -> Bytes {
+    let vocabulary = &node.vocabulary;
+    let mut head = BytesMut::with_capacity(512);
+    let target = parts.uri.path_and_query().map_or("/", |target| target.as_str());
+    head.put_slice(parts.method.as_str().as_bytes());
+    head.put_slice(b" ");
+    head.put_slice(target.as_bytes());
+    head.put_slice(b" HTTP/1.1\r\n");
+    let named = named_by_connection(&parts.headers);
+    for (name, value) in &parts.headers {
+        let is_replaced = *name == vocabulary.deadline_ms
+            || *name == vocabulary.expected_instance
+            || *name == vocabulary.calling_service;
+        if is_replaced || is_of_connection(name) || named.contains(name) {
+            continue;
+        }
+        put_header(&mut head, name.as_str(), value.as_bytes());
+    }
+    let calling = node.own_service();
+    put_header(&mut head, vocabulary.calling_service.as_str(), calling.as_bytes());
+    head.freeze()
+}
+
+/// Whether a header of a request concerns one connection only.
+fn is_of_connection(name: &HeaderName) -> bool {
+    const NAMES: [&str; 8] = [
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "transfer-encoding",
+        "te",
+        "trailer",
+        "upgrade",
+        "proxy-authorization",
+    ];
+    *name == CONTENT_LENGTH || *name == EXPECT || NAMES.contains(&name.as_str())
+}
+
+/// The headers that the sender declares as concerning one connection only.
+fn named_by_connection(headers: &HeaderMap) -> Vec<HeaderName> {
+    let mut names = Vec::new();
+    for value in headers.get_all(CONNECTION) {
+        let Ok(text) = value.to_str() else { continue };
+        for token in text.split(',') {
+            let Ok(name) = token.trim().parse::<HeaderName>() else { continue };
+            names.push(name);
+        }
+    }
+    names
+}
+
+/// The target's answer as it is written to the caller.
+fn target_answer(answer: TargetAnswer) -> Response {
+    if is_promise(answer.status) {
+        // The target says so of a request that it has run; the caller would take it as not run.
+        return plain(StatusCode::BAD_GATEWAY);
+    }
+    let mut response = http::Response::new(Full::new(answer.body));
+    let status = StatusCode::from_u16(answer.status);
+    *response.status_mut() = status.unwrap_or(StatusCode::BAD_GATEWAY);
+    let headers = response.headers_mut();
+    for line in answer.headers.split(|byte| *byte == b'\n') {
+        let Some(colon) = line.iter().position(|byte| *byte == b':') else { continue };
+        let name = HeaderName::from_bytes(&line[..colon]);
+        let value = HeaderValue::from_bytes(line[colon + 1..].trim_ascii());
+        let (Ok(name), Ok(value)) = (name, value) else { continue };
+        headers.append(name, value);
+    }
+    response
+}
+
+/// Whether a status promises that the request has not run and never will.
+fn is_promise(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
+/// An answer of the node's own that promises that the request has not run.
+fn refusal(status: StatusCode, retry_after_ms: u64) -> Response {
+    let mut response = plain(status);
+    if retry_after_ms > 0 {
+        let seconds = format!("{}.{:03}", retry_after_ms / 1000, retry_after_ms % 1000);
+        if let Ok(value) = HeaderValue::from_str(&seconds) {
+            response.headers_mut().insert(RETRY_AFTER, value);
+        }
+    }
+    response
+}
+
+/// An answer of the node's own.
+fn plain(status: StatusCode) -> Response {
+    let mut response = http::Response::new(Full::new(Bytes::new()));
+    *response.status_mut() = status;
+    response
+}
+
+/// The value of a header as text; empty where it is missing.
+fn header_text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> &'a str {
+    headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or("")
+}
+
+/// The value of a header as a number.
+fn header_number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
+    headers.get(name)?.to_str().ok()?.trim().parse().ok()
+}
--- /dev/null
+++ b/src/mesh/launch.rs
@@ -0,0 +1,97 @@
+//! Starts and stops a node.
+
+use std::convert::Infallible;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::StatusCode;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep};
+
+use super::node::Node;
+use super::{ingress, peers, socket};
+
+/// How long a stopping node goes on taking requests. Callers learn that it stops when they ask
+/// whether it is ready, once a second, and believe the second "no".
+const STOP_TAKES_REQUESTS: Duration = Duration::from_millis(2_600);
+/// How much sooner than it would be killed a stopping node ends.
+const STOP_MARGIN: Duration = Duration::from_millis(300);
+/// How often a stopping node looks whether it has finished.
+const STOP_CHECK: Duration = Duration::from_millis(50);
+
+/// Runs `serve` for each connection to `listener`, with the path and the whole body of each request.
+pub async fn serve_simple<F, Fut>(listener: TcpListener, answer: F)
+where
+    F: Fn(http::Request<Incoming>) -> Fut + Clone + 'static,
+    Fut: Future<Output = http::Response<Full<Bytes>>> + 'static,
+{
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                peers::pause_after(&error).await;
+                continue;
+            }
+        };
+        let answer = answer.clone();
+        spawn_local(async move {
+            let service = service_fn(move |request| {
+                let answered = answer(request);
+                async move { Ok::<_, Infallible>(answered.await) }
+            });
+            let builder = hyper::server::conn::http1::Builder::new();
+            // A connection that breaks concerns nobody else.
+            drop(builder.serve_connection(TokioIo::new(stream), service).await);
+        });
+    }
+}
+
+/// Opens the node's listeners and serves them.
+pub fn start(node: &Rc<Node>) -> io::Result<()> {
+    let listen = &node.settings.listen;
+    let callers = socket::listen(listen.callers)?;
+    let others = socket::listen(listen.peers)?;
+    let readiness = socket::listen(listen.readiness)?;
+    spawn_local(ingress::accept(Rc::clone(node), callers));
+    spawn_local(peers::accept(Rc::clone(node), others));
+    let asked = Rc::clone(node);
+    spawn_local(serve_simple(readiness, move |_| {
+        let is_ready = asked.is_ready();
+        async move { status_only(if is_ready { 200 } else { 503 }) }
+    }));
+    Ok(())
+}
+
+/// A response without a body.
+pub fn status_only(status: u16) -> http::Response<Full<Bytes>> {
+    let mut response = http::Response::new(Full::new(Bytes::new()));
+    *response.status_mut() =
+        StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    response
+}
+
+/// Waits until the node is told to stop, and then until it has finished.
+pub async fn run_until_stopped(node: &Rc<Node>) -> io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    terminate.recv().await;
+    let told = Instant::now();
+    node.stop();
+    let grace = Duration::from_millis(node.settings.timing.stop_grace_ms);
+    let end = told + grace.saturating_sub(STOP_MARGIN);
+    while Instant::now() < end {
+        let is_quiet = node.in_flight.get() == 0 && node.serving.get() == 0;
+        if is_quiet && told.elapsed() >= STOP_TAKES_REQUESTS {
+            break;
+        }
+        sleep(STOP_CHECK).await;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/mesh/mod.rs
@@ -0,0 +1,23 @@
+//! The call path of a node: callers in, other nodes, the target beside it, and back.
+//!
+//! All of it runs in one thread: on a VM with less than half a core a handoff between threads costs
+//! more than a whole decision. docs/DESIGN-platform.md has the figures.
+
+pub mod budget;
+pub mod directory;
+pub mod frame;
+pub mod gate;
+pub mod http1;
+pub mod ingress;
+pub mod launch;
+pub mod link;
+pub mod node;
+pub mod peers;
+pub mod receiver;
+pub mod sender;
+pub mod settings;
+pub mod site;
+pub mod socket;
+pub mod split;
+pub mod target;
+pub mod vocabulary;
--- /dev/null
+++ b/src/mesh/node.rs
@@ -0,0 +1,198 @@
+//! The state of a node, shared by its tasks. All of them run in one thread.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use bytes::Bytes;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use super::budget::RetryBudgets;
+use super::directory::Directory;
+use super::frame::{Frame, Hello, Status};
+use super::link::Link;
+use super::settings::MeshSettings;
+use super::site::Site;
+use super::split::Splitter;
+use super::target::Target;
+use super::vocabulary::Vocabulary;
+
+/// Reads a configuration in the form in which the platform's adapter holds it.
+pub type ReadSite = Box<dyn Fn(&[u8]) -> eyre::Result<Site>>;
+
+/// The configuration in force, and the document it was read from.
+#[derive(Clone, Debug)]
+pub struct InForce {
+    /// The configuration.
+    pub site: Rc<Site>,
+    /// The document.
+    pub document: Bytes,
+}
+
+/// The state of a node.
+pub struct Node {
+    /// What it was told at its start.
+    pub settings: MeshSettings,
+    /// The names of the headers it reads and writes.
+    pub vocabulary: Vocabulary,
+    /// A number drawn at the start of the process.
+    pub life: u64,
+    /// The other nodes.
+    pub directory: Directory,
+    /// The target beside the node.
+    pub target: Target,
+    /// Shares the requests of split routes.
+    pub splitter: Splitter,
+    /// How many repeats may be sent.
+    pub budgets: RetryBudgets,
+    /// The random numbers of its choices.
+    pub rng: RefCell<SmallRng>,
+    /// Requests of callers that were taken in and not answered.
+    pub in_flight: Cell<usize>,
+    /// Calls of other nodes that are waiting or running.
+    pub serving: Cell<usize>,
+    /// Bytes of request bodies held.
+    pub held_bytes: Cell<usize>,
+    /// Whether other nodes have been looked for.
+    pub has_looked_around: Cell<bool>,
+    in_force: RefCell<Option<InForce>>,
+    read_site: ReadSite,
+    is_stopping: Cell<bool>,
+    /// The links on which other nodes call this one.
+    callers: RefCell<Vec<Rc<Link>>>,
+}
+
+impl Node {
+    /// A node that knows nothing yet but its settings.
+    pub fn new(settings: MeshSettings, vocabulary: Vocabulary, read_site: ReadSite) -> Self {
+        Self {
+            life: rand::random(),
+            directory: Directory::new(settings.listen.peers, &settings.node.failure_domain),
+            target: Target::new(settings.target.address),
+            splitter: Splitter::default(),
+            budgets: RetryBudgets::new(&settings.retry),
+            rng: RefCell::new(SmallRng::from_os_rng()),
+            in_flight: Cell::default(),
+            serving: Cell::default(),
+            held_bytes: Cell::default(),
+            has_looked_around: Cell::default(),
+            in_force: RefCell::default(),
+            read_site,
+            is_stopping: Cell::default(),
+            callers: RefCell::default(),
+            settings,
+            vocabulary,
+        }
+    }
+
+    /// The configuration in force, where one is known.
+    pub fn site(&self) -> Option<Rc<Site>> {
+        self.in_force.borrow().as_ref().map(|in_force| Rc::clone(&in_force.site))
+    }
+
+    /// The configuration in force with its document.
+    pub fn in_force(&self) -> Option<InForce> {
+        self.in_force.borrow().clone()
+    }
+
+    /// The version of the configuration in force; 0 where none is known.
+    pub fn site_version(&self) -> u64 {
+        self.in_force.borrow().as_ref().map_or(0, |in_force| in_force.site.version)
+    }
+
+    /// Takes in a configuration. Says whether it is in force now; an older one never is.
+    pub fn take_document(&self, document: &Bytes) -> eyre::Result<bool> {
+        let site = (self.read_site)(document)?;
+        if site.version <= self.site_version() {
+            return Ok(false);
+        }
+        let in_force = InForce { site: Rc::new(site), document: document.clone() };
+        self.in_force.replace(Some(in_force));
+        Ok(true)
+    }
+
+    /// Whether the node takes new requests of callers.
+    pub fn is_ready(&self) -> bool {
+        !self.is_stopping.get() && self.has_looked_around.get() && self.site_version() > 0
+    }
+
+    /// Whether the node was told to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping.get()
+    }
+
+    /// Takes no new work for the target any more, and tells the other nodes.
+    pub fn stop(&self) {
+        self.is_stopping.set(true);
+        self.tell_status();
+    }
+
+    /// The service of the target beside the node.
+    pub fn own_service(&self) -> String {
+        let current = self.target.current();
+        current.map_or_else(|| self.settings.node.service.clone(), |known| known.service.clone())
+    }
+
+    /// The state of the node.
+    pub fn status(&self) -> Status {
+        let current = self.target.current();
+        Status {
+            service: self.own_service(),
+            instance: current.as_ref().map(|known| known.id.clone()).unwrap_or_default(),
+            ready: current.is_some() && !self.is_stopping.get(),
+            cold: current.is_some_and(|known| known.is_cold),
+            site_version: self.site_version(),
+            load: self.target.load(),
+        }
+    }
+
+    /// What the node says of itself when it meets another one.
+    pub fn hello(&self) -> Hello {
+        Hello {
+            address: self.settings.listen.peers,
+            failure_domain: self.settings.node.failure_domain.clone(),
+            life: self.life,
+            status: self.status(),
+            known: self.directory.neighbours(),
+            left_instances: self.target.left(),
+        }
+    }
+
+    /// Tells the state of the node to all that call it.
+    pub fn tell_status(&self) {
+        let frame = Frame::Status(self.status());
+        for link in self.callers.borrow().iter() {
+            link.send(&frame);
+        }
+    }
+
+    /// Adds a link on which another node calls this one.
+    pub fn add_caller(&self, link: &Rc<Link>) {
+        self.callers.borrow_mut().push(Rc::clone(link));
+    }
+
+    /// Removes a link on which another node called this one.
+    pub fn remove_caller(&self, link: &Rc<Link>) {
+        self.callers.borrow_mut().retain(|known| !Rc::ptr_eq(known, link));
+    }
+}
+
+/// Counts something for as long as it lasts.
+pub struct Counted<'a> {
+    counter: &'a Cell<usize>,
+    amount: usize,
+}
+
+impl<'a> Counted<'a> {
+    /// Adds `amount` to `counter` until dropped.
+    pub fn new(counter: &'a Cell<usize>, amount: usize) -> Self {
+        counter.set(counter.get() + amount);
+        Self { counter, amount }
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.counter.set(self.counter.get() - self.amount);
+    }
+}
--- /dev/null
+++ b/src/mesh/sender.rs
@@ -0,0 +1,220 @@
+//! The sending side: finds a target for a request, sends it, and sends it again where that is right.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use tokio::time::{Instant, timeout_at};
+
+use super::directory::{Destination, OwnCandidate, Wanted, busy_share};
+use super::frame::{Call, CallEnd, Doubt, NotRun, TargetAnswer};
+use super::node::{Counted, Node};
+use super::receiver;
+use super::site::{Route, RouteKind};
+
+/// How often a call that was refused without having reached a target is offered elsewhere.
+const OFFERS_MAX: usize = 6;
+/// When a caller should come back that found no target, in milliseconds.
+const RETRY_AFTER_NO_TARGET_MS: u64 = 600;
+/// When a caller should come back that found all targets busy, in milliseconds.
+const RETRY_AFTER_BUSY_MS: u64 = 1_000;
+
+/// A request that was taken in whole.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// The id of the caller's attempt.
+    pub attempt_id: String,
+    /// Whether the method asks for a head without a body.
+    pub head_only: bool,
+    /// The request line and the headers, each ended by CR LF, without the blank line.
+    pub head: Bytes,
+    /// The whole body.
+    pub body: Bytes,
+    /// When an answer is of no more use.
+    pub deadline: Instant,
+    /// Whether it was begun by the target beside this node.
+    pub is_nested: bool,
+}
+
+/// The final answer to a request.
+#[derive(Clone, Debug)]
+pub enum Outcome {
+    /// The target's own.
+    Answered(TargetAnswer),
+    /// The request has not run and never will.
+    NotRun {
+        /// Why.
+        reason: NotRun,
+        /// When the caller should come back, in milliseconds.
+        retry_after_ms: u64,
+    },
+    /// Nobody can say whether the request ran.
+    MayHaveRun(Doubt),
+}
+
+/// One request on its way.
+struct Sending<'a> {
+    node: &'a Rc<Node>,
+    route: &'a Route,
+    service: &'a str,
+    request: &'a Request,
+    /// Nodes that have had it.
+    tried: Vec<SocketAddr>,
+    /// Whether the target beside this node has had it.
+    tried_own: bool,
+    /// How often it has reached a target.
+    arrivals: u32,
+}
+
+/// Sends a request until it has its final answer. Dropping the future withdraws it.
+pub async fn send(node: &Rc<Node>, route: &Route, request: &Request) -> Outcome {
+    let service = &route.split[node.splitter.next(route)].service;
+    node.budgets.earn(service);
+    let mut sending =
+        Sending { node, route, service, request, tried: Vec::new(), tried_own: false, arrivals: 0 };
+    sending.run().await
+}
+
+impl Sending<'_> {
+    async fn run(&mut self) -> Outcome {
+        let mut last = CallEnd::NotRun(NotRun::NoTarget);
+        // What is known of an earlier attempt that may have run outlives a later refusal.
+        let mut doubt = None;
+        for _ in 0..OFFERS_MAX {
+            let Some(destination) = self.pick() else { break };
+            last = self.attempt(&destination).await;
+            if let CallEnd::MayHaveRun(found) = last {
+                doubt = Some(found);
+            }
+            if !self.may_repeat(&last) {
+                break;
+            }
+        }
+        match (last, doubt) {
+            (CallEnd::Answered(answer), _) => Outcome::Answered(answer),
+            (CallEnd::MayHaveRun(doubt), _) | (CallEnd::NotRun(_), Some(doubt)) => {
+                Outcome::MayHaveRun(doubt)
+            }
+            (CallEnd::NotRun(reason), None) => {
+                Outcome::NotRun { reason, retry_after_ms: retry_after_ms(reason) }
+            }
+        }
+    }
+
+    /// The next target, if there is one.
+    fn pick(&self) -> Option<Destination> {
+        let node = self.node;
+        let is_own = !self.tried_own && !node.is_stopping();
+        let current = node.target.current().filter(|known| known.service == self.service);
+        let own = current
+            .filter(|_| is_own)
+            .map(|known| OwnCandidate { busy: busy_share(node.target.load(), 0, known.is_cold) });
+        let wanted = Wanted { service: self.service, own, tried: &self.tried };
+        let mut rng = node.rng.borrow_mut();
+        let found = node.directory.pick(&wanted, &mut *rng);
+        if found.is_some() || self.tried.len() < 2 {
+            return found;
+        }
+        None
+    }
+
+    /// Whether the request may be sent once more after `end`.
+    fn may_repeat(&mut self, end: &CallEnd) -> bool {
+        if self.request.deadline <= Instant::now() {
+            return false;
+        }
+        let has_arrived = match end {
+            CallEnd::NotRun(NotRun::Expired) => return false,
+            CallEnd::NotRun(reason) => reason.has_arrived(),
+            CallEnd::MayHaveRun(_) if self.route.kind == RouteKind::AtMostOnce => return false,
+            CallEnd::MayHaveRun(_) => true,
+            CallEnd::Answered(answer) => {
+                if answer.status < 500 || self.route.kind == RouteKind::AtMostOnce {
+                    return false;
+                }
+                true
+            }
+        };
+        if !has_arrived {
+            return true;
+        }
+        self.arrivals += 1;
+        self.arrivals < self.route.attempts_max && self.node.budgets.try_take(self.service)
+    }
+
+    /// Sends the request to one target.
+    async fn attempt(&mut self, destination: &Destination) -> CallEnd {
+        match destination {
+            Destination::Own => {
+                self.tried_own = true;
+                let call = self.call();
+                receiver::serve(self.node, &call, self.request.deadline).await
+            }
+            Destination::Peer(peer) => {
+                self.tried.push(peer.address);
+                let Some(link) = peer.open_link() else { return CallEnd::NotRun(NotRun::Unsent) };
+                let mut pending = match link.call(self.call()) {
+                    Ok(pending) => pending,
+                    Err(reason) => return CallEnd::NotRun(reason),
+                };
+                peer.in_flight.set(peer.in_flight.get() + 1);
+                let _in_flight = InFlight(&peer.in_flight);
+                let end = timeout_at(self.request.deadline, pending.end()).await;
+                let end = end.unwrap_or(CallEnd::MayHaveRun(Doubt::Timeout));
+                if matches!(end, CallEnd::MayHaveRun(_) | CallEnd::NotRun(_)) {
+                    peer.avoid();
+                }
+                peer.note_answer(is_failure(&end));
+                end
+            }
+        }
+    }
+
+    fn call(&self) -> Call {
+        let left = self.request.deadline.saturating_duration_since(Instant::now());
+        Call {
+            id: 0,
+            service: self.service.to_owned(),
+            attempt_id: self.request.attempt_id.clone(),
+            remaining_ms: left.as_millis() as u32,
+            rank: self.route.rank,
+            nested: self.request.is_nested,
+            head_only: self.request.head_only,
+            head: self.request.head.clone(),
+            body: self.request.body.clone(),
+        }
+    }
+}
+
+/// Counts a call that waits for its answer.
+struct InFlight<'a>(&'a std::cell::Cell<u32>);
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
+
+/// Whether an end speaks against the target.
+fn is_failure(end: &CallEnd) -> bool {
+    match end {
+        CallEnd::Answered(answer) => answer.status >= 500,
+        CallEnd::NotRun(_) => false,
+        CallEnd::MayHaveRun(_) => true,
+    }
+}
+
+/// When a caller should come back, in milliseconds.
+fn retry_after_ms(reason: NotRun) -> u64 {
+    match reason {
+        NotRun::NoTarget | NotRun::Leaving | NotRun::Unreachable | NotRun::Unsent => {
+            RETRY_AFTER_NO_TARGET_MS
+        }
+        NotRun::QueueFull | NotRun::Expired | NotRun::Declined => RETRY_AFTER_BUSY_MS,
+    }
+}
+
+/// Counts a request of a caller for as long as it lasts.
+pub fn count(node: &Node) -> Counted<'_> {
+    Counted::new(&node.in_flight, 1)
+}
--- /dev/null
+++ b/src/mesh/settings.rs
@@ -0,0 +1,75 @@
+//! What a node of the mesh is told at its start.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+
+/// Everything a node is told at its start, apart from what the platform's adapter reads.
+#[derive(Clone, Debug, Deserialize)]
+pub struct MeshSettings {
+    /// Who the node is.
+    pub node: NodeSection,
+    /// Where it listens.
+    pub listen: ListenSection,
+    /// The target beside it.
+    pub target: TargetSection,
+    /// How long things may take.
+    pub timing: TimingSection,
+    /// How many more arrivals than requests a service may see.
+    pub retry: RetrySection,
+}
+
+/// Who a node is.
+#[derive(Clone, Debug, Deserialize)]
+pub struct NodeSection {
+    /// The name of its VM.
+    pub name: String,
+    /// Its failure domain.
+    pub failure_domain: String,
+    /// The service of the target beside it, until the target says otherwise.
+    pub service: String,
+    /// The memory it may use, in mebibytes.
+    pub memory_mb: u64,
+    /// How many descriptors it may have open.
+    pub descriptors: u64,
+}
+
+/// Where a node listens.
+#[derive(Clone, Debug, Deserialize)]
+pub struct ListenSection {
+    /// For callers and for the target's own calls.
+    pub callers: SocketAddr,
+    /// For the question whether the node takes new work.
+    pub readiness: SocketAddr,
+    /// For what the target beside it says about itself.
+    pub targets: SocketAddr,
+    /// For other nodes.
+    pub peers: SocketAddr,
+    /// For scrapers of metrics.
+    pub metrics: SocketAddr,
+}
+
+/// The target beside a node.
+#[derive(Clone, Debug, Deserialize)]
+pub struct TargetSection {
+    /// Its address.
+    pub address: SocketAddr,
+}
+
+/// How long things may take.
+#[derive(Clone, Debug, Deserialize)]
+pub struct TimingSection {
+    /// How long a node that was told to stop may still run, in milliseconds.
+    pub stop_grace_ms: u64,
+}
+
+/// How many more arrivals than requests a service may see, over all nodes together.
+#[derive(Clone, Debug, Deserialize)]
+pub struct RetrySection {
+    /// Repeats as a share of requests.
+    pub share: f64,
+    /// Repeats allowed beside that share, within one window.
+    pub slack: f64,
+    /// The length of the window, in milliseconds.
+    pub window_ms: u64,
+}
--- /dev/null
+++ b/src/mesh/site.rs
@@ -0,0 +1,136 @@
+//! The configuration in force: routes, services and limits.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+
+/// What may be done with a request whose outcome is not known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RouteKind {
+    /// It may run any number of times.
+    Idempotent,
+    /// It may run once at most.
+    AtMostOnce,
+}
+
+/// One service among those that share the requests of a route.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Share {
+    /// The service.
+    pub service: String,
+    /// Its part of the requests, relative to the other weights of the route.
+    pub weight: u32,
+}
+
+/// Where requests of one host and path prefix go, and how they are treated.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// The operator's name for it.
+    pub name: String,
+    /// The host it belongs to, in lower case.
+    pub host: String,
+    /// The beginning of the path; begins and ends with a slash.
+    pub prefix: String,
+    /// Whether its requests may be repeated.
+    pub kind: RouteKind,
+    /// The longest time a caller is kept waiting, in milliseconds.
+    pub timeout_ms: u64,
+    /// The time within which an answer has its full value, in milliseconds.
+    pub objective_ms: u64,
+    /// The rank of its requests; 0 is the most important.
+    pub rank: u8,
+    /// How many targets one request may be sent to.
+    pub attempts_max: u32,
+    /// The services that share its requests; never empty.
+    pub split: Vec<Share>,
+}
+
+/// What is known of a service.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Service {
+    /// The path of its health check.
+    pub health_path: String,
+    /// How many connections one of its targets accepts.
+    pub connections_max: u32,
+}
+
+/// What a caller may send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// The longest head of a request, in bytes.
+    pub head_max_bytes: usize,
+    /// The longest body of a request, in bytes.
+    pub body_max_bytes: usize,
+    /// How long the head of a request may take, in milliseconds.
+    pub head_timeout_ms: u64,
+    /// How long a kept connection may be idle, in milliseconds.
+    pub idle_timeout_ms: u64,
+}
+
+impl Default for Limits {
+    /// What holds until a configuration says otherwise.
+    fn default() -> Self {
+        Self {
+            head_max_bytes: 16 * 1024,
+            body_max_bytes: 64 * 1024 * 1024,
+            head_timeout_ms: 3_000,
+            idle_timeout_ms: 15_000,
+        }
+    }
+}
+
+/// One version of the configuration.
+#[derive(Clone, Debug, Default)]
+pub struct Site {
+    /// Its version; higher ones replace lower ones.
+    pub version: u64,
+    /// What is known of each service.
+    pub services: HashMap<String, Service>,
+    /// What a caller may send.
+    pub limits: Limits,
+    /// The routes by host, then by prefix.
+    routes: HashMap<String, HashMap<String, Rc<Route>>>,
+    /// The least important rank of any route.
+    rank_max: u8,
+}
+
+impl Site {
+    /// A configuration with the given routes.
+    pub fn new(
+        version: u64,
+        routes: Vec<Route>,
+        services: HashMap<String, Service>,
+        limits: Limits,
+    ) -> Self {
+        let mut site = Self { version, services, limits, ..Self::default() };
+        for route in routes {
+            site.rank_max = site.rank_max.max(route.rank);
+            let of_host = site.routes.entry(route.host.clone()).or_default();
+            of_host.insert(route.prefix.clone(), Rc::new(route));
+        }
+        site
+    }
+
+    /// The route of a request: of those of its host, the one with the longest prefix of the path.
+    ///
+    /// `host` may carry a port, which does not count; `path` has no query.
+    pub fn route(&self, host: &str, path: &str) -> Option<Rc<Route>> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let of_host = match self.routes.get(name) {
+            Some(found) => found,
+            None => self.routes.get(&name.to_ascii_lowercase())?,
+        };
+        let mut end = path.len();
+        while let Some(slash) = path[..end].rfind('/') {
+            if let Some(route) = of_host.get(&path[..=slash]) {
+                return Some(Rc::clone(route));
+            }
+            end = slash;
+        }
+        None
+    }
+
+    /// The least important rank of any route.
+    pub fn rank_max(&self) -> u8 {
+        self.rank_max
+    }
+}
--- /dev/null
+++ b/src/mesh/split.rs
@@ -0,0 +1,39 @@
+//! Shares a route's requests among its services in proportion to their weights.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+
+use super::site::Route;
+
+/// How far each service of each split route is ahead of or behind its weight.
+///
+/// Smooth weighted round robin: over any span the share of a service differs from its weight by less
+/// than one request, so that shares hold also for few requests.
+#[derive(Debug, Default)]
+pub struct Splitter {
+    credits: RefCell<HashMap<String, Vec<i64>>>,
+}
+
+impl Splitter {
+    /// The index in `route.split` of the service that gets the next request.
+    pub fn next(&self, route: &Route) -> usize {
+        if route.split.len() < 2 {
+            return 0;
+        }
+        let mut credits = self.credits.borrow_mut();
+        let credit = credits.entry(route.name.clone()).or_default();
+        if credit.len() != route.split.len() {
+            *credit = vec![0; route.split.len()];
+        }
+        let total: i64 = route.split.iter().map(|share| i64::from(share.weight)).sum();
+        let mut chosen = 0;
+        for (index, share) in route.split.iter().enumerate() {
+            credit[index] += i64::from(share.weight);
+            if credit[index] > credit[chosen] {
+                chosen = index;
+            }
+        }
+        credit[chosen] -= total;
+        chosen
+    }
+}
--- /dev/null
+++ b/src/mesh/target.rs
@@ -0,0 +1,221 @@
+//! The target beside the node: what it has said about itself, and connections to it.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use super::frame::Load;
+use super::gate::Gate;
+use super::http1::Connection;
+
+/// How many incarnations that have left are remembered.
+const LEFT_MAX: usize = 64;
+/// How many incarnations are kept track of at once.
+const HEARD_MAX: usize = 64;
+/// The most idle connections that are kept to a target.
+const IDLE_MAX: usize = 64;
+
+/// What a target says about itself from time to time.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Heartbeat {
+    /// The incarnation of the target: a new one for each start.
+    pub instance: String,
+    /// Grows with each heartbeat of an incarnation.
+    pub sequence: u64,
+    /// Its service.
+    pub service: String,
+    /// How many requests it runs at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub state: TargetState,
+    /// How much longer it stays slow after its start, in milliseconds.
+    pub cold_ms: u64,
+}
+
+/// Whether a target takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TargetState {
+    /// It does.
+    Ready,
+    /// It finishes what it has.
+    Draining,
+}
+
+/// An incarnation that takes work.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Instance {
+    /// Its id.
+    pub id: String,
+    /// Its service.
+    pub service: String,
+    /// Whether it is still slow after its start.
+    pub is_cold: bool,
+}
+
+/// What was heard last of an incarnation.
+#[derive(Debug)]
+struct Heard {
+    sequence: u64,
+    slots: u32,
+    instance: Rc<Instance>,
+}
+
+/// The target beside the node.
+#[derive(Debug)]
+pub struct Target {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// What it runs, and what waits for it.
+    pub gate: Rc<Gate>,
+    current: RefCell<Option<Rc<Instance>>>,
+    /// What was heard last of each incarnation that has not left.
+    heard: RefCell<HashMap<String, Heard>>,
+    /// Incarnations that are leaving, have left or were replaced, oldest first.
+    left: RefCell<Vec<String>>,
+    idle: RefCell<Vec<Connection>>,
+}
+
+impl Target {
+    /// A target of which nothing is known but its address.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            gate: Rc::default(),
+            current: RefCell::default(),
+            heard: RefCell::default(),
+            left: RefCell::default(),
+            idle: RefCell::default(),
+        }
+    }
+
+    /// The incarnation that takes work, where there is one.
+    pub fn current(&self) -> Option<Rc<Instance>> {
+        self.current.borrow().clone()
+    }
+
+    /// Takes in a heartbeat. Says whether the state has changed.
+    ///
+    /// One that was overtaken, or of an incarnation that has left, changes nothing.
+    pub fn take_heartbeat(&self, heartbeat: &Heartbeat) -> bool {
+        let id = &heartbeat.instance;
+        if heartbeat.state == TargetState::Draining {
+            return self.leave(id);
+        }
+        if self.has_left(id) {
+            return false;
+        }
+        let instance = Rc::new(Instance {
+            id: id.clone(),
+            service: heartbeat.service.clone(),
+            is_cold: heartbeat.cold_ms > 0,
+        });
+        let mut heard = self.heard.borrow_mut();
+        if heard.get(id).is_some_and(|known| known.sequence >= heartbeat.sequence) {
+            return false;
+        }
+        if heard.len() >= HEARD_MAX {
+            heard.clear();
+        }
+        let (sequence, slots) = (heartbeat.sequence, heartbeat.slots);
+        heard.insert(id.clone(), Heard { sequence, slots, instance: Rc::clone(&instance) });
+        drop(heard);
+        self.become_current(instance, slots)
+    }
+
+    /// Takes in that the incarnation `id` has answered at the target's address. Says whether the
+    /// state has changed.
+    ///
+    /// A heartbeat that was held up may name an incarnation that is gone; the one that answers is
+    /// then the one to go by, if it has been heard of.
+    pub fn take_sighting(&self, id: &str) -> bool {
+        let heard = self.heard.borrow();
+        let Some(known) = heard.get(id) else {
+            drop(heard);
+            let current = self.current().map(|current| current.id.clone());
+            return current.is_some_and(|current| self.lose(&current));
+        };
+        let (instance, slots) = (Rc::clone(&known.instance), known.slots);
+        drop(heard);
+        self.become_current(instance, slots)
+    }
+
+    /// Gives an incarnation no more work. Says whether the state has changed.
+    pub fn leave(&self, id: &str) -> bool {
+        self.heard.borrow_mut().remove(id);
+        if !self.has_left(id) {
+            let mut left = self.left.borrow_mut();
+            if left.len() >= LEFT_MAX {
+                left.remove(0);
+            }
+            left.push(id.to_owned());
+        }
+        let is_current = self.current.borrow().as_ref().is_some_and(|current| current.id == id);
+        if is_current {
+            self.stop_work();
+        }
+        is_current
+    }
+
+    /// Takes it that the incarnation `id` is no longer there, until it is heard of again.
+    pub fn lose(&self, id: &str) -> bool {
+        let is_current = self.current.borrow().as_ref().is_some_and(|current| current.id == id);
+        if is_current {
+            self.stop_work();
+        }
+        is_current
+    }
+
+    /// Incarnations that are leaving, have left or were replaced.
+    pub fn left(&self) -> Vec<String> {
+        self.left.borrow().clone()
+    }
+
+    /// What the target has to do.
+    pub fn load(&self) -> Load {
+        self.gate.load()
+    }
+
+    /// A kept connection that works, if there is one.
+    pub fn take_idle(&self) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        while let Some(connection) = idle.pop() {
+            if connection.is_usable() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection for a later request.
+    pub fn keep(&self, connection: Connection) {
+        let mut idle = self.idle.borrow_mut();
+        if idle.len() >= IDLE_MAX {
+            idle.remove(0);
+        }
+        idle.push(connection);
+    }
+
+    fn become_current(&self, instance: Rc<Instance>, slots: u32) -> bool {
+        let before = self.current.replace(Some(Rc::clone(&instance)));
+        if before.as_ref().is_some_and(|before| before.id != instance.id) {
+            self.drop_idle();
+        }
+        self.gate.set_slots(slots);
+        before.as_ref() != Some(&instance)
+    }
+
+    fn has_left(&self, id: &str) -> bool {
+        self.left.borrow().iter().any(|left| left == id)
+    }
+
+    fn stop_work(&self) {
+        self.current.replace(None);
+        self.gate.close();
+        self.drop_idle();
+    }
+
+    fn drop_idle(&self) {
+        self.idle.borrow_mut().clear();
+    }
+}
--- /dev/null
+++ b/src/platform/document.rs
@@ -0,0 +1,151 @@
+//! The operator's configuration as it lies in the store.
+
+use std::collections::HashMap;
+
+use eyre::{WrapErr, eyre};
+use serde::Deserialize;
+
+use crate::mesh::site::{Limits, Route, RouteKind, Service, Share, Site};
+
+/// The letter before the number of a version.
+const VERSION_PREFIX: char = 'r';
+
+#[derive(Deserialize)]
+struct Document {
+    version: String,
+    resources: Vec<Resource>,
+}
+
+/// One entry; which of the three kinds it is decides what `specification` holds.
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Resource {
+    resource_kind: String,
+    #[serde(default)]
+    metadata: Metadata,
+    specification: serde_json::Value,
+}
+
+#[derive(Default, Deserialize)]
+struct Metadata {
+    #[serde(default)]
+    name: String,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct RouteSpecification {
+    host: String,
+    prefix: String,
+    kind: String,
+    timeout_ms: u64,
+    #[serde(default)]
+    target_latency_ms: u64,
+    #[serde(default)]
+    priority: u8,
+    #[serde(default)]
+    service: Option<String>,
+    #[serde(default)]
+    traffic_split: Vec<SplitEntry>,
+    attempts: u32,
+}
+
+#[derive(Deserialize)]
+struct SplitEntry {
+    service: String,
+    weight: u32,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct ServiceSpecification {
+    #[serde(default)]
+    health_path: String,
+    #[serde(default)]
+    max_connections: u32,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct LimitsSpecification {
+    max_header_bytes: usize,
+    max_body_bytes: usize,
+    header_timeout_ms: u64,
+    idle_timeout_ms: u64,
+}
+
+/// Reads a configuration.
+pub fn read_document(bytes: &[u8]) -> eyre::Result<Site> {
+    let document: Document = serde_json::from_slice(bytes)?;
+    let version = read_version(&document.version)?;
+    let mut routes = Vec::new();
+    let mut services = HashMap::new();
+    let mut limits = Limits::default();
+    for resource in document.resources {
+        let name = resource.metadata.name;
+        match resource.resource_kind.as_str() {
+            "routes" => routes.push(
+                read_route(&name, resource.specification)
+                    .wrap_err_with(|| format!("the route {name}"))?,
+            ),
+            "services" => {
+                let found: ServiceSpecification = serde_json::from_value(resource.specification)?;
+                let service = Service {
+                    health_path: found.health_path,
+                    connections_max: found.max_connections,
+                };
+                services.insert(name, service);
+            }
+            "limits" => limits = read_limits(resource.specification)?,
+            // Kinds that a later platform adds concern nobody here.
+            _ => {}
+        }
+    }
+    Ok(Site::new(version, routes, services, limits))
+}
+
+fn read_version(text: &str) -> eyre::Result<u64> {
+    let number = text.strip_prefix(VERSION_PREFIX).unwrap_or(text);
+    number.parse().wrap_err_with(|| format!("the version {text:?}"))
+}
+
+fn read_route(name: &str, specification: serde_json::Value) -> eyre::Result<Route> {
+    let found: RouteSpecification = serde_json::from_value(specification)?;
+    let mut split = Vec::new();
+    for entry in found.traffic_split {
+        split.push(Share { service: entry.service, weight: entry.weight });
+    }
+    if split.is_empty() {
+        let service = found.service.ok_or_else(|| eyre!("it leads to no service"))?;
+        split.push(Share { service, weight: 1 });
+    }
+    Ok(Route {
+        name: name.to_owned(),
+        host: found.host.to_ascii_lowercase(),
+        prefix: found.prefix,
+        kind: read_kind(&found.kind),
+        timeout_ms: found.timeout_ms,
+        objective_ms: found.target_latency_ms,
+        rank: found.priority,
+        attempts_max: found.attempts.max(1),
+        split,
+    })
+}
+
+/// What is not named as idempotent runs once at most.
+fn read_kind(kind: &str) -> RouteKind {
+    match kind {
+        "idempotent" => RouteKind::Idempotent,
+        _ => RouteKind::AtMostOnce,
+    }
+}
+
+fn read_limits(specification: serde_json::Value) -> eyre::Result<Limits> {
+    let found: LimitsSpecification = serde_json::from_value(specification)?;
+    Ok(Limits {
+        head_max_bytes: found.max_header_bytes,
+        body_max_bytes: found.max_body_bytes,
+        head_timeout_ms: found.header_timeout_ms,
+        idle_timeout_ms: found.idle_timeout_ms,
+    })
+}
--- /dev/null
+++ b/src/platform/heartbeat.rs
@@ -0,0 +1,105 @@
+//! What the target beside the node says about itself.
+
+use std::io;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http::{Method, Response};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use serde::Deserialize;
+use tokio::task::spawn_local;
+
+use crate::mesh::launch::{serve_simple, status_only};
+use crate::mesh::node::Node;
+use crate::mesh::socket;
+use crate::mesh::target::{Heartbeat, TargetState};
+
+/// The path of a heartbeat, before the id of the incarnation.
+const HEARTBEAT_PATH: &str = "/aspenspring/Instances.Heartbeat/";
+/// The path of a farewell, before the id of the incarnation.
+const DEREGISTER_PATH: &str = "/aspenspring/Instances.Deregister/";
+/// The longest body that is read, in bytes.
+const BODY_MAX_BYTES: usize = 64 * 1024;
+
+#[derive(Deserialize)]
+struct Body {
+    information: Information,
+    status: Status,
+}
+
+#[derive(Deserialize)]
+struct Information {
+    service: String,
+    slots: u32,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Status {
+    state: String,
+    sequence: u64,
+    #[serde(default)]
+    cold_remaining_ms: u64,
+}
+
+/// Listens for the target.
+pub fn start(node: &Rc<Node>) -> io::Result<()> {
+    let listener = socket::listen(node.settings.listen.targets)?;
+    let node = Rc::clone(node);
+    spawn_local(serve_simple(listener, move |request| {
+        let node = Rc::clone(&node);
+        async move { answer(&node, request).await }
+    }));
+    Ok(())
+}
+
+async fn answer(node: &Node, request: http::Request<Incoming>) -> Response<Full<Bytes>> {
+    let path = request.uri().path().to_owned();
+    if request.method() != Method::POST {
+        return status_only(404);
+    }
+    if let Some(id) = path.strip_prefix(DEREGISTER_PATH) {
+        if node.target.leave(id) {
+            node.tell_status();
+        }
+        return accepted();
+    }
+    let Some(id) = path.strip_prefix(HEARTBEAT_PATH) else { return status_only(404) };
+    let body = Limited::new(request.into_body(), BODY_MAX_BYTES).collect().await;
+    let Ok(body) = body else { return status_only(400) };
+    match serde_json::from_slice::<Body>(&body.to_bytes()) {
+        Ok(body) => {
+            if node.target.take_heartbeat(&heartbeat(id, body)) {
+                node.tell_status();
+            }
+            accepted()
+        }
+        Err(error) => {
+            eprintln!("a heartbeat of {id} cannot be read: {error}");
+            status_only(400)
+        }
+    }
+}
+
+fn heartbeat(id: &str, body: Body) -> Heartbeat {
+    let state = match body.status.state.as_str() {
+        "ready" => TargetState::Ready,
+        _ => TargetState::Draining,
+    };
+    Heartbeat {
+        instance: id.to_owned(),
+        sequence: body.status.sequence,
+        service: body.information.service,
+        slots: body.information.slots,
+        state,
+        cold_ms: body.status.cold_remaining_ms,
+    }
+}
+
+fn accepted() -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from_static(b"{}")));
+    let json = http::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(http::header::CONTENT_TYPE, json);
+    response
+}
--- /dev/null
+++ b/src/platform/members.rs
@@ -0,0 +1,61 @@
+//! Finds the other nodes through the store.
+//!
+//! Each node writes one row and then reads all rows. Of two nodes that start at once the one that
+//! reads later sees the other, and calls it; so no node has to follow the table.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::Rng;
+use tokio::time::{Instant, sleep};
+
+use super::store::Store;
+use crate::mesh::node::Node;
+use crate::mesh::peers;
+
+/// The table of the nodes; the key is a node's address, the value its failure domain.
+const TABLE: &str = "nodes";
+/// The pause after a failed call, at first.
+const PAUSE_MIN: Duration = Duration::from_millis(100);
+/// The longest pause after failed calls.
+const PAUSE_MAX: Duration = Duration::from_secs(2);
+/// How long after reading the rows a node counts as acquainted.
+const ACQUAINT: Duration = Duration::from_millis(150);
+/// A node that has the configuration, from another node, but cannot reach the store is ready then.
+const WITHOUT_STORE: Duration = Duration::from_secs(2);
+
+/// Makes this node known and meets all others.
+pub async fn join(node: Rc<Node>, address: SocketAddr) {
+    let started = Instant::now();
+    let mut store = Store::new(address);
+    let mut pause = PAUSE_MIN;
+    while let Err(error) = announce(&node, &mut store).await {
+        eprintln!("the store does not serve the list of nodes: {error:#}");
+        if started.elapsed() > WITHOUT_STORE {
+            node.has_looked_around.set(true);
+        }
+        let spread = rand::rng().random_range(0.5..1.5);
+        sleep(pause.mul_f64(spread)).await;
+        pause = (pause * 2).min(PAUSE_MAX);
+    }
+    sleep(ACQUAINT).await;
+    node.has_looked_around.set(true);
+}
+
+async fn announce(node: &Rc<Node>, store: &mut Store) -> eyre::Result<()> {
+    let own = &node.settings;
+    let key = own.listen.peers.to_string();
+    store.put(TABLE, &key, own.node.failure_domain.as_bytes()).await?;
+    let mut from = String::new();
+    loop {
+        let found = store.rows(TABLE, &from).await?;
+        for row in &found.rows {
+            let failure_domain = String::from_utf8(row.value()?)?;
+            peers::meet(node, row.key.parse()?, &failure_domain);
+        }
+        let Some(last) = found.rows.last().filter(|_| found.has_more) else { return Ok(()) };
+        // The smallest key that follows the last one.
+        from = format!("{}~", last.key);
+    }
+}
--- /dev/null
+++ b/src/platform/names.rs
@@ -0,0 +1,19 @@
+//! The platform's names of headers.
+
+use http::HeaderName;
+
+use crate::mesh::vocabulary::Vocabulary;
+
+/// The headers by what they mean.
+pub fn vocabulary() -> Vocabulary {
+    Vocabulary {
+        attempt_id: HeaderName::from_static("attempt-id"),
+        deadline_ms: HeaderName::from_static("deadline-milliseconds"),
+        expected_instance: HeaderName::from_static("expected-instance"),
+        calling_service: HeaderName::from_static("calling-service"),
+        not_run: HeaderName::from_static("not-executed"),
+        instance_id: HeaderName::from_static("instance-id"),
+        load: HeaderName::from_static("instance-load"),
+        signature: HeaderName::from_static("response-signature"),
+    }
+}
--- /dev/null
+++ b/src/platform/watch.rs
@@ -0,0 +1,77 @@
+//! Follows the operator's configuration in the store.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use rand::Rng;
+use tokio::time::sleep;
+
+use super::store::{Changes, Row, Store};
+use crate::mesh::node::Node;
+
+/// The table of what the operator writes.
+const TABLE: &str = "op";
+/// The key of the configuration.
+const KEY: &str = "config";
+/// How long the store is asked to wait for a change. A connection that falls silent hides changes
+/// until then, unless another node tells of them.
+const WAIT: Duration = Duration::from_secs(12);
+/// The pause after a failed call, at first.
+const PAUSE_MIN: Duration = Duration::from_millis(100);
+/// The longest pause after failed calls.
+const PAUSE_MAX: Duration = Duration::from_millis(800);
+
+/// Takes in every version of the configuration for as long as the node runs.
+pub async fn watch_site(node: Rc<Node>, address: SocketAddr) {
+    let mut store = Store::new(address);
+    let mut version = None;
+    let mut pause = PAUSE_MIN;
+    loop {
+        match follow(&node, &mut store, version).await {
+            Ok(seen) => {
+                version = seen;
+                pause = PAUSE_MIN;
+            }
+            Err(error) => {
+                eprintln!("the store does not serve the configuration: {error:#}");
+                let spread = rand::rng().random_range(0.5..1.5);
+                sleep(pause.mul_f64(spread)).await;
+                pause = (pause * 2).min(PAUSE_MAX);
+            }
+        }
+    }
+}
+
+/// Waits for the next version. Gives the version of the store up to which everything was seen.
+async fn follow(
+    node: &Rc<Node>,
+    store: &mut Store,
+    version: Option<u64>,
+) -> eyre::Result<Option<u64>> {
+    let Some(version) = version else {
+        let found = store.rows(TABLE, KEY).await?;
+        take_rows(node, &found.rows)?;
+        return Ok(Some(found.row_version));
+    };
+    match store.changes(TABLE, version, WAIT).await? {
+        Changes::HistoryGone => Ok(None),
+        Changes::Rows(found) => {
+            take_rows(node, &found.rows)?;
+            Ok(Some(found.row_version))
+        }
+    }
+}
+
+fn take_rows(node: &Rc<Node>, rows: &[Row]) -> eyre::Result<()> {
+    for row in rows {
+        if row.key != KEY || row.deleted {
+            continue;
+        }
+        if node.take_document(&Bytes::from(row.value()?))? {
+            node.tell_status();
+        }
+    }
+    Ok(())
+}
