--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -11,6 +11,7 @@
 
 use super::frame::{Hello, Load, Neighbour, Status};
 use super::link::Link;
+use super::overload::ServiceView;
 
 /// How busy a target in the own failure domain may be before one elsewhere is taken, as a share of
 /// what it can run. Bytes between failure domains cost; a queue costs more.
@@ -250,19 +251,35 @@
         best.map(|(_, destination)| destination)
     }
 
-    /// What the targets of a service have to do, all together, as far as it is known.
-    pub fn load_of(&self, service: &str) -> Load {
-        let mut sum = Load::default();
+    /// What is known of each service, `own` among its targets.
+    pub fn services(&self, own: &Status) -> HashMap<String, ServiceView> {
+        let mut views = HashMap::new();
+        add_to_view(&mut views, own);
         for peer in self.peers.borrow().values() {
-            let status = peer.status.borrow();
-            if !status.ready || status.service != service || peer.open_link().is_none() {
-                continue;
+            if peer.open_link().is_some() {
+                add_to_view(&mut views, &peer.status.borrow());
             }
-            sum.running += status.load.running;
-            sum.waiting += status.load.waiting;
-            sum.limit += status.load.limit;
-            sum.wait_ms = sum.wait_ms.max(status.load.wait_ms);
         }
-        sum
+        views
+    }
+}
+
+/// Adds one target to what is known of its service.
+fn add_to_view(views: &mut HashMap<String, ServiceView>, status: &Status) {
+    if !status.ready {
+        return;
+    }
+    if !views.contains_key(&status.service) {
+        views.insert(status.service.clone(), ServiceView::default());
+    }
+    let Some(view) = views.get_mut(&status.service) else { return };
+    view.load.running += status.load.running;
+    view.load.waiting += status.load.waiting;
+    view.load.limit += status.load.limit;
+    view.load.wait_ms = view.load.wait_ms.max(status.load.wait_ms);
+    for root in &status.roots {
+        if !view.roots.contains(root) {
+            view.roots.insert(root.clone());
+        }
     }
 }
--- a/src/mesh/frame.rs
+++ b/src/mesh/frame.rs
@@ -38,6 +38,8 @@
     Ping,
     /// The state of the sender's target has changed, or was asked for.
     Status(Status),
+    /// What the sender's target has to do.
+    Load(Load),
     /// Asks for the configuration.
     SiteWanted,
     /// The configuration in force at the sender, as the platform's adapter encoded it.
@@ -86,6 +88,8 @@
     pub cold: bool,
     /// The version of the configuration in force at the node.
     pub site_version: u64,
+    /// The routes by which requests began that have reached the target of late.
+    pub roots: Vec<String>,
     /// What the target has to do.
     pub load: Load,
 }
@@ -114,10 +118,10 @@
     pub attempt_id: String,
     /// How long an answer is of use, in milliseconds.
     pub remaining_ms: u32,
-    /// The rank in the queue; the lowest goes first.
+    /// The route by which a caller's request began it all.
+    pub root: String,
+    /// The rank of that route; the lowest goes first.
     pub rank: u8,
-    /// Whether it was begun by a target on behalf of another request.
-    pub nested: bool,
     /// Whether the method asks for a head without a body.
     pub head_only: bool,
     /// The request line and the headers, each ended by CR LF, without the blank line.
--- a/src/mesh/gate.rs
+++ b/src/mesh/gate.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -15,6 +16,9 @@
 /// How many requests may wait, as a multiple of those that may run.
 const WAITING_PER_SLOT: usize = 4;
 
+/// The weight of one run in the typical time, as a divisor.
+const SMOOTHING: u64 = 32;
+
 /// Counts what the target runs, and queues what it has no room for.
 #[derive(Debug, Default)]
 pub struct Gate {
@@ -23,6 +27,8 @@
     next_ticket: Cell<u64>,
     waiting: RefCell<BTreeMap<Place, Waiter>>,
     last_wait_ms: Cell<u32>,
+    /// The typical time of a run, in microseconds.
+    typical_run_us: Cell<u64>,
 }
 
 /// A place in the queue: the rank first, then the order of arrival.
@@ -48,10 +54,14 @@
 #[derive(Debug)]
 pub struct Slot {
     gate: Rc<Gate>,
+    since: Instant,
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
+        let run_us = self.since.elapsed().as_micros() as u64;
+        let typical_us = self.gate.typical_run_us.get();
+        self.gate.typical_run_us.set(typical_us - typical_us / SMOOTHING + run_us / SMOOTHING);
         self.gate.running.set(self.gate.running.get() - 1);
         self.gate.admit();
     }
@@ -100,6 +110,11 @@
         admission.await.map_err(|_| GateError::Closed)
     }
 
+    /// The typical time that the target takes for a request.
+    pub fn typical_run(&self) -> Duration {
+        Duration::from_micros(self.typical_run_us.get())
+    }
+
     /// What the target has to do.
     pub fn load(&self) -> Load {
         Load {
@@ -120,7 +135,7 @@
 
     fn slot(self: &Rc<Self>) -> Slot {
         self.running.set(self.running.get() + 1);
-        Slot { gate: Rc::clone(self) }
+        Slot { gate: Rc::clone(self), since: Instant::now() }
     }
 
     /// Gives free slots to those that wait.
--- a/src/mesh/ingress.rs
+++ b/src/mesh/ingress.rs
@@ -2,7 +2,7 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
-use std::net::SocketAddr;
+use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,11 +13,13 @@
 use hyper::body::{Body, Incoming};
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use rand::Rng;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 use super::frame::TargetAnswer;
+use super::linger::LingeringStream;
 use super::node::{Counted, Node};
 use super::peers::pause_after;
 use super::receiver::put_header;
@@ -33,13 +35,16 @@
 /// When a caller should come back whose body does not fit into memory, in milliseconds.
 const RETRY_AFTER_NO_MEMORY_MS: u64 = 1_000;
 
+/// When a refused caller should come back, as a share of the objective.
+const COME_BACK_SHARES: Range<f64> = 0.3..0.7;
+/// The objective that is assumed at least for that, in milliseconds.
+const COME_BACK_MIN_MS: u64 = 300;
+
 /// A response as it is written.
 type Response = http::Response<Full<Bytes>>;
 
 /// What is known of a connection of a caller.
 struct Connection {
-    /// Where it comes from.
-    remote: SocketAddr,
     /// Whether a request on it is being answered.
     is_busy: Cell<bool>,
     /// When its last answer was given.
@@ -50,8 +55,8 @@
 pub async fn accept(node: Rc<Node>, listener: TcpListener) {
     loop {
         match listener.accept().await {
-            Ok((stream, remote)) => {
-                spawn_local(serve_connection(Rc::clone(&node), stream, remote));
+            Ok((stream, _)) => {
+                spawn_local(serve_connection(Rc::clone(&node), stream));
             }
             Err(error) => pause_after(&error).await,
         }
@@ -59,23 +64,21 @@
 }
 
 /// Serves a connection until either side closes it.
-async fn serve_connection(node: Rc<Node>, stream: TcpStream, remote: SocketAddr) {
+async fn serve_connection(node: Rc<Node>, stream: TcpStream) {
     if stream.set_nodelay(true).is_err() {
         return;
     }
-    let state = Rc::new(Connection {
-        remote,
-        is_busy: Cell::new(false),
-        idle_since: Cell::new(Instant::now()),
-    });
+    let state =
+        Rc::new(Connection { is_busy: Cell::new(false), idle_since: Cell::new(Instant::now()) });
     let service = service_fn(|request| {
         let node = Rc::clone(&node);
         let state = Rc::clone(&state);
         async move { Ok::<_, Infallible>(answer(&node, &state, request).await) }
     });
     let mut builder = hyper::server::conn::http1::Builder::new();
-    builder.pipeline_flush(true).max_buf_size(BUFFER_BYTES);
-    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    builder.max_buf_size(BUFFER_BYTES);
+    let io = TokioIo::new(LingeringStream::new(stream));
+    let connection = builder.serve_connection(io, service);
     tokio::pin!(connection);
     loop {
         let limits = node.site().map(|site| site.limits).unwrap_or_default();
@@ -83,6 +86,7 @@
         let check_at =
             idle_until.max(Instant::now() + Duration::from_millis(limits.head_timeout_ms));
         tokio::select! {
+            // How it ended concerns nobody else.
             _ = connection.as_mut() => return,
             () = sleep_until(check_at) => {}
         }
@@ -100,7 +104,7 @@
 ) -> Response {
     let _in_flight = sender::count(node);
     connection.is_busy.set(true);
-    let mut response = respond(node, connection, request).await;
+    let mut response = respond(node, request).await;
     connection.is_busy.set(false);
     connection.idle_since.set(Instant::now());
     if node.is_stopping() {
@@ -109,11 +113,7 @@
     response
 }
 
-async fn respond(
-    node: &Rc<Node>,
-    connection: &Connection,
-    request: http::Request<Incoming>,
-) -> Response {
+async fn respond(node: &Rc<Node>, request: http::Request<Incoming>) -> Response {
     let arrived = Instant::now();
     let Some(site) = node.site() else {
         return refusal(StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER_NOT_READY_MS);
@@ -124,26 +124,46 @@
     let Some(route) = site.route(host, parts.uri.path()) else {
         return plain(StatusCode::NOT_FOUND);
     };
+    let attempt_id = header_text(&parts.headers, &node.vocabulary.attempt_id);
+    let parent = node.ancestry.parent(attempt_id);
+    if parent.is_none() && !admits(node, &route) {
+        return refusal(StatusCode::SERVICE_UNAVAILABLE, come_back_ms(node, &route));
+    }
     let caller_ms = header_number(&parts.headers, &node.vocabulary.deadline_ms);
     let wait_ms = caller_ms.map_or(route.timeout_ms, |caller_ms| caller_ms.min(route.timeout_ms));
     let deadline = arrived + Duration::from_millis(wait_ms);
+    let deadline = parent.as_ref().map_or(deadline, |parent| parent.deadline.min(deadline));
     let body = match read_body(node, body, site.limits.body_max_bytes, deadline).await {
         Ok(body) => body,
         Err(response) => return response,
     };
     let _held = Counted::new(&node.held_bytes, body.len());
     let request = Request {
-        attempt_id: header_text(&parts.headers, &node.vocabulary.attempt_id).to_owned(),
+        attempt_id: attempt_id.to_owned(),
         head_only: parts.method == Method::HEAD,
         head: request_head(node, &parts),
         body,
         deadline,
-        is_nested: connection.remote.ip() == node.settings.listen.callers.ip()
-            || connection.remote.ip().is_loopback(),
+        root: parent.as_ref().map_or(&route.name, |parent| &parent.root).clone(),
+        rank: parent.as_ref().map_or(route.rank, |parent| parent.rank),
     };
     finish(node, &route, &request).await
 }
 
+/// Whether there is room for a request of a caller.
+fn admits(node: &Node, route: &Route) -> bool {
+    let mut rng = node.rng.borrow_mut();
+    node.overload.admits(route, &mut *rng)
+}
+
+/// When a caller should come back whose request was refused, in milliseconds: soon enough to be
+/// answered within the objective, and spread, so that those refused at once do not return at once.
+fn come_back_ms(node: &Node, route: &Route) -> u64 {
+    let objective_ms = route.objective_ms.max(COME_BACK_MIN_MS);
+    let share = node.rng.borrow_mut().random_range(COME_BACK_SHARES);
+    (objective_ms as f64 * share) as u64
+}
+
 /// Sends a request and turns its outcome into a response.
 async fn finish(node: &Rc<Node>, route: &Route, request: &Request) -> Response {
     match sender::send(node, route, request).await {
--- a/src/mesh/launch.rs
+++ b/src/mesh/launch.rs
@@ -17,6 +17,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::node::Node;
+use super::overload::ADJUST_EVERY;
 use super::{ingress, peers, socket};
 
 /// How long a stopping node goes on taking requests. Callers learn that it stops when they ask
@@ -63,6 +64,13 @@
     spawn_local(ingress::accept(Rc::clone(node), callers));
     spawn_local(peers::accept(Rc::clone(node), others));
     let asked = Rc::clone(node);
+    let adjusted = Rc::clone(node);
+    spawn_local(async move {
+        loop {
+            sleep(ADJUST_EVERY).await;
+            adjusted.adjust();
+        }
+    });
     spawn_local(serve_simple(readiness, move |_| {
         let is_ready = asked.is_ready();
         async move { status_only(if is_ready { 200 } else { 503 }) }
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -3,6 +3,7 @@
 //! All of it runs in one thread: on a VM with less than half a core a handoff between threads costs
 //! more than a whole decision. docs/DESIGN-platform.md has the figures.
 
+pub mod ancestry;
 pub mod budget;
 pub mod directory;
 pub mod frame;
@@ -10,8 +11,10 @@
 pub mod http1;
 pub mod ingress;
 pub mod launch;
+pub mod linger;
 pub mod link;
 pub mod node;
+pub mod overload;
 pub mod peers;
 pub mod receiver;
 pub mod sender;
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -1,22 +1,33 @@
 //! The state of a node, shared by its tasks. All of them run in one thread.
 
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use tokio::time::Instant;
 
+use super::ancestry::Ancestry;
 use super::budget::RetryBudgets;
 use super::directory::Directory;
-use super::frame::{Frame, Hello, Status};
+use super::frame::{Frame, Hello, Load, Status};
 use super::link::Link;
+use super::overload::Overload;
 use super::settings::MeshSettings;
 use super::site::Site;
 use super::split::Splitter;
 use super::target::Target;
 use super::vocabulary::Vocabulary;
 
+/// How long a route by which requests have reached the target is remembered as such.
+const ROOTS_REMEMBERED: Duration = Duration::from_secs(20);
+/// Other nodes are told of the target's work at each adjustment while it is above this share of what
+/// the target can run.
+const TELL_ABOVE: f64 = 0.9;
+
 /// Reads a configuration in the form in which the platform's adapter holds it.
 pub type ReadSite = Box<dyn Fn(&[u8]) -> eyre::Result<Site>>;
 
@@ -41,6 +52,16 @@
     pub directory: Directory,
     /// The target beside the node.
     pub target: Target,
+    /// Which requests are admitted.
+    pub overload: Overload,
+    /// What the target is running.
+    pub ancestry: Ancestry,
+    /// The routes by which requests began that reach the target, and when one did last.
+    roots: RefCell<HashMap<String, Instant>>,
+    /// What other nodes were told last of the target's work.
+    told_load: Cell<Load>,
+    /// The share of the target's answers that were failures of late, 0 to 1.
+    pub own_failing: Cell<f64>,
     /// Shares the requests of split routes.
     pub splitter: Splitter,
     /// How many repeats may be sent.
@@ -69,6 +90,11 @@
             life: rand::random(),
             directory: Directory::new(settings.listen.peers, &settings.node.failure_domain),
             target: Target::new(settings.target.address),
+            overload: Overload::default(),
+            ancestry: Ancestry::default(),
+            roots: RefCell::default(),
+            told_load: Cell::default(),
+            own_failing: Cell::default(),
             splitter: Splitter::default(),
             budgets: RetryBudgets::new(&settings.retry),
             rng: RefCell::new(SmallRng::from_os_rng()),
@@ -142,10 +168,38 @@
             ready: current.is_some() && !self.is_stopping.get(),
             cold: current.is_some_and(|known| known.is_cold),
             site_version: self.site_version(),
+            roots: self.roots.borrow().keys().cloned().collect(),
             load: self.target.load(),
         }
     }
 
+    /// Notes that a request that began by the route `root` has reached the target.
+    pub fn note_root(&self, root: &str) {
+        let now = Instant::now();
+        let mut roots = self.roots.borrow_mut();
+        if let Some(last) = roots.get_mut(root) {
+            *last = now;
+            return;
+        }
+        roots.insert(root.to_owned(), now);
+    }
+
+    /// Adjusts what is admitted, and tells other nodes where the target's work has changed a lot.
+    pub fn adjust(&self) {
+        self.roots.borrow_mut().retain(|_, last| last.elapsed() < ROOTS_REMEMBERED);
+        let Some(site) = self.site() else { return };
+        let services = self.directory.services(&self.status());
+        self.overload.adjust(&services, site.rank_max());
+        let load = self.target.load();
+        if work_share(load) > TELL_ABOVE && self.told_load.get() != load {
+            self.told_load.set(load);
+            let frame = Frame::Load(load);
+            for link in self.callers.borrow().iter() {
+                link.send(&frame);
+            }
+        }
+    }
+
     /// What the node says of itself when it meets another one.
     pub fn hello(&self) -> Hello {
         Hello {
@@ -196,3 +250,8 @@
         self.counter.set(self.counter.get() - self.amount);
     }
 }
+
+/// The work of a target, as a share of what it can run.
+fn work_share(load: Load) -> f64 {
+    f64::from(load.running + load.waiting) / f64::from(load.limit.max(1))
+}
--- /dev/null
+++ b/src/mesh/overload.rs
@@ -0,0 +1,105 @@
+//! Refuses requests at the entry that a service further down has no room for.
+//!
+//! A request that fails at its seventh inner call has wasted all that it ran, so the only cheap place
+//! to refuse is before its first run. Every node hears what all targets have to do, and by which
+//! routes the requests began that reach them; so each entry can tell which of its routes lead to a
+//! busy service. Of these, the least important are refused first. What was admitted is carried
+//! through.
+
+use std::cell::RefCell;
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+use rand::Rng;
+
+use super::frame::Load;
+use super::site::Route;
+
+/// How often the levels are adjusted.
+pub const ADJUST_EVERY: Duration = Duration::from_millis(100);
+/// How much work the targets of a service should have, as a share of what they can run: enough that
+/// none is idle, little enough that a chain of ten calls still meets its objective.
+const WORK_WANTED: f64 = 1.0;
+/// How fast the level falls with the work beyond that, for each adjustment.
+const FALL_RATE: f64 = 0.10;
+/// The most that a level falls at once. What is refused now lightens the load only after the requests
+/// under way have ended, so a faster fall overshoots.
+const FALL_MAX: f64 = 0.12;
+/// How fast the level rises with the room that is left, for each adjustment.
+const RISE_RATE: f64 = 0.10;
+/// The most that a level rises at once.
+const RISE_MAX: f64 = 0.03;
+/// The lowest level: some requests of the most important rank always pass, to see what becomes of
+/// them.
+const LEVEL_MIN: f64 = 0.2;
+
+/// What a node knows of one service.
+#[derive(Clone, Debug, Default)]
+pub struct ServiceView {
+    /// What its targets have to do, all together.
+    pub load: Load,
+    /// The routes by which the requests began that reach its targets.
+    pub roots: HashSet<String>,
+}
+
+/// Which requests are admitted.
+///
+/// A level is a number for each service: requests whose rank is below it are admitted, those of the
+/// rank that it cuts with the probability of its fraction, and all others are refused.
+#[derive(Debug, Default)]
+pub struct Overload {
+    /// The levels of the services.
+    levels: RefCell<HashMap<String, f64>>,
+    /// The lowest level of the services that requests of a route reach.
+    by_root: RefCell<HashMap<String, f64>>,
+}
+
+impl Overload {
+    /// Adjusts the levels to what the services have to do. `rank_max` is the least important rank.
+    pub fn adjust(&self, services: &HashMap<String, ServiceView>, rank_max: u8) {
+        let top = f64::from(rank_max) + 1.0;
+        let mut levels = self.levels.borrow_mut();
+        levels.retain(|service, _| services.contains_key(service));
+        for (service, view) in services {
+            let level = levels.entry(service.clone()).or_insert(top);
+            *level = (*level + step(view.load)).clamp(LEVEL_MIN, top);
+        }
+        let mut by_root = self.by_root.borrow_mut();
+        by_root.clear();
+        for (service, view) in services {
+            let level = levels.get(service).copied().unwrap_or(top);
+            for root in &view.roots {
+                let lowest = by_root.entry(root.clone()).or_insert(top);
+                *lowest = lowest.min(level);
+            }
+        }
+    }
+
+    /// Whether a request of a caller on `route` is admitted.
+    pub fn admits(&self, route: &Route, rng: &mut impl Rng) -> bool {
+        let passing = self.level(route) - f64::from(route.rank);
+        passing >= 1.0 || (passing > 0.0 && rng.random::<f64>() < passing)
+    }
+
+    /// The lowest level of the services that requests of `route` reach.
+    pub fn level(&self, route: &Route) -> f64 {
+        let levels = self.levels.borrow();
+        let own = route.split.iter().filter_map(|share| levels.get(&share.service).copied());
+        let reached = self.by_root.borrow().get(&*route.name).copied();
+        own.chain(reached).fold(f64::INFINITY, f64::min)
+    }
+}
+
+/// How much a level changes for a service with the given work.
+fn step(load: Load) -> f64 {
+    if load.limit == 0 {
+        return 0.0;
+    }
+    let work = f64::from(load.running + load.waiting) / f64::from(load.limit);
+    let excess = work - WORK_WANTED;
+    if excess > 0.0 {
+        -(excess * FALL_RATE).min(FALL_MAX)
+    } else {
+        (-excess * RISE_RATE).min(RISE_MAX)
+    }
+}
--- a/src/mesh/peers.rs
+++ b/src/mesh/peers.rs
@@ -74,6 +74,7 @@
             want_site(node, &status, &link);
             peer.take_status(status);
         }
+        Frame::Load(load) => peer.take_load(load),
         Frame::Site { document } => match node.take_document(&document) {
             Ok(_) => {}
             Err(error) => eprintln!("a peer sent a bad configuration: {error:#}"),
@@ -161,7 +162,7 @@
                 link.send(&Frame::Site { document: in_force.document });
             }
         }
-        Frame::Answer { .. } | Frame::Status(_) | Frame::Site { .. } => {}
+        Frame::Answer { .. } | Frame::Status(_) | Frame::Load(_) | Frame::Site { .. } => {}
     };
     link.read_all(reader, take).await;
     // Nobody can be told the answers any more.
--- a/src/mesh/receiver.rs
+++ b/src/mesh/receiver.rs
@@ -11,6 +11,7 @@
 use http::Method;
 use tokio::time::{Instant, timeout_at};
 
+use super::ancestry::Origin;
 use super::frame::{Call, CallEnd, Doubt, NotRun, TargetAnswer};
 use super::gate::GateError;
 use super::http1::{Connection, ExchangeError, Reply};
@@ -39,8 +40,10 @@
     let Some(instance) = current(node, &call.service) else {
         return CallEnd::NotRun(NotRun::NoTarget);
     };
-    let _slot = match timeout_at(deadline - REMAINING_MIN, node.target.gate.enter(call.rank)).await
-    {
+    let gate = &node.target.gate;
+    // Half of the typical time: a request that began later would most likely end unfinished.
+    let begin_by = deadline - REMAINING_MIN.max(gate.typical_run() / 2);
+    let _slot = match timeout_at(begin_by, gate.enter(call.rank)).await {
         Ok(Ok(slot)) => slot,
         Ok(Err(GateError::Full)) => return CallEnd::NotRun(NotRun::QueueFull),
         Ok(Err(GateError::Closed)) => return CallEnd::NotRun(NotRun::Leaving),
@@ -87,6 +90,9 @@
     mut connection: Connection,
 ) -> CallEnd {
     let head = request_head(node, call, deadline, instance);
+    node.note_root(&call.root);
+    let origin = Origin { root: call.root.as_str().into(), rank: call.rank, deadline };
+    let _running = node.ancestry.run(&call.attempt_id, origin);
     let method = if call.head_only { Method::HEAD } else { Method::GET };
     let attempt_id = node.vocabulary.attempt_id.as_str();
     let is_mine = |reply: &Reply| reply.header(attempt_id) == Some(&call.attempt_id);
--- a/src/mesh/sender.rs
+++ b/src/mesh/sender.rs
@@ -2,11 +2,12 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use tokio::time::{Instant, timeout_at};
 
-use super::directory::{Destination, OwnCandidate, Wanted, busy_share};
+use super::directory::{Destination, OwnCandidate, Wanted, busy_share, note_failure};
 use super::frame::{Call, CallEnd, Doubt, NotRun, TargetAnswer};
 use super::node::{Counted, Node};
 use super::receiver;
@@ -14,6 +15,9 @@
 
 /// How often a call that was refused without having reached a target is offered elsewhere.
 const OFFERS_MAX: usize = 6;
+/// How long after the deadline the word of the other node is waited for: it knows whether the request
+/// was run, and says so at the deadline.
+const LAST_WORD: Duration = Duration::from_millis(30);
 /// When a caller should come back that found no target, in milliseconds.
 const RETRY_AFTER_NO_TARGET_MS: u64 = 600;
 /// When a caller should come back that found all targets busy, in milliseconds.
@@ -32,8 +36,10 @@
     pub body: Bytes,
     /// When an answer is of no more use.
     pub deadline: Instant,
-    /// Whether it was begun by the target beside this node.
-    pub is_nested: bool,
+    /// The route by which a caller's request began it all.
+    pub root: Rc<str>,
+    /// The rank of that route.
+    pub rank: u8,
 }
 
 /// The final answer to a request.
@@ -106,16 +112,12 @@
         let node = self.node;
         let is_own = !self.tried_own && !node.is_stopping();
         let current = node.target.current().filter(|known| known.service == self.service);
-        let own = current
-            .filter(|_| is_own)
-            .map(|known| OwnCandidate { busy: busy_share(node.target.load(), 0, known.is_cold) });
+        let own = current.filter(|_| is_own).map(|known| OwnCandidate {
+            busy: busy_share(node.target.load(), 0, known.is_cold) + node.own_failing.get(),
+        });
         let wanted = Wanted { service: self.service, own, tried: &self.tried };
         let mut rng = node.rng.borrow_mut();
-        let found = node.directory.pick(&wanted, &mut *rng);
-        if found.is_some() || self.tried.len() < 2 {
-            return found;
-        }
-        None
+        node.directory.pick(&wanted, &mut *rng)
     }
 
     /// Whether the request may be sent once more after `end`.
@@ -148,7 +150,9 @@
             Destination::Own => {
                 self.tried_own = true;
                 let call = self.call();
-                receiver::serve(self.node, &call, self.request.deadline).await
+                let end = receiver::serve(self.node, &call, self.request.deadline).await;
+                note_failure(&self.node.own_failing, is_failure(&end));
+                end
             }
             Destination::Peer(peer) => {
                 self.tried.push(peer.address);
@@ -159,7 +163,7 @@
                 };
                 peer.in_flight.set(peer.in_flight.get() + 1);
                 let _in_flight = InFlight(&peer.in_flight);
-                let end = timeout_at(self.request.deadline, pending.end()).await;
+                let end = timeout_at(self.request.deadline + LAST_WORD, pending.end()).await;
                 let end = end.unwrap_or(CallEnd::MayHaveRun(Doubt::Timeout));
                 if matches!(end, CallEnd::MayHaveRun(_) | CallEnd::NotRun(_)) {
                     peer.avoid();
@@ -177,8 +181,8 @@
             service: self.service.to_owned(),
             attempt_id: self.request.attempt_id.clone(),
             remaining_ms: left.as_millis() as u32,
-            rank: self.route.rank,
-            nested: self.request.is_nested,
+            root: self.request.root.to_string(),
+            rank: self.request.rank,
             head_only: self.request.head_only,
             head: self.request.head.clone(),
             body: self.request.body.clone(),
@@ -199,7 +203,7 @@
 fn is_failure(end: &CallEnd) -> bool {
     match end {
         CallEnd::Answered(answer) => answer.status >= 500,
-        CallEnd::NotRun(_) => false,
+        CallEnd::NotRun(reason) => *reason == NotRun::Declined,
         CallEnd::MayHaveRun(_) => true,
     }
 }
--- a/src/mesh/site.rs
+++ b/src/mesh/site.rs
@@ -25,7 +25,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Route {
     /// The operator's name for it.
-    pub name: String,
+    pub name: Rc<str>,
     /// The host it belongs to, in lower case.
     pub host: String,
     /// The beginning of the path; begins and ends with a slash.
--- a/src/mesh/split.rs
+++ b/src/mesh/split.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::rc::Rc;
 
 use super::site::Route;
 
@@ -11,7 +12,7 @@
 /// than one request, so that shares hold also for few requests.
 #[derive(Debug, Default)]
 pub struct Splitter {
-    credits: RefCell<HashMap<String, Vec<i64>>>,
+    credits: RefCell<HashMap<Rc<str>, Vec<i64>>>,
 }
 
 impl Splitter {
@@ -21,7 +22,7 @@
             return 0;
         }
         let mut credits = self.credits.borrow_mut();
-        let credit = credits.entry(route.name.clone()).or_default();
+        let credit = credits.entry(Rc::clone(&route.name)).or_default();
         if credit.len() != route.split.len() {
             *credit = vec![0; route.split.len()];
         }
--- a/src/platform/document.rs
+++ b/src/platform/document.rs
@@ -120,7 +120,7 @@
         split.push(Share { service, weight: 1 });
     }
     Ok(Route {
-        name: name.to_owned(),
+        name: name.into(),
         host: found.host.to_ascii_lowercase(),
         prefix: found.prefix,
         kind: read_kind(&found.kind),
