Explain a request from the logs of the nodes alone

Cause: on-call engineers have only logs and metrics; the trail of a request had to be put together by hand, and its lines lacked which service had no room, how old the news of the chosen node was, what the retry budget held, and which incarnation ran it. Ruled out: ordering by time, as the clocks of VMs differ; the order is that of the calls (ids of calls extend their parent's).

A request that could not be written whole no longer counts as written (write_and_read, with a test on made-up halves). Removed as nobody used them: the numbers of lives, Directory::all, OwnCandidate, Load::wait_ms (it walked the queue at each answer; the metric still does).

The price of the longer lines is not measured yet.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -6,6 +6,7 @@
 mod check;
 mod compare;
 mod completions;
+mod explain;
 mod leave;
 mod list;
 mod manual;
@@ -34,6 +35,7 @@
 pub use check::CheckArgs;
 pub use compare::CompareArgs;
 pub use completions::{CompletionsArgs, Shell, script};
+pub use explain::ExplainArgs;
 pub use leave::LeaveArgs;
 pub use list::ListArgs;
 pub use manual::{ManualArgs, page};
@@ -92,6 +94,8 @@
     Leave(LeaveArgs),
     /// Compare policy arms.
     Compare(CompareArgs),
+    /// Explain a request from logs.
+    Explain(ExplainArgs),
     /// Replay a recorded trace.
     Replay(ReplayArgs),
     /// Print the schema of the settings.
@@ -163,6 +167,7 @@
         Command::Status(args) => status::run(&args),
         Command::Leave(args) => leave::run(&args),
         Command::Compare(args) => compare::run(&args),
+        Command::Explain(args) => explain::run(&args),
         Command::Replay(args) => replay::run(&args),
         Command::Schema(args) => schema::run(&args),
         Command::Completions(args) => completions::run(&args),
--- a/src/event.rs
+++ b/src/event.rs
@@ -13,7 +13,7 @@
 use self::field::ToLog;
 use crate::call::{ArmId, AttemptId, ClassRank, Key, Level, NodeId, RootId};
 
-pub use self::flood::FloodGate;
+pub use self::flood::{FloodGate, REQUESTS_PER_WINDOW};
 pub use self::log::EventLog;
 
 /// What the catalogue says about one kind of event.
@@ -363,6 +363,8 @@
         service: String,
         /// The version of the program.
         version: &'static str,
+        /// Where other nodes reach it.
+        address: SocketAddr,
     }
     /// The settings file was read again.
     1001 Info SettingsReread {
@@ -411,6 +413,21 @@
         /// What was noticed.
         detail: String,
     }
+    /// Requests of a route began to be refused for want of room further down, or no longer are.
+    1030 Info AdmissionChanged {
+        /// The route.
+        root: String,
+        /// Its service that has the least room; empty where all have some.
+        limited_by: String,
+        /// The probability of admission, in hundredths.
+        admitted_percent: u32,
+        /// Requests that ran on all targets of that service together.
+        running: u32,
+        /// Requests that waited for them.
+        waiting: u32,
+        /// How many they may run at once.
+        limit: u32,
+    }
     /// A request got its final answer: one that was refused, failed, repeated or late, or one of the
     /// few others that are written as a sample.
     1040 Info RequestEnded {
@@ -430,8 +447,15 @@
         offered: String,
         /// How often it reached a target.
         arrivals: u32,
+        /// How long before its end the node that had it last was heard of, in milliseconds.
+        heard_ms: u64,
         /// The probability of admission of its route at its end, in hundredths.
         admitted_percent: u32,
+        /// The service further down with the least room, where requests of its route are refused for
+        /// it.
+        limited_by: String,
+        /// How many repeats the node might still have sent to the service, in hundredths.
+        repeats_percent: u32,
         /// The version of the configuration by which it was routed.
         config_version: u64,
         /// How long it took, in milliseconds.
@@ -443,6 +467,10 @@
         attempt: String,
         /// The route by which a caller's request began it all.
         root: String,
+        /// The service that was asked for.
+        service: String,
+        /// The incarnation of the target at its end; empty where there was none.
+        instance: String,
         /// `answered`, `not_run` or `may_have_run`.
         verdict: &'static str,
         /// Why, where it was not answered: the reason's name.
--- a/src/event/flood.rs
+++ b/src/event/flood.rs
@@ -9,7 +9,7 @@
 const WINDOW_US: u64 = 10 * US_PER_S;
 /// How often an event of one request is written in a window: more than others, as the trail of a
 /// request is what explains its failure.
-const REQUESTS_PER_WINDOW: u32 = 200;
+pub const REQUESTS_PER_WINDOW: u32 = 200;
 /// The numbers of events of one request.
 const REQUEST_NUMBERS: std::ops::Range<u16> = 1_040..1_050;
 /// How often one kind of event is written in a window.
@@ -18,6 +18,8 @@
 /// Cuts floods: each kind of event is written a few times in a window, the rest is counted.
 #[derive(Debug)]
 pub struct FloodGate {
+    /// How often an event of one request is written in a window.
+    requests_max: u32,
     windows: Vec<Mutex<Window>>,
 }
 
@@ -34,11 +36,17 @@
 
 impl Default for FloodGate {
     fn default() -> Self {
-        Self { windows: EVENT_KINDS.iter().map(|_| Mutex::default()).collect() }
+        Self::new(REQUESTS_PER_WINDOW)
     }
 }
 
 impl FloodGate {
+    /// A gate that writes `requests_max` events of one request in a window.
+    pub fn new(requests_max: u32) -> Self {
+        let windows = EVENT_KINDS.iter().map(|_| Mutex::default()).collect();
+        Self { requests_max, windows }
+    }
+
     /// Whether the event is to be written: the number of events of its kind that were left out
     /// since the last one, or none where this one is left out too.
     pub fn admit(&self, event: &LogEvent, now_us: u64) -> Option<u64> {
@@ -49,7 +57,7 @@
             window.written = 0;
         }
         let is_of_request = REQUEST_NUMBERS.contains(&event.number());
-        let most = if is_of_request { REQUESTS_PER_WINDOW } else { WRITTEN_PER_WINDOW };
+        let most = if is_of_request { self.requests_max } else { WRITTEN_PER_WINDOW };
         if window.written >= most {
             window.suppressed += 1;
             return None;
--- a/src/event/log.rs
+++ b/src/event/log.rs
@@ -25,7 +25,11 @@
 impl EventLog {
     /// Writes through `logger`.
     pub fn new(logger: Logger, clock: Clock) -> Self {
-        let gate = FloodGate::default();
+        Self::with_gate(logger, clock, FloodGate::default())
+    }
+
+    /// Writes through `logger` what `gate` lets pass.
+    pub fn with_gate(logger: Logger, clock: Clock, gate: FloodGate) -> Self {
         let suppressed = AtomicU64::new(0);
         Self { shared: Arc::new(Shared { logger, clock, gate, suppressed }) }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod configuration;
 pub mod duty;
 pub mod event;
+pub mod explain;
 pub mod logging;
 pub mod membership;
 pub mod mesh;
--- a/src/mesh/budget.rs
+++ b/src/mesh/budget.rs
@@ -41,6 +41,11 @@
         saved.insert(service.to_owned(), self.share);
     }
 
+    /// How many repeats are saved up for a service.
+    pub fn left(&self, service: &str) -> f64 {
+        self.saved.borrow().get(service).copied().unwrap_or(0.0)
+    }
+
     /// Takes one repeat, if there is one.
     pub fn try_take(&self, service: &str) -> bool {
         let mut saved = self.saved.borrow_mut();
--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -36,8 +36,6 @@
     pub address: SocketAddr,
     /// Its failure domain.
     pub failure_domain: RefCell<String>,
-    /// A number drawn at the start of its process.
-    pub life: Cell<u64>,
     /// The connection that calls go over.
     pub link: RefCell<Option<Rc<Link>>>,
     /// What it said last about itself.
@@ -55,7 +53,6 @@
         Self {
             address,
             failure_domain: RefCell::new(failure_domain.to_owned()),
-            life: Cell::default(),
             link: RefCell::default(),
             status: RefCell::default(),
             in_flight: Cell::default(),
@@ -134,19 +131,13 @@
     Peer(Rc<Peer>),
 }
 
-/// The target beside this node, as a candidate for a call.
-#[derive(Clone, Copy, Debug)]
-pub struct OwnCandidate {
-    /// How busy it is.
-    pub busy: f64,
-}
-
 /// What is asked of the directory.
 pub struct Wanted<'a> {
     /// The service.
     pub service: &'a str,
-    /// The target beside this node, if it may take the call.
-    pub own: Option<OwnCandidate>,
+    /// How busy the target beside this node is, as a share of what it can run, if it may take the
+    /// call.
+    pub own_busy: Option<f64>,
     /// Nodes that were tried already.
     pub tried: &'a [SocketAddr],
 }
@@ -196,11 +187,6 @@
         self.peers.borrow_mut().remove(&address);
     }
 
-    /// All other nodes.
-    pub fn all(&self) -> Vec<Rc<Peer>> {
-        self.peers.borrow().values().cloned().collect()
-    }
-
     /// All other nodes that are connected, as they are told of.
     pub fn neighbours(&self) -> Vec<Neighbour> {
         let peers = self.peers.borrow();
@@ -216,7 +202,6 @@
     pub fn take_hello(&self, hello: &Hello) {
         let Some(peer) = self.get(hello.address) else { return };
         hello.failure_domain.clone_into(&mut peer.failure_domain.borrow_mut());
-        peer.life.set(hello.life);
         peer.take_status(hello.status.clone());
     }
 
@@ -226,8 +211,8 @@
     pub fn pick(&self, wanted: &Wanted<'_>, rng: &mut impl Rng) -> Option<Destination> {
         let now = Instant::now();
         let mut best: Option<(f64, Destination)> = None;
-        if let Some(own) = wanted.own {
-            best = Some((own.busy, Destination::Own));
+        if let Some(busy) = wanted.own_busy {
+            best = Some((busy, Destination::Own));
         }
         for peer in self.peers.borrow().values() {
             if wanted.tried.contains(&peer.address) || peer.open_link().is_none() {
@@ -276,7 +261,6 @@
     view.load.running += status.load.running;
     view.load.waiting += status.load.waiting;
     view.load.limit += status.load.limit;
-    view.load.wait_ms = view.load.wait_ms.max(status.load.wait_ms);
     for work in &status.roots {
         if let Some(running) = view.roots.get_mut(&work.root) {
             *running += work.running;
--- a/src/mesh/frame.rs
+++ b/src/mesh/frame.rs
@@ -54,8 +54,6 @@
     pub address: SocketAddr,
     /// Its failure domain.
     pub failure_domain: String,
-    /// A number drawn at the start of its process.
-    pub life: u64,
     /// Its state.
     pub status: Status,
     /// The other nodes it knows.
@@ -112,8 +110,6 @@
     pub waiting: u32,
     /// How many requests it may run at once.
     pub limit: u32,
-    /// How long the request that began last had waited, in milliseconds.
-    pub wait_ms: u32,
 }
 
 /// A request for the target beside the receiver.
@@ -151,6 +147,11 @@
 }
 
 impl CallEnd {
+    /// Whether it is an answer other than a failure of the target.
+    pub fn went_well(&self) -> bool {
+        matches!(self, Self::Answered(answer) if answer.status < 500)
+    }
+
     /// The name of the verdict in logs.
     pub fn name(&self) -> &'static str {
         match self {
--- a/src/mesh/gate.rs
+++ b/src/mesh/gate.rs
@@ -124,12 +124,13 @@
             running: self.running.get() as u32,
             waiting: self.waiting.borrow().len() as u32,
             limit: self.limit.get() as u32,
-            wait_ms: self.wait_ms(),
         }
     }
 
     /// How long the queue makes a request wait at this moment, in milliseconds.
-    fn wait_ms(&self) -> u32 {
+    ///
+    /// Looks at everything that waits.
+    pub fn wait_ms(&self) -> u32 {
         let waiting = self.waiting.borrow();
         let oldest = waiting.values().map(|waiter| waiter.since).min();
         let oldest_ms = oldest.map_or(0, |since| since.elapsed().as_millis() as u32);
--- a/src/mesh/http1.rs
+++ b/src/mesh/http1.rs
@@ -112,51 +112,70 @@
         is_mine: impl Fn(&Reply) -> bool,
     ) -> Result<Reply, ExchangeError> {
         let (mut reader, mut writer) = self.stream.split();
-        let buffer = &mut self.buffer;
-        let write = async {
-            if body.len() <= READ_BYTES {
-                let whole = [head, body].concat();
-                writer.write_all(&whole).await
-            } else {
-                writer.write_all(head).await?;
-                writer.write_all(body).await
-            }
-        };
-        let read = async {
-            for _ in 0..=SKIPPED_MAX {
-                let reply = read_reply(&mut reader, buffer, method).await?;
-                if is_mine(&reply) {
-                    return Ok(reply);
-                }
-                if !reply.is_reusable {
-                    break;
-                }
-            }
-            Err(ExchangeError::Malformed("answers to other requests only"))
-        };
-        tokio::pin!(write);
-        tokio::pin!(read);
-        // An answer may come before the whole request is written.
-        let mut is_written = false;
-        let reply = loop {
-            tokio::select! {
-                biased;
-                reply = &mut read => break reply,
-                written = &mut write, if !is_written => {
-                    is_written = true;
-                    // A peer that answers early may stop reading; its answer decides.
-                    drop(written);
-                }
-            }
-        };
-        let mut reply = reply?;
-        // The rest of the request must not be taken for another one.
-        reply.is_reusable &= is_written;
+        let write = write_request(&mut writer, head, body);
+        let read = read_answer(&mut reader, &mut self.buffer, method, is_mine);
+        let reply = write_and_read(write, read).await?;
         self.usable_until = Instant::now() + idle_time(&reply);
         Ok(reply)
     }
 }
 
+/// Writes a request while its answer is read, which may come before the whole request is written.
+///
+/// A peer that answers early may stop reading, so the answer decides even if writing fails. The
+/// connection carries another exchange only after the whole request was written: the rest of it must
+/// not be taken for another one.
+pub async fn write_and_read(
+    write: impl Future<Output = io::Result<()>>,
+    read: impl Future<Output = Result<Reply, ExchangeError>>,
+) -> Result<Reply, ExchangeError> {
+    tokio::pin!(write);
+    tokio::pin!(read);
+    let mut written = None;
+    let mut reply = loop {
+        tokio::select! {
+            biased;
+            reply = &mut read => break reply?,
+            result = &mut write, if written.is_none() => written = Some(result),
+        }
+    };
+    reply.is_reusable &= matches!(written, Some(Ok(())));
+    Ok(reply)
+}
+
+/// Writes a request.
+async fn write_request(
+    writer: &mut (impl AsyncWriteExt + Unpin),
+    head: &[u8],
+    body: &[u8],
+) -> io::Result<()> {
+    if body.len() <= READ_BYTES {
+        let whole = [head, body].concat();
+        return writer.write_all(&whole).await;
+    }
+    writer.write_all(head).await?;
+    writer.write_all(body).await
+}
+
+/// Reads answers until one is accepted by `is_mine`.
+async fn read_answer(
+    reader: &mut (impl AsyncReadExt + Unpin),
+    buffer: &mut BytesMut,
+    method: &Method,
+    is_mine: impl Fn(&Reply) -> bool,
+) -> Result<Reply, ExchangeError> {
+    for _ in 0..=SKIPPED_MAX {
+        let reply = read_reply(reader, buffer, method).await?;
+        if is_mine(&reply) {
+            return Ok(reply);
+        }
+        if !reply.is_reusable {
+            break;
+        }
+    }
+    Err(ExchangeError::Malformed("answers to other requests only"))
+}
+
 /// How long a connection may be kept after an answer.
 fn idle_time(reply: &Reply) -> Duration {
     let Some(text) = reply.header("keep-alive") else { return IDLE_DEFAULT };
--- a/src/mesh/metrics.rs
+++ b/src/mesh/metrics.rs
@@ -75,7 +75,7 @@
             ("aspenspring_mesh_running", f64::from(load.running)),
             ("aspenspring_mesh_waiting", f64::from(load.waiting)),
             ("aspenspring_mesh_limit", f64::from(load.limit)),
-            ("aspenspring_mesh_wait_milliseconds", f64::from(load.wait_ms)),
+            ("aspenspring_mesh_wait_milliseconds", f64::from(node.target.gate.wait_ms())),
             ("aspenspring_mesh_in_flight", node.in_flight.get() as f64),
             ("aspenspring_mesh_held_bytes", node.held_bytes.get() as f64),
             ("aspenspring_mesh_site_version", node.site_version() as f64),
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -1,7 +1,7 @@
 //! The state of a node, shared by its tasks. All of them run in one thread.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -18,7 +18,7 @@
 use super::frame::{Frame, Hello, Load, RootWork, Status};
 use super::link::Link;
 use super::metrics::MeshMetrics;
-use super::overload::Overload;
+use super::overload::{Overload, ServiceView};
 use super::settings::MeshSettings;
 use super::site::Site;
 use super::split::Splitter;
@@ -29,6 +29,8 @@
 const ROOTS_REMEMBERED: Duration = Duration::from_secs(20);
 /// Other nodes are told of the target's work this often while it is above `TELL_ABOVE`.
 const TELL_EVERY: Duration = Duration::from_millis(180);
+/// How often it is looked whether requests of a route have begun to be refused, or no longer are.
+const REPORT_EVERY: Duration = Duration::from_secs(1);
 /// The share of what the target can run from which on other nodes are told of its work.
 const TELL_ABOVE: f64 = 0.9;
 
@@ -50,8 +52,6 @@
     pub settings: MeshSettings,
     /// The names of the headers it reads and writes.
     pub vocabulary: Vocabulary,
-    /// A number drawn at the start of the process.
-    pub life: u64,
     /// The other nodes.
     pub directory: Directory,
     /// The target beside the node.
@@ -66,6 +66,10 @@
     told: Cell<Option<Instant>>,
     /// Of how many of these routes other nodes were told last.
     told_roots: Cell<usize>,
+    /// When it was looked last which routes are refused.
+    reported: Cell<Option<Instant>>,
+    /// The routes of which requests are refused for want of room, as they were reported.
+    refused_routes: RefCell<HashSet<Rc<str>>>,
     /// The share of the target's answers that were failures of late, 0 to 1.
     pub own_failing: Cell<f64>,
     /// Shares the requests of split routes.
@@ -103,7 +107,6 @@
         log: EventLog,
     ) -> Self {
         Self {
-            life: rand::random(),
             directory: Directory::new(settings.listen.peers, &settings.node.failure_domain),
             target: Target::new(settings.target.address),
             overload: Overload::default(),
@@ -111,6 +114,8 @@
             roots: RefCell::default(),
             told: Cell::default(),
             told_roots: Cell::default(),
+            reported: Cell::default(),
+            refused_routes: RefCell::default(),
             own_failing: Cell::default(),
             splitter: Splitter::default(),
             budgets: RetryBudgets::new(&settings.retry),
@@ -255,6 +260,10 @@
         let Some(site) = self.site() else { return };
         let services = self.directory.services(&self.status());
         self.overload.adjust(&services, site.rank_max());
+        if self.reported.get().is_none_or(|last| last.elapsed() >= REPORT_EVERY) {
+            self.reported.set(Some(Instant::now()));
+            self.report_admission(&site, &services);
+        }
         let load = self.target.load();
         let is_due = self.told.get().is_none_or(|told| told.elapsed() >= TELL_EVERY);
         if work_share(load) > TELL_ABOVE && is_due {
@@ -262,6 +271,33 @@
         }
     }
 
+    /// Writes which routes have begun to be refused for want of room, or no longer are.
+    fn report_admission(&self, site: &Site, services: &HashMap<String, ServiceView>) {
+        let mut refused = self.refused_routes.borrow_mut();
+        for route in site.routes() {
+            let passing = self.overload.passing(&route);
+            let is_refused = passing < 1.0;
+            if refused.contains(&route.name) == is_refused {
+                continue;
+            }
+            if is_refused {
+                refused.insert(Rc::clone(&route.name));
+            } else {
+                refused.remove(&route.name);
+            }
+            let limited_by = self.overload.limited_by(&route).unwrap_or_default();
+            let load = services.get(&limited_by).map(|view| view.load).unwrap_or_default();
+            self.log.emit(&LogEvent::AdmissionChanged {
+                root: route.name.to_string(),
+                limited_by,
+                admitted_percent: (passing * 100.0) as u32,
+                running: load.running,
+                waiting: load.waiting,
+                limit: load.limit,
+            });
+        }
+    }
+
     /// What the node says of itself when it meets another one.
     ///
     /// `left_instances` are those of the other node's target that are known to have left.
@@ -269,7 +305,6 @@
         Hello {
             address: self.settings.listen.peers,
             failure_domain: self.settings.node.failure_domain.clone(),
-            life: self.life,
             status: self.status(),
             known: self.directory.neighbours(),
             left_instances,
--- a/src/mesh/overload.rs
+++ b/src/mesh/overload.rs
@@ -49,10 +49,12 @@
 }
 
 /// What is known of a route by which requests begin.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct RootLevel {
     /// The lowest level of the services that its requests reach.
     level: f64,
+    /// The service that has it; empty where all have room.
+    service: String,
     /// The probability with which its requests are admitted at least.
     reserved: f64,
 }
@@ -89,24 +91,25 @@
         levels: &HashMap<String, f64>,
         top: f64,
     ) {
-        let mut seen: HashMap<&str, (f64, f64)> = HashMap::new();
+        let mut seen: HashMap<&str, (f64, f64, &str)> = HashMap::new();
         for (service, view) in services {
             let level = levels.get(service).copied().unwrap_or(top);
             let limit = f64::from(view.load.limit.max(1));
             for (root, running) in &view.roots {
-                let (lowest, used) = seen.entry(root).or_insert((top, 0.0));
-                if level < *lowest {
-                    *lowest = level;
-                    *used = f64::from(*running) / limit;
+                let lowest = seen.entry(root).or_insert((top, 0.0, ""));
+                if level < lowest.0 {
+                    *lowest = (level, f64::from(*running) / limit, service);
                 }
             }
         }
         let mut by_root = self.by_root.borrow_mut();
         by_root.retain(|root, _| seen.contains_key(root.as_str()));
-        for (root, (level, used)) in seen {
+        for (root, (level, used, service)) in seen {
             let entry = by_root.entry(root.to_owned());
-            let known = entry.or_insert(RootLevel { level, reserved: 0.0 });
+            let unknown = RootLevel { level, service: String::new(), reserved: 0.0 };
+            let known = entry.or_insert(unknown);
             known.level = level;
+            service.clone_into(&mut known.service);
             let change = if used < RESERVED_SHARE { RESERVED_STEP } else { -RESERVED_STEP };
             known.reserved = (known.reserved + change).clamp(0.0, 1.0);
         }
@@ -121,8 +124,17 @@
     /// The probability with which a request of a caller on `route` is admitted.
     pub fn passing(&self, route: &Route) -> f64 {
         let by_level = self.level(route) - f64::from(route.rank);
-        let known = self.by_root.borrow().get(&*route.name).copied();
-        by_level.max(known.map_or(0.0, |known| known.reserved)).clamp(0.0, 1.0)
+        let reserved = self.by_root.borrow().get(&*route.name).map(|known| known.reserved);
+        by_level.max(reserved.unwrap_or(0.0)).clamp(0.0, 1.0)
+    }
+
+    /// The service for whose want of room requests of `route` are refused, where some are.
+    pub fn limited_by(&self, route: &Route) -> Option<String> {
+        if self.passing(route) >= 1.0 {
+            return None;
+        }
+        let known = self.by_root.borrow().get(&*route.name).map(|known| known.service.clone());
+        known.filter(|service| !service.is_empty())
     }
 
     /// The lowest level of the services that requests of `route` reach.
--- a/src/mesh/receiver.rs
+++ b/src/mesh/receiver.rs
@@ -38,15 +38,13 @@
     let began = Instant::now();
     let end = admit(node, call, deadline).await;
     node.metrics.note_call(end.reason());
-    let is_failure = match &end {
-        CallEnd::Answered(answer) => answer.status >= 500,
-        CallEnd::NotRun(_) | CallEnd::MayHaveRun(_) => true,
-    };
-    if is_failure {
+    if !end.went_well() {
         let load = node.target.load();
         node.log.emit(&LogEvent::CallEnded {
             attempt: call.attempt_id.clone(),
             root: call.root.clone(),
+            service: call.service.clone(),
+            instance: node.target.current().map(|now| now.id.clone()).unwrap_or_default(),
             verdict: end.name(),
             reason: end.reason(),
             took_ms: began.elapsed().as_millis() as u64,
--- a/src/mesh/sender.rs
+++ b/src/mesh/sender.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use tokio::time::{Instant, timeout_at};
 
-use super::directory::{Destination, OwnCandidate, Wanted, busy_share, note_failure};
+use super::directory::{Destination, Wanted, busy_share, note_failure};
 use super::frame::{Call, CallEnd, Doubt, NotRun, TargetAnswer};
 use super::node::{Counted, Node};
 use super::receiver;
@@ -151,10 +151,10 @@
         let node = self.node;
         let is_own = !self.tried_own && !node.is_stopping();
         let current = node.target.current().filter(|known| known.service == self.service);
-        let own = current.filter(|_| is_own).map(|known| OwnCandidate {
-            busy: busy_share(node.target.load(), 0, known.is_cold) + node.own_failing.get(),
-        });
-        let wanted = Wanted { service: self.service, own, tried: &self.tried };
+        let own_busy = current
+            .filter(|_| is_own)
+            .map(|known| busy_share(node.target.load(), 0, known.is_cold) + node.own_failing.get());
+        let wanted = Wanted { service: self.service, own_busy, tried: &self.tried };
         let mut rng = node.rng.borrow_mut();
         node.directory.pick(&wanted, &mut *rng)
     }
@@ -251,9 +251,8 @@
 /// Whether an end speaks against the target.
 fn is_failure(end: &CallEnd) -> bool {
     match end {
-        CallEnd::Answered(answer) => answer.status >= 500,
         CallEnd::NotRun(reason) => *reason == NotRun::Declined,
-        CallEnd::MayHaveRun(_) => true,
+        CallEnd::Answered(_) | CallEnd::MayHaveRun(_) => !end.went_well(),
     }
 }
 
--- a/src/mesh/settings.rs
+++ b/src/mesh/settings.rs
@@ -4,6 +4,8 @@
 
 use serde::Deserialize;
 
+use crate::event::REQUESTS_PER_WINDOW;
+
 /// Everything a node is told at its start, apart from what the platform's adapter reads.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct MeshSettings {
@@ -17,6 +19,9 @@
     pub timing: TimingSection,
     /// How many more arrivals than requests a service may see.
     pub retry: RetrySection,
+    /// How much is logged.
+    #[serde(default)]
+    pub log: LogSection,
 }
 
 /// Who a node is.
@@ -63,6 +68,23 @@
     pub stop_grace_ms: u64,
 }
 
+/// How much is logged of requests.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+pub struct LogSection {
+    /// One in this many requests that went well is written; 1 writes all of them.
+    pub sampled_one_in: u32,
+    /// The most lines of one kind about requests in 10 s.
+    pub request_lines_max: u32,
+}
+
+impl Default for LogSection {
+    /// A line costs about as much as a call through two nodes, so few are written of what went well,
+    /// and no more under overload than help to find its cause.
+    fn default() -> Self {
+        Self { sampled_one_in: 500, request_lines_max: REQUESTS_PER_WINDOW }
+    }
+}
+
 /// How many more arrivals than requests a service may see, over all nodes together.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct RetrySection {
--- a/src/mesh/trail.rs
+++ b/src/mesh/trail.rs
@@ -14,9 +14,6 @@
 use super::sender::Outcome;
 use super::site::Route;
 
-/// One in this many requests that went well is written.
-const SAMPLED_ONE_IN: u32 = 500;
-
 /// Where a request was offered.
 #[derive(Clone, Debug, Default)]
 pub struct Trail {
@@ -52,7 +49,8 @@
         && ended.status < 500
         && trail.arrivals <= 1
         && took_ms <= ended.route.objective_ms;
-    if went_well && node.rng.borrow_mut().random_range(0..SAMPLED_ONE_IN) > 0 {
+    let one_in = node.settings.log.sampled_one_in.max(1);
+    if went_well && node.rng.borrow_mut().random_range(0..one_in) > 0 {
         return;
     }
     let mut offered = Vec::new();
@@ -68,8 +66,18 @@
         status: u32::from(ended.status),
         offered: offered.join(" "),
         arrivals: trail.arrivals,
+        heard_ms: heard_ms(node, trail),
         admitted_percent: (node.overload.passing(ended.route) * 100.0) as u32,
+        limited_by: node.overload.limited_by(ended.route).unwrap_or_default(),
+        repeats_percent: (node.budgets.left(&trail.service) * 100.0) as u32,
         config_version: node.site_version(),
         took_ms,
     });
 }
+
+/// How long ago the node that had a request last was heard of, in milliseconds; 0 for this node.
+fn heard_ms(node: &Node, trail: &Trail) -> u64 {
+    let Some(Some(address)) = trail.offered.last() else { return 0 };
+    let link = node.directory.get(*address).and_then(|peer| peer.open_link());
+    link.map_or(0, |link| link.heard().elapsed().as_millis() as u64)
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -17,7 +17,7 @@
 
 use crate::clock::Clock;
 use crate::config::TelemetrySettings;
-use crate::event::{EventLog, LogEvent};
+use crate::event::{EventLog, FloodGate, LogEvent};
 use crate::logging::Logging;
 use crate::mesh::launch;
 use crate::mesh::node::Node;
@@ -62,12 +62,14 @@
 async fn run_node(path: PathBuf, settings: PlatformSettings) -> eyre::Result<()> {
     let PlatformSettings { mesh, store } = settings;
     let logging = Logging::start(&TelemetrySettings::default(), std::io::stdout())?;
-    let log = EventLog::new(logging.logger.clone(), Clock::start());
+    let gate = FloodGate::new(mesh.log.request_lines_max);
+    let log = EventLog::with_gate(logging.logger.clone(), Clock::start(), gate);
     log.emit(&LogEvent::MeshStarted {
         node_name: mesh.node.name.clone(),
         failure_domain: mesh.node.failure_domain.clone(),
         service: mesh.node.service.clone(),
         version: env!("CARGO_PKG_VERSION"),
+        address: mesh.listen.peers,
     });
     let node = Rc::new(Node::new(mesh, names::vocabulary(), Box::new(read_document), log));
     launch::start(&node).wrap_err("the node cannot listen")?;
--- a/tests/mesh/decisions.rs
+++ b/tests/mesh/decisions.rs
@@ -94,7 +94,7 @@
 /// A service with the given work, reached by requests of the given routes.
 fn view(running: u32, waiting: u32, roots: &[(&str, u32)]) -> ServiceView {
     let roots = roots.iter().map(|(name, running)| ((*name).to_owned(), *running)).collect();
-    ServiceView { load: Load { running, waiting, limit: 100, wait_ms: 0 }, roots }
+    ServiceView { load: Load { running, waiting, limit: 100 }, roots }
 }
 
 /// The probabilities of admission for `browse` (rank 2), `look` (rank 1) and `confirm` (rank 0) of
--- a/tests/mesh/exchange.rs
+++ b/tests/mesh/exchange.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use aspenspring::mesh::http1::{Connection, ExchangeError, Reply};
+use aspenspring::mesh::http1::{Connection, ExchangeError, Reply, write_and_read};
 use http::Method;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -136,3 +136,19 @@
         assert_eq!((reply.status, reply.is_reusable), (400, false));
     });
 }
+
+#[test]
+fn a_request_that_could_not_be_written_whole_ends_the_use_of_the_connection() {
+    run(async {
+        let reply = || Reply { status: 400, headers: vec![], body: "".into(), is_reusable: true };
+        let answer_later = async || {
+            tokio::task::yield_now().await;
+            Ok(reply())
+        };
+        let failed = async || Err(std::io::ErrorKind::BrokenPipe.into());
+        let answered = write_and_read(failed(), answer_later()).await.unwrap();
+        assert_eq!((answered.status, answered.is_reusable), (400, false));
+        let answered = write_and_read(async { Ok(()) }, answer_later()).await.unwrap();
+        assert!(answered.is_reusable);
+    });
+}
--- a/tests/mesh/properties.rs
+++ b/tests/mesh/properties.rs
@@ -37,7 +37,7 @@
     let lost = any::<u64>().prop_map(|id| Frame::Answer {
         id,
         end: CallEnd::MayHaveRun(Doubt::Timeout),
-        load: Load { running: 1, waiting: 2, limit: 3, wait_ms: 4 },
+        load: Load { running: 1, waiting: 2, limit: 3 },
     });
     prop_oneof![call, answer, lost, Just(Frame::Ping), Just(Frame::SiteWanted)]
 }
