Bound what is in flight instead of a probability of admission

Two faults: a probability of admission only acts once the queue has grown, half a second late; and the reserved share of each route stood fully open whenever there had been room, so that a surge passed for two seconds whatever the level said. Ruled out: capacity alone (in later windows it was, but the swing was there with four targets too), the queue's order, expiry.

Change: each entry bounds its own requests in flight for each service they reach (mesh/window.rs), learnt from how many made how much work, corrected by the work found; a level on top keeps ranks apart where few are in flight. Targets that fail tell so and count as smaller; they are left alone until the others are full. A failure that came from further down is not repeated above, and repeats of repeats are paid from the same budget, so the service that fails may use the whole share. A target's own failure is no longer told as not run when its repeat finds no room.

--- a/extra/aspenspring.bash
+++ b/extra/aspenspring.bash
@@ -45,6 +45,9 @@
             compare)
                 cmd="aspenspring_compare"
                 ;;
+            explain)
+                cmd="aspenspring_explain"
+                ;;
             replay)
                 cmd="aspenspring_replay"
                 ;;
@@ -87,7 +90,7 @@
     case "${cmd}" in
         aspenspring)
             opts="--help"
-            cmds="node mesh check settings submit show list status leave compare replay schema completions manual standin"
+            cmds="node mesh check settings submit show list status leave compare explain replay schema completions manual standin"
             case "${prev}" in
                 *)
                     COMPREPLY=( $(compgen -W "${opts} ${cmds}" -- "${cur}") )
@@ -293,6 +296,15 @@
                     ;;
             esac
             ;;
+        aspenspring_explain)
+            opts="--help --json"
+            case "${prev}" in
+                *)
+                    COMPREPLY=( $(compgen -W "${opts} ${cmds}" -- "${cur}") )
+                    return 0
+                    ;;
+            esac
+            ;;
         aspenspring_replay)
             opts="--help --expect --json"
             case "${prev}" in
--- a/src/event.rs
+++ b/src/event.rs
@@ -475,6 +475,8 @@
         verdict: &'static str,
         /// Why, where it was not answered: the reason's name.
         reason: &'static str,
+        /// What was noticed where the target broke off, or could not be reached; otherwise empty.
+        detail: String,
         /// How long it waited and ran, in milliseconds.
         took_ms: u64,
         /// Requests that the target was running at its end.
--- a/src/explain/cause.rs
+++ b/src/explain/cause.rs
@@ -97,6 +97,8 @@
         service: String,
         /// `target-failed`, `target-broke` or `target-declined`.
         reason: String,
+        /// What its node noticed; empty where that is the status only.
+        detail: String,
     },
 }
 
@@ -156,8 +158,12 @@
                 }
                 Ok(())
             }
-            Self::TargetFailed { node, service, reason } => {
-                write!(f, "the target of {service} beside {node} failed it ({reason})")
+            Self::TargetFailed { node, service, reason, detail } => {
+                write!(f, "the target of {service} beside {node} failed it ({reason})")?;
+                if !detail.is_empty() {
+                    write!(f, ": {detail}")?;
+                }
+                Ok(())
             }
         }
     }
@@ -277,7 +283,10 @@
                 has_restarted: has_ended,
             }
         }
-        _ => Cause::TargetFailed { node, service, reason },
+        _ => {
+            let detail = step.line.text("detail").to_owned();
+            Cause::TargetFailed { node, service, reason, detail }
+        }
     }
 }
 
--- a/src/mesh/ancestry.rs
+++ b/src/mesh/ancestry.rs
@@ -4,7 +4,7 @@
 //! of its own. The claim is checked against what the target is running at this moment, so an id that
 //! only looks alike is taken for that of a new request.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 
@@ -22,6 +22,10 @@
     pub rank: u8,
     /// When an answer is of no more use.
     pub deadline: Instant,
+    /// Whether the run repeats another, or was made by one that does.
+    pub is_repeat: bool,
+    /// Whether a call that it made has failed.
+    pub has_failed_below: Rc<Cell<bool>>,
 }
 
 /// The requests that the target is running.
--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -44,8 +44,8 @@
     pub in_flight: Cell<u32>,
     in_flight_at_report: Cell<u32>,
     avoided_until: Cell<Option<Instant>>,
-    /// The share of its answers that were failures of late, 0 to 1.
-    failing: Cell<f64>,
+    /// How many of its answers were failures of late.
+    pub failing: FailureShare,
 }
 
 impl Peer {
@@ -58,7 +58,7 @@
             in_flight: Cell::default(),
             in_flight_at_report: Cell::default(),
             avoided_until: Cell::default(),
-            failing: Cell::default(),
+            failing: FailureShare::default(),
         }
     }
 
@@ -85,11 +85,6 @@
         self.avoided_until.set(Some(Instant::now() + AVOID_AFTER_FAILURE));
     }
 
-    /// Counts an answer, to prefer targets that fail less.
-    pub fn note_answer(&self, is_failure: bool) {
-        note_failure(&self.failing, is_failure);
-    }
-
     /// How busy its target is, as a share of what it can run.
     fn busy(&self, now: Instant) -> f64 {
         let status = self.status.borrow();
@@ -103,16 +98,56 @@
         if silent && self.in_flight.get() > 0 {
             busy += SUSPECT_COST;
         }
-        busy + self.failing.get()
+        busy + self.failing.cost(now)
+    }
+}
+
+/// The share of a target's answers that were failures of late.
+#[derive(Debug)]
+pub struct FailureShare {
+    share: Cell<f64>,
+    noted: Cell<Instant>,
+}
+
+impl Default for FailureShare {
+    fn default() -> Self {
+        Self { share: Cell::default(), noted: Cell::new(Instant::now()) }
     }
 }
 
-/// Moves a share of failures by one answer.
-pub fn note_failure(failing: &Cell<f64>, is_failure: bool) {
-    /// The weight of one answer.
-    const WEIGHT: f64 = 0.05;
-    let seen = if is_failure { 1.0 } else { 0.0 };
-    failing.set(failing.get() + WEIGHT * (seen - failing.get()));
+impl FailureShare {
+    /// Takes in one answer.
+    pub fn note(&self, is_failure: bool) {
+        /// The weight of one answer.
+        const WEIGHT: f64 = 0.05;
+        let seen = if is_failure { 1.0 } else { 0.0 };
+        let now = Instant::now();
+        let share = self.share(now);
+        self.share.set(share + WEIGHT * (seen - share));
+        self.noted.set(now);
+    }
+
+    /// The share, 0 to 1. It fades while nothing is heard: a target that gets nothing for its failures
+    /// is to be tried again.
+    pub fn share(&self, now: Instant) -> f64 {
+        /// How long it takes to fade to a half.
+        const HALF_LIFE: Duration = Duration::from_secs(3);
+        /// A share that makes no difference.
+        const NEGLIGIBLE: f64 = 0.002;
+        if self.share.get() < NEGLIGIBLE {
+            return 0.0;
+        }
+        let lives = (now - self.noted.get()).as_secs_f64() / HALF_LIFE.as_secs_f64();
+        self.share.get() * 0.5_f64.powf(lives)
+    }
+
+    /// By how much busier the target counts. A failure deep in a tree of calls fails the whole tree,
+    /// so that a target that fails one in four is left alone until all others are full twice over.
+    pub fn cost(&self, now: Instant) -> f64 {
+        /// What a target that fails always would count.
+        const COST: f64 = 4.0;
+        self.share(now) * COST
+    }
 }
 
 /// How busy a target is, as a share of what it can run.
@@ -260,7 +295,9 @@
     let Some(view) = views.get_mut(&status.service) else { return };
     view.load.running += status.load.running;
     view.load.waiting += status.load.waiting;
-    view.load.limit += status.load.limit;
+    // A target that fails half of what it runs carries half of what it could.
+    let works = 1.0 - f64::from(status.failing_percent) / 100.0;
+    view.load.limit += (f64::from(status.load.limit) * works).ceil() as u32;
     for work in &status.roots {
         if let Some(running) = view.roots.get_mut(&work.root) {
             *running += work.running;
--- a/src/mesh/frame.rs
+++ b/src/mesh/frame.rs
@@ -90,6 +90,8 @@
     pub left: Vec<String>,
     /// What the target has to do.
     pub load: Load,
+    /// The share of its answers that were failures of late, in hundredths.
+    pub failing_percent: u8,
 }
 
 /// What a target does for requests that began by one route.
@@ -127,6 +129,8 @@
     pub root: String,
     /// The rank of that route; the lowest goes first.
     pub rank: u8,
+    /// Whether it repeats a run, or is made by a run that does.
+    pub is_repeat: bool,
     /// Whether the method asks for a head without a body.
     pub head_only: bool,
     /// The request line and the headers, each ended by CR LF, without the blank line.
@@ -152,6 +156,27 @@
         matches!(self, Self::Answered(answer) if answer.status < 500)
     }
 
+    /// Whether the request has reached the target.
+    pub fn has_arrived(&self) -> bool {
+        match self {
+            Self::NotRun(reason) => reason.has_arrived(),
+            Self::Answered(_) | Self::MayHaveRun(_) => true,
+        }
+    }
+
+    /// Whether it speaks against the target itself. One that was too slow, or whose own calls failed,
+    /// may be as good as any other.
+    pub fn speaks_against_target(&self) -> bool {
+        match self {
+            Self::Answered(answer) => {
+                let is_late = answer.status == http::StatusCode::GATEWAY_TIMEOUT.as_u16();
+                answer.status >= 500 && !is_late && !answer.has_failed_below
+            }
+            Self::NotRun(reason) => *reason == NotRun::Declined,
+            Self::MayHaveRun(doubt) => *doubt == Doubt::TargetBroke,
+        }
+    }
+
     /// The name of the verdict in logs.
     pub fn name(&self) -> &'static str {
         match self {
@@ -177,6 +202,8 @@
 pub struct TargetAnswer {
     /// The status.
     pub status: u16,
+    /// Whether a call that the target made for it has failed, by this node or further down.
+    pub has_failed_below: bool,
     /// The headers, each ended by CR LF, without those that concern one connection.
     pub headers: Bytes,
     /// The whole body.
--- a/src/mesh/ingress.rs
+++ b/src/mesh/ingress.rs
@@ -21,6 +21,7 @@
 use super::frame::{Doubt, NotRun, TargetAnswer};
 use super::linger::LingeringStream;
 use super::node::{Counted, Node};
+use super::overload::Admitted;
 use super::peers::pause_after;
 use super::receiver::put_header;
 use super::sender::{self, Outcome, Request};
@@ -133,13 +134,17 @@
     let attempt_id = header_text(&parts.headers, &node.vocabulary.attempt_id);
     let parent = node.ancestry.parent(attempt_id);
     let root = parent.as_ref().map_or(&route.name, |parent| &parent.root).clone();
-    if let Some(refused) = refused_at_entry(node, &route).filter(|_| parent.is_none()) {
-        let response = response_to(&refused);
-        let status = response.status().as_u16();
-        let ended = Ended { attempt_id, route: &route, root: &root, arrived, status };
-        note_end(node, &ended, &refused, &Trail::default());
-        return response;
-    }
+    let admitted = if parent.is_none() { admit(node, &route).map(Some) } else { Ok(None) };
+    let _admitted = match admitted {
+        Ok(admitted) => admitted,
+        Err(refused) => {
+            let response = response_to(&refused);
+            let status = response.status().as_u16();
+            let ended = Ended { attempt_id, route: &route, root: &root, arrived, status };
+            note_end(node, &ended, &refused, &Trail::default());
+            return response;
+        }
+    };
     let caller_ms = header_number(&parts.headers, &node.vocabulary.deadline_ms);
     let wait_ms = caller_ms.map_or(route.timeout_ms, |caller_ms| caller_ms.min(route.timeout_ms));
     let deadline = arrived + Duration::from_millis(wait_ms);
@@ -157,8 +162,12 @@
         deadline,
         root,
         rank: parent.as_ref().map_or(route.rank, |parent| parent.rank),
+        is_repeat: parent.as_ref().is_some_and(|parent| parent.is_repeat),
     };
     let (outcome, trail) = sender::send(node, &route, &request).await;
+    if let Some(parent) = parent.filter(|_| !outcome.went_well()) {
+        parent.has_failed_below.set(true);
+    }
     let response = response_to(&outcome);
     let status = response.status().as_u16();
     let ended = Ended { attempt_id, route: &route, root: &request.root, arrived, status };
@@ -166,13 +175,13 @@
     response
 }
 
-/// The refusal of a request of a caller for which there is no room.
-fn refused_at_entry(node: &Node, route: &Route) -> Option<Outcome> {
+/// Admits a request of a caller, or refuses it where there is no room.
+fn admit(node: &Node, route: &Route) -> Result<Admitted, Outcome> {
     if node.is_closing() {
-        return Some(Outcome::refused(NotRun::Closing, RETRY_AFTER_CLOSING_MS));
+        return Err(Outcome::refused(NotRun::Closing, RETRY_AFTER_CLOSING_MS));
     }
-    let admitted = node.overload.admits(route, &mut *node.rng.borrow_mut());
-    (!admitted).then(|| Outcome::refused(NotRun::Shed, come_back_ms(node, route)))
+    let admitted = node.overload.admit(route, &mut *node.rng.borrow_mut());
+    admitted.ok_or_else(|| Outcome::refused(NotRun::Shed, come_back_ms(node, route)))
 }
 
 /// When a caller should come back whose request was refused, in milliseconds: soon enough to be
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -26,3 +26,4 @@
 pub mod target;
 pub mod trail;
 pub mod vocabulary;
+pub mod window;
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -29,6 +29,8 @@
 const ROOTS_REMEMBERED: Duration = Duration::from_secs(20);
 /// Other nodes are told of the target's work this often while it is above `TELL_ABOVE`.
 const TELL_EVERY: Duration = Duration::from_millis(180);
+/// The share of failures from which on other nodes are told of it as often, in hundredths.
+const TELL_FAILING_PERCENT: u8 = 5;
 /// How often it is looked whether requests of a route have begun to be refused, or no longer are.
 const REPORT_EVERY: Duration = Duration::from_secs(1);
 /// The share of what the target can run from which on other nodes are told of its work.
@@ -70,8 +72,6 @@
     reported: Cell<Option<Instant>>,
     /// The routes of which requests are refused for want of room, as they were reported.
     refused_routes: RefCell<HashSet<Rc<str>>>,
-    /// The share of the target's answers that were failures of late, 0 to 1.
-    pub own_failing: Cell<f64>,
     /// Shares the requests of split routes.
     pub splitter: Splitter,
     /// How many repeats may be sent.
@@ -109,14 +109,13 @@
         Self {
             directory: Directory::new(settings.listen.peers, &settings.node.failure_domain),
             target: Target::new(settings.target.address),
-            overload: Overload::default(),
+            overload: Overload::new(settings.overload.policy),
             ancestry: Ancestry::default(),
             roots: RefCell::default(),
             told: Cell::default(),
             told_roots: Cell::default(),
             reported: Cell::default(),
             refused_routes: RefCell::default(),
-            own_failing: Cell::default(),
             splitter: Splitter::default(),
             budgets: RetryBudgets::new(&settings.retry),
             rng: RefCell::new(SmallRng::from_os_rng()),
@@ -226,9 +225,15 @@
             roots: self.root_work(),
             left: self.target.left(),
             load: self.target.load(),
+            failing_percent: self.failing_percent(),
         }
     }
 
+    /// The share of the target's answers that were failures of late, in hundredths.
+    fn failing_percent(&self) -> u8 {
+        (self.target.failing.share(Instant::now()) * 100.0) as u8
+    }
+
     /// What the target does for requests of each route.
     fn root_work(&self) -> Vec<RootWork> {
         let roots = self.roots.borrow();
@@ -264,9 +269,10 @@
             self.reported.set(Some(Instant::now()));
             self.report_admission(&site, &services);
         }
-        let load = self.target.load();
         let is_due = self.told.get().is_none_or(|told| told.elapsed() >= TELL_EVERY);
-        if work_share(load) > TELL_ABOVE && is_due {
+        let is_of_note = work_share(self.target.load()) > TELL_ABOVE
+            || self.failing_percent() > TELL_FAILING_PERCENT;
+        if is_of_note && is_due {
             self.tell_status();
         }
     }
--- a/src/mesh/overload.rs
+++ b/src/mesh/overload.rs
@@ -6,14 +6,18 @@
 //! busy service. Of these, the least important are refused first. What was admitted is carried
 //! through.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 use rand::Rng;
 
+use serde::Deserialize;
+
 use super::frame::Load;
 use super::site::Route;
+use super::window::Window;
 
 /// How often the levels are adjusted.
 pub const ADJUST_EVERY: Duration = Duration::from_millis(100);
@@ -65,13 +69,61 @@
 /// rank that it cuts with the probability of its fraction, and all others are refused.
 #[derive(Debug, Default)]
 pub struct Overload {
+    policy: Policy,
+    /// Requests of each route that were admitted here and have no final answer yet.
+    in_flight: RefCell<HashMap<Rc<str>, Rc<Cell<u32>>>>,
+    /// How many of them may be in flight that reach each service.
+    windows: RefCell<HashMap<String, Window>>,
     /// The levels of the services.
     levels: RefCell<HashMap<String, f64>>,
     /// What is known of each route by which requests begin.
     by_root: RefCell<HashMap<String, RootLevel>>,
 }
 
+/// How it is decided what is admitted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Policy {
+    /// Everything is admitted; targets refuse what does not fit into their queues.
+    Open,
+    /// The probability of admission follows the work of the targets.
+    Levels,
+    /// The number of requests in flight is bounded by what the targets' work shows that they can bear.
+    #[default]
+    Windows,
+}
+
+/// A request that was admitted, until dropped.
+#[derive(Debug)]
+pub struct Admitted(Rc<Cell<u32>>);
+
+impl Drop for Admitted {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 impl Overload {
+    /// Admits by `policy`.
+    pub fn new(policy: Policy) -> Self {
+        Self { policy, ..Self::default() }
+    }
+
+    /// Admits a request of a caller on `route`, or refuses it.
+    pub fn admit(&self, route: &Route, rng: &mut impl Rng) -> Option<Admitted> {
+        if !self.admits(route, rng) {
+            self.note_refusal(route);
+            return None;
+        }
+        let mut in_flight = self.in_flight.borrow_mut();
+        let count = match in_flight.get(&route.name) {
+            Some(count) => Rc::clone(count),
+            None => Rc::clone(in_flight.entry(Rc::clone(&route.name)).or_default()),
+        };
+        count.set(count.get() + 1);
+        Some(Admitted(count))
+    }
+
     /// Adjusts the levels to what the services have to do. `rank_max` is the least important rank.
     pub fn adjust(&self, services: &HashMap<String, ServiceView>, rank_max: u8) {
         let top = f64::from(rank_max) + 1.0;
@@ -82,6 +134,58 @@
             *level = (*level + step(view.load)).clamp(LEVEL_MIN, top);
         }
         self.adjust_roots(services, &levels, top);
+        self.adjust_windows(services, top);
+    }
+
+    /// Adjusts how many requests may be in flight that reach each service.
+    fn adjust_windows(&self, services: &HashMap<String, ServiceView>, top: f64) {
+        let mut windows = self.windows.borrow_mut();
+        windows.retain(|service, _| services.contains_key(service));
+        for (service, view) in services {
+            if view.load.limit == 0 {
+                continue;
+            }
+            let work = f64::from(view.load.running + view.load.waiting);
+            let work_share = work / f64::from(view.load.limit);
+            let in_flight = self.in_flight_through(view.roots.keys());
+            if let Some(window) = windows.get_mut(service) {
+                window.adjust(work_share, in_flight, top);
+                window.set_roots(view.roots.keys());
+                continue;
+            }
+            windows.insert(service.clone(), Window::default());
+        }
+    }
+
+    /// Notes that a request of `route` was refused, at the services that it would have reached.
+    fn note_refusal(&self, route: &Route) {
+        for window in self.windows.borrow().values() {
+            if window.is_reached_by(&route.name) {
+                window.note_refusal();
+            }
+        }
+    }
+
+    /// Requests in flight of the given routes.
+    fn in_flight_through<'a>(&self, roots: impl Iterator<Item = &'a String>) -> f64 {
+        let in_flight = self.in_flight.borrow();
+        let counts = roots.filter_map(|root| in_flight.get(root.as_str()));
+        counts.map(|count| f64::from(count.get())).sum()
+    }
+
+    /// The probability of admission by the bounds of the services that `route` reaches.
+    fn passing_by_windows(&self, route: &Route) -> f64 {
+        let mut passing: f64 = 1.0;
+        for window in self.windows.borrow().values() {
+            if window.is_reached_by(&route.name) {
+                let in_flight = self.in_flight_through(window.roots());
+                let own = self.in_flight.borrow().get(&route.name).map_or(0, |own| own.get());
+                let by_rank = window.passing(in_flight, route.rank);
+                let by_reserve = window.passing_by_reserve(f64::from(own));
+                passing = passing.min(by_rank.max(by_reserve));
+            }
+        }
+        passing
     }
 
     /// Adjusts what is known of each route.
@@ -110,7 +214,9 @@
             let known = entry.or_insert(unknown);
             known.level = level;
             service.clone_into(&mut known.service);
-            let change = if used < RESERVED_SHARE { RESERVED_STEP } else { -RESERVED_STEP };
+            // While there is room nobody needs the reserve; it must not stand open when room ends.
+            let is_kept_out = !service.is_empty() && used < RESERVED_SHARE;
+            let change = if is_kept_out { RESERVED_STEP } else { -RESERVED_STEP };
             known.reserved = (known.reserved + change).clamp(0.0, 1.0);
         }
     }
@@ -123,7 +229,14 @@
 
     /// The probability with which a request of a caller on `route` is admitted.
     pub fn passing(&self, route: &Route) -> f64 {
-        let by_level = self.level(route) - f64::from(route.rank);
+        let by_level = match self.policy {
+            Policy::Open => 1.0,
+            Policy::Levels => self.level(route) - f64::from(route.rank),
+            Policy::Windows => self.passing_by_windows(route),
+        };
+        if self.policy == Policy::Windows {
+            return by_level;
+        }
         let reserved = self.by_root.borrow().get(&*route.name).map(|known| known.reserved);
         by_level.max(reserved.unwrap_or(0.0)).clamp(0.0, 1.0)
     }
--- a/src/mesh/receiver.rs
+++ b/src/mesh/receiver.rs
@@ -4,6 +4,7 @@
 //! incarnation that is leaving gets no request, no more requests run than it has slots, and "not
 //! run" is said only of a request that was not sent.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -33,11 +34,32 @@
     "proxy-connection",
 ];
 
+/// What became of a call, and what was noticed where the target broke off or could not be reached.
+struct Served {
+    end: CallEnd,
+    detail: String,
+}
+
+impl From<CallEnd> for Served {
+    fn from(end: CallEnd) -> Self {
+        Self { end, detail: String::new() }
+    }
+}
+
+impl From<NotRun> for Served {
+    fn from(reason: NotRun) -> Self {
+        CallEnd::NotRun(reason).into()
+    }
+}
+
 /// Runs a call on the target. Dropping the future withdraws the call.
 pub async fn serve(node: &Rc<Node>, call: &Call, deadline: Instant) -> CallEnd {
     let began = Instant::now();
-    let end = admit(node, call, deadline).await;
+    let Served { end, detail } = admit(node, call, deadline).await;
     node.metrics.note_call(end.reason());
+    if end.has_arrived() {
+        node.target.failing.note(end.speaks_against_target());
+    }
     if !end.went_well() {
         let load = node.target.load();
         node.log.emit(&LogEvent::CallEnded {
@@ -47,6 +69,7 @@
             instance: node.target.current().map(|now| now.id.clone()).unwrap_or_default(),
             verdict: end.name(),
             reason: end.reason(),
+            detail,
             took_ms: began.elapsed().as_millis() as u64,
             running: load.running,
             waiting: load.waiting,
@@ -57,22 +80,22 @@
 }
 
 /// Waits for a slot, and runs a call in it.
-async fn admit(node: &Rc<Node>, call: &Call, deadline: Instant) -> CallEnd {
+async fn admit(node: &Rc<Node>, call: &Call, deadline: Instant) -> Served {
     let _serving = Counted::new(&node.serving, 1);
     if node.is_stopping() {
-        return CallEnd::NotRun(NotRun::Leaving);
+        return NotRun::Leaving.into();
     }
     let Some(instance) = current(node, &call.service) else {
-        return CallEnd::NotRun(NotRun::NoTarget);
+        return NotRun::NoTarget.into();
     };
     let gate = &node.target.gate;
     // Half of the typical time: a request that began later would most likely end unfinished.
     let begin_by = deadline - REMAINING_MIN.max(gate.typical_run() / 2);
     let _slot = match timeout_at(begin_by, gate.enter(call.rank)).await {
         Ok(Ok(slot)) => slot,
-        Ok(Err(GateError::Full)) => return CallEnd::NotRun(NotRun::QueueFull),
-        Ok(Err(GateError::Closed)) => return CallEnd::NotRun(NotRun::Leaving),
-        Err(_) => return CallEnd::NotRun(NotRun::Expired),
+        Ok(Err(GateError::Full)) => return NotRun::QueueFull.into(),
+        Ok(Err(GateError::Closed)) => return NotRun::Leaving.into(),
+        Err(_) => return NotRun::Expired.into(),
     };
     let connection = match node.target.take_idle() {
         Some(connection) => connection,
@@ -83,10 +106,10 @@
     };
     // The target may have left while the call waited.
     if current(node, &call.service).is_none_or(|now| now.id != instance.id) {
-        return CallEnd::NotRun(NotRun::Leaving);
+        return NotRun::Leaving.into();
     }
     if deadline.saturating_duration_since(Instant::now()) < REMAINING_MIN {
-        return CallEnd::NotRun(NotRun::Expired);
+        return NotRun::Expired.into();
     }
     run(node, call, deadline, &instance, connection).await
 }
@@ -97,13 +120,13 @@
 }
 
 /// What becomes of a call when no connection could be made.
-fn unreachable(node: &Node, instance: &Instance, error: &ExchangeError) -> CallEnd {
+fn unreachable(node: &Node, instance: &Instance, error: &ExchangeError) -> Served {
     let refused = matches!(error, ExchangeError::Connect(cause)
         if cause.kind() == std::io::ErrorKind::ConnectionRefused);
     if refused && node.target.lose(&instance.id) {
         node.target_changed("refused_connection");
     }
-    CallEnd::NotRun(NotRun::Unreachable)
+    Served { end: CallEnd::NotRun(NotRun::Unreachable), detail: error.to_string() }
 }
 
 /// Sends a call to the target and takes its answer in.
@@ -113,10 +136,17 @@
     deadline: Instant,
     instance: &Instance,
     mut connection: Connection,
-) -> CallEnd {
+) -> Served {
     let head = request_head(node, call, deadline, instance);
     node.note_root(&call.root);
-    let origin = Origin { root: call.root.as_str().into(), rank: call.rank, deadline };
+    let has_failed_below = Rc::new(Cell::new(false));
+    let origin = Origin {
+        root: call.root.as_str().into(),
+        rank: call.rank,
+        deadline,
+        is_repeat: call.is_repeat,
+        has_failed_below: Rc::clone(&has_failed_below),
+    };
     let _running = node.ancestry.run(&call.attempt_id, origin);
     let method = if call.head_only { Method::HEAD } else { Method::GET };
     let attempt_id = node.vocabulary.attempt_id.as_str();
@@ -124,37 +154,47 @@
     let exchanged = connection.exchange(&method, &head, &call.body, is_mine);
     let reply = match timeout_at(deadline, exchanged).await {
         Ok(Ok(reply)) => reply,
-        Ok(Err(_)) => return CallEnd::MayHaveRun(Doubt::TargetBroke),
-        Err(_) => return CallEnd::MayHaveRun(Doubt::Timeout),
+        Ok(Err(error)) => return broke(error.to_string()),
+        Err(_) => return CallEnd::MayHaveRun(Doubt::Timeout).into(),
     };
     if reply.is_reusable {
         node.target.keep(connection);
     }
-    judge(node, reply)
+    judge(node, reply, has_failed_below.get())
+}
+
+/// What becomes of a call whose target broke off, or gave an answer that is none.
+fn broke(detail: String) -> Served {
+    Served { end: CallEnd::MayHaveRun(Doubt::TargetBroke), detail }
 }
 
 /// What an answer of the target means.
-fn judge(node: &Node, reply: Reply) -> CallEnd {
+fn judge(node: &Node, reply: Reply, has_failed_below: bool) -> Served {
     let vocabulary = &node.vocabulary;
     if reply.status == http::StatusCode::MISDIRECTED_REQUEST.as_u16() {
         let id = reply.header(vocabulary.instance_id.as_str());
         if id.is_some_and(|id| node.target.take_sighting(id)) {
             node.target_changed("other_incarnation");
         }
-        return CallEnd::NotRun(NotRun::Unreachable);
+        return Served {
+            end: CallEnd::NotRun(NotRun::Unreachable),
+            detail: format!("another incarnation answered: {}", id.unwrap_or("unnamed")),
+        };
     }
     if reply.header(vocabulary.not_run.as_str()).is_some() {
-        return CallEnd::NotRun(NotRun::Declined);
+        return NotRun::Declined.into();
     }
     let is_success = (200..300).contains(&reply.status);
     if is_success && reply.header(vocabulary.signature.as_str()).is_none() {
-        return CallEnd::MayHaveRun(Doubt::TargetBroke);
+        return broke("a success without a signature".to_owned());
     }
     CallEnd::Answered(TargetAnswer {
         status: reply.status,
+        has_failed_below,
         headers: answer_headers(node, &reply),
         body: reply.body,
     })
+    .into()
 }
 
 /// The head of the request as the target gets it.
--- a/src/mesh/sender.rs
+++ b/src/mesh/sender.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use tokio::time::{Instant, timeout_at};
 
-use super::directory::{Destination, Wanted, busy_share, note_failure};
+use super::directory::{Destination, Wanted, busy_share};
 use super::frame::{Call, CallEnd, Doubt, NotRun, TargetAnswer};
 use super::node::{Counted, Node};
 use super::receiver;
@@ -41,6 +41,8 @@
     pub root: Rc<str>,
     /// The rank of that route.
     pub rank: u8,
+    /// Whether it is made by a run that repeats another.
+    pub is_repeat: bool,
 }
 
 /// The final answer to a request.
@@ -65,6 +67,11 @@
         Self::NotRun { reason, retry_after_ms }
     }
 
+    /// Whether it is an answer other than a failure of the target.
+    pub fn went_well(&self) -> bool {
+        matches!(self, Self::Answered(answer) if answer.status < 500)
+    }
+
     /// The names of the verdict and of the reason in logs and metrics.
     pub fn names(&self) -> (&'static str, &'static str) {
         match self {
@@ -94,7 +101,11 @@
 /// Also tells where it was offered.
 pub async fn send(node: &Rc<Node>, route: &Route, request: &Request) -> (Outcome, Trail) {
     let service = &route.split[node.splitter.next(route)].service;
-    node.budgets.earn(service);
+    if request.is_repeat {
+        node.budgets.owe(service);
+    } else {
+        node.budgets.earn(service);
+    }
     let mut sending = Sending {
         node,
         route,
@@ -115,22 +126,28 @@
         let mut last = CallEnd::NotRun(NotRun::NoTarget);
         // What is known of an earlier attempt that may have run outlives a later refusal.
         let mut doubt = None;
+        // So does the target's own word that it failed.
+        let mut failure = None;
         for _ in 0..OFFERS_MAX {
             let Some(destination) = self.pick().or_else(|| self.pick_again()) else { break };
             last = self.attempt(&destination).await;
-            if let CallEnd::MayHaveRun(found) = last {
-                doubt = Some(found);
+            match &last {
+                CallEnd::MayHaveRun(found) => doubt = Some(*found),
+                CallEnd::Answered(answer) => failure = Some(answer.clone()),
+                CallEnd::NotRun(_) => {}
             }
             if !self.may_repeat(&last) {
                 break;
             }
         }
-        match (last, doubt) {
-            (CallEnd::Answered(answer), _) => Outcome::Answered(answer),
-            (CallEnd::MayHaveRun(doubt), _) | (CallEnd::NotRun(_), Some(doubt)) => {
+        match (last, failure, doubt) {
+            (CallEnd::Answered(answer), ..) | (CallEnd::NotRun(_), Some(answer), _) => {
+                Outcome::Answered(answer)
+            }
+            (CallEnd::MayHaveRun(doubt), ..) | (CallEnd::NotRun(_), None, Some(doubt)) => {
                 Outcome::MayHaveRun(doubt)
             }
-            (CallEnd::NotRun(reason), None) => {
+            (CallEnd::NotRun(reason), None, None) => {
                 Outcome::NotRun { reason, retry_after_ms: retry_after_ms(reason) }
             }
         }
@@ -151,9 +168,10 @@
         let node = self.node;
         let is_own = !self.tried_own && !node.is_stopping();
         let current = node.target.current().filter(|known| known.service == self.service);
-        let own_busy = current
-            .filter(|_| is_own)
-            .map(|known| busy_share(node.target.load(), 0, known.is_cold) + node.own_failing.get());
+        let own_busy = current.filter(|_| is_own).map(|known| {
+            busy_share(node.target.load(), 0, known.is_cold)
+                + node.target.failing.cost(Instant::now())
+        });
         let wanted = Wanted { service: self.service, own_busy, tried: &self.tried };
         let mut rng = node.rng.borrow_mut();
         node.directory.pick(&wanted, &mut *rng)
@@ -161,10 +179,7 @@
 
     /// Whether the request may be sent once more after `end`.
     fn may_repeat(&mut self, end: &CallEnd) -> bool {
-        let has_arrived = match end {
-            CallEnd::NotRun(reason) => reason.has_arrived(),
-            CallEnd::Answered(_) | CallEnd::MayHaveRun(_) => true,
-        };
+        let has_arrived = end.has_arrived();
         self.trail.arrivals += u32::from(has_arrived);
         if self.request.deadline <= Instant::now() {
             return false;
@@ -172,8 +187,12 @@
         let is_right = match end {
             CallEnd::NotRun(reason) => *reason != NotRun::Expired,
             CallEnd::MayHaveRun(_) => self.route.kind == RouteKind::Idempotent,
+            // Whoever made the call that failed below has repeated it if that could be afforded; to
+            // run all of it again costs many times as much.
             CallEnd::Answered(answer) => {
-                answer.status >= 500 && self.route.kind == RouteKind::Idempotent
+                answer.status >= 500
+                    && !answer.has_failed_below
+                    && self.route.kind == RouteKind::Idempotent
             }
         };
         if !is_right || !has_arrived {
@@ -189,9 +208,7 @@
                 self.tried_own = true;
                 self.trail.offered.push(None);
                 let call = self.call();
-                let end = receiver::serve(self.node, &call, self.request.deadline).await;
-                note_failure(&self.node.own_failing, is_failure(&end));
-                end
+                receiver::serve(self.node, &call, self.request.deadline).await
             }
             Destination::Peer(peer) => {
                 self.tried.push(peer.address);
@@ -208,7 +225,7 @@
                 if speaks_against_node(&end) {
                     peer.avoid();
                 }
-                peer.note_answer(is_failure(&end));
+                peer.failing.note(end.speaks_against_target());
                 end
             }
         }
@@ -223,6 +240,7 @@
             remaining_ms: left.as_millis() as u32,
             root: self.request.root.to_string(),
             rank: self.request.rank,
+            is_repeat: self.request.is_repeat || self.trail.arrivals > 0,
             head_only: self.request.head_only,
             head: self.request.head.clone(),
             body: self.request.body.clone(),
@@ -248,14 +266,6 @@
     }
 }
 
-/// Whether an end speaks against the target.
-fn is_failure(end: &CallEnd) -> bool {
-    match end {
-        CallEnd::NotRun(reason) => *reason == NotRun::Declined,
-        CallEnd::Answered(_) | CallEnd::MayHaveRun(_) => !end.went_well(),
-    }
-}
-
 /// When a caller should come back, in milliseconds.
 fn retry_after_ms(reason: NotRun) -> u64 {
     match reason {
--- a/src/mesh/settings.rs
+++ b/src/mesh/settings.rs
@@ -6,6 +6,8 @@
 
 use crate::event::REQUESTS_PER_WINDOW;
 
+use super::overload::Policy;
+
 /// Everything a node is told at its start, apart from what the platform's adapter reads.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct MeshSettings {
@@ -19,6 +21,9 @@
     pub timing: TimingSection,
     /// How many more arrivals than requests a service may see.
     pub retry: RetrySection,
+    /// What is admitted when targets are busy.
+    #[serde(default)]
+    pub overload: OverloadSection,
     /// How much is logged.
     #[serde(default)]
     pub log: LogSection,
@@ -68,6 +73,13 @@
     pub stop_grace_ms: u64,
 }
 
+/// What is admitted when targets are busy.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Deserialize)]
+pub struct OverloadSection {
+    /// How that is decided.
+    pub policy: Policy,
+}
+
 /// How much is logged of requests.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct LogSection {
--- a/src/mesh/target.rs
+++ b/src/mesh/target.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use super::directory::FailureShare;
 use super::frame::Load;
 use super::gate::Gate;
 use super::http1::Connection;
@@ -68,6 +69,8 @@
     pub address: SocketAddr,
     /// What it runs, and what waits for it.
     pub gate: Rc<Gate>,
+    /// How many of its answers were failures of late.
+    pub failing: FailureShare,
     current: RefCell<Option<Rc<Instance>>>,
     /// What was heard last of each incarnation that has not left.
     heard: RefCell<HashMap<String, Heard>>,
@@ -82,6 +85,7 @@
         Self {
             address,
             gate: Rc::default(),
+            failing: FailureShare::default(),
             current: RefCell::default(),
             heard: RefCell::default(),
             left: RefCell::default(),
--- a/tests/mesh/decisions.rs
+++ b/tests/mesh/decisions.rs
@@ -6,7 +6,7 @@
 
 use aspenspring::mesh::frame::Load;
 use aspenspring::mesh::gate::{Gate, GateError};
-use aspenspring::mesh::overload::{Overload, ServiceView};
+use aspenspring::mesh::overload::{Overload, Policy, ServiceView};
 use aspenspring::mesh::site::{Limits, RouteKind, Site};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -115,7 +115,7 @@
 
 #[test]
 fn the_least_important_routes_that_reach_a_busy_service_are_refused_first() {
-    let overload = Overload::default();
+    let overload = Overload::new(Policy::Levels);
     let busy = view(100, 200, &[("browse", 60), ("look", 20), ("confirm", 20)]);
     let [browse, look, confirm] = passing(&overload, &busy, 4);
     assert!(browse < 0.7, "{browse}");
@@ -133,7 +133,7 @@
 
 #[test]
 fn a_route_that_uses_little_of_a_busy_service_is_not_refused_for_it() {
-    let overload = Overload::default();
+    let overload = Overload::new(Policy::Levels);
     let busy = view(100, 200, &[("browse", 0), ("look", 5), ("confirm", 95)]);
     let [_, look, confirm] = passing(&overload, &busy, 60);
     assert_eq!(look, 1.0, "refusing it would make room for hardly anything");
@@ -144,6 +144,45 @@
     assert_eq!(look, 0.0);
 }
 
+#[test]
+fn what_is_reserved_does_not_stand_open_when_room_ends() {
+    let overload = Overload::new(Policy::Levels);
+    let calm = view(50, 0, &[("browse", 40), ("look", 5), ("confirm", 5)]);
+    passing(&overload, &calm, 60);
+    let busy = view(100, 200, &[("browse", 60), ("look", 20), ("confirm", 20)]);
+    let [browse, ..] = passing(&overload, &busy, 7);
+    assert_eq!(browse, 0.0);
+}
+
+#[test]
+fn what_is_in_flight_is_bounded_by_what_it_showed_to_be_bearable() {
+    let overload = Overload::new(Policy::Windows);
+    let (browse, confirm) = (
+        route("browse", "page", RouteKind::Idempotent, 2),
+        route("confirm", "page", RouteKind::AtMostOnce, 0),
+    );
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut held = Vec::new();
+    for _ in 0..20 {
+        held.push(overload.admit(&browse, &mut rng).expect("nothing is known yet"));
+    }
+    let roots = [("browse", 50), ("confirm", 0)];
+    let calm = HashMap::from([("stock".to_owned(), view(50, 0, &roots))]);
+    for _ in 0..40 {
+        overload.adjust(&calm, 2);
+    }
+    assert_eq!(overload.passing(&browse), 1.0);
+    // Twice as many would fill the targets, and four times as many are asked for at once.
+    for _ in 0..60 {
+        held.extend(overload.admit(&browse, &mut rng));
+    }
+    assert!((40..50).contains(&held.len()), "{}", held.len());
+    assert_eq!(overload.passing(&confirm), 1.0, "some room is left to the most important");
+    // What is admitted counts until it has its answer.
+    held.truncate(20);
+    assert_eq!(overload.passing(&browse), 1.0);
+}
+
 #[test]
 fn nothing_is_refused_before_anything_is_known() {
     let overload = Overload::default();
--- a/tests/mesh/properties.rs
+++ b/tests/mesh/properties.rs
@@ -12,6 +12,8 @@
 use futures_util::FutureExt;
 use proptest::collection::vec;
 use proptest::prelude::*;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 
 use super::support::route;
 
@@ -25,13 +27,19 @@
             remaining_ms,
             root: "browse".to_owned(),
             rank: 2,
+            is_repeat: false,
             head_only: false,
             head: head.into(),
             body: body.into(),
         })
     });
     let answer = (any::<u16>(), bytes(), any::<u64>()).prop_map(|(status, body, id)| {
-        let answer = TargetAnswer { status, headers: "a: b\r\n".into(), body: body.into() };
+        let answer = TargetAnswer {
+            status,
+            has_failed_below: false,
+            headers: "a: b\r\n".into(),
+            body: body.into(),
+        };
         Frame::Answer { id, end: CallEnd::Answered(answer), load: Load::default() }
     });
     let lost = any::<u64>().prop_map(|id| Frame::Answer {
@@ -126,26 +134,41 @@
     }
 
     /// Over a chain of four levels in which every failed call is repeated while a budget lasts, the
-    /// repeats that reach the last level keep to the share that is allowed.
+    /// repeats that reach each level, made by repeated runs or chosen, keep to the share that is
+    /// allowed.
     #[test]
-    fn repeats_of_repeats_keep_to_the_share(fanout in 1_u32..4, requests in 200_u32..400) {
+    fn repeats_of_repeats_keep_to_the_share(
+        fanout in 1_u32..4,
+        requests in 200_u32..400,
+        failing in 0.0..1.0_f64,
+        seed in any::<u64>(),
+    ) {
         let share = 0.2;
         let budgets = RetryBudgets::new(&RetrySection { share });
-        let mut arrivals = f64::from(requests);
+        let mut rng = SmallRng::seed_from_u64(seed);
+        // Whether each run of the level above was a repeat.
+        let mut runs = vec![false; requests as usize];
         let mut first = f64::from(requests);
         for level in 0..4 {
             let service = format!("level-{level}");
-            let mut repeats = 0.0;
-            for _ in 0..arrivals as u32 {
-                budgets.earn(&service);
-                if budgets.try_take(&service) {
-                    repeats += 1.0;
+            let mut next = Vec::new();
+            for is_repeat in runs {
+                for _ in 0..if level == 0 { 1 } else { fanout } {
+                    if is_repeat {
+                        budgets.owe(&service);
+                    } else {
+                        budgets.earn(&service);
+                    }
+                    next.push(is_repeat);
+                    if rng.random_bool(failing) && budgets.try_take(&service) {
+                        next.push(true);
+                    }
                 }
             }
-            arrivals += repeats;
-            prop_assert!(arrivals <= first * (1.0 + share) + 2.0 * f64::from(fanout).powi(level));
-            arrivals *= f64::from(fanout);
-            first *= f64::from(fanout);
+            first *= f64::from(if level == 0 { 1 } else { fanout });
+            let repeats = next.iter().filter(|is_repeat| **is_repeat).count() as f64;
+            prop_assert!(repeats <= first * share + 2.0, "{repeats} of {first} at level {level}");
+            runs = next;
         }
     }
 }
--- a/tests/mesh/support.rs
+++ b/tests/mesh/support.rs
@@ -11,8 +11,8 @@
 use aspenspring::mesh::node::Node;
 use aspenspring::mesh::peers;
 use aspenspring::mesh::settings::{
-    ListenSection, LogSection, MeshSettings, NodeSection, RetrySection, TargetSection,
-    TimingSection,
+    ListenSection, LogSection, MeshSettings, NodeSection, OverloadSection, RetrySection,
+    TargetSection, TimingSection,
 };
 use aspenspring::mesh::site::{Limits, Route, RouteKind, Share, Site};
 use aspenspring::mesh::target::{Heartbeat, TargetState};
@@ -153,6 +153,7 @@
         target: TargetSection { address: at(7006) },
         timing: TimingSection { stop_grace_ms: GRACE_MS },
         retry: RetrySection { share: 0.2 },
+        overload: OverloadSection::default(),
         log: LogSection::default(),
     };
     let target = Rc::new(StandIn {
