Leave failing targets alone until the others are full, and name what broke in logs

Ruled out: more repeats (the budget of 0.2 is used up).

Change: a share of failures up to 0.1 counts nothing, beyond it a target counts as far busier and its capacity as smaller; it fades in a second, so that a healed target is tried again.

--- a/src/event.rs
+++ b/src/event.rs
@@ -475,6 +475,8 @@
         verdict: &'static str,
         /// Why, where it was not answered: the reason's name.
         reason: &'static str,
+        /// The status of the target's answer; 0 where there is none.
+        status: u32,
         /// What was noticed where the target broke off, or could not be reached; otherwise empty.
         detail: String,
         /// How long it waited and ran, in milliseconds.
--- a/src/explain/cause.rs
+++ b/src/explain/cause.rs
@@ -16,6 +16,11 @@
 /// because the other side closed it.
 const SILENT_MS: u64 = 1_500;
 
+/// A call that expired within this time, in milliseconds, had not waited.
+const AT_ONCE_MS: u64 = 3;
+/// The status of a target whose own time was over.
+const GATEWAY_TIMEOUT: u64 = 504;
+
 /// Why a request ended as it did.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 #[serde(tag = "cause", rename_all = "snake_case")]
@@ -69,6 +74,17 @@
         /// That node.
         node: String,
     },
+    /// So much of its time was used up above that a call made for it came too late to be run.
+    TimeUsedUp {
+        /// The node beside the target that the call came to.
+        node: String,
+        /// The service of that target.
+        service: String,
+        /// How long the caller's request had taken, in milliseconds.
+        took_ms: u64,
+        /// Whether that target, or its node, had only just started.
+        has_just_started: bool,
+    },
     /// The target had it and did not answer in time.
     Slow {
         /// The node beside the target.
@@ -140,6 +156,16 @@
                 write!(f, "{node} found no target of {service} that takes work ({reason})")
             }
             Self::Closing { node } => write!(f, "{node} was about to end"),
+            Self::TimeUsedUp { node, service, took_ms, has_just_started } => {
+                write!(
+                    f,
+                    "its {took_ms} ms were used up before a call to {service} beside {node} could run"
+                )?;
+                if *has_just_started {
+                    f.write_str("; that target or its node had only just started")?;
+                }
+                Ok(())
+            }
             Self::Slow { node, service, took_ms, is_silent } => {
                 write!(
                     f,
@@ -252,6 +278,14 @@
             service: step.line.text("limited_by").to_owned(),
             admitted_percent: step.line.number("admitted_percent"),
         },
+        "expired" if step.took_ms < AT_ONCE_MS && step.line.number("waiting") == 0 => {
+            Cause::TimeUsedUp {
+                node,
+                service,
+                took_ms: steps.first().map_or(0, |first| first.took_ms),
+                has_just_started: has_started,
+            }
+        }
         "expired" | "queue-full" => Cause::Busy {
             node,
             service,
@@ -265,7 +299,7 @@
             Cause::NoTarget { node: step.node.clone(), service, reason }
         }
         "closing" => Cause::Closing { node: step.node.clone() },
-        "timeout" => Cause::Slow {
+        _ if reason == "timeout" || step.status == GATEWAY_TIMEOUT => Cause::Slow {
             node,
             service,
             took_ms: step.took_ms,
--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -131,7 +131,7 @@
     /// is to be tried again.
     pub fn share(&self, now: Instant) -> f64 {
         /// How long it takes to fade to a half.
-        const HALF_LIFE: Duration = Duration::from_secs(3);
+        const HALF_LIFE: Duration = Duration::from_secs(1);
         /// A share that makes no difference.
         const NEGLIGIBLE: f64 = 0.002;
         if self.share.get() < NEGLIGIBLE {
@@ -142,14 +142,27 @@
     }
 
     /// By how much busier the target counts. A failure deep in a tree of calls fails the whole tree,
-    /// so that a target that fails one in four is left alone until all others are full twice over.
+    /// so a target that fails one in three is left alone until the queues of all others are full.
     pub fn cost(&self, now: Instant) -> f64 {
         /// What a target that fails always would count.
-        const COST: f64 = 4.0;
-        self.share(now) * COST
+        const COST: f64 = 20.0;
+        (self.share(now) - FAILURES_USUAL).max(0.0) * COST
     }
 }
 
+/// The share of failures that says nothing of a target.
+const FAILURES_USUAL: f64 = 0.1;
+
+/// What a target with the given share of failures is worth beside one that works. With ten calls in a
+/// tree, hardly any tree bears a target that fails one in three.
+fn worth_of(failing: f64) -> f64 {
+    /// How fast the worth falls with the share.
+    const SLOPE: f64 = 5.0;
+    /// What remains at least, so that a service of which all targets fail still counts.
+    const WORTH_MIN: f64 = 0.05;
+    (1.0 - (failing - FAILURES_USUAL).max(0.0) * SLOPE).max(WORTH_MIN)
+}
+
 /// How busy a target is, as a share of what it can run.
 pub fn busy_share(load: Load, sent_since: u32, is_cold: bool) -> f64 {
     let work = f64::from(load.running + load.waiting + sent_since);
@@ -293,11 +306,11 @@
         views.insert(status.service.clone(), ServiceView::default());
     }
     let Some(view) = views.get_mut(&status.service) else { return };
-    view.load.running += status.load.running;
-    view.load.waiting += status.load.waiting;
-    // A target that fails half of what it runs carries half of what it could.
-    let works = 1.0 - f64::from(status.failing_percent) / 100.0;
-    view.load.limit += (f64::from(status.load.limit) * works).ceil() as u32;
+    let worth = worth_of(f64::from(status.failing_percent) / 100.0);
+    let part = |count: u32| (f64::from(count) * worth).ceil() as u32;
+    view.load.running += part(status.load.running);
+    view.load.waiting += part(status.load.waiting);
+    view.load.limit += part(status.load.limit);
     for work in &status.roots {
         if let Some(running) = view.roots.get_mut(&work.root) {
             *running += work.running;
--- a/src/mesh/frame.rs
+++ b/src/mesh/frame.rs
@@ -156,6 +156,14 @@
         matches!(self, Self::Answered(answer) if answer.status < 500)
     }
 
+    /// The status of the target's answer; 0 where there is none.
+    pub fn status(&self) -> u16 {
+        match self {
+            Self::Answered(answer) => answer.status,
+            Self::NotRun(_) | Self::MayHaveRun(_) => 0,
+        }
+    }
+
     /// Whether the request has reached the target.
     pub fn has_arrived(&self) -> bool {
         match self {
--- a/src/mesh/receiver.rs
+++ b/src/mesh/receiver.rs
@@ -69,6 +69,7 @@
             instance: node.target.current().map(|now| now.id.clone()).unwrap_or_default(),
             verdict: end.name(),
             reason: end.reason(),
+            status: end.status().into(),
             detail,
             took_ms: began.elapsed().as_millis() as u64,
             running: load.running,
--- a/tests/emulator/mod.rs
+++ b/tests/emulator/mod.rs
@@ -227,7 +227,7 @@
     fn rate(&self) -> f64 {
         let now_s = self.began.elapsed().as_secs_f64();
         let steps = self.scenario.load.iter().filter(|(from_s, _)| *from_s <= now_s);
-        steps.last().map_or(0.0, |(_, rate)| *rate)
+        steps.max_by(|a, b| a.0.total_cmp(&b.0)).map_or(0.0, |(_, rate)| *rate)
     }
 
     /// A kind of request of callers, by weight.
