--- a/tests/mesh/nodes.rs
+++ b/tests/mesh/nodes.rs
@@ -101,6 +101,56 @@
     });
 }
 
+#[test]
+fn a_failure_is_told_as_such_though_its_repeat_was_not_run() {
+    run(async {
+        let entry = start("stock-1", "stock", vec![FAST]).await;
+        for number in 0..30 {
+            ask(&entry, &request("read", &format!("a{number}"))).await;
+        }
+        entry.target.reactions.replace(vec![Reaction::Answer(500, 0), Reaction::Decline]);
+        assert_eq!(status(&ask(&entry, &request("read", "b1")).await), 500);
+        assert_eq!(entry.target.arrivals(), 33, "three attempts, the last two of them declined");
+    });
+}
+
+#[test]
+fn a_failure_that_comes_from_further_down_is_not_repeated_above() {
+    run(async {
+        let entry = start("stock-1", "stock", vec![FAST]).await;
+        for number in 0..30 {
+            ask(&entry, &request("read", &format!("a{number}"))).await;
+        }
+        entry.target.reactions.replace(vec![Reaction::Answer(500, 200), Reaction::Break, FAST]);
+        let mut caller = connect(&entry).await;
+        caller.write_all(request("read", "b1").as_bytes()).await.unwrap();
+        while entry.target.arrivals() < 31 {
+            sleep(Duration::from_millis(1)).await;
+        }
+        // The call that the target makes for it fails.
+        assert_eq!(status(&ask(&entry, &request("book", "b1.c1")).await), 502);
+        let answer = read_message(&mut caller).await.unwrap();
+        assert_eq!(status(&answer), 500);
+        assert_eq!(entry.target.arrivals(), 32, "one for the request, one for the call");
+    });
+}
+
+#[test]
+fn a_target_that_fails_often_is_left_alone_while_another_has_room() {
+    run(async {
+        let entry = start("page-1", "page", vec![FAST]).await;
+        let sound = start("stock-1", "stock", vec![FAST]).await;
+        let failing = start("stock-2", "stock", vec![Reaction::Answer(500, 0)]).await;
+        acquaint(&entry, &sound).await;
+        acquaint(&entry, &failing).await;
+        for number in 0..60 {
+            ask(&entry, &request("book", &format!("a{number}"))).await;
+        }
+        assert!(failing.target.arrivals() < 10, "{}", failing.target.arrivals());
+        assert!(sound.target.arrivals() > 50);
+    });
+}
+
 #[test]
 fn a_request_that_a_target_declined_is_refused_and_not_failed() {
     run(async {
