Let an entry that has just started admit its share of what there is

Cause: found while profiling two nodes on loopback: 12 of 16 callers that came at once to a fresh entry were refused, as an entry that has learnt nothing had room for 4. Change: until a service's work was seen for a while, the bound is at least this entry's share of the slots, twice over. Ruled out: no bound at first, since a storm after a restart is what the bound is for.

--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -235,6 +235,11 @@
         self.peers.borrow_mut().remove(&address);
     }
 
+    /// How many other nodes are connected.
+    pub fn linked(&self) -> usize {
+        self.peers.borrow().values().filter(|peer| peer.open_link().is_some()).count()
+    }
+
     /// All other nodes that are connected, as they are told of.
     pub fn neighbours(&self) -> Vec<Neighbour> {
         let peers = self.peers.borrow();
--- a/src/mesh/metrics.rs
+++ b/src/mesh/metrics.rs
@@ -79,7 +79,7 @@
             ("aspenspring_mesh_in_flight", node.in_flight.get() as f64),
             ("aspenspring_mesh_held_bytes", node.held_bytes.get() as f64),
             ("aspenspring_mesh_site_version", node.site_version() as f64),
-            ("aspenspring_mesh_peers_linked", node.directory.neighbours().len() as f64),
+            ("aspenspring_mesh_peers_linked", node.directory.linked() as f64),
             ("aspenspring_mesh_log_left_out", node.log.suppressed_total() as f64),
         ] {
             self.gauge(name).set(value);
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -264,7 +264,8 @@
         }
         let Some(site) = self.site() else { return };
         let services = self.directory.services(&self.status());
-        self.overload.adjust(&services, site.rank_max());
+        let entries = self.directory.linked() + 1;
+        self.overload.adjust(&services, site.rank_max(), entries);
         if self.reported.get().is_none_or(|last| last.elapsed() >= REPORT_EVERY) {
             self.reported.set(Some(Instant::now()));
             self.report_admission(&site, &services);
--- a/src/mesh/overload.rs
+++ b/src/mesh/overload.rs
@@ -43,6 +43,10 @@
 /// How fast the probability moves that holds a route to that part, for each adjustment.
 const RESERVED_STEP: f64 = 0.05;
 
+/// How many requests an entry may have in flight for its share of a service's slots before it has
+/// learnt more: a request is at each service for a part of its time only.
+const FAIR_FACTOR: f64 = 2.0;
+
 /// What a node knows of one service.
 #[derive(Clone, Debug, Default)]
 pub struct ServiceView {
@@ -124,8 +128,9 @@
         Some(Admitted(count))
     }
 
-    /// Adjusts the levels to what the services have to do. `rank_max` is the least important rank.
-    pub fn adjust(&self, services: &HashMap<String, ServiceView>, rank_max: u8) {
+    /// Adjusts what is admitted to what the services have to do. `rank_max` is the least important
+    /// rank, `entries` the number of nodes at which requests come in.
+    pub fn adjust(&self, services: &HashMap<String, ServiceView>, rank_max: u8, entries: usize) {
         let top = f64::from(rank_max) + 1.0;
         let mut levels = self.levels.borrow_mut();
         levels.retain(|service, _| services.contains_key(service));
@@ -134,11 +139,11 @@
             *level = (*level + step(view.load)).clamp(LEVEL_MIN, top);
         }
         self.adjust_roots(services, &levels, top);
-        self.adjust_windows(services, top);
+        self.adjust_windows(services, top, entries);
     }
 
     /// Adjusts how many requests may be in flight that reach each service.
-    fn adjust_windows(&self, services: &HashMap<String, ServiceView>, top: f64) {
+    fn adjust_windows(&self, services: &HashMap<String, ServiceView>, top: f64, entries: usize) {
         let mut windows = self.windows.borrow_mut();
         windows.retain(|service, _| services.contains_key(service));
         for (service, view) in services {
@@ -149,7 +154,8 @@
             let work_share = work / f64::from(view.load.limit);
             let in_flight = self.in_flight_through(view.roots.keys());
             if let Some(window) = windows.get_mut(service) {
-                window.adjust(work_share, in_flight, top);
+                let fair = f64::from(view.load.limit) / entries.max(1) as f64 * FAIR_FACTOR;
+                window.adjust(work_share, in_flight, top, fair);
                 window.set_roots(view.roots.keys());
                 continue;
             }
--- a/src/mesh/window.rs
+++ b/src/mesh/window.rs
@@ -13,6 +13,8 @@
 /// What is kept of the sums that tell how many requests in flight make how much work, at each
 /// adjustment of 100 ms: averages over about two seconds.
 const KEPT: f64 = 0.95;
+/// From this sum of work on, what was learnt is believed: a tenth of the slots at work for two seconds.
+const LEARNT_MIN: f64 = 2.0;
 /// Above this work queues grow, and requests in flight tell how long these are and nothing else.
 const WORK_LEARNT_MAX: f64 = 1.0;
 /// How fast the correction follows the work that is found, for each adjustment.
@@ -50,6 +52,8 @@
     correction: f64,
     /// The work found last.
     work: f64,
+    /// What is a fair number of requests in flight for this entry.
+    fair_share: f64,
     /// Requests of a rank below it pass, those of the rank that it cuts with the probability of its
     /// fraction. Unknown before the first adjustment.
     level: Option<f64>,
@@ -66,6 +70,7 @@
             work_sum: 0.0,
             correction: 1.0,
             work: 0.0,
+            fair_share: f64::INFINITY,
             level: None,
             has_refused: Cell::default(),
             roots: HashSet::new(),
@@ -76,9 +81,11 @@
 impl Window {
     /// Takes in the work found at the service, and the requests in flight at that moment.
     ///
-    /// `top` is the level at which every rank passes.
-    pub fn adjust(&mut self, work: f64, in_flight: f64, top: f64) {
+    /// `top` is the level at which every rank passes, `fair_share` what is a fair number of requests
+    /// in flight for this entry as long as hardly anything was learnt.
+    pub fn adjust(&mut self, work: f64, in_flight: f64, top: f64, fair_share: f64) {
         self.work = work;
+        self.fair_share = fair_share;
         let filled = in_flight / self.bound(0).max(1.0);
         let change = (FILLED_WANTED - filled) * LEVEL_RATE;
         let level = self.level.unwrap_or(top) + change.clamp(-LEVEL_STEP_MAX, LEVEL_STEP_MAX);
@@ -121,6 +128,7 @@
     /// How many requests may be in flight for one of `rank` to be admitted.
     fn bound(&self, rank: u8) -> f64 {
         let size = self.in_flight_sum / self.work_sum.max(0.1) * WORK_WANTED * self.correction;
+        let size = if self.work_sum < LEARNT_MIN { size.max(self.fair_share) } else { size };
         let left = 1.0 - LEFT_PER_RANK * f64::from(rank);
         (size + CHANCE * size.sqrt()) * left + self.spare()
     }
--- a/tests/emulator/mod.rs
+++ b/tests/emulator/mod.rs
@@ -333,7 +333,7 @@
         world.report.borrow_mut().work.push(busiest);
         let told = world.told.borrow().clone();
         for node in &world.nodes {
-            node.overload.adjust(&told, rank_max);
+            node.overload.adjust(&told, rank_max, world.nodes.len());
         }
     }
 }
--- a/tests/mesh/decisions.rs
+++ b/tests/mesh/decisions.rs
@@ -107,7 +107,7 @@
         ("other".to_owned(), view(10, 0, &[("upload", 10)])),
     ]);
     for _ in 0..steps {
-        overload.adjust(&services, 2);
+        overload.adjust(&services, 2, 1);
     }
     let of = |name, rank| overload.passing(&route(name, "page", RouteKind::Idempotent, rank));
     [of("browse", 2), of("look", 1), of("confirm", 0)]
@@ -169,7 +169,7 @@
     let roots = [("browse", 50), ("confirm", 0)];
     let calm = HashMap::from([("stock".to_owned(), view(50, 0, &roots))]);
     for _ in 0..40 {
-        overload.adjust(&calm, 2);
+        overload.adjust(&calm, 2, 1);
     }
     assert_eq!(overload.passing(&browse), 1.0);
     // Twice as many would fill the targets, and four times as many are asked for at once.
@@ -184,6 +184,23 @@
     assert_eq!(overload.passing(&browse), 1.0);
 }
 
+#[test]
+fn an_entry_that_has_just_started_admits_its_share_of_what_there_is() {
+    let overload = Overload::new(Policy::Windows);
+    let browse = route("browse", "page", RouteKind::Idempotent, 0);
+    let services = HashMap::from([("stock".to_owned(), view(10, 0, &[("browse", 10)]))]);
+    for _ in 0..2 {
+        overload.adjust(&services, 0, 4);
+    }
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut held = Vec::new();
+    for _ in 0..200 {
+        held.extend(overload.admit(&browse, &mut rng));
+    }
+    // Of 100 slots a quarter is this entry's, and a request is there for part of its time only.
+    assert!((50..90).contains(&held.len()), "{}", held.len());
+}
+
 #[test]
 fn nothing_is_refused_before_anything_is_known() {
     let overload = Overload::default();
