--- a/src/explain/cause.rs
+++ b/src/explain/cause.rs
@@ -111,7 +111,8 @@
         node: String,
         /// The service.
         service: String,
-        /// `target-failed`, `target-broke` or `target-declined`.
+        /// `target-failed`, `target-broke`, `target-declined`, or `call-failed` where a call that it made
+        /// failed of which no line tells.
         reason: String,
         /// What its node noticed; empty where that is the status only.
         detail: String,
@@ -186,6 +187,9 @@
             }
             Self::TargetFailed { node, service, reason, detail } => {
                 write!(f, "the target of {service} beside {node} failed it ({reason})")?;
+                if reason == "call-failed" {
+                    f.write_str(": a call that it made failed, of which no line tells")?;
+                }
                 if !detail.is_empty() {
                     write!(f, ": {detail}")?;
                 }
--- a/src/explain/step.rs
+++ b/src/explain/step.rs
@@ -50,7 +50,7 @@
 impl Step {
     /// Whether it ended otherwise than with the target's answer that it worked.
     pub fn has_failed(&self) -> bool {
-        self.verdict != "answered" || self.status >= 500 || self.reason == "target-failed"
+        self.verdict != "answered" || self.status >= 500 || self.reason != "answered"
     }
 
     fn read(line: &Line, lines: &[Line]) -> Option<Self> {
--- a/src/mesh/frame.rs
+++ b/src/mesh/frame.rs
@@ -197,8 +197,7 @@
     /// The name of the reason in logs.
     pub fn reason(&self) -> &'static str {
         match self {
-            Self::Answered(answer) if answer.status >= 500 => "target-failed",
-            Self::Answered(_) => "answered",
+            Self::Answered(answer) => answer.reason(),
             Self::NotRun(reason) => reason.name(),
             Self::MayHaveRun(doubt) => doubt.name(),
         }
@@ -218,6 +217,18 @@
     pub body: Bytes,
 }
 
+impl TargetAnswer {
+    /// The name in logs: whether it worked, and if not, whether that came from a call that the target
+    /// made.
+    pub fn reason(&self) -> &'static str {
+        match (self.status >= 500, self.has_failed_below) {
+            (false, _) => "answered",
+            (true, false) => "target-failed",
+            (true, true) => "call-failed",
+        }
+    }
+}
+
 /// Why a call was not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum NotRun {
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -11,6 +11,7 @@
 pub mod http1;
 pub mod ingress;
 pub mod launch;
+pub mod levels;
 pub mod linger;
 pub mod link;
 pub mod metrics;
--- a/src/mesh/sender.rs
+++ b/src/mesh/sender.rs
@@ -75,8 +75,7 @@
     /// The names of the verdict and of the reason in logs and metrics.
     pub fn names(&self) -> (&'static str, &'static str) {
         match self {
-            Self::Answered(answer) if answer.status >= 500 => ("answered", "target-failed"),
-            Self::Answered(_) => ("answered", "answered"),
+            Self::Answered(answer) => ("answered", answer.reason()),
             Self::NotRun { reason, .. } => ("not_run", reason.name()),
             Self::MayHaveRun(doubt) => ("may_have_run", doubt.name()),
         }
--- a/tests/mesh/nodes.rs
+++ b/tests/mesh/nodes.rs
@@ -131,6 +131,8 @@
         assert_eq!(status(&ask(&entry, &request("book", "b1.c1")).await), 502);
         let answer = read_message(&mut caller).await.unwrap();
         assert_eq!(status(&answer), 500);
+        let scraped = entry.node.metrics.render(&entry.node);
+        assert!(scraped.contains(r#"end="call-failed""#), "{scraped}");
         assert_eq!(entry.target.arrivals(), 32, "one for the request, one for the call");
     });
 }
@@ -151,6 +153,48 @@
     });
 }
 
+#[test]
+fn an_answer_that_a_target_gives_twice_is_not_taken_for_the_next_one() {
+    run(async {
+        let entry = start("stock-1", "stock", vec![Reaction::Twice]).await;
+        for id in ["a1", "a2", "a3"] {
+            let answer = ask(&entry, &request("book", id)).await;
+            assert_eq!(header(&answer, "x-attempt").as_deref(), Some(id));
+        }
+        assert_eq!(entry.target.arrivals(), 3);
+    });
+}
+
+#[test]
+fn a_caller_that_leaves_ends_the_work_beside_another_node() {
+    run(async {
+        let entry = start("page-1", "page", vec![FAST]).await;
+        let slow = start("stock-1", "stock", vec![Reaction::Answer(200, 10_000)]).await;
+        acquaint(&entry, &slow).await;
+        let mut caller = connect(&entry).await;
+        caller.write_all(request("read", "a1").as_bytes()).await.unwrap();
+        while slow.target.arrivals() == 0 {
+            sleep(Duration::from_millis(1)).await;
+        }
+        drop(caller);
+        while slow.target.cut_off.get() == 0 {
+            sleep(Duration::from_millis(1)).await;
+        }
+        assert_eq!(slow.node.target.load().running, 0);
+    });
+}
+
+#[test]
+fn an_older_configuration_never_replaces_a_newer_one() {
+    run(async {
+        let entry = start("stock-1", "stock", vec![FAST]).await;
+        assert!(entry.node.take_document(&"3".into(), "test").unwrap());
+        assert!(!entry.node.take_document(&"2".into(), "test").unwrap());
+        assert!(!entry.node.take_document(&"3".into(), "test").unwrap());
+        assert_eq!(entry.node.site_version(), 3);
+    });
+}
+
 #[test]
 fn a_request_that_a_target_declined_is_refused_and_not_failed() {
     run(async {
