Share the slack of repeats among all nodes

Cause: read in the code, every node saved up two repeats a service, whatever their number; on a deployment of more than 25 nodes that is above the slack (49 in ten seconds) that the rule allows all together, and a service with few requests has little else. Change: all nodes together save up half of the slack; where that is less than one each, a node stakes its part on one repeat. Ruled out: a shared count in the store (a call a repeat), as for the share itself. The slack comes from the settings of the platform.

Figures: property what_is_saved_up_keeps_to_the_slack over 1 to 400 nodes; its first form let a node draw again and again and failed at 50 by 51 nodes, so the stake is lost with the draw. 49 tests of the mesh pass.

--- a/src/mesh/budget.rs
+++ b/src/mesh/budget.rs
@@ -3,14 +3,17 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 
+use rand::Rng;
+
 use super::settings::RetrySection;
 
 /// The part of the allowed share that a node uses: what is left over bears that repeats of one level
 /// reach some nodes of the next more than others.
 const USED_SHARE: f64 = 0.6;
-/// The most repeats that a node saves up for one service: what all nodes have saved may be used within
-/// one window, beside what is earned in it.
+/// The most repeats that a node saves up for one service.
 const SAVED_MAX: f64 = 2.0;
+/// The part of the slack that all nodes together may have saved up: they may use it at the same moment.
+const SAVED_SHARE: f64 = 0.5;
 /// The most repeats that a node owes for one service.
 const OWED_MAX: f64 = 10.0;
 
@@ -23,13 +26,18 @@
 #[derive(Debug)]
 pub struct RetryBudgets {
     share: f64,
+    slack: f64,
     saved: RefCell<HashMap<String, f64>>,
 }
 
 impl RetryBudgets {
     /// Budgets that keep to the given bounds.
     pub fn new(settings: &RetrySection) -> Self {
-        Self { share: settings.share * USED_SHARE, saved: RefCell::default() }
+        Self {
+            share: settings.share * USED_SHARE,
+            slack: f64::from(settings.slack),
+            saved: RefCell::default(),
+        }
     }
 
     /// Counts the first arrival of a request.
@@ -47,13 +55,19 @@
         self.saved.borrow().get(service).copied().unwrap_or(0.0)
     }
 
-    /// Takes one repeat, if there is one.
-    pub fn try_take(&self, service: &str) -> bool {
-        if self.left(service) < 1.0 {
+    /// Takes one repeat, if there is one. `nodes` is the number of nodes that share the slack.
+    ///
+    /// Where a node's part of the slack is less than one repeat, it stakes that part on one and gets it
+    /// with that probability, so that it pays for its repeats all the same.
+    pub fn try_take(&self, service: &str, nodes: usize, rng: &mut impl Rng) -> bool {
+        let part = (self.slack * SAVED_SHARE / nodes.max(1) as f64).min(SAVED_MAX);
+        let left = self.left(service).min(part);
+        let stake = part.min(1.0);
+        if left < stake {
             return false;
         }
-        self.change(service, -1.0);
-        true
+        self.saved.borrow_mut().insert(service.to_owned(), left - stake);
+        rng.random::<f64>() < stake
     }
 
     fn change(&self, service: &str, amount: f64) {
--- a/src/mesh/sender.rs
+++ b/src/mesh/sender.rs
@@ -197,7 +197,10 @@
         if !is_right || !has_arrived {
             return is_right;
         }
-        self.trail.arrivals < self.route.attempts_max && self.node.budgets.try_take(self.service)
+        let node = self.node;
+        let nodes = node.directory.linked() + 1;
+        self.trail.arrivals < self.route.attempts_max
+            && node.budgets.try_take(self.service, nodes, &mut *node.rng.borrow_mut())
     }
 
     /// Sends the request to one target.
--- a/src/mesh/settings.rs
+++ b/src/mesh/settings.rs
@@ -102,4 +102,6 @@
 pub struct RetrySection {
     /// Repeats as a share of requests.
     pub share: f64,
+    /// How many repeats of a service are allowed beside that, in any ten seconds.
+    pub slack: u32,
 }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -55,7 +55,10 @@
     );
     rest.insert(
         "retry".to_owned(),
-        serde_json::json!({ "share": bound(&bounds, "retryBudgetRatio")? }),
+        serde_json::json!({
+            "share": bound(&bounds, "retryBudgetRatio")?,
+            "slack": bound(&bounds, "retryBudgetSlack")? as u32,
+        }),
     );
     Ok(serde_json::from_value(Value::Object(rest))?)
 }
--- a/tests/mesh/properties.rs
+++ b/tests/mesh/properties.rs
@@ -144,7 +144,7 @@
         seed in any::<u64>(),
     ) {
         let share = 0.2;
-        let budgets = RetryBudgets::new(&RetrySection { share });
+        let budgets = RetryBudgets::new(&RetrySection { share, slack: 4 });
         let mut rng = SmallRng::seed_from_u64(seed);
         // Whether each run of the level above was a repeat.
         let mut runs = vec![false; requests as usize];
@@ -160,7 +160,7 @@
                         budgets.earn(&service);
                     }
                     next.push(is_repeat);
-                    if rng.random_bool(failing) && budgets.try_take(&service) {
+                    if rng.random_bool(failing) && budgets.try_take(&service, 1, &mut rng) {
                         next.push(true);
                     }
                 }
@@ -171,4 +171,22 @@
             runs = next;
         }
     }
+
+    /// What any number of nodes have saved up while nothing failed, all of them may use at one moment.
+    #[test]
+    fn what_is_saved_up_keeps_to_the_slack(nodes in 1_usize..400, seed in any::<u64>()) {
+        let slack = 49;
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut taken = 0;
+        for _ in 0..nodes {
+            let budgets = RetryBudgets::new(&RetrySection { share: 0.2, slack });
+            for _ in 0..100 {
+                budgets.earn("stock");
+            }
+            for _ in 0..5 {
+                taken += u32::from(budgets.try_take("stock", nodes, &mut rng));
+            }
+        }
+        prop_assert!(taken <= slack, "{taken} by {nodes} nodes");
+    }
 }
--- a/tests/mesh/support.rs
+++ b/tests/mesh/support.rs
@@ -159,7 +159,7 @@
         },
         target: TargetSection { address: at(7006) },
         timing: TimingSection { stop_grace_ms: GRACE_MS },
-        retry: RetrySection { share: 0.2 },
+        retry: RetrySection { share: 0.2, slack: 49 },
         overload: OverloadSection::default(),
         log: LogSection::default(),
     };
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -60,7 +60,10 @@
         ("{{internalPortRange.0}}", "4"),
         ("{{applicationAddress|json}}", "\"127.0.0.1:5\""),
         ("{{platform.address|json}}", "\"127.0.0.1:6\""),
-        ("{{bounds|json}}", r#"{"graceS":6,"retryBudgetRatio":0.2,"seedLagS":3}"#),
+        (
+            "{{bounds|json}}",
+            r#"{"graceS":6,"retryBudgetRatio":0.2,"retryBudgetSlack":49,"seedLagS":3}"#,
+        ),
     ] {
         assert!(text.contains(name), "{name}");
         text = text.replace(name, value);
--- a/tests/platform/process.rs
+++ b/tests/platform/process.rs
@@ -51,7 +51,7 @@
             },
             "target": { "address": at(7006) },
             "store": { "address": store.address.to_string() },
-            "bounds": { "graceS": 6, "retryBudgetRatio": 0.2 },
+            "bounds": { "graceS": 6, "retryBudgetRatio": 0.2, "retryBudgetSlack": 49 },
         });
         let file = folder.join("settings.json");
         fs::write(&file, settings.to_string()).unwrap();
