Tell the lives of a target apart, and refuse what another writer says

Before, a draining target's id was refused for ever, an unknown state in a heartbeat was taken for draining (so one strange line took a good target out of service), a heartbeat for a service that nobody lists replaced the target, and one unreadable row kept a node from meeting any other and from reading its configuration.

Change: an incarnation is an id and the moment of its start; heartbeats, farewells and what nodes tell each other of targets that left carry both. Failures noted of an earlier life are forgotten. Heartbeats with a wrong type, an unknown state or service, or no slots are refused (400, one bounded event) and change nothing; rows are read one by one.

Ruled out: going by a sequence that starts anew, as a late heartbeat looks the same. Open: a target whose clock is set back between two lives under one id counts as overtaken until its start passes the earlier one.

--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -76,6 +76,9 @@
     /// Takes in its state.
     pub fn take_status(&self, status: Status) {
         let load = status.load;
+        if self.status.borrow().incarnation != status.incarnation {
+            self.failing.forget();
+        }
         *self.status.borrow_mut() = status;
         self.take_load(load);
     }
@@ -127,6 +130,11 @@
         self.noted.set(now);
     }
 
+    /// Forgets all answers: another incarnation gives them from now on.
+    pub fn forget(&self) {
+        self.share.set(0.0);
+    }
+
     /// The share, 0 to 1. It fades while nothing is heard: a target that gets nothing for its failures
     /// is to be tried again.
     pub fn share(&self, now: Instant) -> f64 {
--- a/src/mesh/frame.rs
+++ b/src/mesh/frame.rs
@@ -8,6 +8,8 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use super::incarnation::Incarnation;
+
 /// The bytes of a frame's length.
 const LENGTH_BYTES: usize = 4;
 /// The longest frame that is taken, in bytes: the longest body a caller may send, and its head.
@@ -59,7 +61,7 @@
     /// The other nodes it knows.
     pub known: Vec<Neighbour>,
     /// Incarnations of the receiver's target that an earlier life of the receiver said had left.
-    pub left_instances: Vec<String>,
+    pub left_incarnations: Vec<Incarnation>,
 }
 
 /// A node as another one tells of it.
@@ -76,8 +78,8 @@
 pub struct Status {
     /// The service of the target.
     pub service: String,
-    /// The incarnation of the target; empty where none is known.
-    pub instance: String,
+    /// The incarnation of the target; its id is empty where none is known.
+    pub incarnation: Incarnation,
     /// Whether the target takes new work.
     pub ready: bool,
     /// Whether the target has started only lately and is still slow.
@@ -87,7 +89,7 @@
     /// The routes by which requests began that have reached the target of late.
     pub roots: Vec<RootWork>,
     /// Incarnations that are leaving, have left or were replaced.
-    pub left: Vec<String>,
+    pub left: Vec<Incarnation>,
     /// What the target has to do.
     pub load: Load,
     /// The share of its answers that were failures of late, in hundredths.
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -9,6 +9,7 @@
 pub mod frame;
 pub mod gate;
 pub mod http1;
+pub mod incarnation;
 pub mod ingress;
 pub mod launch;
 pub mod levels;
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use eyre::bail;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::time::Instant;
@@ -16,13 +17,14 @@
 use super::budget::RetryBudgets;
 use super::directory::Directory;
 use super::frame::{Frame, Hello, Load, RootWork, Status};
+use super::incarnation::Incarnation;
 use super::link::Link;
 use super::metrics::MeshMetrics;
 use super::overload::{Overload, ServiceView};
 use super::settings::MeshSettings;
 use super::site::Site;
 use super::split::Splitter;
-use super::target::Target;
+use super::target::{Heartbeat, Target};
 use super::vocabulary::Vocabulary;
 
 /// How long a route by which requests have reached the target is remembered as such.
@@ -165,6 +167,25 @@
         Ok(true)
     }
 
+    /// Takes in what the target beside the node says of itself.
+    ///
+    /// # Errors
+    ///
+    /// A heartbeat that names a service unknown to the configuration, or no slots, is somebody
+    /// else's or a mistake. It is refused, and what is believed of the target holds.
+    pub fn take_heartbeat(&self, heartbeat: &Heartbeat) -> eyre::Result<()> {
+        if heartbeat.slots == 0 {
+            bail!("a target without slots");
+        }
+        if self.site().is_some_and(|site| !site.may_have(&heartbeat.service)) {
+            bail!("the configuration names no service {:?}", heartbeat.service);
+        }
+        if self.target.take_heartbeat(heartbeat) {
+            self.target_changed("heartbeat");
+        }
+        Ok(())
+    }
+
     /// Whether the node takes new requests of callers.
     pub fn is_ready(&self) -> bool {
         !self.is_stopping() && self.has_looked_around.get() && self.site_version() > 0
@@ -204,7 +225,7 @@
             None => "none",
         };
         self.log.emit(&LogEvent::TargetChanged {
-            instance: current.map(|instance| instance.id.clone()).unwrap_or_default(),
+            instance: current.map(|instance| instance.incarnation.id.clone()).unwrap_or_default(),
             service: self.own_service(),
             state,
             learned_from,
@@ -218,7 +239,10 @@
         let current = self.target.current();
         Status {
             service: self.own_service(),
-            instance: current.as_ref().map(|known| known.id.clone()).unwrap_or_default(),
+            incarnation: current
+                .as_ref()
+                .map(|known| known.incarnation.clone())
+                .unwrap_or_default(),
             ready: current.is_some() && !self.is_stopping(),
             cold: current.is_some_and(|known| known.is_cold),
             site_version: self.site_version(),
@@ -307,14 +331,14 @@
 
     /// What the node says of itself when it meets another one.
     ///
-    /// `left_instances` are those of the other node's target that are known to have left.
-    pub fn hello(&self, left_instances: Vec<String>) -> Hello {
+    /// `left_incarnations` are those of the other node's target that are known to have left.
+    pub fn hello(&self, left_incarnations: Vec<Incarnation>) -> Hello {
         Hello {
             address: self.settings.listen.peers,
             failure_domain: self.settings.node.failure_domain.clone(),
             status: self.status(),
             known: self.directory.neighbours(),
-            left_instances,
+            left_incarnations,
         }
     }
 
--- a/src/mesh/peers.rs
+++ b/src/mesh/peers.rs
@@ -160,8 +160,8 @@
     let take = |frame| match frame {
         Frame::Hello(hello) => {
             take_hello(&node, &hello);
-            for id in &hello.left_instances {
-                node.target.leave(id);
+            for incarnation in &hello.left_incarnations {
+                node.target.leave(incarnation);
             }
             node.add_caller(&link);
             link.send(&Frame::Hello(node.hello(Vec::new())));
--- a/src/mesh/receiver.rs
+++ b/src/mesh/receiver.rs
@@ -66,7 +66,11 @@
             attempt: call.attempt_id.clone(),
             root: call.root.clone(),
             service: call.service.clone(),
-            instance: node.target.current().map(|now| now.id.clone()).unwrap_or_default(),
+            instance: node
+                .target
+                .current()
+                .map(|now| now.incarnation.id.clone())
+                .unwrap_or_default(),
             verdict: end.name(),
             reason: end.reason(),
             status: end.status().into(),
@@ -106,7 +110,7 @@
         },
     };
     // The target may have left while the call waited.
-    if current(node, &call.service).is_none_or(|now| now.id != instance.id) {
+    if current(node, &call.service).is_none_or(|now| now.incarnation != instance.incarnation) {
         return NotRun::Leaving.into();
     }
     if deadline.saturating_duration_since(Instant::now()) < REMAINING_MIN {
@@ -124,7 +128,7 @@
 fn unreachable(node: &Node, instance: &Instance, error: &ExchangeError) -> Served {
     let refused = matches!(error, ExchangeError::Connect(cause)
         if cause.kind() == std::io::ErrorKind::ConnectionRefused);
-    if refused && node.target.lose(&instance.id) {
+    if refused && node.target.lose(&instance.incarnation) {
         node.target_changed("refused_connection");
     }
     Served { end: CallEnd::NotRun(NotRun::Unreachable), detail: error.to_string() }
@@ -205,7 +209,11 @@
     let mut head = BytesMut::with_capacity(call.head.len() + 128);
     head.put_slice(&call.head);
     put_header(&mut head, vocabulary.deadline_ms.as_str(), remaining_ms.to_string().as_bytes());
-    put_header(&mut head, vocabulary.expected_instance.as_str(), instance.id.as_bytes());
+    put_header(
+        &mut head,
+        vocabulary.expected_instance.as_str(),
+        instance.incarnation.id.as_bytes(),
+    );
     let is_bodiless = call.body.is_empty()
         && [&b"GET "[..], b"HEAD ", b"DELETE ", b"OPTIONS "]
             .iter()
--- a/src/mesh/site.rs
+++ b/src/mesh/site.rs
@@ -1,6 +1,6 @@
 //! The configuration in force: routes, services and limits.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 
 /// What may be done with a request whose outcome is not known.
@@ -80,6 +80,8 @@
     routes: HashMap<String, HashMap<String, Rc<Route>>>,
     /// The least important rank of any route.
     rank_max: u8,
+    /// The services that the operator lists. Empty where no list was given.
+    services: HashSet<String>,
 }
 
 impl Site {
@@ -94,6 +96,22 @@
         site
     }
 
+    /// The same with the operator's list of services.
+    pub fn with_services(mut self, services: HashSet<String>) -> Self {
+        self.services = services;
+        self
+    }
+
+    /// Whether there may be targets of `service`: it is listed, or a route leads to it, or no list was
+    /// given.
+    pub fn may_have(&self, service: &str) -> bool {
+        if self.services.is_empty() || self.services.contains(service) {
+            return true;
+        }
+        let mut routes = self.routes.values().flat_map(HashMap::values);
+        routes.any(|route| route.split.iter().any(|share| share.service == service))
+    }
+
     /// The route of a request: of those of its host, the one with the longest prefix of the path.
     ///
     /// `host` may carry a port, which does not count; `path` has no query.
--- a/src/mesh/target.rs
+++ b/src/mesh/target.rs
@@ -9,6 +9,7 @@
 use super::frame::Load;
 use super::gate::Gate;
 use super::http1::Connection;
+use super::incarnation::Incarnation;
 
 /// How many incarnations that have left are remembered.
 const LEFT_MAX: usize = 64;
@@ -20,8 +21,8 @@
 /// What a target says about itself from time to time.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Heartbeat {
-    /// The incarnation of the target: a new one for each start.
-    pub instance: String,
+    /// The incarnation of the target.
+    pub incarnation: Incarnation,
     /// Grows with each heartbeat of an incarnation.
     pub sequence: u64,
     /// Its service.
@@ -46,8 +47,8 @@
 /// An incarnation that takes work.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Instance {
-    /// Its id.
-    pub id: String,
+    /// Which one it is.
+    pub incarnation: Incarnation,
     /// Its service.
     pub service: String,
     /// Whether it is still slow after its start.
@@ -72,10 +73,10 @@
     /// How many of its answers were failures of late.
     pub failing: FailureShare,
     current: RefCell<Option<Rc<Instance>>>,
-    /// What was heard last of each incarnation that has not left.
+    /// What was heard last of each target that has not left, by its id.
     heard: RefCell<HashMap<String, Heard>>,
     /// Incarnations that are leaving, have left or were replaced, oldest first.
-    left: RefCell<Vec<String>>,
+    left: RefCell<Vec<Incarnation>>,
     idle: RefCell<Vec<Connection>>,
 }
 
@@ -100,33 +101,41 @@
 
     /// Takes in a heartbeat. Says whether the state has changed.
     ///
-    /// One that was overtaken, or of an incarnation that has left, changes nothing.
+    /// One that was overtaken, or of an incarnation that has left or was followed by another one under
+    /// the same id, changes nothing.
     pub fn take_heartbeat(&self, heartbeat: &Heartbeat) -> bool {
-        let id = &heartbeat.instance;
+        let incarnation = &heartbeat.incarnation;
         if heartbeat.state == TargetState::Draining {
-            return self.leave(id);
+            return self.leave(incarnation);
         }
-        if self.has_left(id) {
+        if self.has_left(incarnation) || self.is_overtaken(heartbeat) {
             return false;
         }
         let instance = Rc::new(Instance {
-            id: id.clone(),
+            incarnation: incarnation.clone(),
             service: heartbeat.service.clone(),
             is_cold: heartbeat.cold_ms > 0,
         });
         let mut heard = self.heard.borrow_mut();
-        if heard.get(id).is_some_and(|known| known.sequence >= heartbeat.sequence) {
-            return false;
-        }
         if heard.len() >= HEARD_MAX {
             heard.clear();
         }
         let (sequence, slots) = (heartbeat.sequence, heartbeat.slots);
-        heard.insert(id.clone(), Heard { sequence, slots, instance: Rc::clone(&instance) });
+        let entry = Heard { sequence, slots, instance: Rc::clone(&instance) };
+        heard.insert(incarnation.id.clone(), entry);
         drop(heard);
         self.become_current(instance, slots)
     }
 
+    /// Whether a later heartbeat of the same target has been heard, from this life of it or a later.
+    fn is_overtaken(&self, heartbeat: &Heartbeat) -> bool {
+        let heard = self.heard.borrow();
+        let Some(known) = heard.get(&heartbeat.incarnation.id) else { return false };
+        let known_start = known.instance.incarnation.started_unix_ms;
+        let start = heartbeat.incarnation.started_unix_ms;
+        (start, heartbeat.sequence) <= (known_start, known.sequence)
+    }
+
     /// Takes in that the incarnation `id` has answered at the target's address. Says whether the
     /// state has changed.
     ///
@@ -136,34 +145,39 @@
         let heard = self.heard.borrow();
         let Some(known) = heard.get(id) else {
             drop(heard);
-            let current = self.current().map(|current| current.id.clone());
-            return current.is_some_and(|current| self.lose(&current));
+            let current = self.current();
+            return current.is_some_and(|current| self.lose(&current.incarnation));
         };
         let (instance, slots) = (Rc::clone(&known.instance), known.slots);
         drop(heard);
         self.become_current(instance, slots)
     }
 
-    /// Gives an incarnation no more work. Says whether the state has changed.
-    pub fn leave(&self, id: &str) -> bool {
-        self.heard.borrow_mut().remove(id);
-        if !self.has_left(id) {
+    /// Gives an incarnation, and earlier lives of the same target, no more work. Says whether the
+    /// state has changed.
+    pub fn leave(&self, incarnation: &Incarnation) -> bool {
+        let mut incarnation = incarnation.clone();
+        if let Some(known) = self.heard.borrow().get(&incarnation.id) {
+            if incarnation.started_unix_ms == 0 {
+                incarnation = known.instance.incarnation.clone();
+            }
+        }
+        self.heard.borrow_mut().retain(|_, known| !incarnation.ends(&known.instance.incarnation));
+        if !self.has_left(&incarnation) {
             let mut left = self.left.borrow_mut();
+            left.retain(|known| !incarnation.ends(known));
             if left.len() >= LEFT_MAX {
                 left.remove(0);
             }
-            left.push(id.to_owned());
-        }
-        let is_current = self.current.borrow().as_ref().is_some_and(|current| current.id == id);
-        if is_current {
-            self.stop_work();
+            left.push(incarnation.clone());
         }
-        is_current
+        self.lose(&incarnation)
     }
 
-    /// Takes it that the incarnation `id` is no longer there, until it is heard of again.
-    pub fn lose(&self, id: &str) -> bool {
-        let is_current = self.current.borrow().as_ref().is_some_and(|current| current.id == id);
+    /// Takes it that an incarnation is no longer there, until it is heard of again.
+    pub fn lose(&self, incarnation: &Incarnation) -> bool {
+        let current = self.current();
+        let is_current = current.is_some_and(|current| incarnation.ends(&current.incarnation));
         if is_current {
             self.stop_work();
         }
@@ -171,7 +185,7 @@
     }
 
     /// Incarnations that are leaving, have left or were replaced.
-    pub fn left(&self) -> Vec<String> {
+    pub fn left(&self) -> Vec<Incarnation> {
         self.left.borrow().clone()
     }
 
@@ -202,15 +216,16 @@
 
     fn become_current(&self, instance: Rc<Instance>, slots: u32) -> bool {
         let before = self.current.replace(Some(Rc::clone(&instance)));
-        if before.as_ref().is_some_and(|before| before.id != instance.id) {
+        if before.as_ref().is_some_and(|before| before.incarnation != instance.incarnation) {
             self.drop_idle();
+            self.failing.forget();
         }
         self.gate.set_slots(slots);
         before.as_ref() != Some(&instance)
     }
 
-    fn has_left(&self, id: &str) -> bool {
-        self.left.borrow().iter().any(|left| left == id)
+    fn has_left(&self, incarnation: &Incarnation) -> bool {
+        self.left.borrow().iter().any(|left| left.ends(incarnation))
     }
 
     fn stop_work(&self) {
--- a/src/platform/document.rs
+++ b/src/platform/document.rs
@@ -1,5 +1,7 @@
 //! The operator's configuration as it lies in the store.
 
+use std::collections::HashSet;
+
 use eyre::{WrapErr, eyre};
 use serde::Deserialize;
 
@@ -69,6 +71,7 @@
     let version = read_version(&document.version)?;
     let mut routes = Vec::new();
     let mut limits = Limits::default();
+    let mut services = HashSet::new();
     for resource in document.resources {
         let name = resource.metadata.name;
         match resource.resource_kind.as_str() {
@@ -77,11 +80,14 @@
                     .wrap_err_with(|| format!("the route {name}"))?,
             ),
             "limits" => limits = read_limits(resource.specification)?,
-            // What the platform says of services, and kinds that it may add, concern nobody here.
+            "services" => {
+                services.insert(name);
+            }
+            // Kinds that the platform may add concern nobody here.
             _ => {}
         }
     }
-    Ok(Site::new(version, routes, limits))
+    Ok(Site::new(version, routes, limits).with_services(services))
 }
 
 fn read_version(text: &str) -> eyre::Result<u64> {
--- a/src/platform/heartbeat.rs
+++ b/src/platform/heartbeat.rs
@@ -11,6 +11,7 @@
 use tokio::task::spawn_local;
 
 use crate::event::LogEvent;
+use crate::mesh::incarnation::Incarnation;
 use crate::mesh::launch::{serve_simple, status_only};
 use crate::mesh::node::Node;
 use crate::mesh::socket;
@@ -25,10 +26,20 @@
 
 #[derive(Deserialize)]
 struct Body {
+    /// When this life of the target began, in Unix milliseconds. Not every target tells.
+    #[serde(default)]
+    born: u64,
     information: Information,
     status: Status,
 }
 
+/// The body of a farewell; it may be empty.
+#[derive(Default, Deserialize)]
+struct Farewell {
+    #[serde(default)]
+    born: u64,
+}
+
 #[derive(Deserialize)]
 struct Information {
     service: String,
@@ -38,12 +49,19 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Status {
-    state: String,
+    state: State,
     sequence: u64,
     #[serde(default)]
     cold_remaining_ms: u64,
 }
 
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum State {
+    Ready,
+    Draining,
+}
+
 /// Listens for the target.
 pub fn start(node: &Rc<Node>) -> io::Result<()> {
     let listener = socket::listen(node.settings.listen.targets)?;
@@ -61,37 +79,51 @@
     if request.method() != Method::POST {
         return status_only(404);
     }
-    if let Some(id) = path.strip_prefix(DEREGISTER_PATH) {
-        if node.target.leave(id) {
-            node.target_changed("farewell");
-        }
-        return accepted();
-    }
-    let Some(id) = path.strip_prefix(HEARTBEAT_PATH) else { return status_only(404) };
+    let (id, is_farewell) = match path.strip_prefix(DEREGISTER_PATH) {
+        Some(id) => (id, true),
+        None => match path.strip_prefix(HEARTBEAT_PATH) {
+            Some(id) => (id, false),
+            None => return status_only(404),
+        },
+    };
     let body = Limited::new(request.into_body(), BODY_MAX_BYTES).collect().await;
     let Ok(body) = body else { return status_only(400) };
-    match serde_json::from_slice::<Body>(&body.to_bytes()) {
-        Ok(body) => {
-            if node.target.take_heartbeat(&heartbeat(id, body)) {
-                node.target_changed("heartbeat");
-            }
-            accepted()
-        }
+    let body = body.to_bytes();
+    let taken = if is_farewell { take_farewell(node, id, &body) } else { take(node, id, &body) };
+    match taken {
+        Ok(()) => accepted(),
         Err(error) => {
-            let detail = format!("{id}: {error}");
+            let detail = format!("{id}: {error:#}");
             node.log.emit(&LogEvent::InputRefused { input: "heartbeat", detail });
             status_only(400)
         }
     }
 }
 
+/// Takes in that a target is about to end.
+fn take_farewell(node: &Node, id: &str, body: &[u8]) -> eyre::Result<()> {
+    let farewell =
+        if body.is_empty() { Farewell::default() } else { serde_json::from_slice(body)? };
+    let incarnation = Incarnation { id: id.to_owned(), started_unix_ms: farewell.born };
+    if node.target.leave(&incarnation) {
+        node.target_changed("farewell");
+    }
+    Ok(())
+}
+
+/// Takes in a heartbeat.
+fn take(node: &Node, id: &str, body: &[u8]) -> eyre::Result<()> {
+    let body: Body = serde_json::from_slice(body)?;
+    node.take_heartbeat(&heartbeat(id, body))
+}
+
 fn heartbeat(id: &str, body: Body) -> Heartbeat {
-    let state = match body.status.state.as_str() {
-        "ready" => TargetState::Ready,
-        _ => TargetState::Draining,
+    let state = match body.status.state {
+        State::Ready => TargetState::Ready,
+        State::Draining => TargetState::Draining,
     };
     Heartbeat {
-        instance: id.to_owned(),
+        incarnation: Incarnation { id: id.to_owned(), started_unix_ms: body.born },
         sequence: body.status.sequence,
         service: body.information.service,
         slots: body.information.slots,
--- a/src/platform/members.rs
+++ b/src/platform/members.rs
@@ -7,10 +7,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use eyre::eyre;
 use rand::Rng;
 use tokio::time::{Instant, sleep};
 
-use super::store::Store;
+use super::store::{Row, Store};
 use crate::event::LogEvent;
 use crate::mesh::node::Node;
 use crate::mesh::peers;
@@ -52,12 +53,24 @@
     let mut from = String::new();
     loop {
         let found = store.rows(TABLE, &from).await?;
+        let mut last = None;
         for row in &found.rows {
-            let failure_domain = String::from_utf8(row.value()?)?;
-            peers::meet(node, row.key.parse()?, &failure_domain);
+            if let Err(error) = meet(node, row) {
+                let detail = format!("a row of {TABLE}: {error:#}");
+                node.log.emit(&LogEvent::InputRefused { input: "row", detail });
+            }
+            last = row.as_ref().ok().or(last);
         }
-        let Some(last) = found.rows.last().filter(|_| found.has_more) else { return Ok(()) };
+        let Some(last) = last.filter(|_| found.has_more) else { return Ok(()) };
         // The smallest key that follows the last one.
         from = format!("{}~", last.key);
     }
 }
+
+/// Meets the node that a row names.
+fn meet(node: &Rc<Node>, row: &Result<Row, String>) -> eyre::Result<()> {
+    let row = row.as_ref().map_err(|error| eyre!("{error}"))?;
+    let failure_domain = String::from_utf8(row.value()?)?;
+    peers::meet(node, row.key.parse()?, &failure_domain);
+    Ok(())
+}
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -7,8 +7,8 @@
 use base64::engine::general_purpose::STANDARD;
 use eyre::{WrapErr, bail};
 use http::Method;
-use serde::{Deserialize, Serialize};
-use serde_json::json;
+use serde::{Deserialize, Deserializer, Serialize};
+use serde_json::{Value, json};
 use tokio::time::timeout;
 
 use crate::mesh::http1::{Connection, Reply};
@@ -41,8 +41,9 @@
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct Rows {
-    /// The rows.
-    pub rows: Vec<Row>,
+    /// The rows; one that cannot be read is an error of its own, and the others hold.
+    #[serde(deserialize_with = "each_row")]
+    pub rows: Vec<Result<Row, String>>,
     /// The newest version of any row of the store.
     pub row_version: u64,
     /// Whether there are more rows behind these.
@@ -50,6 +51,18 @@
     pub has_more: bool,
 }
 
+/// Reads each row by itself: anybody may write into a table.
+fn each_row<'de, D>(deserializer: D) -> Result<Vec<Result<Row, String>>, D::Error>
+where
+    D: Deserializer<'de>,
+{
+    let mut rows = Vec::new();
+    for value in Vec::<Value>::deserialize(deserializer)? {
+        rows.push(Row::deserialize(value).map_err(|error| error.to_string()));
+    }
+    Ok(rows)
+}
+
 /// What changed in a table.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Changes {
--- a/src/platform/watch.rs
+++ b/src/platform/watch.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use eyre::eyre;
 use rand::Rng;
 use tokio::time::{Instant, sleep};
 
@@ -62,26 +63,38 @@
 ) -> eyre::Result<Option<u64>> {
     let Some(version) = version else {
         let found = store.rows(TABLE, KEY).await?;
-        take_rows(node, &found.rows)?;
+        take_rows(node, &found.rows);
         return Ok(Some(found.row_version));
     };
     match store.changes(TABLE, version, WAIT).await? {
         Changes::HistoryGone => Ok(None),
         Changes::Rows(found) => {
-            take_rows(node, &found.rows)?;
+            take_rows(node, &found.rows);
             Ok(Some(found.row_version))
         }
     }
 }
 
-fn take_rows(node: &Rc<Node>, rows: &[Row]) -> eyre::Result<()> {
+/// Takes in the configuration where it is among the rows. One that cannot be read is passed over: what
+/// is in force holds, and the next version is waited for.
+fn take_rows(node: &Rc<Node>, rows: &[Result<Row, String>]) {
     for row in rows {
-        if row.key != KEY || row.deleted {
-            continue;
-        }
-        if node.take_document(&Bytes::from(row.value()?), "table")? {
-            node.tell_status();
+        match take_row(node, row) {
+            Ok(true) => node.tell_status(),
+            Ok(false) => {}
+            Err(error) => {
+                let detail = format!("a row of {TABLE}: {error:#}");
+                node.log.emit(&LogEvent::InputRefused { input: "configuration", detail });
+            }
         }
     }
-    Ok(())
+}
+
+/// Takes in one row. Says whether it brought a newer configuration.
+fn take_row(node: &Rc<Node>, row: &Result<Row, String>) -> eyre::Result<bool> {
+    let row = row.as_ref().map_err(|error| eyre!("{error}"))?;
+    if row.key != KEY || row.deleted {
+        return Ok(false);
+    }
+    node.take_document(&Bytes::from(row.value()?), "table")
 }
--- a/tests/mesh/support.rs
+++ b/tests/mesh/support.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use aspenspring::event::EventLog;
+use aspenspring::mesh::incarnation::Incarnation;
 use aspenspring::mesh::launch;
 use aspenspring::mesh::node::Node;
 use aspenspring::mesh::peers;
@@ -184,10 +185,15 @@
     TestNode { node, target }
 }
 
+/// One life of a target.
+pub fn incarnation(id: &str, started_unix_ms: u64) -> Incarnation {
+    Incarnation { id: id.to_owned(), started_unix_ms }
+}
+
 /// A heartbeat of a target that is ready.
 pub fn heartbeat(instance: &str, service: &str, sequence: u64) -> Heartbeat {
     Heartbeat {
-        instance: instance.to_owned(),
+        incarnation: incarnation(instance, 0),
         sequence,
         service: service.to_owned(),
         slots: 20,
--- a/tests/mesh/targets.rs
+++ b/tests/mesh/targets.rs
@@ -2,14 +2,14 @@
 
 use aspenspring::mesh::target::{Target, TargetState};
 
-use super::support::heartbeat;
+use super::support::{heartbeat, incarnation};
 
 fn target() -> Target {
     Target::new("127.0.0.1:9".parse().unwrap())
 }
 
 fn current(target: &Target) -> Option<String> {
-    target.current().map(|instance| instance.id.clone())
+    target.current().map(|instance| instance.incarnation.id.clone())
 }
 
 #[test]
@@ -53,7 +53,32 @@
     assert!(!target.take_heartbeat(&heartbeat("one", "stock", 3)));
     assert!(target.take_heartbeat(&heartbeat("two", "stock", 1)));
     // A late farewell of the first one does not concern the second.
-    assert!(!target.leave("one"));
+    assert!(!target.leave(&incarnation("one", 0)));
     assert_eq!(current(&target).as_deref(), Some("two"));
-    assert_eq!(target.left(), ["one"]);
+    assert_eq!(target.left(), [incarnation("one", 0)]);
+}
+
+#[test]
+fn a_restart_under_the_same_id_is_another_incarnation() {
+    let target = target();
+    let life = |started_unix_ms, sequence| {
+        let mut heartbeat = heartbeat("one", "stock", sequence);
+        heartbeat.incarnation.started_unix_ms = started_unix_ms;
+        heartbeat
+    };
+    target.take_heartbeat(&life(5_000, 70));
+    target.failing.note(true);
+    assert!(target.take_heartbeat(&life(6_000, 1)), "its counts start anew");
+    assert_eq!(target.failing.share(tokio::time::Instant::now()), 0.0, "it has failed nothing yet");
+    assert!(!target.take_heartbeat(&life(5_000, 71)), "held up on its way");
+    assert!(!target.leave(&incarnation("one", 5_000)));
+    assert_eq!(target.current().unwrap().incarnation, incarnation("one", 6_000));
+    assert!(target.leave(&incarnation("one", 6_000)));
+    assert!(!target.take_heartbeat(&life(6_000, 2)));
+    assert!(!target.take_heartbeat(&life(5_000, 72)));
+    assert!(target.take_heartbeat(&life(7_000, 1)));
+    // A farewell that does not tell which life ends means the one that is known.
+    assert!(target.leave(&incarnation("one", 0)));
+    assert!(!target.take_heartbeat(&life(7_000, 2)));
+    assert!(target.take_heartbeat(&life(8_000, 1)));
 }
--- a/tests/platform/process.rs
+++ b/tests/platform/process.rs
@@ -84,18 +84,18 @@
     }
 
     fn heartbeat(&self, instance: &str, sequence: u64) {
-        let body = serde_json::json!({
-            "address": "x",
-            "information": { "service": "stock", "version": "v1", "zone": "a", "slots": 9 },
-            "status": { "state": "ready", "sequence": sequence, "coldRemainingMs": 0 },
-        })
-        .to_string();
+        let body = heartbeat("stock", "ready", sequence).to_string();
+        wait_for(|| self.tell("Heartbeat", instance, &body).contains(" 200 "));
+    }
+
+    /// Sends what a target says of itself.
+    fn tell(&self, call: &str, instance: &str, body: &str) -> String {
         let text = format!(
-            "POST /aspenspring/Instances.Heartbeat/{instance} HTTP/1.1\r\nHost: x\r\n\
+            "POST /aspenspring/Instances.{call}/{instance} HTTP/1.1\r\nHost: x\r\n\
              Connection: close\r\nContent-Length: {}\r\n\r\n{body}",
             body.len()
         );
-        wait_for(|| self.ask(7003, &text).is_some_and(|answer| answer.contains(" 200 ")));
+        self.ask(7003, &text).unwrap_or_default()
     }
 
     fn log(&self) -> String {
@@ -118,6 +118,16 @@
     }
 }
 
+/// A heartbeat of a target that started in millisecond 5,000.
+fn heartbeat(service: &str, state: &str, sequence: u64) -> serde_json::Value {
+    serde_json::json!({
+        "address": "x",
+        "born": 5_000,
+        "information": { "service": service, "version": "v1", "zone": "a", "slots": 9 },
+        "status": { "state": state, "sequence": sequence, "coldRemainingMs": 0 },
+    })
+}
+
 fn wait_for(mut is_true: impl FnMut() -> bool) {
     let began = Instant::now();
     while !is_true() {
@@ -152,6 +162,8 @@
     serde_json::json!({
         "version": format!("r{version}"),
         "resources": [{
+            "resourceKind": "services", "metadata": { "name": "stock" }, "specification": {},
+        }, {
             "resourceKind": "routes",
             "metadata": { "name": "look" },
             "specification": {
@@ -235,3 +247,73 @@
     wait_for(|| first.get(7001, "/look/1").ends_with("two"));
     assert_eq!(store.keys("nodes").len(), 2);
 }
+
+#[test]
+fn what_another_writer_says_of_a_target_changes_nothing() {
+    let store = Store::start();
+    store.put("op", "config", &document(4, "/look/"));
+    let node = Process::start(&store, "one");
+    wait_for(|| node.is_ready());
+    node.heartbeat("i-1", 1);
+    let mut without_slots = heartbeat("stock", "ready", 9);
+    without_slots["information"]["slots"] = 0.into();
+    let mut born_as_text = heartbeat("stock", "draining", 9);
+    born_as_text["born"] = "5000".into();
+    for strange in [
+        heartbeat("stock", "asleep", 9).to_string(),
+        heartbeat("nowhere", "ready", 9).to_string(),
+        without_slots.to_string(),
+        born_as_text.to_string(),
+        "{}".to_owned(),
+        "\u{fffd}{[".to_owned(),
+    ] {
+        for instance in ["i-1", "i-2"] {
+            let answer = node.tell("Heartbeat", instance, &strange);
+            assert!(answer.contains(" 400 "), "{strange}: {answer}");
+            let served = node.get(7001, "/look/1");
+            assert!(served.contains(" 200 "), "after {strange}: {served}");
+        }
+    }
+    assert!(node.log().contains("\"name\":\"InputRefused\""));
+}
+
+#[test]
+fn a_target_that_starts_again_under_its_id_serves_again() {
+    let store = Store::start();
+    store.put("op", "config", &document(4, "/look/"));
+    let node = Process::start(&store, "one");
+    wait_for(|| node.is_ready());
+    node.heartbeat("i-1", 7);
+    let draining = heartbeat("stock", "draining", 8).to_string();
+    assert!(node.tell("Heartbeat", "i-1", &draining).contains(" 200 "));
+    assert!(node.get(7001, "/look/1").contains(" 503 "), "it is leaving");
+    let mut next_life = heartbeat("stock", "ready", 1);
+    next_life["born"] = 6_000.into();
+    assert!(node.tell("Heartbeat", "i-1", &next_life.to_string()).contains(" 200 "));
+    assert!(node.get(7001, "/look/1").contains(" 200 "), "the next life counts from one");
+    // What was held up on its way from the earlier life does not concern this one.
+    assert!(node.tell("Heartbeat", "i-1", &draining).contains(" 200 "));
+    assert!(node.tell("Deregister", "i-1", r#"{"born":5000}"#).contains(" 200 "));
+    assert!(node.get(7001, "/look/1").contains(" 200 "), "an earlier life's farewell ended it");
+    assert!(node.tell("Deregister", "i-1", r#"{"born":6000}"#).contains(" 200 "));
+    assert!(node.get(7001, "/look/1").contains(" 503 "));
+}
+
+#[test]
+fn rows_that_cannot_be_read_name_no_node_and_the_others_hold() {
+    let store = Store::start();
+    store.put("op", "config", &document(4, "/look/"));
+    store.put("op", "config-of-another-writer", &[0xff, 0xfe]);
+    // One sorts before, one behind the rows of nodes.
+    store.put("nodes", "!nowhere", b"a");
+    store.put("nodes", "~", &[0xff]);
+    let first = Process::start(&store, "one");
+    wait_for(|| first.is_ready());
+    let second = Process::start(&store, "two");
+    wait_for(|| second.is_ready());
+    second.heartbeat("i-2", 1);
+    wait_for(|| first.get(7001, "/look/1").ends_with("two"));
+    store.put("op", "config", b"no configuration");
+    store.put("op", "config", &document(9, "/new/"));
+    wait_for(|| second.site_version() == "9");
+}
