Let a stopping node serve its target for a third of its grace

Cause: on a planned stop a node refused all calls for its target at once and then went on for 2.6 s, to take in requests of callers.

Change: until a third of the grace (2 s) calls are taken as before, then refused, and what was taken is finished; the longest runs (3 s) end within the grace. Other nodes are told at once that it no longer takes calls.

--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -31,6 +31,9 @@
 const ROOTS_REMEMBERED: Duration = Duration::from_secs(20);
 /// Other nodes are told of the target's work this often while it is above `TELL_ABOVE`.
 const TELL_EVERY: Duration = Duration::from_millis(180);
+/// The part of the grace for which a stopping node takes calls for its target. The longest runs take
+/// half of the grace, and so end within it.
+const STOP_TAKES_CALLS_SHARE: f64 = 1.0 / 3.0;
 /// The steps in which other nodes are told of the share of failures, in hundredths: a share fades all
 /// the time, and less than a tenth of failures makes no difference.
 const FAILING_STEP_PERCENT: u8 = 5;
@@ -197,6 +200,17 @@
         self.stopping_since.get().is_some()
     }
 
+    /// Whether the target beside the node still takes calls.
+    ///
+    /// A node that was told to stop goes on serving its target for a part of its grace: the target has
+    /// not gone, and while a node restarts nobody reaches it. What is taken in then is finished in the
+    /// rest of the grace.
+    pub fn takes_calls(&self) -> bool {
+        let grace = Duration::from_millis(self.settings.timing.stop_grace_ms);
+        let until = grace.mul_f64(STOP_TAKES_CALLS_SHARE);
+        self.stopping_since.get().is_none_or(|since| since.elapsed() < until)
+    }
+
     /// Whether a request that came now would most likely be cut off by the end of the process.
     ///
     /// Callers are told that the node stops, but may have nowhere else to go.
@@ -205,7 +219,7 @@
         self.stopping_since.get().is_some_and(|since| since.elapsed() > grace / 2)
     }
 
-    /// Takes no new work for the target any more, and tells the other nodes.
+    /// Begins to stop. What is still taken in is told by `is_ready`, `takes_calls` and `is_closing`.
     pub fn stop(&self) {
         self.stopping_since.set(Some(Instant::now()));
         self.tell_status();
@@ -244,7 +258,7 @@
                 .as_ref()
                 .map(|known| known.incarnation.clone())
                 .unwrap_or_default(),
-            ready: current.is_some() && !self.is_stopping(),
+            ready: current.is_some() && self.takes_calls(),
             cold: current.is_some_and(|known| known.is_cold),
             site_version: self.site_version(),
             roots: self.root_work(),
@@ -301,9 +315,12 @@
     /// Tells other nodes of the target's work while it is of note, and of a state that has changed.
     fn tell_what_changed(&self) {
         let status = self.status();
-        let has_new_routes = status.roots.len() != self.told_status.borrow().roots.len();
+        let told = self.told_status.borrow();
+        let is_urgent = status.roots.len() != told.roots.len() || status.ready != told.ready;
+        let is_changed = !status.differs_in_work_only(&told);
+        drop(told);
         let is_due = self.told.get().is_none_or(|told| told.elapsed() >= TELL_EVERY);
-        if has_new_routes || (is_due && !status.differs_in_work_only(&self.told_status.borrow())) {
+        if is_urgent || (is_due && is_changed) {
             self.tell_status();
         } else if is_due && work_share(status.load) > TELL_ABOVE {
             self.tell_load();
--- a/src/mesh/receiver.rs
+++ b/src/mesh/receiver.rs
@@ -89,7 +89,7 @@
 /// Waits for a slot, and runs a call in it.
 async fn admit(node: &Rc<Node>, call: &Call, deadline: Instant) -> Served {
     let _serving = Counted::new(&node.serving, 1);
-    if node.is_stopping() {
+    if !node.takes_calls() {
         return NotRun::Leaving.into();
     }
     let Some(instance) = current(node, &call.service) else {
--- a/src/mesh/sender.rs
+++ b/src/mesh/sender.rs
@@ -167,7 +167,7 @@
     /// The next target, if there is one.
     fn pick(&self) -> Option<Destination> {
         let node = self.node;
-        let is_own = !self.tried_own && !node.is_stopping();
+        let is_own = !self.tried_own && node.takes_calls();
         let current = node.target.current().filter(|known| known.service == self.service);
         let own_busy = current.filter(|_| is_own).map(|known| {
             busy_share(node.target.load(), 0, known.is_cold)
