--- a/src/mesh/frame.rs
+++ b/src/mesh/frame.rs
@@ -91,8 +91,8 @@
 }
 
 impl Status {
-    /// Whether it says the same as `other` but for what the target has to do.
-    pub fn differs_in_work_only(&self, other: &Self) -> bool {
+    /// Whether it says the same as `other`, whatever the target has to do.
+    pub fn is_same_but_for_work(&self, other: &Self) -> bool {
         let names = |status: &Self| -> Vec<String> {
             status.roots.iter().map(|work| work.root.clone()).collect()
         };
@@ -179,7 +179,7 @@
 impl CallEnd {
     /// Whether it is an answer other than a failure of the target.
     pub fn went_well(&self) -> bool {
-        matches!(self, Self::Answered(answer) if answer.status < 500)
+        matches!(self, Self::Answered(answer) if !answer.is_failure())
     }
 
     /// The status of the target's answer; 0 where there is none.
@@ -204,7 +204,7 @@
         match self {
             Self::Answered(answer) => {
                 let is_late = answer.status == http::StatusCode::GATEWAY_TIMEOUT.as_u16();
-                answer.status >= 500 && !is_late && !answer.has_failed_below
+                answer.is_failure() && !is_late && !answer.has_failed_below
             }
             Self::NotRun(reason) => *reason == NotRun::Declined,
             Self::MayHaveRun(doubt) => *doubt == Doubt::TargetBroke,
@@ -245,10 +245,15 @@
 }
 
 impl TargetAnswer {
+    /// Whether the target says that it failed.
+    pub fn is_failure(&self) -> bool {
+        self.status >= 500
+    }
+
     /// The name in logs: whether it worked, and if not, whether that came from a call that the target
     /// made.
     pub fn reason(&self) -> &'static str {
-        match (self.status >= 500, self.has_failed_below) {
+        match (self.is_failure(), self.has_failed_below) {
             (false, _) => "answered",
             (true, false) => "target-failed",
             (true, true) => "call-failed",
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -7,6 +7,7 @@
 pub mod budget;
 pub mod codec;
 pub mod directory;
+pub mod failing;
 pub mod frame;
 pub mod gate;
 pub mod http1;
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -317,7 +317,7 @@
         let status = self.status();
         let told = self.told_status.borrow();
         let is_urgent = status.roots.len() != told.roots.len() || status.ready != told.ready;
-        let is_changed = !status.differs_in_work_only(&told);
+        let is_changed = !status.is_same_but_for_work(&told);
         drop(told);
         let is_due = self.told.get().is_none_or(|told| told.elapsed() >= TELL_EVERY);
         if is_urgent || (is_due && is_changed) {
--- a/src/mesh/sender.rs
+++ b/src/mesh/sender.rs
@@ -71,7 +71,7 @@
 
     /// Whether it is an answer other than a failure of the target.
     pub fn went_well(&self) -> bool {
-        matches!(self, Self::Answered(answer) if answer.status < 500)
+        matches!(self, Self::Answered(answer) if !answer.is_failure())
     }
 
     /// The names of the verdict and of the reason in logs and metrics.
@@ -191,7 +191,7 @@
             // Whoever made the call that failed below has repeated it if that could be afforded; to
             // run all of it again costs many times as much.
             CallEnd::Answered(answer) => {
-                answer.status >= 500
+                answer.is_failure()
                     && !answer.has_failed_below
                     && self.route.kind == RouteKind::Idempotent
             }
--- a/src/mesh/target.rs
+++ b/src/mesh/target.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use super::directory::FailureShare;
+use super::failing::FailureShare;
 use super::frame::Load;
 use super::gate::Gate;
 use super::http1::Connection;
