Dial a node anew as soon as it says hello

The node of amman-hall-c-3 was the second to start; nine of its links came up 1.0 s later than the others, when the time for connecting had passed, since the opening packets to VMs still without power were lost and are sent again only after a second. Those nodes had long called it.

Change: the hello of a node wakes whoever tries to reach it. Test: a node that has been refused for 1.8 s and then says hello is linked within a second; failed before.

--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use rand::Rng;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use super::failing::{FailureShare, worth_of};
@@ -45,6 +46,8 @@
     pub in_flight: Cell<u32>,
     in_flight_at_report: Cell<u32>,
     avoided_until: Cell<Option<Instant>>,
+    /// Wakes whoever tries to reach it, as it has just been heard.
+    pub greeted: Notify,
     /// How many of its answers were failures of late.
     pub failing: FailureShare,
 }
@@ -59,6 +62,7 @@
             in_flight: Cell::default(),
             in_flight_at_report: Cell::default(),
             avoided_until: Cell::default(),
+            greeted: Notify::new(),
             failing: FailureShare::default(),
         }
     }
--- a/src/mesh/peers.rs
+++ b/src/mesh/peers.rs
@@ -42,7 +42,14 @@
     let mut pause = REDIAL_MIN;
     let mut reached = Instant::now();
     while reached.elapsed() < FORGET_AFTER {
-        if let Ok(stream) = socket::connect(peer.address).await {
+        // The opening packet to a VM without power is lost, and sent again only after a second. Where all
+        // VMs come back at once, that kept a node from all those that started after it; a node that says
+        // hello can be reached, so it is dialled anew.
+        let connected = tokio::select! {
+            connected = socket::connect(peer.address) => connected,
+            () = peer.greeted.notified() => continue,
+        };
+        if let Ok(stream) = connected {
             let linked = Instant::now();
             run_link(&node, &peer, stream).await;
             reached = Instant::now();
@@ -50,8 +57,10 @@
                 pause = REDIAL_MIN;
             }
         }
-        sleep(pause).await;
-        pause = (pause * 2).min(REDIAL_MAX);
+        tokio::select! {
+            () = sleep(pause) => pause = (pause * 2).min(REDIAL_MAX),
+            () = peer.greeted.notified() => pause = REDIAL_MIN,
+        }
     }
     node.directory.remove(peer.address);
 }
@@ -161,6 +170,9 @@
     let take = |frame| match frame {
         Frame::Hello(hello) => {
             take_hello(&node, &hello);
+            if let Some(peer) = node.directory.get(hello.address) {
+                peer.greeted.notify_waiters();
+            }
             for incarnation in &hello.left_incarnations {
                 node.target.leave(incarnation);
             }
--- a/tests/mesh/nodes.rs
+++ b/tests/mesh/nodes.rs
@@ -2,12 +2,14 @@
 
 use std::time::Duration;
 
+use aspenspring::mesh::peers;
 use aspenspring::mesh::target::TargetState;
 use tokio::io::AsyncWriteExt;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::support::{
-    Reaction, acquaint, ask, connect, header, heartbeat, read_message, request, run, start, status,
+    Reaction, acquaint, ask, connect, header, heartbeat, read_message, request, run, start,
+    start_at, status, unused_address,
 };
 
 const FAST: Reaction = Reaction::Answer(200, 0);
@@ -294,3 +296,17 @@
         }
     });
 }
+
+#[test]
+fn a_node_that_says_hello_is_dialled_at_once() {
+    run(async {
+        let first = start("page-1", "page", vec![FAST]).await;
+        let address = unused_address();
+        peers::meet(&first.node, address, "a");
+        // By now it tries again only every one or two seconds.
+        sleep(Duration::from_millis(1_800)).await;
+        let second = start_at(address.ip(), "stock-1", "stock", vec![FAST]).await;
+        let linked = timeout(Duration::from_secs(1), acquaint(&second, &first)).await;
+        assert!(linked.is_ok(), "it waited for its next try");
+    });
+}
--- a/tests/mesh/support.rs
+++ b/tests/mesh/support.rs
@@ -1,7 +1,7 @@
 //! Whole nodes on loopback, each with a stand-in target that does what a test tells it.
 
 use std::cell::{Cell, RefCell};
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
@@ -26,6 +26,8 @@
 
 /// How long anything in these tests may take.
 pub const PATIENCE: Duration = Duration::from_secs(20);
+/// The port at which nodes listen for other nodes.
+const PEERS_PORT: u16 = 7004;
 /// How long a stopping node may still run, in milliseconds.
 pub const GRACE_MS: u64 = 4_000;
 
@@ -141,7 +143,16 @@
 
 /// Starts a node of `service` whose target reacts with `reactions`.
 pub async fn start(name: &str, service: &str, reactions: Vec<Reaction>) -> TestNode {
-    let ip = own_address();
+    start_at(own_address().into(), name, service, reactions).await
+}
+
+/// Where other nodes will reach a node that is not there yet.
+pub fn unused_address() -> SocketAddr {
+    (own_address(), PEERS_PORT).into()
+}
+
+/// Starts a node at the given address of this machine.
+pub async fn start_at(ip: IpAddr, name: &str, service: &str, reactions: Vec<Reaction>) -> TestNode {
     let at = |port| SocketAddr::from((ip, port));
     let settings = MeshSettings {
         node: NodeSection {
@@ -155,7 +166,7 @@
             callers: at(7001),
             readiness: at(7002),
             targets: at(7003),
-            peers: at(7004),
+            peers: at(PEERS_PORT),
             metrics: at(7005),
         },
         target: TargetSection { address: at(7006) },
