Correct the fair share of an entry while nothing can be learnt

What held it there: a bound is learnt only while work is at most 1.0, until then the fair share stands, and the correction for work above what is wanted was not applied to that share. So entries went on admitting 41 each for one target.

Change: the correction applies to the fair share too.

--- a/tests/mesh/decisions.rs
+++ b/tests/mesh/decisions.rs
@@ -206,6 +206,30 @@
     assert!((50..90).contains(&held.len()), "{}", held.len());
 }
 
+/// After a restart of all nodes the one target of a service may be overwhelmed before any entry has learnt
+/// how much it bears; then nothing can be learnt, since queues grow. The share that an entry takes for
+/// fair must shrink all the same, or the queue stays.
+#[test]
+fn an_entry_that_learnt_nothing_admits_less_while_queues_grow() {
+    let overload = Overload::new(Policy::Windows);
+    let browse = route("browse", "page", RouteKind::Idempotent, 0);
+    let overwhelmed = HashMap::from([("stock".to_owned(), view(100, 90, &[("browse", 100)]))]);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut held = Vec::new();
+    for _ in 0..50 {
+        held.extend(overload.admit(&browse, &mut rng));
+    }
+    for _ in 0..20 {
+        overload.adjust(&overwhelmed, 0, 4);
+    }
+    assert!(overload.passing(&browse) < 1.0, "a fair share is 50, and queues have grown for 2 s");
+    held.truncate(25);
+    for _ in 0..10 {
+        overload.adjust(&overwhelmed, 0, 4);
+    }
+    assert_eq!(overload.passing(&browse), 0.0, "half of it is still too much");
+}
+
 #[test]
 fn a_route_of_low_rank_keeps_its_reserve_while_the_others_fill_the_bound() {
     let overload = Overload::new(Policy::Windows);
