Weigh repeats over ten seconds, and leave some to the urgent ranks

Cause (issue, read from the code): a node saved at most 2 repeats, at 96 nodes at most 0.65, so what calm seconds earn was gone when a service began to fail, and of what was left a part was staked and lost.

Change: a node weighs the repeats of the last ten seconds against its own requests of the same time. Each rank leaves a quarter of the budget to those above it: a call of an urgent request is one of few, and its repeat saves the request.

`what_is_saved_up_keeps_to_the_slack` gets the ten seconds in which requests count: within them their share may be used beside the slack, which the new property bounds in its place, and strictly by the rule.

--- a/src/mesh/sender.rs
+++ b/src/mesh/sender.rs
@@ -202,7 +202,12 @@
         let node = self.node;
         let nodes = node.directory.linked() + 1;
         self.trail.arrivals < self.route.attempts_max
-            && node.budgets.try_take(self.service, nodes, &mut *node.rng.borrow_mut())
+            && node.budgets.try_take(
+                self.service,
+                self.request.rank,
+                nodes,
+                &mut *node.rng.borrow_mut(),
+            )
     }
 
     /// Sends the request to one target.
--- a/tests/mesh/properties.rs
+++ b/tests/mesh/properties.rs
@@ -1,6 +1,7 @@
 //! What holds for any input.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use aspenspring::mesh::budget::RetryBudgets;
 use aspenspring::mesh::codec::{Decoder, Encoder};
@@ -15,6 +16,7 @@
 use proptest::prelude::*;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use tokio::time::advance;
 
 use super::support::route;
 
@@ -174,7 +176,7 @@
                         budgets.earn(&service);
                     }
                     next.push(is_repeat);
-                    if rng.random_bool(failing) && budgets.try_take(&service, 1, &mut rng) {
+                    if rng.random_bool(failing) && budgets.try_take(&service, 0, 1, &mut rng) {
                         next.push(true);
                     }
                 }
@@ -186,21 +188,119 @@
         }
     }
 
-    /// What any number of nodes have saved up while nothing failed, all of them may use at one moment.
+    /// Whatever comes and fails, at any number of nodes, however unevenly: in no span of ten seconds are
+    /// more repeats sent than the share of what was asked for in it, in the span before it or in the one
+    /// half a span before it, and the slack.
+    #[test]
+    fn repeats_keep_to_the_share_in_every_span(
+        nodes in prop_oneof![Just(2_usize), Just(16), Just(96), Just(300)],
+        rates in vec(prop_oneof![Just(0.0), 0.0..3.0_f64, 0.0..40.0_f64], 5),
+        failing in vec(0.0..1.0_f64, 5),
+        skew in 0.0..4.0_f64,
+        seed in any::<u64>(),
+    ) {
+        let sent = run_paused(play_repeats(nodes, &rates, &failing, skew, seed));
+        for begin in 0..sent.len().saturating_sub(SPAN_STEPS) {
+            let repeats: u32 = sent[begin..begin + SPAN_STEPS].iter().map(|step| step.repeats).sum();
+            let begins = [begin, begin.saturating_sub(SPAN_STEPS), begin.saturating_sub(SPAN_STEPS / 2)];
+            let requests_from = |begin: usize| -> u32 {
+                sent[begin..begin + SPAN_STEPS].iter().map(|step| step.requests).sum()
+            };
+            let requests = begins.map(requests_from).into_iter().max().unwrap_or(0);
+            let allowed = f64::from(requests) * SHARE + f64::from(SLACK);
+            prop_assert!(
+                f64::from(repeats) <= allowed,
+                "{repeats} repeats of {requests} requests by {nodes} nodes"
+            );
+        }
+    }
+
+    /// What any number of nodes have left of a busy time while nothing failed, all of them may use at one
+    /// moment.
     #[test]
     fn what_is_saved_up_keeps_to_the_slack(nodes in 1_usize..400, seed in any::<u64>()) {
-        let slack = 49;
-        let mut rng = SmallRng::seed_from_u64(seed);
-        let mut taken = 0;
-        for _ in 0..nodes {
-            let budgets = RetryBudgets::new(&RetrySection { share: 0.2, slack });
-            for _ in 0..100 {
-                budgets.earn("stock");
+        let taken = run_paused(async move {
+            let mut rng = SmallRng::seed_from_u64(seed);
+            let budgets: Vec<_> = (0..nodes)
+                .map(|_| RetryBudgets::new(&RetrySection { share: SHARE, slack: SLACK }))
+                .collect();
+            for of_node in &budgets {
+                for _ in 0..100 {
+                    of_node.earn("stock");
+                }
             }
-            for _ in 0..5 {
-                taken += u32::from(budgets.try_take("stock", nodes, &mut rng));
+            advance(Duration::from_secs(10)).await;
+            let mut taken = 0;
+            for of_node in &budgets {
+                for _ in 0..5 {
+                    taken += u32::from(of_node.try_take("stock", 0, nodes, &mut rng));
+                }
+            }
+            taken
+        });
+        prop_assert!(taken <= SLACK, "{taken} by {nodes} nodes");
+    }
+}
+
+/// The share of repeats that is allowed.
+const SHARE: f64 = 0.2;
+/// The repeats that are allowed beside it.
+const SLACK: u32 = 49;
+/// How far the clock goes at once.
+const STEP: Duration = Duration::from_millis(250);
+/// The number of steps in ten seconds.
+const SPAN_STEPS: usize = 40;
+/// The number of steps for which each rate and each share of failures lasts.
+const PHASE_STEPS: usize = 32;
+
+/// What all nodes sent to a service in one step.
+#[derive(Clone, Copy, Default)]
+struct Sent {
+    requests: u32,
+    repeats: u32,
+}
+
+/// Runs a test of something that goes by the clock.
+fn run_paused<T>(test: impl Future<Output = T>) -> T {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    builder.enable_time().start_paused(true).build().unwrap().block_on(test)
+}
+
+/// Plays nodes that send requests to a service in phases, each with a rate a second and node in the mean
+/// and with a share that fails. A node gets the more of them the smaller its number, by `skew`.
+async fn play_repeats(
+    nodes: usize,
+    rates: &[f64],
+    failing: &[f64],
+    skew: f64,
+    seed: u64,
+) -> Vec<Sent> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let settings = RetrySection { share: SHARE, slack: SLACK };
+    let budgets: Vec<_> = (0..nodes).map(|_| RetryBudgets::new(&settings)).collect();
+    let weights: Vec<f64> =
+        (0..nodes).map(|node| (1.0 - node as f64 / nodes as f64).powf(skew)).collect();
+    let total: f64 = weights.iter().sum();
+    let mut sent = Vec::new();
+    for (rate, failing) in rates.iter().zip(failing) {
+        for _ in 0..PHASE_STEPS {
+            let mut step = Sent::default();
+            for (of_node, weight) in budgets.iter().zip(&weights) {
+                let mean = rate * STEP.as_secs_f64() * nodes as f64 * weight / total;
+                let count = mean as u32 + u32::from(rng.random_bool(mean.fract()));
+                for _ in 0..count {
+                    of_node.earn("stock");
+                    step.requests += 1;
+                    // Every attempt may fail, the repeats too.
+                    while rng.random_bool(*failing) && of_node.try_take("stock", 0, nodes, &mut rng)
+                    {
+                        step.repeats += 1;
+                    }
+                }
             }
+            sent.push(step);
+            advance(STEP).await;
         }
-        prop_assert!(taken <= slack, "{taken} by {nodes} nodes");
     }
+    sent
 }
