Give the nodes that call this one, and what they are told, an aggregate of their own

`callers` holds that with its rules; a node only says when. Behaviour stays; tests of the mesh, the platform and the model pass.

--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod ancestry;
 pub mod budget;
+pub mod callers;
 pub mod codec;
 pub mod directory;
 pub mod failing;
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -16,14 +16,14 @@
 
 use super::ancestry::Ancestry;
 use super::budget::RetryBudgets;
+use super::callers::Callers;
 use super::directory::Directory;
 use super::follower::Role;
 use super::frame::{Frame, Hello, RootWork, Status};
 use super::incarnation::Incarnation;
 use super::link::Link;
 use super::metrics::MeshMetrics;
-use super::overload::{Overload, Policy, ServiceView};
-use super::report::{LoadReport, PAUSE_BUSY};
+use super::overload::{Overload, ServiceView};
 use super::settings::MeshSettings;
 use super::site::Site;
 use super::split::Splitter;
@@ -32,8 +32,6 @@
 
 /// How long a route by which requests have reached the target is remembered as such.
 const ROOTS_REMEMBERED: Duration = Duration::from_secs(20);
-/// The least pause between two reports of the whole state, unless the target comes or goes.
-const TELL_STATUS_EVERY: Duration = PAUSE_BUSY;
 /// After this time a configuration that was asked for and did not come is asked for elsewhere.
 const SITE_PATIENCE: Duration = Duration::from_millis(300);
 /// How many nodes are asked for others, by a node that cannot read of them in the store.
@@ -75,14 +73,6 @@
     pub ancestry: Ancestry,
     /// The routes by which requests began that reach the target, and when one did last.
     roots: RefCell<HashMap<String, Instant>>,
-    /// When other nodes were told last of the whole state of the node.
-    told_status_at: Cell<Option<Instant>>,
-    /// What they were told, apart from the target's work.
-    told_status: RefCell<Status>,
-    /// What the nodes of the own failure domain were told of the target's work.
-    near_report: Cell<LoadReport>,
-    /// What all other nodes were told of it.
-    far_report: Cell<LoadReport>,
     /// The version that a newer configuration was asked for last, and when.
     site_asked: Cell<Option<(u64, Instant)>>,
     /// How many nodes were asked for others.
@@ -119,19 +109,12 @@
     read_site: ReadSite,
     /// When the node was told to stop.
     stopping_since: Cell<Option<Instant>>,
-    /// The links on which other nodes call this one.
-    callers: RefCell<Vec<Caller>>,
+    /// The links on which other nodes call this one, and what they were told.
+    pub callers: Callers,
     /// The links that this node has dialled.
     dialled: RefCell<Vec<Rc<Link>>>,
 }
 
-/// A link on which another node calls this one.
-struct Caller {
-    link: Rc<Link>,
-    /// Whether that node is in the same failure domain.
-    is_near: bool,
-}
-
 impl Node {
     /// A node that knows nothing yet but its settings.
     pub fn new(
@@ -146,10 +129,6 @@
             overload: Overload::new(settings.overload.policy),
             ancestry: Ancestry::default(),
             roots: RefCell::default(),
-            told_status_at: Cell::default(),
-            told_status: RefCell::default(),
-            near_report: Cell::default(),
-            far_report: Cell::default(),
             site_asked: Cell::default(),
             neighbours_asked: Cell::default(),
             reported: Cell::default(),
@@ -169,7 +148,7 @@
             in_force: RefCell::default(),
             read_site,
             stopping_since: Cell::default(),
-            callers: RefCell::default(),
+            callers: Callers::new(&settings.node.failure_domain, settings.overload.policy),
             dialled: RefCell::default(),
             settings,
             vocabulary,
@@ -339,7 +318,8 @@
     pub fn adjust(&self) {
         self.roots.borrow_mut().retain(|_, last| last.elapsed() < ROOTS_REMEMBERED);
         let status = self.status();
-        self.tell_what_changed(&status);
+        let (near, all) = self.directory.siblings(&status.service);
+        self.callers.tell_what_is_due(&status, near + 1, all + 1);
         let newer =
             self.directory.with_newer_site(self.site_version(), &mut *self.rng.borrow_mut());
         if let Some(link) = newer {
@@ -358,59 +338,6 @@
         }
     }
 
-    /// Tells other nodes of a state that has changed, and of the target's work where that is due.
-    fn tell_what_changed(&self, status: &Status) {
-        let told = self.told_status.borrow();
-        let is_urgent = status.roots.len() != told.roots.len() || status.ready != told.ready;
-        let is_changed = !status.is_same_but_for_work(&told);
-        drop(told);
-        let last = self.told_status_at.get();
-        let is_due = last.is_none_or(|last| last.elapsed() >= TELL_STATUS_EVERY);
-        if is_urgent || (is_due && is_changed) {
-            self.tell_status();
-            return;
-        }
-        let (near, all) = self.directory.siblings(&status.service);
-        for (is_near, targets) in [(true, near + 1), (false, all + 1)] {
-            if self.report(is_near).get().is_due(status.load, targets, Instant::now()) {
-                self.tell_load(is_near);
-            }
-        }
-    }
-
-    /// What the nodes of the own failure domain, or all others, were told of the target's work.
-    fn report(&self, is_near: bool) -> &Cell<LoadReport> {
-        if is_near { &self.near_report } else { &self.far_report }
-    }
-
-    /// Notes that they are being told.
-    fn note_report(&self, is_near: bool) {
-        let report = self.report(is_near);
-        let mut noted = report.get();
-        noted.note(self.target.load(), Instant::now());
-        report.set(noted);
-    }
-
-    /// Tells the nodes of the own failure domain, or all others, what the target has to do.
-    fn tell_load(&self, is_near: bool) {
-        self.note_report(is_near);
-        for caller in self.callers.borrow().iter() {
-            if caller.is_near == is_near {
-                self.tell_load_on(&caller.link);
-            }
-        }
-    }
-
-    /// Tells what the target has to do over one link.
-    pub fn tell_load_on(&self, link: &Link) {
-        // The levels go by how much of each route a target runs, which only a whole status tells.
-        let frame = match self.settings.overload.policy {
-            Policy::Levels => Frame::Status(self.status()),
-            Policy::Open | Policy::Windows => Frame::Load(self.target.load()),
-        };
-        link.send(&frame);
-    }
-
     /// Asks for the configuration where the other node has a newer one.
     pub fn want_site(&self, status: &Status, link: &Link) {
         if status.site_version > self.site_version() {
@@ -490,26 +417,7 @@
 
     /// Tells the state of the node to all that call it.
     pub fn tell_status(&self) {
-        self.told_status_at.set(Some(Instant::now()));
-        self.note_report(true);
-        self.note_report(false);
-        let status = self.status();
-        self.told_status.replace(status.clone());
-        let frame = Frame::Status(status);
-        for caller in self.callers.borrow().iter() {
-            caller.link.send(&frame);
-        }
-    }
-
-    /// Adds a link on which another node calls this one.
-    pub fn add_caller(&self, link: &Rc<Link>, failure_domain: &str) {
-        let is_near = failure_domain == self.settings.node.failure_domain;
-        self.callers.borrow_mut().push(Caller { link: Rc::clone(link), is_near });
-    }
-
-    /// Removes a link on which another node called this one.
-    pub fn remove_caller(&self, link: &Rc<Link>) {
-        self.callers.borrow_mut().retain(|known| !Rc::ptr_eq(&known.link, link));
+        self.callers.tell_status(&self.status());
     }
 
     /// The links that this node has dialled.
--- a/src/mesh/peers.rs
+++ b/src/mesh/peers.rs
@@ -182,7 +182,7 @@
             for incarnation in &hello.left_incarnations {
                 node.target.leave(incarnation);
             }
-            node.add_caller(&link, &hello.failure_domain);
+            node.callers.add(&link, &hello.failure_domain);
             link.send(&Frame::Hello(node.hello(Vec::new())));
         }
         Frame::Call(call) => {
@@ -196,7 +196,7 @@
                 call.abort();
             }
         }
-        Frame::Ping => node.tell_load_on(&link),
+        Frame::Ping => link.send(&node.callers.load_frame(&node.status())),
         Frame::NeighboursWanted => link.send(&Frame::Neighbours(node.directory.neighbours())),
         Frame::SiteWanted => {
             if let Some(in_force) = node.in_force() {
@@ -214,7 +214,7 @@
     for (_, call) in running.borrow_mut().drain() {
         call.abort();
     }
-    node.remove_caller(&link);
+    node.callers.remove(&link);
 }
 
 /// Runs one call and sends its end.
