--- a/tests/mesh/links.rs
+++ b/tests/mesh/links.rs
@@ -2,15 +2,22 @@
 
 use std::time::Duration;
 
+use aspenspring::mesh::codec::Encoder;
 use aspenspring::mesh::follower::Role;
-use aspenspring::mesh::frame::Load;
+use aspenspring::mesh::frame::{Frame, Hello, Load, Status};
 use aspenspring::mesh::peers;
 use aspenspring::mesh::report::LoadReport;
+use bytes::BytesMut;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
-use super::support::{Reaction, acquaint, run, start};
+use super::support::{
+    Reaction, acquaint, ask, incarnation, request, run, start, status, unused_address,
+};
 
 /// How often a node looks whether a report is due.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
@@ -140,3 +147,61 @@
         }
     });
 }
+
+/// A node that says hello on every link with the given state, and nothing else ever after.
+async fn start_silent(state: Status) -> std::net::SocketAddr {
+    let address = unused_address();
+    let listener = TcpListener::bind(address).await.unwrap();
+    spawn_local(async move {
+        let mut silent = Vec::new();
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let hello = Hello {
+                address,
+                failure_domain: "a".to_owned(),
+                status: state.clone(),
+                left_incarnations: Vec::new(),
+            };
+            let mut bytes = BytesMut::new();
+            Encoder::default().encode(&Frame::Hello(hello), &mut bytes);
+            stream.write_all(&bytes).await.unwrap();
+            silent.push(stream);
+        }
+    });
+    address
+}
+
+#[test]
+fn a_call_on_a_link_that_has_fallen_silent_ends_long_before_its_time_is_over() {
+    run(async {
+        let entry = start("page-1", "page", vec![Reaction::Answer(200, 0)]).await;
+        let load = Load { running: 0, waiting: 0, limit: 9 };
+        let incarnation = incarnation("stock-1", 0);
+        let service = "stock".to_owned();
+        let state = Status { service, incarnation, ready: true, load, ..Status::default() };
+        peers::meet(&entry.node, start_silent(state).await, "a");
+        while entry.node.directory.linked() == 0 {
+            sleep(Duration::from_millis(5)).await;
+        }
+        let began = Instant::now();
+        // It may have run, so that it is not offered again and the caller is told so.
+        assert_eq!(status(&ask(&entry, &request("book", "a1")).await), 502);
+        let took = began.elapsed();
+        assert!(took < Duration::from_secs(4), "{took:?} of the 5 s of the route");
+    });
+}
+
+#[test]
+fn a_configuration_that_does_not_come_is_asked_for_elsewhere() {
+    run(async {
+        let node = start("page-1", "page", vec![Reaction::Answer(200, 0)]).await;
+        let state = Status { site_version: 9, ..Status::default() };
+        peers::meet(&node.node, start_silent(state).await, "a");
+        let other = start("page-2", "page", vec![Reaction::Answer(200, 0)]).await;
+        other.node.take_document(&"5".into(), "test").unwrap();
+        peers::meet(&node.node, other.node.settings.listen.peers, "a");
+        while node.node.site_version() != 5 {
+            sleep(Duration::from_millis(20)).await;
+        }
+    });
+}
