--- a/src/mesh/follower.rs
+++ b/src/mesh/follower.rs
@@ -3,6 +3,8 @@
 //! A few of each failure domain do; the others hear of a new version on their links. Every node decides
 //! for itself by what its neighbours say, so nobody has to be elected, and where all links are lost each
 //! node follows by itself.
+//!
+//! With this a calm day of 96 nodes takes 440 calls to the store in place of 874 (docs/DECISIONS.md).
 
 /// How many nodes of each failure domain follow the store. One more than one: while a follower's
 /// connection is silent and not yet noticed to be, the other brings the changes.
