Show who follows the store, and for how long it has said nothing

The record of the late configuration has nothing of the nodes, and what they wrote on the code as it is cannot tell a store that has nothing new from one that has lost the question: after StoreAway a node wrote nothing until it was answered, and who followed at all was not to be seen.

FollowerChanged tells a node's part, asked_ms of StoreAway how long the question had waited, and two metrics the same at any moment. What a node knows of the store is an aggregate of its own (StoreWatch). No decision changes.

--- a/src/event.rs
+++ b/src/event.rs
@@ -219,6 +219,8 @@
         store: &'static str,
         /// What went wrong.
         detail: String,
+        /// How long the question that failed had waited for its answer, in milliseconds.
+        asked_ms: u64,
     }
     /// The platform's service answers again.
     401 Info StoreBack {
@@ -413,6 +415,11 @@
         /// What was noticed.
         detail: String,
     }
+    /// What the node does about the configuration in the store has changed.
+    1022 Info FollowerChanged {
+        /// `follows`, `substitutes` (for others that do not reach the store) or `hears`.
+        role: &'static str,
+    }
     /// Requests of a route began to be refused for want of room further down, or no longer are.
     1030 Info AdmissionChanged {
         /// The route.
--- a/src/explain/cause.rs
+++ b/src/explain/cause.rs
@@ -237,13 +237,14 @@
 
 /// The lines of `node`, or about it, that were written around a step.
 fn context(step: &Step, node: &str, lines: &[Line]) -> Vec<Line> {
-    const ABOUT_NODES: [&str; 9] = [
+    const ABOUT_NODES: [&str; 10] = [
         "MeshStarted",
         "LeavingStarted",
         "LeavingFinished",
         "TargetChanged",
         "AdmissionChanged",
         "LinkLost",
+        "FollowerChanged",
         "StoreAway",
         "StoreBack",
         "ConfigInForce",
--- a/src/mesh/follower.rs
+++ b/src/mesh/follower.rs
@@ -6,14 +6,21 @@
 //!
 //! With this a calm day of 96 nodes takes 440 calls to the store in place of 874 (docs/DECISIONS.md).
 
+use std::cell::Cell;
+use std::time::Duration;
+
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
 /// How many nodes of each failure domain follow the store. One more than one: while a follower's
 /// connection is silent and not yet noticed to be, the other brings the changes.
 const FOLLOWERS_PER_DOMAIN: usize = 2;
 
 /// What a node does about the configuration in the store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Role {
     /// It follows the store.
+    #[default]
     Follows,
     /// It follows the store in place of others that do not reach it.
     Substitutes,
@@ -33,4 +40,62 @@
             Self::Hears
         }
     }
+
+    /// The name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Follows => "follows",
+            Self::Substitutes => "substitutes",
+            Self::Hears => "hears",
+        }
+    }
+}
+
+/// What a node knows of the store, and of its part in following it.
+#[derive(Debug)]
+pub struct StoreWatch {
+    /// Whether the store answered the last call.
+    pub reaches_store: Cell<bool>,
+    /// Wakes whoever follows the store where this node has to.
+    pub to_follow: Notify,
+    role: Cell<Role>,
+    heard: Cell<Instant>,
+}
+
+impl Default for StoreWatch {
+    fn default() -> Self {
+        Self {
+            reaches_store: Cell::new(true),
+            to_follow: Notify::new(),
+            role: Cell::default(),
+            heard: Cell::new(Instant::now()),
+        }
+    }
+}
+
+impl StoreWatch {
+    /// What the node does about the store.
+    pub fn role(&self) -> Role {
+        self.role.get()
+    }
+
+    /// Takes on a role. Says whether it is another one than before.
+    pub fn take_role(&self, role: Role) -> bool {
+        if role != Role::Hears {
+            self.to_follow.notify_one();
+        }
+        self.role.replace(role) != role
+    }
+
+    /// Notes that the store has answered.
+    pub fn note_heard(&self) {
+        self.reaches_store.set(true);
+        self.heard.set(Instant::now());
+    }
+
+    /// For how long the store has answered no question of this node about the configuration. In a calm time
+    /// it grows up to the time for which the store is asked to wait; more means that a question is lost.
+    pub fn silence(&self) -> Duration {
+        self.heard.get().elapsed()
+    }
 }
--- a/src/mesh/metrics.rs
+++ b/src/mesh/metrics.rs
@@ -7,6 +7,7 @@
 use metrics::{Counter, Gauge, Histogram, counter, gauge, histogram, with_local_recorder};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle, PrometheusRecorder};
 
+use super::follower::Role;
 use super::node::Node;
 
 /// Upper bounds of the buckets of latencies, in seconds.
@@ -79,6 +80,8 @@
             ("aspenspring_mesh_in_flight", node.in_flight.get() as f64),
             ("aspenspring_mesh_held_bytes", node.held_bytes.get() as f64),
             ("aspenspring_mesh_site_version", node.site_version() as f64),
+            ("aspenspring_mesh_store_silent_seconds", node.store_watch.silence().as_secs_f64()),
+            ("aspenspring_mesh_follows_store", follows_store(node)),
             ("aspenspring_mesh_peers_linked", node.directory.linked() as f64),
             ("aspenspring_mesh_log_left_out", node.log.suppressed_total() as f64),
         ] {
@@ -103,6 +106,14 @@
     }
 }
 
+/// 1 for a node that follows the store, 0 for one that hears of changes from others.
+fn follows_store(node: &Node) -> f64 {
+    match node.store_watch.role() {
+        Role::Follows | Role::Substitutes => 1.0,
+        Role::Hears => 0.0,
+    }
+}
+
 impl Default for MeshMetrics {
     fn default() -> Self {
         Self::new()
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -9,7 +9,6 @@
 use eyre::bail;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::event::{EventLog, LogEvent};
@@ -18,7 +17,7 @@
 use super::budget::RetryBudgets;
 use super::callers::Callers;
 use super::directory::Directory;
-use super::follower::Role;
+use super::follower::{Role, StoreWatch};
 use super::frame::{Frame, Hello, RootWork, Status};
 use super::incarnation::Incarnation;
 use super::link::Link;
@@ -101,10 +100,8 @@
     pub has_looked_around: Cell<bool>,
     /// Whether all other nodes were read of in the store.
     pub has_read_nodes: Cell<bool>,
-    /// Whether the store answered the last call.
-    pub reaches_store: Cell<bool>,
-    /// Wakes whoever follows the store where this node has to.
-    pub to_follow_store: Notify,
+    /// The store, and this node's part in following it.
+    pub store_watch: StoreWatch,
     in_force: RefCell<Option<InForce>>,
     read_site: ReadSite,
     /// When the node was told to stop.
@@ -143,8 +140,7 @@
             metrics: MeshMetrics::new(),
             has_looked_around: Cell::default(),
             has_read_nodes: Cell::default(),
-            reaches_store: Cell::new(true),
-            to_follow_store: Notify::new(),
+            store_watch: StoreWatch::default(),
             in_force: RefCell::default(),
             read_site,
             stopping_since: Cell::default(),
@@ -276,7 +272,7 @@
             ready: current.is_some() && self.takes_calls(),
             cold: current.is_some_and(|known| known.is_cold),
             site_version: self.site_version(),
-            reaches_store: self.reaches_store.get() && !self.is_stopping(),
+            reaches_store: self.store_watch.reaches_store.get() && !self.is_stopping(),
             roots: self.root_work(),
             left: self.target.left(),
             load: self.target.load(),
@@ -325,9 +321,7 @@
         if let Some(link) = newer {
             self.ask_for_site(&link);
         }
-        if self.follower_role() != Role::Hears {
-            self.to_follow_store.notify_one();
-        }
+        self.follow_store();
         let Some(site) = self.site() else { return };
         let services = self.directory.services(&status);
         let entries = self.directory.linked() + 1;
@@ -370,10 +364,13 @@
         true
     }
 
-    /// Whether this node follows the store, for itself and for others.
-    pub fn follower_role(&self) -> Role {
+    /// Decides whether this node follows the store, for itself and for others.
+    fn follow_store(&self) {
         let (with_store, all) = self.directory.near_before();
-        Role::of(with_store, all)
+        let role = Role::of(with_store, all);
+        if self.store_watch.take_role(role) {
+            self.log.emit(&LogEvent::FollowerChanged { role: role.name() });
+        }
     }
 
     /// Writes which routes have begun to be refused for want of room, or no longer are.
--- a/src/platform/members.rs
+++ b/src/platform/members.rs
@@ -32,15 +32,18 @@
     let started = Instant::now();
     let mut store = Store::new(address);
     let mut pause = PAUSE_MIN;
+    let mut asked = started;
     while let Err(error) = announce(&node, &mut store).await {
         let detail = format!("the list of nodes: {error:#}");
-        node.log.emit(&LogEvent::StoreAway { store: "table", detail });
+        let asked_ms = asked.elapsed().as_millis() as u64;
+        node.log.emit(&LogEvent::StoreAway { store: "table", detail, asked_ms });
         if started.elapsed() > WITHOUT_STORE {
             node.has_looked_around.set(true);
         }
         let spread = rand::rng().random_range(0.5..1.5);
         sleep(pause.mul_f64(spread)).await;
         pause = (pause * 2).min(PAUSE_MAX);
+        asked = Instant::now();
     }
     node.has_read_nodes.set(true);
     sleep(ACQUAINT).await;
--- a/src/platform/watch.rs
+++ b/src/platform/watch.rs
@@ -38,14 +38,15 @@
     let mut away_since: Option<Instant> = None;
     loop {
         // What is in force is read at the start; whoever does not follow hears of the next on its links.
-        while version.is_some() && node.follower_role() == Role::Hears {
-            node.to_follow_store.notified().await;
+        while version.is_some() && node.store_watch.role() == Role::Hears {
+            node.store_watch.to_follow.notified().await;
         }
+        let asked = Instant::now();
         match follow(&node, &mut store, version).await {
             Ok(seen) => {
                 version = seen;
                 pause = PAUSE_MIN;
-                node.reaches_store.set(true);
+                node.store_watch.note_heard();
                 if let Some(since) = away_since.take() {
                     let away_ms = since.elapsed().as_millis() as u64;
                     node.log.emit(&LogEvent::StoreBack { store: "table", away_ms });
@@ -55,14 +56,15 @@
                 if away_since.is_none() {
                     away_since = Some(Instant::now());
                     let detail = format!("{error:#}");
-                    node.log.emit(&LogEvent::StoreAway { store: "table", detail });
+                    let asked_ms = asked.elapsed().as_millis() as u64;
+                    node.log.emit(&LogEvent::StoreAway { store: "table", detail, asked_ms });
                 }
                 if away_since.is_some_and(|since| since.elapsed() > AWAY_AFTER) {
-                    node.reaches_store.set(false);
+                    node.store_watch.reaches_store.set(false);
                 }
                 let spread = rand::rng().random_range(0.5..1.5);
                 sleep(pause.mul_f64(spread)).await;
-                pause = (pause * 2).min(pause_max(node.follower_role()));
+                pause = (pause * 2).min(pause_max(node.store_watch.role()));
             }
         }
     }
