--- a/tests/platform/process.rs
+++ b/tests/platform/process.rs
@@ -13,6 +13,10 @@
 
 /// How long anything may take.
 const PATIENCE: Duration = Duration::from_secs(30);
+/// After the store has worked for this long again, a node has to keep to all bounds.
+const CONTACT: Duration = Duration::from_secs(3);
+/// How long a configuration may take to come into force.
+const CONFIG_APPLY: Duration = Duration::from_secs(2);
 
 /// A node as a process; killed when dropped.
 struct Process {
@@ -128,10 +132,14 @@
     })
 }
 
-fn wait_for(mut is_true: impl FnMut() -> bool) {
+fn wait_for(is_true: impl FnMut() -> bool) {
+    wait_at_most(PATIENCE, is_true);
+}
+
+fn wait_at_most(patience: Duration, mut is_true: impl FnMut() -> bool) {
     let began = Instant::now();
     while !is_true() {
-        assert!(began.elapsed() < PATIENCE, "waited in vain");
+        assert!(began.elapsed() < patience, "waited {patience:?} in vain");
         thread::sleep(Duration::from_millis(10));
     }
 }
@@ -348,3 +356,22 @@
     store.set_away(false);
     wait_for(|| nodes.iter().all(|node| node.site_version() == "8"));
 }
+
+/// Callers were served by the old share of a route, seconds after a newer configuration had been
+/// acknowledged. The store had been silent: it took connections and requests and answered none. What the
+/// nodes were waiting for at the store was lost in that time, and until they gave it up, long after the
+/// store had come back, none of them knew of the change; so none could tell the others.
+#[test]
+fn a_question_that_a_silent_store_has_lost_is_asked_anew_in_time() {
+    let store = Store::start();
+    store.put("op", "config", &document(4, "/look/"));
+    let nodes = [Process::start(&store, "one"), Process::start(&store, "two")];
+    wait_for(|| nodes.iter().all(Process::is_ready) && store.followers() == 2);
+    store.set_silent(true);
+    store.put("op", "config", &document(5, "/look/"));
+    wait_for(|| store.lost() >= 2);
+    store.set_silent(false);
+    thread::sleep(CONTACT);
+    store.put("op", "config", &document(6, "/look/"));
+    wait_at_most(CONFIG_APPLY, || nodes.iter().all(|node| node.site_version() == "6"));
+}
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -21,6 +21,9 @@
     /// Versions up to this one are forgotten.
     forgotten: u64,
     is_away: bool,
+    is_silent: bool,
+    /// Connections on which an answer was lost; they stay open and deliver nothing more.
+    lost: Vec<TcpStream>,
     /// The version after which changes of the operator's table were asked for last.
     asked_after: u64,
     /// How many wait for changes of the operator's table.
@@ -64,6 +67,17 @@
         changed.notify_all();
     }
 
+    /// Takes connections and requests from now on and answers none, or only those that come then: what was
+    /// asked or fell due in the silence is never answered.
+    pub fn set_silent(&self, is_silent: bool) {
+        self.state.0.lock().unwrap().is_silent = is_silent;
+    }
+
+    /// How many answers were lost in the silence.
+    pub fn lost(&self) -> usize {
+        self.state.0.lock().unwrap().lost.len()
+    }
+
     /// Forgets what has changed so far, but not the rows.
     pub fn forget(&self) {
         let (state, changed) = &*self.state;
@@ -96,7 +110,14 @@
         let mut reader = BufReader::new(stream.try_clone().unwrap());
         let mut writer = stream;
         while let Some((path, body)) = read_request(&mut reader) {
+            let was_silent = self.state.0.lock().unwrap().is_silent;
             let (status, answer) = self.answer(&path, &body);
+            let mut state = self.state.0.lock().unwrap();
+            if was_silent || state.is_silent {
+                state.lost.push(writer);
+                return;
+            }
+            drop(state);
             let text = answer.to_string();
             let length = text.len();
             let head = format!("HTTP/1.1 {status} X\r\nContent-Length: {length}\r\n\r\n{text}");
