Play series of overlapping faults on real nodes, and hold them to the promises

The soak starts six nodes of two failure domains with targets and callers of their own; stops, kills, standstills, reloads, and a store that is away, silent or forgets come as a seed draws them, while configurations come in quick succession.

The process harness of the adapter's tests is a file of its own now.

--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -1,6 +1,8 @@
 //! The adapter to the users' platform: what it reads, and that its names stay in its folder.
 
+mod node;
 mod process;
+mod soak;
 mod store;
 
 use std::fs;
--- a/tests/platform/process.rs
+++ b/tests/platform/process.rs
@@ -1,14 +1,11 @@
 //! The real program with the platform's settings file, against stand-ins for the store and a target.
 
-use std::fs;
-use std::io::{BufReader, Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener};
 use std::thread;
 use std::time::{Duration, Instant};
 
+use super::node::{Place, Process};
 use super::store::{Store, read_request};
 
 /// How long anything may take.
@@ -18,108 +15,19 @@
 /// How long a configuration may take to come into force.
 const CONFIG_APPLY: Duration = Duration::from_secs(2);
 
-/// A node as a process; killed when dropped.
-struct Process {
-    child: Child,
-    ip: Ipv4Addr,
-    folder: PathBuf,
+/// Starts a node of the service `stock` and its target, which answers with its own name.
+fn start(store: &Store, name: &str) -> Process {
+    let mut process =
+        Process::prepare(store, &Place { name, failure_domain: "a", service: "stock" });
+    serve_target(process.target_address(), name.to_owned());
+    process.start();
+    process
 }
 
-impl Drop for Process {
-    fn drop(&mut self) {
-        drop(self.child.kill());
-        drop(self.child.wait());
-        drop(fs::remove_dir_all(&self.folder));
-    }
-}
-
-impl Process {
-    /// Starts a node of the service `stock` and its target, which answers with its own name.
-    fn start(store: &Store, name: &str) -> Self {
-        static NEXT: AtomicU8 = AtomicU8::new(1);
-        let last = NEXT.fetch_add(1, Ordering::Relaxed);
-        let id = std::process::id();
-        // Other tests of this machine draw from the first half of the second byte.
-        let ip = Ipv4Addr::new(127, 128 + (id >> 8) as u8 % 120, id as u8, last);
-        let folder = std::env::temp_dir().join(format!("aspenspring-test-{id}-{last}"));
-        fs::create_dir_all(&folder).unwrap();
-        let at = |port: u16| format!("{ip}:{port}");
-        let settings = serde_json::json!({
-            "node": {
-                "name": name, "failure_domain": "a", "service": "stock",
-                "memory_mb": 256, "descriptors": 1000,
-            },
-            "listen": {
-                "callers": at(7001), "readiness": at(7002), "targets": at(7003),
-                "peers": at(7004), "metrics": at(7005),
-            },
-            "target": { "address": at(7006) },
-            "store": { "address": store.address.to_string() },
-            "bounds": { "graceS": 6, "retryBudgetRatio": 0.2, "retryBudgetSlack": 49 },
-        });
-        let file = folder.join("settings.json");
-        fs::write(&file, settings.to_string()).unwrap();
-        serve_target(SocketAddr::from((ip, 7006)), name.to_owned());
-        let child = Command::new(env!("CARGO_BIN_EXE_aspenspring"))
-            .arg("mesh")
-            .env("ASPENSPRING_CONFIG", &file)
-            .stdout(fs::File::create(folder.join("log")).unwrap())
-            .stderr(Stdio::inherit())
-            .spawn()
-            .unwrap();
-        Self { child, ip, folder }
-    }
-
-    /// Sends a request to one of the node's listeners; none where it does not listen.
-    fn ask(&self, port: u16, text: &str) -> Option<String> {
-        let mut stream = TcpStream::connect((self.ip, port)).ok()?;
-        stream.set_read_timeout(Some(PATIENCE)).unwrap();
-        stream.write_all(text.as_bytes()).ok()?;
-        let mut answer = String::new();
-        stream.read_to_string(&mut answer).ok()?;
-        Some(answer)
-    }
-
-    fn get(&self, port: u16, path: &str) -> String {
-        let text = format!(
-            "GET {path} HTTP/1.1\r\nHost: shop.test\r\nAttempt-Id: a1\r\nConnection: close\r\n\r\n"
-        );
-        self.ask(port, &text).unwrap_or_default()
-    }
-
-    fn heartbeat(&self, instance: &str, sequence: u64) {
-        let body = heartbeat("stock", "ready", sequence).to_string();
-        wait_for(|| self.tell("Heartbeat", instance, &body).contains(" 200 "));
-    }
-
-    /// Sends what a target says of itself.
-    fn tell(&self, call: &str, instance: &str, body: &str) -> String {
-        let text = format!(
-            "POST /aspenspring/Instances.{call}/{instance} HTTP/1.1\r\nHost: x\r\n\
-             Connection: close\r\nContent-Length: {}\r\n\r\n{body}",
-            body.len()
-        );
-        self.ask(7003, &text).unwrap_or_default()
-    }
-
-    fn log(&self) -> String {
-        fs::read_to_string(self.folder.join("log")).unwrap()
-    }
-
-    fn signal(&self, signal: libc::c_int) {
-        // SAFETY: the child is this test's own and has not been waited for, so its id is still its.
-        assert_eq!(unsafe { libc::kill(self.child.id() as libc::pid_t, signal) }, 0);
-    }
-
-    fn is_ready(&self) -> bool {
-        self.get(7002, "/readiness").contains(" 200 ")
-    }
-
-    fn site_version(&self) -> String {
-        let text = self.get(7005, "/metrics");
-        let line = text.lines().find(|line| line.starts_with("aspenspring_mesh_site_version"));
-        line.and_then(|line| line.split(' ').nth(1)).unwrap_or_default().to_owned()
-    }
+/// Lets a target of `process` say that it is ready, until it is taken in.
+fn beat(process: &Process, instance: &str, sequence: u64) {
+    let body = heartbeat("stock", "ready", sequence).to_string();
+    wait_for(|| process.tell("Heartbeat", instance, &body).contains(" 200 "));
 }
 
 /// A heartbeat of a target that started in millisecond 5,000.
@@ -187,13 +95,13 @@
 #[test]
 fn a_node_serves_from_its_start_to_its_planned_stop() {
     let store = Store::start();
-    let mut node = Process::start(&store, "one");
+    let mut node = start(&store, "one");
     wait_for(|| store.keys("nodes").len() == 1);
     assert!(!node.is_ready(), "no configuration is known yet");
     assert!(node.get(7001, "/look/1").contains(" 503 "));
     store.put("op", "config", &document(4, "/look/"));
     wait_for(|| node.is_ready());
-    node.heartbeat("i-1", 1);
+    beat(&node, "i-1", 1);
     let answer = node.get(7001, "/look/1");
     assert!(answer.contains(" 200 ") && answer.ends_with("one"), "{answer}");
     assert!(node.get(7001, "/other/1").contains(" 404 "));
@@ -202,7 +110,7 @@
     assert!(node.get(7001, "/look/1").contains(" 200 "), "the reload signal ended it");
     node.signal(libc::SIGTERM);
     wait_for(|| !node.is_ready());
-    assert!(node.child.wait().unwrap().success());
+    assert!(node.wait().success());
     let log = node.log();
     for name in ["MeshStarted", "ConfigInForce", "TargetChanged", "LeavingFinished"] {
         assert!(log.contains(&format!("\"name\":\"{name}\"")), "{name} in {log}");
@@ -213,9 +121,9 @@
 fn a_configuration_is_in_force_whatever_the_store_does_and_never_goes_back() {
     let store = Store::start();
     store.put("op", "config", &document(4, "/look/"));
-    let node = Process::start(&store, "one");
+    let node = start(&store, "one");
     wait_for(|| node.is_ready());
-    node.heartbeat("i-1", 1);
+    beat(&node, "i-1", 1);
     store.put("op", "config", &document(9, "/new/"));
     wait_for(|| node.site_version() == "9");
     assert!(node.get(7001, "/look/1").contains(" 404 "));
@@ -246,11 +154,11 @@
 fn nodes_find_each_other_and_tell_each_other_of_a_configuration() {
     let store = Store::start();
     store.put("op", "config", &document(4, "/look/"));
-    let first = Process::start(&store, "one");
+    let first = start(&store, "one");
     wait_for(|| first.is_ready());
-    let second = Process::start(&store, "two");
+    let second = start(&store, "two");
     wait_for(|| second.is_ready());
-    second.heartbeat("i-2", 1);
+    beat(&second, "i-2", 1);
     // The first node has no target; what it takes in runs beside the second.
     wait_for(|| first.get(7001, "/look/1").ends_with("two"));
     assert_eq!(store.keys("nodes").len(), 2);
@@ -260,9 +168,9 @@
 fn what_another_writer_says_of_a_target_changes_nothing() {
     let store = Store::start();
     store.put("op", "config", &document(4, "/look/"));
-    let node = Process::start(&store, "one");
+    let node = start(&store, "one");
     wait_for(|| node.is_ready());
-    node.heartbeat("i-1", 1);
+    beat(&node, "i-1", 1);
     let mut without_slots = heartbeat("stock", "ready", 9);
     without_slots["information"]["slots"] = 0.into();
     let mut born_as_text = heartbeat("stock", "draining", 9);
@@ -289,9 +197,9 @@
 fn a_target_that_starts_again_under_its_id_serves_again() {
     let store = Store::start();
     store.put("op", "config", &document(4, "/look/"));
-    let node = Process::start(&store, "one");
+    let node = start(&store, "one");
     wait_for(|| node.is_ready());
-    node.heartbeat("i-1", 7);
+    beat(&node, "i-1", 7);
     let draining = heartbeat("stock", "draining", 8).to_string();
     assert!(node.tell("Heartbeat", "i-1", &draining).contains(" 200 "));
     assert!(node.get(7001, "/look/1").contains(" 503 "), "it is leaving");
@@ -315,11 +223,11 @@
     // One sorts before, one behind the rows of nodes.
     store.put("nodes", "!nowhere", b"a");
     store.put("nodes", "~", &[0xff]);
-    let first = Process::start(&store, "one");
+    let first = start(&store, "one");
     wait_for(|| first.is_ready());
-    let second = Process::start(&store, "two");
+    let second = start(&store, "two");
     wait_for(|| second.is_ready());
-    second.heartbeat("i-2", 1);
+    beat(&second, "i-2", 1);
     wait_for(|| first.get(7001, "/look/1").ends_with("two"));
     store.put("op", "config", b"no configuration");
     store.put("op", "config", &document(9, "/new/"));
@@ -332,7 +240,7 @@
     store.put("op", "config", &document(4, "/look/"));
     let mut nodes = Vec::new();
     for name in ["one", "two", "three", "four", "five"] {
-        nodes.push(Process::start(&store, name));
+        nodes.push(start(&store, name));
     }
     for node in &nodes {
         wait_for(|| node.is_ready());
@@ -370,7 +278,7 @@
 fn a_question_that_a_silent_store_has_lost_is_asked_anew_in_time() {
     let store = Store::start();
     store.put("op", "config", &document(4, "/look/"));
-    let nodes = [Process::start(&store, "one"), Process::start(&store, "two")];
+    let nodes = [start(&store, "one"), start(&store, "two")];
     wait_for(|| nodes.iter().all(Process::is_ready) && store.followers() == 2);
     store.set_silent(true);
     store.put("op", "config", &document(5, "/look/"));
--- /dev/null
+++ b/tests/platform/soak/site.rs
@@ -0,0 +1,422 @@
+//! The nodes, targets and the store of a play, and what happens to them.
+
+use std::collections::HashMap;
+use std::io::{BufReader, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+
+use super::faults::Kind;
+use super::findings::Findings;
+use crate::node::{self, Place, Process, TARGETS_PORT};
+use crate::store::{Store, read_request};
+
+/// The nodes: their failure domains and services.
+const PLACES: [(&str, &str); 6] = [
+    ("a", "stock"),
+    ("a", "orders"),
+    ("a", "stock"),
+    ("b", "orders"),
+    ("b", "stock"),
+    ("b", "orders"),
+];
+/// After being left alone for this long, together with the store, a node has to keep to all bounds.
+const CONTACT: Duration = Duration::from_secs(3);
+/// How long a configuration may take to come into force.
+const CONFIG_APPLY: Duration = Duration::from_secs(2);
+/// A node that was told to stop may still run for this long.
+const GRACE: Duration = Duration::from_secs(6);
+/// Requests that come within this time after a node was told to stop are finished.
+const STOP_FINISHES: Duration = Duration::from_secs(3);
+/// How long an ended node stays down.
+const DOWN: Duration = Duration::from_millis(500);
+/// How long a probe or a heartbeat may take.
+const PROBE_PATIENCE: Duration = Duration::from_millis(800);
+/// The pause between two looks at anything.
+const LOOK_EVERY: Duration = Duration::from_millis(60);
+/// The pause between two heartbeats of a target.
+const BEAT_EVERY: Duration = Duration::from_millis(400);
+
+/// A time in which something is not as it should be.
+#[derive(Clone, Copy, Debug)]
+struct Span {
+    from: Instant,
+    /// Open while it lasts.
+    until: Option<Instant>,
+}
+
+impl Span {
+    fn touches(&self, from: Instant, until: Instant) -> bool {
+        self.from <= until && self.until.is_none_or(|end| end >= from)
+    }
+}
+
+/// Spans that may still be going on.
+#[derive(Default)]
+struct Spans(Mutex<Vec<Span>>);
+
+impl Spans {
+    fn begin(&self) -> usize {
+        let mut spans = self.0.lock().unwrap();
+        spans.push(Span { from: Instant::now(), until: None });
+        spans.len() - 1
+    }
+
+    fn end(&self, place: usize) {
+        self.0.lock().unwrap()[place].until = Some(Instant::now());
+    }
+
+    fn touch(&self, from: Instant, until: Instant) -> bool {
+        self.0.lock().unwrap().iter().any(|span| span.touches(from, until))
+    }
+}
+
+/// A node with its target.
+pub struct Member {
+    pub ip: Ipv4Addr,
+    process: Mutex<Process>,
+    /// Which start of the process this is.
+    life: AtomicU64,
+    /// Whether the process was killed or stood still since its last start.
+    is_harmed: AtomicBool,
+    /// When the process was told to stop, since its last start.
+    told_to_stop: Mutex<Option<Instant>>,
+    /// Kills and standstills, until it runs again.
+    harm: Spans,
+    /// Planned stops, until it runs again.
+    stops: Spans,
+}
+
+impl Member {
+    /// Whether nothing happened to the node that excuses a cut: it was neither killed nor stood still, and a
+    /// request that came long after it had been told to stop is not counted.
+    pub fn is_undisturbed(&self, asked: Instant, ended: Instant) -> bool {
+        let told = *self.told_to_stop.lock().unwrap();
+        let is_late = told.is_some_and(|told| asked > told + STOP_FINISHES);
+        !is_late && !self.harm.touch(asked, ended)
+    }
+
+    /// Whether the node was left alone from long enough before `asked` until `ended`.
+    pub fn is_in_touch(&self, asked: Instant, ended: Instant) -> bool {
+        let from = asked - CONTACT;
+        !self.harm.touch(from, ended) && !self.stops.touch(from, ended)
+    }
+
+    fn signal(&self, signal: libc::c_int) {
+        self.process.lock().unwrap().signal(signal);
+    }
+
+    fn ask(&self, port: u16, text: &str) -> Option<String> {
+        node::ask(SocketAddr::from((self.ip, port)), text, PROBE_PATIENCE)
+    }
+
+    fn get(&self, port: u16, path: &str, attempt: &str) -> Option<String> {
+        let text = format!(
+            "GET {path} HTTP/1.1\r\nHost: shop.test\r\nAttempt-Id: {attempt}\r\n\
+             Connection: close\r\n\r\n"
+        );
+        self.ask(port, &text)
+    }
+
+    fn version(&self) -> Option<u64> {
+        node::version_in(&self.get(7005, "/metrics", "p")?).parse().ok()
+    }
+}
+
+/// Everything of one play.
+pub struct Site {
+    pub members: Vec<Member>,
+    store: Store,
+    /// Whether the store is away or silent, or has just forgotten something.
+    store_trouble: Spans,
+    /// The versions that the store has acknowledged, and when.
+    acknowledged: Mutex<Vec<(u64, Instant)>>,
+    runs: Arc<Mutex<HashMap<String, u32>>>,
+    is_stopped: Arc<AtomicBool>,
+}
+
+impl Site {
+    /// Starts all of it, and waits until it is served.
+    pub fn start(seed: u64) -> Self {
+        let store = Store::start();
+        store.put("op", "config", &document(1));
+        let (runs, is_stopped) = (Arc::default(), Arc::default());
+        let mut members = Vec::new();
+        for (index, (failure_domain, service)) in PLACES.into_iter().enumerate() {
+            let name = format!("soak-{seed}-{index}");
+            let place = Place { name: &name, failure_domain, service };
+            let mut process = Process::prepare(&store, &place);
+            serve(process.target_address(), name.clone(), Arc::clone(&runs));
+            beat(process.ip, service, name.clone(), Arc::clone(&is_stopped));
+            process.start();
+            members.push(Member {
+                ip: process.ip,
+                process: Mutex::new(process),
+                life: AtomicU64::default(),
+                is_harmed: AtomicBool::default(),
+                told_to_stop: Mutex::default(),
+                harm: Spans::default(),
+                stops: Spans::default(),
+            });
+        }
+        let acknowledged = Mutex::new(vec![(1, Instant::now())]);
+        let store_trouble = Spans::default();
+        let site = Self { members, store, store_trouble, acknowledged, runs, is_stopped };
+        assert!(site.wait_until_served(Duration::from_secs(30)).is_some(), "it never was served");
+        site
+    }
+
+    /// Ends the play.
+    pub fn stop(&self) {
+        self.is_stopped.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the play has ended.
+    pub fn is_stopped(&self) -> bool {
+        self.is_stopped.load(Ordering::Relaxed)
+    }
+
+    /// What the targets have run, and how often.
+    pub fn runs(&self) -> HashMap<String, u32> {
+        let mut runs = self.runs.lock().unwrap().clone();
+        runs.retain(|attempt, _| !attempt.starts_with("probe"));
+        runs
+    }
+
+    /// Waits until every node serves both routes; gives how long it took.
+    pub fn wait_until_served(&self, patience: Duration) -> Option<Duration> {
+        let began = Instant::now();
+        loop {
+            let mut is_served = true;
+            for member in &self.members {
+                for route in ["look", "book"] {
+                    let answer = member.get(node::CALLERS_PORT, &format!("/{route}/x"), "probe");
+                    is_served &= answer.is_some_and(|answer| answer.contains(" 200 "));
+                }
+            }
+            if is_served {
+                return Some(began.elapsed());
+            }
+            if began.elapsed() > patience {
+                return None;
+            }
+            thread::sleep(LOOK_EVERY);
+        }
+    }
+
+    /// Starts nodes again that have ended, as the platform does.
+    pub fn supervise(&self, findings: &Findings) {
+        while !self.is_stopped() {
+            for (index, member) in self.members.iter().enumerate() {
+                let Some(status) = member.process.lock().unwrap().take_end() else { continue };
+                let is_harmed = member.is_harmed.load(Ordering::Relaxed);
+                if !is_harmed && !status.success() {
+                    findings.add(format!("node {index} ended with {status}"));
+                }
+                thread::sleep(DOWN);
+                member.is_harmed.store(false, Ordering::Relaxed);
+                *member.told_to_stop.lock().unwrap() = None;
+                member.life.fetch_add(1, Ordering::Relaxed);
+                member.process.lock().unwrap().start();
+            }
+            thread::sleep(LOOK_EVERY);
+        }
+    }
+
+    /// Asks all nodes which configuration is in force.
+    pub fn probe(&self, findings: &Findings) {
+        let mut seen = vec![(0, 0); self.members.len()];
+        while !self.is_stopped() {
+            for (index, member) in self.members.iter().enumerate() {
+                let (asked, life) = (Instant::now(), member.life.load(Ordering::Relaxed));
+                let Some(version) = member.version() else { continue };
+                let until = Instant::now();
+                if life != member.life.load(Ordering::Relaxed) {
+                    continue;
+                }
+                let (seen_life, seen_version) = seen[index];
+                if seen_life == life && version < seen_version {
+                    findings.add(format!("node {index} went from {seen_version} to {version}"));
+                }
+                seen[index] = (life, version);
+                let is_calm = !self.store_trouble.touch(asked - CONTACT, until);
+                let due = self.due(asked);
+                if is_calm && member.is_in_touch(asked, until) && version < due {
+                    findings.add(format!("node {index} has {version}, {due} is due"));
+                }
+            }
+            thread::sleep(LOOK_EVERY);
+        }
+    }
+
+    /// The version that has to be in force.
+    fn due(&self, now: Instant) -> u64 {
+        let acknowledged = self.acknowledged.lock().unwrap();
+        let is_due = |(_, at): &&(u64, Instant)| *at + CONFIG_APPLY <= now;
+        acknowledged.iter().filter(is_due).map(|(version, _)| *version).max().unwrap_or(0)
+    }
+
+    /// Lets a fault happen, to its end.
+    pub fn suffer(&self, kind: Kind) {
+        match kind {
+            Kind::Stop { member } => self.stop_node(&self.members[member]),
+            Kind::Kill { member } => self.harm(&self.members[member], || {}, libc::SIGKILL),
+            Kind::Freeze { member, for_ms } => {
+                let member = &self.members[member];
+                let stand_still = || {
+                    member.signal(libc::SIGSTOP);
+                    thread::sleep(Duration::from_millis(for_ms));
+                };
+                self.harm(member, stand_still, libc::SIGCONT);
+            }
+            Kind::Reload { member } => self.members[member].signal(libc::SIGHUP),
+            Kind::StoreAway { for_ms } => self.trouble_store(for_ms, Store::set_away),
+            Kind::StoreSilent { for_ms } => self.trouble_store(for_ms, Store::set_silent),
+            Kind::StoreForgets => {
+                let place = self.store_trouble.begin();
+                self.store.forget();
+                self.store_trouble.end(place);
+            }
+            Kind::Configure { count, gap_ms } => {
+                for _ in 0..count {
+                    self.configure();
+                    thread::sleep(Duration::from_millis(gap_ms));
+                }
+            }
+        }
+    }
+
+    /// Writes the next configuration.
+    fn configure(&self) {
+        let mut acknowledged = self.acknowledged.lock().unwrap();
+        let version = acknowledged.last().map_or(1, |(version, _)| version + 3);
+        self.store.put("op", "config", &document(version));
+        acknowledged.push((version, Instant::now()));
+    }
+
+    fn trouble_store(&self, for_ms: u64, set: fn(&Store, bool)) {
+        let place = self.store_trouble.begin();
+        set(&self.store, true);
+        thread::sleep(Duration::from_millis(for_ms));
+        set(&self.store, false);
+        self.store_trouble.end(place);
+    }
+
+    /// Harms a node: what `harm` does, and a signal at its end. It counts as harmed until it runs again.
+    fn harm(&self, member: &Member, harm: impl FnOnce(), signal: libc::c_int) {
+        let (place, life) = (member.harm.begin(), member.life.load(Ordering::Relaxed));
+        member.is_harmed.store(true, Ordering::Relaxed);
+        harm();
+        member.signal(signal);
+        if signal == libc::SIGKILL {
+            self.wait_for_next_life(member, life);
+        }
+        member.harm.end(place);
+    }
+
+    /// Stops a node as planned, and kills it where it outlasts its grace.
+    fn stop_node(&self, member: &Member) {
+        let (place, life) = (member.stops.begin(), member.life.load(Ordering::Relaxed));
+        member.told_to_stop.lock().unwrap().get_or_insert_with(Instant::now);
+        member.signal(libc::SIGTERM);
+        let until = Instant::now() + GRACE;
+        while member.life.load(Ordering::Relaxed) == life && Instant::now() < until {
+            thread::sleep(LOOK_EVERY);
+        }
+        if member.life.load(Ordering::Relaxed) == life {
+            self.harm(member, || {}, libc::SIGKILL);
+        }
+        member.stops.end(place);
+    }
+
+    fn wait_for_next_life(&self, member: &Member, life: u64) {
+        while member.life.load(Ordering::Relaxed) == life && !self.is_stopped() {
+            thread::sleep(LOOK_EVERY);
+        }
+    }
+
+    /// Keeps what the nodes have written.
+    pub fn keep_logs(&self) {
+        for member in &self.members {
+            member.process.lock().unwrap().keep();
+        }
+    }
+}
+
+/// A configuration: reads of `stock`, and bookings of `orders`, which may run once.
+fn document(version: u64) -> Vec<u8> {
+    let route = |name: &str, kind: &str, service: &str, attempts: u32| {
+        json!({
+            "resourceKind": "routes",
+            "metadata": { "name": name },
+            "specification": {
+                "host": "shop.test", "prefix": format!("/{name}/"), "kind": kind, "timeoutMs": 3000,
+                "targetLatencyMs": 500, "priority": 1, "service": service, "attempts": attempts,
+            },
+        })
+    };
+    let service = |name: &str| json!({ "resourceKind": "services", "metadata": { "name": name }, "specification": {} });
+    let resources = json!([
+        service("stock"),
+        service("orders"),
+        route("look", "idempotent", "stock", 2),
+        route("book", "non_idempotent", "orders", 2),
+    ]);
+    json!({ "version": format!("r{version}"), "resources": resources }).to_string().into_bytes()
+}
+
+/// Lets a target say that it is ready for as long as the play lasts.
+fn beat(ip: Ipv4Addr, service: &'static str, id: String, is_stopped: Arc<AtomicBool>) {
+    thread::spawn(move || {
+        let mut sequence = 0;
+        while !is_stopped.load(Ordering::Relaxed) {
+            sequence += 1;
+            let body = json!({
+                "address": "x", "born": 5_000,
+                "information": { "service": service, "version": "v1", "zone": "a", "slots": 16 },
+                "status": { "state": "ready", "sequence": sequence, "coldRemainingMs": 0 },
+            });
+            let text = node::farewell_or_beat("Heartbeat", &id, &body.to_string());
+            // A node that is down hears the next one.
+            drop(node::ask(SocketAddr::from((ip, TARGETS_PORT)), &text, PROBE_PATIENCE));
+            thread::sleep(BEAT_EVERY);
+        }
+    });
+}
+
+/// A target that notes what it runs and answers with its name and the id of the attempt.
+fn serve(address: SocketAddr, name: String, runs: Arc<Mutex<HashMap<String, u32>>>) {
+    let listener = TcpListener::bind(address).unwrap();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (stream, name, runs) = (stream.unwrap(), name.clone(), Arc::clone(&runs));
+            thread::spawn(move || {
+                let mut writer = stream.try_clone().unwrap();
+                let mut reader = BufReader::new(stream);
+                while let Some((path, _)) = read_request(&mut reader) {
+                    let attempt = path.rsplit('/').next().unwrap_or_default().to_owned();
+                    let attempt = if attempt == "x" { "probe".to_owned() } else { attempt };
+                    *runs.lock().unwrap().entry(attempt.clone()).or_default() += 1;
+                    thread::sleep(work(&attempt));
+                    let body = format!("{name} {attempt}");
+                    let answer = format!(
+                        "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Signature: {name}\r\n\
+                         Content-Length: {}\r\n\r\n{body}",
+                        body.len()
+                    );
+                    drop(writer.write_all(answer.as_bytes()));
+                }
+            });
+        }
+    });
+}
+
+/// How long a request takes: not long, but for one in twenty, so that some run whatever happens.
+fn work(attempt: &str) -> Duration {
+    let drawn = attempt.bytes().fold(7_u64, |sum, byte| sum * 31 % 1_009 + u64::from(byte));
+    Duration::from_millis(if drawn % 20 == 0 { 700 } else { 5 + drawn % 50 })
+}
