--- a/tests/platform/soak/mod.rs
+++ b/tests/platform/soak/mod.rs
@@ -20,7 +20,7 @@
 
 use self::faults::Fault;
 use self::findings::{Findings, Report};
-use self::site::Site;
+use self::site::{CONFIG_APPLY, CONTACT, Site};
 
 /// The seeds that every run of the tests plays.
 const SEEDS: Range<u64> = 1..3;
@@ -32,6 +32,8 @@
 const FAULTS_FOR: Duration = Duration::from_secs(18);
 /// Within this time after the last fault everything must be served again.
 const RECOVERY: Duration = Duration::from_secs(15);
+/// Within this time all nodes are asked for the configuration in force.
+const PROBED_WITHIN: Duration = Duration::from_millis(700);
 /// How many callers there are.
 const CALLERS: u64 = 24;
 
@@ -93,6 +95,10 @@
             fault.join().expect("a fault comes to its end");
         }
         served = site.wait_until_served(RECOVERY);
+        // Whatever the faults have left behind: a change that comes now has to be in force in time.
+        thread::sleep(CONTACT);
+        site.configure();
+        thread::sleep(CONFIG_APPLY + PROBED_WITHIN);
         site.stop();
     });
     if served.is_none() {
--- a/tests/platform/soak/site.rs
+++ b/tests/platform/soak/site.rs
@@ -25,9 +25,9 @@
     ("b", "orders"),
 ];
 /// After being left alone for this long, together with the store, a node has to keep to all bounds.
-const CONTACT: Duration = Duration::from_secs(3);
+pub const CONTACT: Duration = Duration::from_secs(3);
 /// How long a configuration may take to come into force.
-const CONFIG_APPLY: Duration = Duration::from_secs(2);
+pub const CONFIG_APPLY: Duration = Duration::from_secs(2);
 /// A node that was told to stop may still run for this long.
 const GRACE: Duration = Duration::from_secs(6);
 /// Requests that come within this time after a node was told to stop are finished.
@@ -291,7 +291,7 @@
     }
 
     /// Writes the next configuration.
-    fn configure(&self) {
+    pub fn configure(&self) {
         let mut acknowledged = self.acknowledged.lock().unwrap();
         let version = acknowledged.last().map_or(1, |(version, _)| version + 3);
         self.store.put("op", "config", &document(version));
