Say once what the own failure domain is, and keep what a node knows of the store closed

Read as a newcomer: three places of the directory compared failure domains each by itself, and whoever held a node could set whether it reaches the store. No decision changes.

--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -183,6 +183,11 @@
         self.peers.borrow_mut().remove(&address);
     }
 
+    /// Whether another node is in the own failure domain.
+    fn is_near(&self, peer: &Peer) -> bool {
+        *peer.failure_domain.borrow() == self.own_failure_domain
+    }
+
     /// How many other nodes are connected.
     pub fn linked(&self) -> usize {
         self.peers.borrow().values().filter(|peer| peer.open_link().is_some()).count()
@@ -198,7 +203,7 @@
                 continue;
             }
             all += 1;
-            near += usize::from(*peer.failure_domain.borrow() == self.own_failure_domain);
+            near += usize::from(self.is_near(peer));
         }
         (near, all)
     }
@@ -208,8 +213,8 @@
     pub fn near_before(&self) -> (usize, usize) {
         let (mut with_store, mut all) = (0, 0);
         for peer in self.peers.borrow().values() {
-            let is_near = *peer.failure_domain.borrow() == self.own_failure_domain;
-            if !is_near || peer.address > self.own_address || peer.open_link().is_none() {
+            let is_before = peer.address < self.own_address;
+            if !is_before || !self.is_near(peer) || peer.open_link().is_none() {
                 continue;
             }
             all += 1;
@@ -264,7 +269,7 @@
                 }
             }
             let mut cost = peer.busy(now);
-            if *peer.failure_domain.borrow() != self.own_failure_domain {
+            if !self.is_near(peer) {
                 cost = cost.max(NEAR_UNTIL - FAR_COST) + FAR_COST;
             }
             cost += rng.random::<f64>() * TIE_SPREAD;
--- a/src/mesh/follower.rs
+++ b/src/mesh/follower.rs
@@ -54,12 +54,11 @@
 /// What a node knows of the store, and of its part in following it.
 #[derive(Debug)]
 pub struct StoreWatch {
-    /// Whether the store answered the last call.
-    pub reaches_store: Cell<bool>,
     /// Wakes whoever follows the store where this node has to.
     pub to_follow: Notify,
     /// Wakes whoever waits for an answer of the store when the node becomes the first of its failure domain.
     pub became_first: Notify,
+    reaches_store: Cell<bool>,
     role: Cell<Role>,
     is_first: Cell<bool>,
     heard: Cell<Instant>,
@@ -68,9 +67,9 @@
 impl Default for StoreWatch {
     fn default() -> Self {
         Self {
-            reaches_store: Cell::new(true),
             to_follow: Notify::new(),
             became_first: Notify::new(),
+            reaches_store: Cell::new(true),
             is_first: Cell::new(true),
             role: Cell::default(),
             heard: Cell::new(Instant::now()),
@@ -110,6 +109,16 @@
         self.heard.set(Instant::now());
     }
 
+    /// Notes that others are to follow the store in place of this node, until it answers again.
+    pub fn note_away(&self) {
+        self.reaches_store.set(false);
+    }
+
+    /// Whether the node reaches the store, as far as it knows.
+    pub fn reaches_store(&self) -> bool {
+        self.reaches_store.get()
+    }
+
     /// For how long the store has answered no question of this node about the configuration. In a calm time
     /// it grows up to the time for which the store is asked to wait; more means that a question is lost.
     pub fn silence(&self) -> Duration {
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -272,7 +272,7 @@
             ready: current.is_some() && self.takes_calls(),
             cold: current.is_some_and(|known| known.is_cold),
             site_version: self.site_version(),
-            reaches_store: self.store_watch.reaches_store.get() && !self.is_stopping(),
+            reaches_store: self.store_watch.reaches_store() && !self.is_stopping(),
             roots: self.root_work(),
             left: self.target.left(),
             load: self.target.load(),
--- a/src/platform/watch.rs
+++ b/src/platform/watch.rs
@@ -50,7 +50,7 @@
                     node.log.emit(&LogEvent::StoreAway { store: "table", detail, asked_ms });
                 }
                 if failure.is_away {
-                    watch.reaches_store.set(false);
+                    watch.note_away();
                 }
                 sleep_until(failure.retry_at).await;
             }
