Bound the seeds of one soak run by the addresses that it has

A run of 50 seeds ended at the 43rd: each node of a test process has an address of its own, and the process has 254 of them. The 42 seeds before it had no finding.

--- a/tests/platform/soak/mod.rs
+++ b/tests/platform/soak/mod.rs
@@ -26,6 +26,8 @@
 const SEEDS: Range<u64> = 1..3;
 /// The variable that names other seeds, as `1..41`.
 const SEEDS_ENV: &str = "SOAK_SEEDS";
+/// The most seeds of one run: every node has an address of its own, and a run has 254 of them.
+const SEEDS_MAX: usize = 40;
 /// How many seeds are played at a time.
 const AT_A_TIME: usize = 4;
 /// For how long faults come.
@@ -41,7 +43,10 @@
 fn seeds() -> Range<u64> {
     let Ok(text) = std::env::var(SEEDS_ENV) else { return SEEDS };
     let (first, end) = text.split_once("..").expect("seeds are written as 1..41");
-    first.parse().expect("the first seed")..end.parse().expect("the seed after the last one")
+    let seeds =
+        first.parse().expect("the first seed")..end.parse().expect("the seed after the last one");
+    assert!(seeds.clone().count() <= SEEDS_MAX, "a run plays {SEEDS_MAX} seeds at most");
+    seeds
 }
 
 #[test]
