--- a/tests/platform/soak/mod.rs
+++ b/tests/platform/soak/mod.rs
@@ -11,6 +11,8 @@
 mod faults;
 mod findings;
 mod site;
+mod spans;
+mod targets;
 
 use std::ops::Range;
 use std::sync::atomic::{AtomicU64, Ordering};
--- /dev/null
+++ b/tests/platform/soak/targets.rs
@@ -0,0 +1,95 @@
+//! The targets of a play, and the configuration by which they are called.
+
+use std::collections::HashMap;
+use std::io::{BufReader, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use serde_json::json;
+
+use super::site::PROBE_PATIENCE;
+use crate::node::{self, TARGETS_PORT};
+use crate::store::read_request;
+
+/// The pause between two heartbeats of a target.
+const BEAT_EVERY: Duration = Duration::from_millis(400);
+
+/// How often each attempt was run, by any target.
+pub type Runs = Arc<Mutex<HashMap<String, u32>>>;
+
+/// A configuration: reads of `stock`, and bookings of `orders`, which may run once.
+pub fn document(version: u64) -> Vec<u8> {
+    let route = |name: &str, kind: &str, service: &str, attempts: u32| {
+        json!({
+            "resourceKind": "routes",
+            "metadata": { "name": name },
+            "specification": {
+                "host": "shop.test", "prefix": format!("/{name}/"), "kind": kind, "timeoutMs": 3000,
+                "targetLatencyMs": 500, "priority": 1, "service": service, "attempts": attempts,
+            },
+        })
+    };
+    let service = |name: &str| json!({ "resourceKind": "services", "metadata": { "name": name }, "specification": {} });
+    let resources = json!([
+        service("stock"),
+        service("orders"),
+        route("look", "idempotent", "stock", 2),
+        route("book", "non_idempotent", "orders", 2),
+    ]);
+    json!({ "version": format!("r{version}"), "resources": resources }).to_string().into_bytes()
+}
+
+/// Lets a target say that it is ready for as long as the play lasts.
+pub fn beat(ip: Ipv4Addr, service: &'static str, id: String, is_stopped: Arc<AtomicBool>) {
+    thread::spawn(move || {
+        let mut sequence = 0;
+        while !is_stopped.load(Ordering::Relaxed) {
+            sequence += 1;
+            let body = json!({
+                "address": "x", "born": 5_000,
+                "information": { "service": service, "version": "v1", "zone": "a", "slots": 16 },
+                "status": { "state": "ready", "sequence": sequence, "coldRemainingMs": 0 },
+            });
+            let text = node::farewell_or_beat("Heartbeat", &id, &body.to_string());
+            // A node that is down hears the next one.
+            drop(node::ask(SocketAddr::from((ip, TARGETS_PORT)), &text, PROBE_PATIENCE));
+            thread::sleep(BEAT_EVERY);
+        }
+    });
+}
+
+/// A target that notes what it runs and answers with its name and the id of the attempt.
+pub fn serve(address: SocketAddr, name: String, runs: Runs) {
+    let listener = TcpListener::bind(address).unwrap();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (stream, name, runs) = (stream.unwrap(), name.clone(), Arc::clone(&runs));
+            thread::spawn(move || {
+                let mut writer = stream.try_clone().unwrap();
+                let mut reader = BufReader::new(stream);
+                while let Some((path, _)) = read_request(&mut reader) {
+                    let attempt = path.rsplit('/').next().unwrap_or_default().to_owned();
+                    let attempt = if attempt == "x" { "probe".to_owned() } else { attempt };
+                    *runs.lock().unwrap().entry(attempt.clone()).or_default() += 1;
+                    thread::sleep(work(&attempt));
+                    let body = format!("{name} {attempt}");
+                    let answer = format!(
+                        "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Signature: {name}\r\n\
+                         Content-Length: {}\r\n\r\n{body}",
+                        body.len()
+                    );
+                    drop(writer.write_all(answer.as_bytes()));
+                }
+            });
+        }
+    });
+}
+
+/// How long a request takes: not long, but for one in twenty, so that some run whatever happens.
+fn work(attempt: &str) -> Duration {
+    let drawn = attempt.bytes().fold(7_u64, |sum, byte| sum * 31 % 1_009 + u64::from(byte));
+    Duration::from_millis(if drawn % 20 == 0 { 700 } else { 5 + drawn % 50 })
+}
