--- a/tests/platform/process.rs
+++ b/tests/platform/process.rs
@@ -24,6 +24,20 @@
     process
 }
 
+/// The same, and waits until it takes callers.
+fn start_ready(store: &Store, name: &str) -> Process {
+    let process = start(store, name);
+    wait_for(|| process.is_ready());
+    process
+}
+
+/// A store in which the operator has written a first configuration.
+fn configured_store() -> Store {
+    let store = Store::start();
+    store.put("op", "config", &document(4, "/look/"));
+    store
+}
+
 /// Lets a target of `process` say that it is ready, until it is taken in.
 fn beat(process: &Process, instance: &str, sequence: u64) {
     let body = heartbeat("stock", "ready", sequence).to_string();
@@ -119,10 +133,8 @@
 
 #[test]
 fn a_configuration_is_in_force_whatever_the_store_does_and_never_goes_back() {
-    let store = Store::start();
-    store.put("op", "config", &document(4, "/look/"));
-    let node = start(&store, "one");
-    wait_for(|| node.is_ready());
+    let store = configured_store();
+    let node = start_ready(&store, "one");
     beat(&node, "i-1", 1);
     store.put("op", "config", &document(9, "/new/"));
     wait_for(|| node.site_version() == "9");
@@ -156,12 +168,9 @@
 
 #[test]
 fn nodes_find_each_other_and_tell_each_other_of_a_configuration() {
-    let store = Store::start();
-    store.put("op", "config", &document(4, "/look/"));
-    let first = start(&store, "one");
-    wait_for(|| first.is_ready());
-    let second = start(&store, "two");
-    wait_for(|| second.is_ready());
+    let store = configured_store();
+    let first = start_ready(&store, "one");
+    let second = start_ready(&store, "two");
     beat(&second, "i-2", 1);
     // The first node has no target; what it takes in runs beside the second.
     wait_for(|| first.get(7001, "/look/1").ends_with("two"));
@@ -170,10 +179,8 @@
 
 #[test]
 fn what_another_writer_says_of_a_target_changes_nothing() {
-    let store = Store::start();
-    store.put("op", "config", &document(4, "/look/"));
-    let node = start(&store, "one");
-    wait_for(|| node.is_ready());
+    let store = configured_store();
+    let node = start_ready(&store, "one");
     beat(&node, "i-1", 1);
     let mut without_slots = heartbeat("stock", "ready", 9);
     without_slots["information"]["slots"] = 0.into();
@@ -199,10 +206,8 @@
 
 #[test]
 fn a_target_that_starts_again_under_its_id_serves_again() {
-    let store = Store::start();
-    store.put("op", "config", &document(4, "/look/"));
-    let node = start(&store, "one");
-    wait_for(|| node.is_ready());
+    let store = configured_store();
+    let node = start_ready(&store, "one");
     beat(&node, "i-1", 7);
     let draining = heartbeat("stock", "draining", 8).to_string();
     assert!(node.tell("Heartbeat", "i-1", &draining).contains(" 200 "));
@@ -221,16 +226,13 @@
 
 #[test]
 fn rows_that_cannot_be_read_name_no_node_and_the_others_hold() {
-    let store = Store::start();
-    store.put("op", "config", &document(4, "/look/"));
+    let store = configured_store();
     store.put("op", "config-of-another-writer", &[0xff, 0xfe]);
     // One sorts before, one behind the rows of nodes.
     store.put("nodes", "!nowhere", b"a");
     store.put("nodes", "~", &[0xff]);
-    let first = start(&store, "one");
-    wait_for(|| first.is_ready());
-    let second = start(&store, "two");
-    wait_for(|| second.is_ready());
+    let first = start_ready(&store, "one");
+    let second = start_ready(&store, "two");
     beat(&second, "i-2", 1);
     wait_for(|| first.get(7001, "/look/1").ends_with("two"));
     store.put("op", "config", b"no configuration");
@@ -240,8 +242,7 @@
 
 #[test]
 fn two_nodes_of_a_failure_domain_follow_the_store_for_all() {
-    let store = Store::start();
-    store.put("op", "config", &document(4, "/look/"));
+    let store = configured_store();
     let mut nodes = Vec::new();
     for name in ["one", "two", "three", "four", "five"] {
         nodes.push(start(&store, name));
@@ -280,8 +281,7 @@
 /// heard of the change 7 s later from a node that had just started and read it.
 #[test]
 fn a_question_that_a_silent_store_has_lost_is_asked_anew_in_time() {
-    let store = Store::start();
-    store.put("op", "config", &document(4, "/look/"));
+    let store = configured_store();
     let nodes = [start(&store, "one"), start(&store, "two")];
     wait_for(|| nodes.iter().all(Process::is_ready) && store.followers() == 2);
     store.set_silent(true);
