--- a/src/mesh/follower.rs
+++ b/src/mesh/follower.rs
@@ -4,7 +4,7 @@
 //! for itself by what its neighbours say, so nobody has to be elected, and where all links are lost each
 //! node follows by itself.
 //!
-//! With this a calm day of 96 nodes takes 440 calls to the store in place of 874 (docs/DECISIONS.md).
+//! With this a calm day of 96 nodes takes 630 calls to the store in place of 874 (docs/DECISIONS.md).
 
 use std::cell::Cell;
 use std::time::Duration;
