Let the process tests and the soak share their stand-in targets

Read once more: the loop that serves a target's requests and the heartbeat stood twice, in the process tests and in the soak. They are one file now (tests/platform/target.rs); what each answers is given to it.

Nothing in src changes.

--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -4,6 +4,7 @@
 mod process;
 mod soak;
 mod store;
+mod target;
 
 use std::fs;
 use std::path::{Path, PathBuf};
--- a/tests/platform/process.rs
+++ b/tests/platform/process.rs
@@ -1,12 +1,11 @@
 //! The real program with the platform's settings file, against stand-ins for the store and a target.
 
-use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpListener};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use super::node::{Place, Process};
-use super::store::{Store, read_request};
+use super::store::Store;
+use super::target::{heartbeat, serve};
 
 /// How long anything may take.
 const PATIENCE: Duration = Duration::from_secs(30);
@@ -19,7 +18,8 @@
 fn start(store: &Store, name: &str) -> Process {
     let mut process =
         Process::prepare(store, &Place { name, failure_domain: "a", service: "stock" });
-    serve_target(process.target_address(), name.to_owned());
+    let body = name.to_owned();
+    serve(process.target_address(), name, move |_| ("a1".to_owned(), body.clone()));
     process.start();
     process
 }
@@ -44,16 +44,6 @@
     wait_for(|| process.tell("Heartbeat", instance, &body).contains(" 200 "));
 }
 
-/// A heartbeat of a target that started in millisecond 5,000.
-fn heartbeat(service: &str, state: &str, sequence: u64) -> serde_json::Value {
-    serde_json::json!({
-        "address": "x",
-        "born": 5_000,
-        "information": { "service": service, "version": "v1", "zone": "a", "slots": 9 },
-        "status": { "state": state, "sequence": sequence, "coldRemainingMs": 0 },
-    })
-}
-
 fn wait_for(is_true: impl FnMut() -> bool) {
     wait_at_most(PATIENCE, is_true);
 }
@@ -66,27 +56,6 @@
     }
 }
 
-fn serve_target(address: SocketAddr, name: String) {
-    let listener = TcpListener::bind(address).unwrap();
-    thread::spawn(move || {
-        for stream in listener.incoming() {
-            let (stream, name) = (stream.unwrap(), name.clone());
-            thread::spawn(move || {
-                let mut writer = stream.try_clone().unwrap();
-                let mut reader = BufReader::new(stream);
-                while read_request(&mut reader).is_some() {
-                    let answer = format!(
-                        "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nResponse-Signature: {name}\r\n\
-                         Content-Length: {}\r\n\r\n{name}",
-                        name.len()
-                    );
-                    drop(writer.write_all(answer.as_bytes()));
-                }
-            });
-        }
-    });
-}
-
 /// A configuration with one route to `stock`.
 fn document(version: u32, prefix: &str) -> Vec<u8> {
     serde_json::json!({
--- a/tests/platform/soak/site.rs
+++ b/tests/platform/soak/site.rs
@@ -117,7 +117,7 @@
             let name = format!("soak-{seed}-{index}");
             let place = Place { name: &name, failure_domain, service };
             let mut process = Process::prepare(&store, &place);
-            serve(process.target_address(), name.clone(), Arc::clone(&runs));
+            serve(process.target_address(), &name, Arc::clone(&runs));
             beat(process.ip, service, name.clone(), Arc::clone(&is_stopped));
             process.start();
             members.push(Member {
--- a/tests/platform/soak/targets.rs
+++ b/tests/platform/soak/targets.rs
@@ -1,8 +1,7 @@
 //! The targets of a play, and the configuration by which they are called.
 
 use std::collections::HashMap;
-use std::io::{BufReader, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -12,11 +11,14 @@
 
 use super::site::PROBE_PATIENCE;
 use crate::node::{self, TARGETS_PORT};
-use crate::store::read_request;
+use crate::target::{self, heartbeat};
 
 /// The pause between two heartbeats of a target.
 const BEAT_EVERY: Duration = Duration::from_millis(400);
 
+/// How many requests a target may run at once.
+const SLOTS: u32 = 16;
+
 /// How often each attempt was run, by any target.
 pub type Runs = Arc<Mutex<HashMap<String, u32>>>;
 
@@ -32,7 +34,10 @@
             },
         })
     };
-    let service = |name: &str| json!({ "resourceKind": "services", "metadata": { "name": name }, "specification": {} });
+    let service = |name: &str| {
+        let metadata = json!({ "name": name });
+        json!({ "resourceKind": "services", "metadata": metadata, "specification": {} })
+    };
     let resources = json!([
         service("stock"),
         service("orders"),
@@ -48,11 +53,8 @@
         let mut sequence = 0;
         while !is_stopped.load(Ordering::Relaxed) {
             sequence += 1;
-            let body = json!({
-                "address": "x", "born": 5_000,
-                "information": { "service": service, "version": "v1", "zone": "a", "slots": 16 },
-                "status": { "state": "ready", "sequence": sequence, "coldRemainingMs": 0 },
-            });
+            let mut body = heartbeat(service, "ready", sequence);
+            body["information"]["slots"] = SLOTS.into();
             let text = node::farewell_or_beat("Heartbeat", &id, &body.to_string());
             // A node that is down hears the next one.
             drop(node::ask(SocketAddr::from((ip, TARGETS_PORT)), &text, PROBE_PATIENCE));
@@ -62,29 +64,15 @@
 }
 
 /// A target that notes what it runs and answers with its name and the id of the attempt.
-pub fn serve(address: SocketAddr, name: String, runs: Runs) {
-    let listener = TcpListener::bind(address).unwrap();
-    thread::spawn(move || {
-        for stream in listener.incoming() {
-            let (stream, name, runs) = (stream.unwrap(), name.clone(), Arc::clone(&runs));
-            thread::spawn(move || {
-                let mut writer = stream.try_clone().unwrap();
-                let mut reader = BufReader::new(stream);
-                while let Some((path, _)) = read_request(&mut reader) {
-                    let attempt = path.rsplit('/').next().unwrap_or_default().to_owned();
-                    let attempt = if attempt == "x" { "probe".to_owned() } else { attempt };
-                    *runs.lock().unwrap().entry(attempt.clone()).or_default() += 1;
-                    thread::sleep(work(&attempt));
-                    let body = format!("{name} {attempt}");
-                    let answer = format!(
-                        "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Signature: {name}\r\n\
-                         Content-Length: {}\r\n\r\n{body}",
-                        body.len()
-                    );
-                    drop(writer.write_all(answer.as_bytes()));
-                }
-            });
-        }
+pub fn serve(address: SocketAddr, name: &str, runs: Runs) {
+    let signature = name.to_owned();
+    target::serve(address, name, move |path| {
+        let attempt = path.rsplit('/').next().unwrap_or_default();
+        let attempt = if attempt == "x" { "probe" } else { attempt }.to_owned();
+        *runs.lock().unwrap().entry(attempt.clone()).or_default() += 1;
+        thread::sleep(work(&attempt));
+        let body = format!("{signature} {attempt}");
+        (attempt, body)
     });
 }
 
