Name a request that its target broke off by what all its attempts share

Callers came back with one request that ended target after target, and no line told that it was one: a line names an attempt by its id, and each attempt has a new one. CallEnded now has the fingerprint of the request (method, host, path with query, body) where the target broke off; all nodes find the same one. It is computed for these calls only, as it reads the whole body. The caller's service is not part of it: nodes set it, and the request comes at any machine.

--- a/src/event.rs
+++ b/src/event.rs
@@ -488,6 +488,8 @@
         status: u32,
         /// What was noticed where the target broke off, or could not be reached; otherwise empty.
         detail: String,
+        /// Where the target broke off: the fingerprint of the request, which all its attempts share.
+        fingerprint: String,
         /// How long it waited and ran, in milliseconds.
         took_ms: u64,
         /// Requests that the target was running at its end.
--- a/src/mesh/frame.rs
+++ b/src/mesh/frame.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use super::fingerprint::Fingerprint;
 use super::incarnation::Incarnation;
 
 /// One message.
@@ -161,6 +162,13 @@
     pub body: Bytes,
 }
 
+impl Call {
+    /// What is the same of the request whenever it comes again. Reads the whole body.
+    pub fn fingerprint(&self) -> Fingerprint {
+        Fingerprint::of(&self.method, &self.path, &self.headers, &self.body)
+    }
+}
+
 /// A header of a request or an answer.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Header {
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -9,6 +9,7 @@
 pub mod codec;
 pub mod directory;
 pub mod failing;
+pub mod fingerprint;
 pub mod follower;
 pub mod frame;
 pub mod gate;
--- a/src/mesh/receiver.rs
+++ b/src/mesh/receiver.rs
@@ -77,6 +77,7 @@
             reason: end.reason(),
             status: end.status().into(),
             detail,
+            fingerprint: fingerprint_of_broken(call, &end),
             took_ms: began.elapsed().as_millis() as u64,
             running: load.running,
             waiting: load.waiting,
@@ -86,6 +87,12 @@
     end
 }
 
+/// The fingerprint of a call that its target broke off; empty for all others, as it costs reading the body.
+fn fingerprint_of_broken(call: &Call, end: &CallEnd) -> String {
+    let is_broken = *end == CallEnd::MayHaveRun(Doubt::TargetBroke);
+    if is_broken { call.fingerprint().to_string() } else { String::new() }
+}
+
 /// Waits for a slot, and runs a call in it.
 async fn admit(node: &Rc<Node>, call: &Call, deadline: Instant) -> Served {
     let _serving = Counted::new(&node.serving, 1);
