--- /dev/null
+++ b/tests/mesh/crashes.rs
@@ -0,0 +1,101 @@
+//! Requests that end the targets that begin to run them, and requests that only ran beside.
+
+use std::time::Duration;
+
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use super::support::{CRASHES, Reaction, TestNode, acquaint, ask, request, run, start, status};
+
+/// A target that ends 15 ms after it has begun on a request that crashes it; others take 5 ms.
+const CRASHABLE: Reaction = Reaction::CrashOn(15, 5);
+/// How many targets a request may end before it is known for it.
+const CRASHES_KNOWN_AFTER: usize = 3;
+/// How often it may be sent to targets after that.
+const REPEATS_MAX: usize = 3;
+/// How often the caller comes back with it.
+const ATTEMPTS: usize = 12;
+
+/// Nodes of `stock` that know each other.
+async fn site(names: &[&str]) -> Vec<TestNode> {
+    let mut nodes: Vec<TestNode> = Vec::new();
+    for name in names {
+        let node = start(name, "stock", vec![CRASHABLE]).await;
+        for known in &nodes {
+            acquaint(known, &node).await;
+        }
+        nodes.push(node);
+    }
+    nodes
+}
+
+/// How often requests with `part` in their first line have reached targets.
+fn arrivals(nodes: &[TestNode], part: &str) -> usize {
+    let seen = |node: &TestNode| {
+        let seen = node.target.seen.borrow();
+        seen.iter()
+            .filter(|text| text.lines().next().is_some_and(|line| line.contains(part)))
+            .count()
+    };
+    nodes.iter().map(seen).sum()
+}
+
+/// The request that ends targets.
+fn crashing(attempt: usize) -> String {
+    let id = format!("c{attempt}");
+    format!("GET /read/{CRASHES}?x=1 HTTP/1.1\r\nhost: shop.test\r\nx-attempt: {id}\r\n\r\n")
+}
+
+/// Callers of one service got nothing but refusals for seconds, several times a day. One read ended
+/// each target that began to run it. Its node offered it to the next target, the caller came back with it
+/// at another node, and by each wave all targets of the service were gone.
+#[test]
+fn a_request_that_ended_three_targets_is_held_back_wherever_it_comes() {
+    run(async {
+        let nodes = site(&["stock-1", "stock-2", "stock-3", "stock-4"]).await;
+        for attempt in 0..ATTEMPTS {
+            let entry = &nodes[attempt % nodes.len()];
+            let answer = ask(entry, &crashing(attempt)).await;
+            assert_ne!(status(&answer), 200);
+            sleep(Duration::from_millis(100)).await;
+        }
+        let ended = arrivals(&nodes, CRASHES);
+        let allowed = CRASHES_KNOWN_AFTER + REPEATS_MAX;
+        assert!(ended <= allowed, "it was sent to targets {ended} times, {allowed} are allowed");
+        assert_eq!(status(&ask(&nodes[0], &request("read", "a1")).await), 200);
+    });
+}
+
+/// Beside the request that ends targets, others run, are cut off with it, and come back like it. They are
+/// served, however often that was.
+#[test]
+fn requests_that_only_ran_beside_crashes_go_on_being_served() {
+    run(async {
+        let nodes = site(&["stock-1", "stock-2", "stock-3", "stock-4"]).await;
+        for attempt in 0..ATTEMPTS {
+            let mut beside = Vec::new();
+            for number in 0..40 {
+                let node = nodes[number % nodes.len()].node.clone();
+                let target = nodes[number % nodes.len()].target.clone();
+                let text = format!(
+                    "GET /read/beside-{number} HTTP/1.1\r\nhost: shop.test\r\n\
+                     x-attempt: b{attempt}-{number}\r\n\r\n"
+                );
+                let entry = TestNode { node, target };
+                beside.push(spawn_local(async move { status(&ask(&entry, &text).await) }));
+            }
+            ask(&nodes[attempt % nodes.len()], &crashing(attempt)).await;
+            for request in beside {
+                request.await.unwrap();
+            }
+            sleep(Duration::from_millis(100)).await;
+        }
+        sleep(Duration::from_millis(300)).await;
+        for number in 0..40 {
+            let text = request("read", &format!("z{number}"))
+                .replace("/read/1", &format!("/read/beside-{number}"));
+            let answer = ask(&nodes[number % nodes.len()], &text).await;
+            assert_eq!(status(&answer), 200, "beside-{number} is refused: {answer}");
+        }
+    });
+}
--- a/tests/mesh/support.rs
+++ b/tests/mesh/support.rs
@@ -1,6 +1,7 @@
 //! Whole nodes on loopback, each with a stand-in target that does what a test tells it.
 
 use std::cell::{Cell, RefCell};
+use std::future::pending;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU8, Ordering};
@@ -21,7 +22,8 @@
 use http::HeaderName;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::{LocalSet, spawn_local};
+use tokio::sync::Notify;
+use tokio::task::{JoinSet, LocalSet, spawn_local};
 use tokio::time::{sleep, timeout};
 
 /// How long anything in these tests may take.
@@ -115,8 +117,16 @@
     Break,
     /// Names another incarnation as the one that is here.
     Misdirect(String),
+    /// Ends after a time in milliseconds, with all that it runs, when it has begun on a request whose path
+    /// holds `CRASHES`; answers all others like `Answer`, after the second time in milliseconds.
+    CrashOn(u64, u64),
 }
 
+/// What stands in the path of a request that ends the targets that begin to run it.
+pub const CRASHES: &str = "crash";
+/// How long a target that has crashed is away.
+const DOWN: Duration = Duration::from_millis(150);
+
 /// A stand-in target.
 pub struct StandIn {
     /// Its name, which stands in its answers.
@@ -127,6 +137,8 @@
     pub seen: RefCell<Vec<String>>,
     /// How many of them were cut off by the node before they were answered.
     pub cut_off: Cell<usize>,
+    /// Ends the target that runs, which comes back after a while.
+    pub crash: Notify,
 }
 
 impl StandIn {
@@ -180,9 +192,9 @@
         reactions: RefCell::new(reactions),
         seen: RefCell::default(),
         cut_off: Cell::default(),
+        crash: Notify::new(),
     });
     let listener = TcpListener::bind(settings.target.address).await.unwrap();
-    spawn_local(serve_target(Rc::clone(&target), listener));
     let node = Rc::new(Node::new(
         settings,
         vocabulary(),
@@ -193,6 +205,8 @@
     node.take_document(&"1".into(), "test").unwrap();
     node.has_looked_around.set(true);
     node.target.take_heartbeat(&heartbeat(name, service, 1));
+    let of_service = service.to_owned();
+    spawn_local(serve_target(Rc::clone(&node), of_service, Rc::clone(&target), listener));
     TestNode { node, target }
 }
 
@@ -228,10 +242,31 @@
     }
 }
 
-async fn serve_target(target: Rc<StandIn>, listener: TcpListener) {
-    loop {
-        let (stream, _) = listener.accept().await.unwrap();
-        spawn_local(serve_target_connection(Rc::clone(&target), stream));
+/// Runs a target, one life after the other.
+async fn serve_target(
+    node: Rc<Node>,
+    service: String,
+    target: Rc<StandIn>,
+    mut listener: TcpListener,
+) {
+    for life in 2.. {
+        let mut connections = JoinSet::new();
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => {
+                    let (stream, _) = accepted.unwrap();
+                    connections.spawn_local(serve_target_connection(Rc::clone(&target), stream));
+                }
+                () = target.crash.notified() => break,
+            }
+        }
+        let address = listener.local_addr().unwrap();
+        drop(listener);
+        connections.shutdown().await;
+        sleep(DOWN).await;
+        listener = TcpListener::bind(address).await.unwrap();
+        let instance = format!("{}-life-{life}", target.name);
+        node.target.take_heartbeat(&heartbeat(&instance, &service, 1));
     }
 }
 
@@ -239,6 +274,7 @@
     let mut owed = String::new();
     while let Some(request) = read_message(&mut stream).await {
         let id = header(&request, "x-attempt").unwrap_or_default();
+        let crashes = request.lines().next().is_some_and(|line| line.contains(CRASHES));
         target.seen.borrow_mut().push(request);
         let name = &target.name;
         let length = name.len();
@@ -259,6 +295,15 @@
             Reaction::Decline => format!(
                 "HTTP/1.1 503 X\r\nx-attempt: {id}\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n"
             ),
+            Reaction::CrashOn(after_ms, _) if crashes => {
+                sleep(Duration::from_millis(*after_ms)).await;
+                target.crash.notify_one();
+                return pending().await;
+            }
+            Reaction::CrashOn(_, after_ms) => {
+                sleep(Duration::from_millis(*after_ms)).await;
+                answer_of(200, &id, name, length)
+            }
             Reaction::Break => return,
             Reaction::Misdirect(other) => format!(
                 "HTTP/1.1 421 X\r\nx-attempt: {id}\r\nx-instance: {other}\r\n\
