Test that a request stays held back when all nodes start anew

Fails: what is held back is known to the nodes alone. The stand-in store learns to drop rows, the stand-in target to end at a request.

--- a/tests/platform/node.rs
+++ b/tests/platform/node.rs
@@ -153,14 +153,25 @@
 
     /// The version of the configuration in force; empty where it cannot be read.
     pub fn site_version(&self) -> String {
-        version_in(&self.get(7005, "/metrics")).to_owned()
+        self.metric("site_version")
+    }
+
+    /// The value of one of its metrics; empty where it cannot be read.
+    pub fn metric(&self, name: &str) -> String {
+        value_in(&self.get(7005, "/metrics"), name).to_owned()
     }
 }
 
 /// The version of the configuration in force, in the text of the metrics.
 pub fn version_in(metrics: &str) -> &str {
-    let line = metrics.lines().find(|line| line.starts_with("aspenspring_mesh_site_version"));
-    line.and_then(|line| line.split(' ').nth(1)).unwrap_or_default()
+    value_in(metrics, "site_version")
+}
+
+/// The value of a metric of nodes in their text; empty where it is not there.
+fn value_in<'a>(metrics: &'a str, name: &str) -> &'a str {
+    let start = format!("aspenspring_mesh_{name} ");
+    let mut lines = metrics.lines();
+    lines.find_map(|line| line.strip_prefix(start.as_str())).unwrap_or_default()
 }
 
 /// The request by which a target says something of itself.
--- a/tests/platform/process.rs
+++ b/tests/platform/process.rs
@@ -1,11 +1,12 @@
 //! The real program with the platform's settings file, against stand-ins for the store and a target.
 
+use std::net::TcpStream;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use super::node::{Place, Process};
 use super::store::Store;
-use super::target::{heartbeat, serve};
+use super::target::{heartbeat, serve, serve_until_crash};
 
 /// How long anything may take.
 const PATIENCE: Duration = Duration::from_secs(30);
@@ -261,3 +262,50 @@
     store.put("op", "config", &document(6, "/look/"));
     wait_at_most(CONFIG_APPLY, || nodes.iter().all(|node| node.site_version() == "6"));
 }
+
+/// A read that had ended three targets was held back, until all nodes lost power at once: it ended three
+/// more. What is held back was known to the nodes alone, and none of them was left.
+#[test]
+fn a_request_that_is_held_back_is_so_after_all_nodes_have_started_anew() {
+    let store = configured_store();
+    let mut nodes = Vec::new();
+    for name in ["one", "two", "three", "four"] {
+        let mut node =
+            Process::prepare(&store, &Place { name, failure_domain: "a", service: "stock" });
+        serve_until_crash(node.target_address(), name);
+        node.start();
+        nodes.push(node);
+    }
+    for (number, node) in nodes.iter().enumerate() {
+        wait_for(|| node.is_ready() && node.metric("peers_linked") == "3");
+        beat(node, &format!("i-{number}"), 1);
+    }
+    wait_for(|| {
+        nodes[0].get(7001, "/look/crash");
+        nodes.iter().all(|node| node.metric("requests_held") == "1")
+    });
+    wait_for(|| store.keys("nodes").iter().any(|key| key.starts_with("held-")));
+    let alive: Vec<usize> =
+        (0..nodes.len()).filter(|number| target_runs(&nodes[*number])).collect();
+    assert_eq!(alive.len(), 1, "three targets tell");
+    for node in &mut nodes {
+        node.signal(libc::SIGKILL);
+        node.wait();
+        node.start();
+    }
+    for node in &nodes {
+        wait_for(|| node.is_ready());
+    }
+    beat(&nodes[alive[0]], "i-9", 1);
+    for node in &nodes {
+        wait_for(|| node.get(7001, "/look/1").contains(" 200 "));
+        let answer = node.get(7001, "/look/crash");
+        assert!(answer.contains(" 503 ") && answer.contains("retry-after"), "{answer}");
+    }
+    assert!(target_runs(&nodes[alive[0]]), "it has ended one more");
+}
+
+/// Whether the target of a node takes connections.
+fn target_runs(node: &Process) -> bool {
+    TcpStream::connect(node.target_address()).is_ok()
+}
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -144,6 +144,11 @@
                 let text = |name: &str| row[name].as_str().unwrap().to_owned();
                 put(&mut state, &text("table"), &text("key"), &text("value"));
             }
+            for row in body["remove"].as_array().unwrap() {
+                let text = |name: &str| row[name].as_str().unwrap().to_owned();
+                state.rows.remove(&(text("table"), text("key")));
+                state.version += 1;
+            }
             changed.notify_all();
             return (200, json!({ "rowVersion": state.version, "nowMs": 0 }));
         }
--- a/tests/platform/target.rs
+++ b/tests/platform/target.rs
@@ -1,8 +1,9 @@
 //! Stand-ins for targets: what they say of themselves, and how they answer.
 
 use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpListener};
-use std::sync::Arc;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 
 use super::store::read_request;
@@ -34,14 +35,53 @@
                 let mut reader = BufReader::new(stream);
                 while let Some((path, _)) = read_request(&mut reader) {
                     let (attempt, body) = run(&path);
-                    let answer = format!(
-                        "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Signature: {name}\r\n\
-                         Content-Length: {}\r\n\r\n{body}",
-                        body.len()
-                    );
-                    drop(writer.write_all(answer.as_bytes()));
+                    drop(writer.write_all(answer_of(&attempt, &name, &body).as_bytes()));
                 }
             });
         }
     });
 }
+
+/// The same, until a request comes whose path holds `crash`: then the target ends with all its connections.
+pub fn serve_until_crash(address: SocketAddr, name: &str) {
+    let listener = TcpListener::bind(address).unwrap();
+    let name = name.to_owned();
+    let connections: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
+    let has_ended = Arc::new(AtomicBool::new(false));
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            if has_ended.load(Ordering::Relaxed) {
+                return;
+            }
+            let stream = stream.unwrap();
+            connections.lock().unwrap().push(stream.try_clone().unwrap());
+            let (name, all) = (name.clone(), Arc::clone(&connections));
+            let has_ended = Arc::clone(&has_ended);
+            thread::spawn(move || {
+                let mut writer = stream.try_clone().unwrap();
+                let mut reader = BufReader::new(stream);
+                while let Some((path, _)) = read_request(&mut reader) {
+                    if !path.contains("crash") {
+                        drop(writer.write_all(answer_of("a1", &name, &name).as_bytes()));
+                        continue;
+                    }
+                    has_ended.store(true, Ordering::Relaxed);
+                    // Wakes the listener, which is closed then.
+                    drop(TcpStream::connect(address));
+                    for connection in all.lock().unwrap().drain(..) {
+                        drop(connection.shutdown(Shutdown::Both));
+                    }
+                }
+            });
+        }
+    });
+}
+
+/// A whole answer of a target.
+fn answer_of(attempt: &str, name: &str, body: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Signature: {name}\r\n\
+         Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
