Send no suspect on before it is known whether its target has ended

Callers lost one more target to a request beside which two had ended: the end is known 30 ms after the first request was broken off, and in that time its node had sent it to the next target. A node now sends a suspect that was broken off no further; its caller is told that it may have run, and comes back to a node that knows. Weighed: to hold all repeats back for that time, which would delay the victims of every end.

--- a/src/mesh/sender.rs
+++ b/src/mesh/sender.rs
@@ -167,18 +167,29 @@
         }
     }
 
-    /// For how long the request is held back at least, if it is.
-    fn held_for(&self) -> Option<Duration> {
+    /// How the request may run, as far as this node knows.
+    fn standing(&self) -> Standing {
         let quarantine = &self.node.quarantine;
         if quarantine.is_empty() {
-            return None;
+            return Standing::Free;
         }
-        match quarantine.standing(self.request.fingerprint()) {
+        quarantine.standing(self.request.fingerprint())
+    }
+
+    /// For how long the request is held back at least, if it is.
+    fn held_for(&self) -> Option<Duration> {
+        match self.standing() {
             Standing::Held(left) => Some(left),
             Standing::Free | Standing::Suspect => None,
         }
     }
 
+    /// Whether targets have ended with the request. If another one has now, it takes a moment until that is
+    /// known; until then it must not be sent to the next.
+    fn is_suspect(&self) -> bool {
+        self.standing() != Standing::Free
+    }
+
     /// A target that has had the request already, if there is no other.
     fn pick_again(&mut self) -> Option<Destination> {
         if self.trail.arrivals == 0 {
@@ -212,7 +223,10 @@
         }
         let is_right = match end {
             CallEnd::NotRun(reason) => !matches!(reason, NotRun::Expired | NotRun::Quarantined),
-            CallEnd::MayHaveRun(_) => self.route.kind == RouteKind::Idempotent,
+            CallEnd::MayHaveRun(doubt) => {
+                let may_have_ended_it = *doubt == Doubt::TargetBroke && self.is_suspect();
+                self.route.kind == RouteKind::Idempotent && !may_have_ended_it
+            }
             // Whoever made the call that failed below has repeated it if that could be afforded; to
             // run all of it again costs many times as much.
             CallEnd::Answered(answer) => {
--- a/tests/mesh/crashes.rs
+++ b/tests/mesh/crashes.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use aspenspring::mesh::fingerprint::Fingerprint;
+use aspenspring::mesh::frame::{Crash, Header};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
@@ -103,3 +105,33 @@
         }
     });
 }
+
+/// It takes a moment until it is known that a target has ended. In that moment a request beside which others
+/// had ended was sent to the next target, and ended it, too.
+#[test]
+fn a_suspect_is_not_sent_on_before_it_is_known_whether_its_target_has_ended() {
+    run(async {
+        let nodes = site(&["stock-1", "stock-2", "stock-3"]).await;
+        let fingerprint = Fingerprint::of(
+            "GET",
+            &format!("/read/{CRASHES}?x=1"),
+            &[Header::new("host", b"shop.test")],
+            b"",
+        );
+        for node in &nodes {
+            node.target.reactions.replace(vec![Reaction::CrashOn(0, 5)]);
+            for _ in 0..2 {
+                node.node.take_crash(&Crash { requests: vec![fingerprint], held: None });
+            }
+        }
+        // Enough for the budget to allow repeats.
+        for number in 0..60 {
+            ask(&nodes[0], &request("read", &format!("a{number}"))).await;
+        }
+        assert_eq!(status(&ask(&nodes[0], &crashing(1)).await), 502, "it may have run");
+        assert_eq!(arrivals(&nodes, CRASHES), 1);
+        sleep(Duration::from_millis(100)).await;
+        assert_eq!(status(&ask(&nodes[0], &crashing(2)).await), 503, "it is held back");
+        assert_eq!(arrivals(&nodes, CRASHES), 1);
+    });
+}
