Explain requests that are held back, and play the decision at the size of a service

Whoever looked for the reason of a refusal found 'quarantined' and nothing more. aspenspring explain names the request, RequestEnded has its fingerprint, and lines about ends of targets stand beside.

--- a/src/event.rs
+++ b/src/event.rs
@@ -494,6 +494,8 @@
         repeats_percent: u32,
         /// The version of the configuration by which it was routed.
         config_version: u64,
+        /// Where the request is held back: what all attempts at it have in common; otherwise empty.
+        fingerprint: String,
         /// How long it took, in milliseconds.
         took_ms: u64,
     }
--- a/src/explain/cause.rs
+++ b/src/explain/cause.rs
@@ -69,6 +69,11 @@
         /// `no-target`, `leaving`, `target-unreachable` or `unsent`.
         reason: String,
     },
+    /// It is held back, as targets that ran the same request have ended.
+    HeldBack {
+        /// What all attempts at the request have in common.
+        fingerprint: String,
+    },
     /// The node that took it was about to end.
     Closing {
         /// That node.
@@ -156,6 +161,13 @@
             Self::NoTarget { node, service, reason } => {
                 write!(f, "{node} found no target of {service} that takes work ({reason})")
             }
+            Self::HeldBack { fingerprint } => {
+                write!(f, "held back, as targets that began to run the same request have ended")?;
+                if !fingerprint.is_empty() {
+                    write!(f, " ({fingerprint})")?;
+                }
+                Ok(())
+            }
             Self::Closing { node } => write!(f, "{node} was about to end"),
             Self::TimeUsedUp { node, service, took_ms, has_just_started } => {
                 write!(
@@ -237,11 +249,13 @@
 
 /// The lines of `node`, or about it, that were written around a step.
 fn context(step: &Step, node: &str, lines: &[Line]) -> Vec<Line> {
-    const ABOUT_NODES: [&str; 10] = [
+    const ABOUT_NODES: [&str; 12] = [
         "MeshStarted",
         "LeavingStarted",
         "LeavingFinished",
         "TargetChanged",
+        "TargetCrashed",
+        "RequestHeld",
         "AdmissionChanged",
         "LinkLost",
         "FollowerChanged",
@@ -303,6 +317,7 @@
         "no-target" | "leaving" | "target-unreachable" | "unsent" => {
             Cause::NoTarget { node: step.node.clone(), service, reason }
         }
+        "quarantined" => Cause::HeldBack { fingerprint: step.line.text("fingerprint").to_owned() },
         "closing" => Cause::Closing { node: step.node.clone() },
         _ if reason == "timeout" || step.status == GATEWAY_TIMEOUT => Cause::Slow {
             node,
--- a/src/mesh/sender.rs
+++ b/src/mesh/sender.rs
@@ -128,6 +128,9 @@
     let outcome = sending.run().await;
     let mut trail = sending.trail;
     service.clone_into(&mut trail.service);
+    if matches!(outcome, Outcome::NotRun { reason: NotRun::Quarantined, .. }) {
+        trail.held = Some(request.fingerprint());
+    }
     (outcome, trail)
 }
 
--- a/src/mesh/trail.rs
+++ b/src/mesh/trail.rs
@@ -10,6 +10,7 @@
 
 use crate::event::LogEvent;
 
+use super::fingerprint::Fingerprint;
 use super::node::Node;
 use super::sender::Outcome;
 use super::site::Route;
@@ -23,6 +24,8 @@
     pub offered: Vec<Option<SocketAddr>>,
     /// How often it reached a target.
     pub arrivals: u32,
+    /// Which request it is, where it is held back.
+    pub held: Option<Fingerprint>,
 }
 
 /// A request as the trail needs it.
@@ -71,6 +74,7 @@
         limited_by: node.overload.limited_by(ended.route).unwrap_or_default(),
         repeats_percent: (node.budgets.left(&trail.service) * 100.0) as u32,
         config_version: node.site_version(),
+        fingerprint: trail.held.map(|held| held.to_string()).unwrap_or_default(),
         took_ms,
     });
 }
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -7,6 +7,7 @@
 mod links;
 mod nodes;
 mod properties;
+mod quarantine;
 mod stop;
 mod support;
 mod targets;
