Let only a success clear a suspect

A request that ends targets may be turned away by a full target, or fail for want of a call made for it, before it gets so far; either took the suspicion from it, so that it could end three more targets. Found by reading, shown by a test that failed first. New messages between nodes stand behind the old ones, so that nodes of the last version read all that they know.

--- a/src/event.rs
+++ b/src/event.rs
@@ -417,7 +417,7 @@
         /// `crash` (of the target beside this node), `peer` or `table`.
         learned_from: &'static str,
     }
-    /// A request that was held back was answered when it was tried again, and runs like any other.
+    /// A request that was held back succeeded when it was tried again, and runs like any other.
     1013 Info RequestReleased {
         /// What all attempts at the request have in common.
         fingerprint: String,
--- a/src/mesh/frame.rs
+++ b/src/mesh/frame.rs
@@ -8,7 +8,7 @@
 use super::fingerprint::Fingerprint;
 use super::incarnation::Incarnation;
 
-/// One message.
+/// One message. Nodes of different versions meet while a release is on its way: what is new goes to the end.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Frame {
     /// Who the sender is; the first frame in each direction.
@@ -35,12 +35,6 @@
     Load(Load),
     /// The state of the sender's target has changed.
     Status(Status),
-    /// The target beside the sender has ended.
-    Crash(Crash),
-    /// A suspect was answered.
-    Cleared(Fingerprint),
-    /// The suspects that the sender knows, for a node that may not.
-    Suspicions(Vec<Suspicion>),
     /// Asks which other nodes the receiver knows.
     NeighboursWanted,
     /// The other nodes that the sender is linked with.
@@ -52,6 +46,12 @@
         /// The encoded configuration.
         document: Bytes,
     },
+    /// The target beside the sender has ended.
+    Crash(Crash),
+    /// A suspect has succeeded.
+    Cleared(Fingerprint),
+    /// The suspects that the sender knows, for a node that may not.
+    Suspicions(Vec<Suspicion>),
 }
 
 /// Who a node is.
@@ -81,7 +81,7 @@
 pub struct Suspicion {
     /// Which request it is.
     pub fingerprint: Fingerprint,
-    /// How many targets have ended since it was answered last.
+    /// How many targets have ended with it running since it last succeeded.
     pub crashes: u32,
     /// How often it was held back.
     pub holds: u32,
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -305,7 +305,7 @@
         }
     }
 
-    /// Takes in that the target has answered a request.
+    /// Takes in that a request has succeeded.
     pub fn clear(&self, fingerprint: Fingerprint) {
         let cleared = self.quarantine.clear(fingerprint);
         if cleared.was_suspect {
--- a/src/mesh/quarantine.rs
+++ b/src/mesh/quarantine.rs
@@ -1,8 +1,8 @@
 //! Which requests have ended targets that ran them, and how they may run since.
 //!
 //! When a target ends, any of the requests that it was running may be the cause. What tells is the next time:
-//! a request that is answered is cleared, whatever it has run beside; one beside which two targets have ended
-//! without an answer in between is a suspect, and runs with no other suspect on the same target. If that
+//! a request that succeeds is cleared, whatever it has run beside; one beside which two targets have ended
+//! without a success in between is a suspect, and runs with no other suspect on the same target. If that
 //! target ends too, nobody else is as likely to be the cause, and the request is held back everywhere.
 
 use std::cell::{Cell, RefCell};
@@ -32,7 +32,7 @@
 /// What is known of a request.
 #[derive(Clone, Copy, Debug)]
 struct Record {
-    /// How many targets have ended with it running since it was answered last.
+    /// How many targets have ended with it running since it last succeeded.
     crashes: u32,
     /// How often it was held back.
     holds: u32,
@@ -77,7 +77,7 @@
     Held(Duration),
 }
 
-/// What became of a request that was answered.
+/// What became of a request that has succeeded.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Cleared {
     /// Whether it was a suspect, of which other nodes know.
@@ -192,7 +192,7 @@
         }
     }
 
-    /// Takes in that a request was answered: it has not ended the target that ran it.
+    /// Takes in that a request has succeeded: it has not ended the target that ran it.
     pub fn clear(&self, fingerprint: Fingerprint) -> Cleared {
         let Some(record) = self.records.borrow_mut().remove(&fingerprint) else {
             return Cleared::default();
--- a/src/mesh/receiver.rs
+++ b/src/mesh/receiver.rs
@@ -192,10 +192,12 @@
     if reply.is_reusable {
         node.target.keep(connection);
     }
-    if !node.quarantine.is_empty() {
+    let served = judge(node, reply, has_failed_below.get());
+    // A request that ends targets may be turned away, or fail for want of a call, before it gets so far.
+    if served.end.went_well() && !node.quarantine.is_empty() {
         node.clear(call.fingerprint());
     }
-    judge(node, reply, has_failed_below.get())
+    served
 }
 
 /// What becomes of a call whose target broke off, or gave an answer that is none.
--- a/tests/mesh/crashes.rs
+++ b/tests/mesh/crashes.rs
@@ -4,6 +4,7 @@
 
 use aspenspring::mesh::fingerprint::Fingerprint;
 use aspenspring::mesh::frame::{Crash, Header};
+use aspenspring::mesh::quarantine::Standing;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
@@ -135,3 +136,26 @@
         assert_eq!(arrivals(&nodes, CRASHES), 1);
     });
 }
+
+/// A request that ended targets was turned away by a full target, and failed once because a call made for it
+/// found no room; either took the suspicion from it, and it ended three more.
+#[test]
+fn only_a_success_clears_a_suspect() {
+    run(async {
+        let entry = start("stock-1", "stock", vec![Reaction::Decline]).await;
+        let headers = [Header::new("host", b"shop.test")];
+        let fingerprint = Fingerprint::of("GET", "/read/1", &headers, b"");
+        let standing = || entry.node.quarantine.standing(fingerprint);
+        for _ in 0..2 {
+            entry.node.take_crash(&Crash { requests: vec![fingerprint], held: None });
+        }
+        for reaction in [Reaction::Decline, Reaction::Answer(500, 0), Reaction::Answer(504, 0)] {
+            entry.target.reactions.replace(vec![reaction]);
+            ask(&entry, &request("read", "a1")).await;
+            assert_eq!(standing(), Standing::Suspect);
+        }
+        entry.target.reactions.replace(vec![Reaction::Answer(200, 0)]);
+        assert_eq!(status(&ask(&entry, &request("read", "a2")).await), 200);
+        assert_eq!(standing(), Standing::Free);
+    });
+}
