Let a request end targets in the soak

Now one request ends the target that begins to run it, among the drawn faults (drawn by themselves, so that seeds keep the faults that they had) and twelve times in the calm after them; there it may end six targets at most, and everything has to be served again. The stand-in target has lives now, and one implementation in place of two.

--- a/tests/platform/node.rs
+++ b/tests/platform/node.rs
@@ -15,6 +15,8 @@
 pub const CALLERS_PORT: u16 = 7001;
 /// The port for what a target says of itself.
 pub const TARGETS_PORT: u16 = 7003;
+/// The port of the target.
+pub const TARGET_PORT: u16 = 7006;
 /// How long an answer may take.
 const ANSWER_PATIENCE: Duration = Duration::from_secs(30);
 
@@ -67,7 +69,7 @@
                 "callers": at(CALLERS_PORT), "readiness": at(7002), "targets": at(TARGETS_PORT),
                 "peers": at(7004), "metrics": at(7005),
             },
-            "target": { "address": at(7006) },
+            "target": { "address": at(TARGET_PORT) },
             "store": { "address": store.address.to_string() },
             "bounds": { "graceS": 6, "retryBudgetRatio": 0.2, "retryBudgetSlack": 49 },
         });
@@ -77,7 +79,7 @@
 
     /// Where its target has to listen.
     pub fn target_address(&self) -> SocketAddr {
-        SocketAddr::from((self.ip, 7006))
+        SocketAddr::from((self.ip, TARGET_PORT))
     }
 
     /// Starts it, for the first time or after it has ended.
--- a/tests/platform/process.rs
+++ b/tests/platform/process.rs
@@ -6,7 +6,7 @@
 
 use super::node::{Place, Process};
 use super::store::Store;
-use super::target::{heartbeat, serve, serve_until_crash};
+use super::target::{heartbeat, serve};
 
 /// How long anything may take.
 const PATIENCE: Duration = Duration::from_secs(30);
@@ -275,7 +275,7 @@
     for name in ["one", "two", "three", "four"] {
         let mut node =
             Process::prepare(&store, &Place { name, failure_domain: "a", service: "stock" });
-        serve_until_crash(node.target_address(), name);
+        serve(node.target_address(), name, |_| ("a1".to_owned(), String::new()));
         node.start();
         nodes.push(node);
     }
--- a/tests/platform/soak/faults.rs
+++ b/tests/platform/soak/faults.rs
@@ -7,6 +7,8 @@
 
 /// How many faults come in one play.
 const COUNT: usize = 14;
+/// How often the request that ends targets comes besides, several times each.
+const CRASHES: usize = 3;
 
 /// What goes wrong, or is done by an operator.
 #[derive(Clone, Copy, Debug)]
@@ -27,6 +29,8 @@
     StoreForgets,
     /// New configurations come in quick succession.
     Configure { count: u32, gap_ms: u64 },
+    /// A request that ends its target comes so often, first at this node.
+    Crash { member: usize, count: usize },
 }
 
 /// A fault and its time.
@@ -53,6 +57,13 @@
         let at = within.mul_f64(rng.random());
         faults.push(Fault { at, kind: draw_kind(&mut rng, members) });
     }
+    // Drawn by themselves, so that a seed keeps the faults that it had.
+    let mut rng = SmallRng::seed_from_u64(!seed);
+    for _ in 0..CRASHES {
+        let at = within.mul_f64(rng.random());
+        let (member, count) = (rng.random_range(0..members), rng.random_range(1..6));
+        faults.push(Fault { at, kind: Kind::Crash { member, count } });
+    }
     faults.sort_by_key(|fault| fault.at);
     faults
 }
--- a/tests/platform/soak/mod.rs
+++ b/tests/platform/soak/mod.rs
@@ -38,6 +38,10 @@
 const RECOVERY: Duration = Duration::from_secs(15);
 /// Within this time all nodes are asked for the configuration in force.
 const PROBED_WITHIN: Duration = Duration::from_millis(700);
+/// How often the request that ends targets comes when all faults are over.
+const CRASH_ATTEMPTS: usize = 12;
+/// How many targets it may end before it is known for it, and reach after that.
+const CRASHES_MAX: u32 = 3 + 3;
 /// How many callers there are.
 const CALLERS: u64 = 24;
 
@@ -104,6 +108,14 @@
         served = site.wait_until_served(RECOVERY);
         // Whatever the faults have left behind: a change that comes now has to be in force in time.
         thread::sleep(CONTACT);
+        let crashes = site.crash(0, CRASH_ATTEMPTS);
+        if crashes > CRASHES_MAX {
+            findings
+                .add(format!("a request that ends targets has run {crashes} times in the calm"));
+        }
+        if site.wait_until_served(RECOVERY).is_none() {
+            findings.add(format!("not everything was served {RECOVERY:?} after the last crash"));
+        }
         site.configure();
         thread::sleep(CONFIG_APPLY + PROBED_WITHIN);
         site.stop();
--- a/tests/platform/soak/site.rs
+++ b/tests/platform/soak/site.rs
@@ -13,6 +13,7 @@
 use super::targets::{Runs, beat, document, serve};
 use crate::node::{self, Place, Process};
 use crate::store::Store;
+use crate::target::CRASHES;
 
 /// The nodes: their failure domains and services.
 const PLACES: [(&str, &str); 6] = [
@@ -35,6 +36,8 @@
 const DOWN: Duration = Duration::from_millis(500);
 /// How long a probe or a heartbeat may take.
 pub const PROBE_PATIENCE: Duration = Duration::from_millis(800);
+/// The pause between two attempts at the request that ends targets.
+const CRASH_EVERY: Duration = Duration::from_millis(250);
 /// The pause between two looks at anything.
 const LOOK_EVERY: Duration = Duration::from_millis(60);
 /// A node with its target.
@@ -150,7 +153,7 @@
     /// What the targets have run, and how often.
     pub fn runs(&self) -> HashMap<String, u32> {
         let mut runs = self.runs.lock().unwrap().clone();
-        runs.retain(|attempt, _| !attempt.starts_with("probe"));
+        runs.retain(|attempt, _| !attempt.starts_with("probe") && attempt != CRASHES);
         runs
     }
 
@@ -260,7 +263,27 @@
                     thread::sleep(Duration::from_millis(gap_ms));
                 }
             }
+            Kind::Crash { member, count } => {
+                self.crash(member, count);
+            }
+        }
+    }
+
+    /// Sends the request that ends targets to one node after the other. Gives how many targets have run it.
+    pub fn crash(&self, first: usize, count: usize) -> u32 {
+        let before = self.crashes();
+        for number in 0..count {
+            let member = &self.members[(first + number) % self.members.len()];
+            // Whatever it is answered.
+            drop(member.get(node::CALLERS_PORT, &format!("/look/{CRASHES}"), CRASHES));
+            thread::sleep(CRASH_EVERY);
         }
+        self.crashes() - before
+    }
+
+    /// How often targets have run the request that ends them.
+    fn crashes(&self) -> u32 {
+        self.runs.lock().unwrap().get(CRASHES).copied().unwrap_or(0)
     }
 
     /// Writes the next configuration.
--- a/tests/platform/soak/targets.rs
+++ b/tests/platform/soak/targets.rs
@@ -1,7 +1,7 @@
 //! The targets of a play, and the configuration by which they are called.
 
 use std::collections::HashMap;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -10,7 +10,7 @@
 use serde_json::json;
 
 use super::site::PROBE_PATIENCE;
-use crate::node::{self, TARGETS_PORT};
+use crate::node::{self, TARGET_PORT, TARGETS_PORT};
 use crate::target::{self, heartbeat};
 
 /// The pause between two heartbeats of a target.
@@ -19,6 +19,9 @@
 /// How many requests a target may run at once.
 const SLOTS: u32 = 16;
 
+/// How long a target is away that a request has ended.
+const DOWN: Duration = Duration::from_millis(800);
+
 /// How often each attempt was run, by any target.
 pub type Runs = Arc<Mutex<HashMap<String, u32>>>;
 
@@ -52,21 +55,25 @@
     thread::spawn(move || {
         let mut sequence = 0;
         while !is_stopped.load(Ordering::Relaxed) {
+            thread::sleep(BEAT_EVERY);
+            if TcpStream::connect((ip, TARGET_PORT)).is_err() {
+                continue;
+            }
             sequence += 1;
             let mut body = heartbeat(service, "ready", sequence);
             body["information"]["slots"] = SLOTS.into();
             let text = node::farewell_or_beat("Heartbeat", &id, &body.to_string());
             // A node that is down hears the next one.
             drop(node::ask(SocketAddr::from((ip, TARGETS_PORT)), &text, PROBE_PATIENCE));
-            thread::sleep(BEAT_EVERY);
         }
     });
 }
 
-/// A target that notes what it runs and answers with its name and the id of the attempt.
+/// A target that notes what it runs and answers with its name and the id of the attempt. A request may end it; it
+/// comes back.
 pub fn serve(address: SocketAddr, name: &str, runs: Runs) {
     let signature = name.to_owned();
-    target::serve(address, name, move |path| {
+    target::serve_lives(address, name, Some(DOWN), move |path| {
         let attempt = path.rsplit('/').next().unwrap_or_default();
         let attempt = if attempt == "x" { "probe" } else { attempt }.to_owned();
         *runs.lock().unwrap().entry(attempt.clone()).or_default() += 1;
--- a/tests/platform/target.rs
+++ b/tests/platform/target.rs
@@ -2,9 +2,9 @@
 
 use std::io::{BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
+use std::time::Duration;
 
 use super::store::read_request;
 
@@ -18,6 +18,9 @@
     })
 }
 
+/// What stands in the path of a request that ends the target that begins to run it.
+pub const CRASHES: &str = "crash";
+
 /// Serves requests at `address`, one after the other on each connection, and signs the answers with `name`.
 /// `run` is given the path, and gives the id of the attempt and the body.
 pub fn serve(
@@ -25,56 +28,84 @@
     name: &str,
     run: impl Fn(&str) -> (String, String) + Send + Sync + 'static,
 ) {
-    let listener = TcpListener::bind(address).unwrap();
+    serve_lives(address, name, None, run);
+}
+
+/// The same, of a target that ends with all its connections at a request whose path holds `CRASHES`, and comes back
+/// after `down`, if at all.
+pub fn serve_lives(
+    address: SocketAddr,
+    name: &str,
+    down: Option<Duration>,
+    run: impl Fn(&str) -> (String, String) + Send + Sync + 'static,
+) {
+    let mut listener = TcpListener::bind(address).unwrap();
     let (name, run) = (name.to_owned(), Arc::new(run));
     thread::spawn(move || {
-        for stream in listener.incoming() {
-            let (stream, name, run) = (stream.unwrap(), name.clone(), Arc::clone(&run));
-            thread::spawn(move || {
-                let mut writer = stream.try_clone().unwrap();
-                let mut reader = BufReader::new(stream);
-                while let Some((path, _)) = read_request(&mut reader) {
-                    let (attempt, body) = run(&path);
-                    drop(writer.write_all(answer_of(&attempt, &name, &body).as_bytes()));
-                }
-            });
+        loop {
+            serve_life(&listener, &name, &run);
+            drop(listener);
+            let Some(down) = down else { return };
+            thread::sleep(down);
+            listener = TcpListener::bind(address).unwrap();
         }
     });
 }
 
-/// The same, until a request comes whose path holds `crash`: then the target ends with all its connections.
-pub fn serve_until_crash(address: SocketAddr, name: &str) {
-    let listener = TcpListener::bind(address).unwrap();
-    let name = name.to_owned();
-    let connections: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
-    let has_ended = Arc::new(AtomicBool::new(false));
-    thread::spawn(move || {
-        for stream in listener.incoming() {
-            if has_ended.load(Ordering::Relaxed) {
-                return;
-            }
-            let stream = stream.unwrap();
-            connections.lock().unwrap().push(stream.try_clone().unwrap());
-            let (name, all) = (name.clone(), Arc::clone(&connections));
-            let has_ended = Arc::clone(&has_ended);
-            thread::spawn(move || {
-                let mut writer = stream.try_clone().unwrap();
-                let mut reader = BufReader::new(stream);
-                while let Some((path, _)) = read_request(&mut reader) {
-                    if !path.contains("crash") {
-                        drop(writer.write_all(answer_of("a1", &name, &name).as_bytes()));
-                        continue;
-                    }
-                    has_ended.store(true, Ordering::Relaxed);
-                    // Wakes the listener, which is closed then.
-                    drop(TcpStream::connect(address));
-                    for connection in all.lock().unwrap().drain(..) {
-                        drop(connection.shutdown(Shutdown::Both));
-                    }
+/// Serves one life of a target, to its end.
+fn serve_life<R>(listener: &TcpListener, name: &str, run: &Arc<R>)
+where
+    R: Fn(&str) -> (String, String) + Send + Sync + 'static,
+{
+    let life = Arc::new(Life::default());
+    let address = listener.local_addr().unwrap();
+    for stream in listener.incoming() {
+        let stream = stream.unwrap();
+        if !life.take(&stream) {
+            return;
+        }
+        let (name, run, life) = (name.to_owned(), Arc::clone(run), Arc::clone(&life));
+        thread::spawn(move || {
+            let mut writer = stream.try_clone().unwrap();
+            let mut reader = BufReader::new(stream);
+            while let Some((path, _)) = read_request(&mut reader) {
+                let (attempt, body) = run(&path);
+                if path.contains(CRASHES) {
+                    return life.end(address);
                 }
-            });
+                drop(writer.write_all(answer_of(&attempt, &name, &body).as_bytes()));
+            }
+        });
+    }
+}
+
+/// The connections of one life of a target; none once it has ended.
+struct Life(Mutex<Option<Vec<TcpStream>>>);
+
+impl Default for Life {
+    fn default() -> Self {
+        Self(Mutex::new(Some(Vec::new())))
+    }
+}
+
+impl Life {
+    /// Adds a connection. Says whether the target still runs.
+    fn take(&self, stream: &TcpStream) -> bool {
+        let mut connections = self.0.lock().unwrap();
+        let Some(connections) = connections.as_mut() else { return false };
+        connections.push(stream.try_clone().unwrap());
+        true
+    }
+
+    /// Ends the target.
+    fn end(&self, address: SocketAddr) {
+        let Some(connections) = self.0.lock().unwrap().take() else { return };
+        // Wakes the listener, which is closed then.
+        drop(TcpStream::connect(address));
+        for connection in connections {
+            drop(connection.shutdown(Shutdown::Both));
         }
-    });
+    }
 }
 
 /// A whole answer of a target.
