--- a/tests/platform/target.rs
+++ b/tests/platform/target.rs
@@ -1,7 +1,9 @@
 //! Stand-ins for targets: what they say of themselves, and how they answer.
 
+use std::collections::HashMap;
 use std::io::{BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -61,9 +63,7 @@
     let address = listener.local_addr().unwrap();
     for stream in listener.incoming() {
         let stream = stream.unwrap();
-        if !life.take(&stream) {
-            return;
-        }
+        let Some(number) = life.take(&stream) else { return };
         let (name, run, life) = (name.to_owned(), Arc::clone(run), Arc::clone(&life));
         thread::spawn(move || {
             let mut writer = stream.try_clone().unwrap();
@@ -75,26 +75,35 @@
                 }
                 drop(writer.write_all(answer_of(&attempt, &name, &body).as_bytes()));
             }
+            life.leave(number);
         });
     }
 }
 
-/// The connections of one life of a target; none once it has ended.
-struct Life(Mutex<Option<Vec<TcpStream>>>);
+/// The connections of one life of a target that are open, by their number; none once it has ended.
+struct Life(Mutex<Option<HashMap<usize, TcpStream>>>);
 
 impl Default for Life {
     fn default() -> Self {
-        Self(Mutex::new(Some(Vec::new())))
+        Self(Mutex::new(Some(HashMap::new())))
     }
 }
 
 impl Life {
-    /// Adds a connection. Says whether the target still runs.
-    fn take(&self, stream: &TcpStream) -> bool {
+    /// Adds a connection, and gives its number; none where the target has ended.
+    fn take(&self, stream: &TcpStream) -> Option<usize> {
+        static NEXT: AtomicUsize = AtomicUsize::new(0);
         let mut connections = self.0.lock().unwrap();
-        let Some(connections) = connections.as_mut() else { return false };
-        connections.push(stream.try_clone().unwrap());
-        true
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        connections.as_mut()?.insert(number, stream.try_clone().unwrap());
+        Some(number)
+    }
+
+    /// Forgets a connection that its other end has closed.
+    fn leave(&self, number: usize) {
+        if let Some(connections) = self.0.lock().unwrap().as_mut() {
+            connections.remove(&number);
+        }
     }
 
     /// Ends the target.
@@ -102,7 +111,7 @@
         let Some(connections) = self.0.lock().unwrap().take() else { return };
         // Wakes the listener, which is closed then.
         drop(TcpStream::connect(address));
-        for connection in connections {
+        for connection in connections.into_values() {
             drop(connection.shutdown(Shutdown::Both));
         }
     }
