Split the play of the quarantine into short functions

One function of eighty lines played callers, news, targets and repeats; a newcomer could not see what stands for what. The bounds and checks are the same.

--- a/tests/mesh/quarantine.rs
+++ b/tests/mesh/quarantine.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use aspenspring::mesh::fingerprint::Fingerprint;
-use aspenspring::mesh::frame::{Crash, Suspicion};
+use aspenspring::mesh::frame::Suspicion;
 use aspenspring::mesh::quarantine::{Quarantine, Standing};
 use futures_util::FutureExt;
 use rand::rngs::SmallRng;
@@ -22,6 +22,10 @@
 const STEPS: u32 = 4_000;
 /// How many targets a request may end before it is known for it, and may reach after that.
 const CRASHES_MAX: u32 = 3 + 3;
+/// How many steps lie between two attempts at the culprit.
+const CULPRIT_EVERY_STEPS: u32 = 70;
+/// How many steps a caller waits.
+const PATIENCE_STEPS: u32 = 80;
 /// How often a request is sent to targets for one attempt of its caller.
 const SENDS_MAX: u32 = 3;
 /// How many plays there are of each size.
@@ -33,10 +37,17 @@
     Fingerprint::of("GET", &format!("/{request}"), &[], b"")
 }
 
-/// A request on a target, or on its way to one.
-struct Run<'a> {
+/// A request on its way to a target.
+#[derive(Clone, Copy)]
+struct Offer {
     request: u32,
     sends: u32,
+    since: u32,
+}
+
+/// A request on a target.
+struct Run<'a> {
+    offer: Offer,
     ends_at: u32,
     _apart: Option<SemaphorePermit<'a>>,
 }
@@ -47,6 +58,13 @@
     down_until: u32,
 }
 
+/// The end of a target that nobody knows of yet.
+struct News {
+    due: u32,
+    at: usize,
+    requests: Vec<Fingerprint>,
+}
+
 /// What a play has shown.
 #[derive(Debug, Default)]
 struct Shown {
@@ -57,98 +75,150 @@
     waited_in_vain: u32,
 }
 
-/// Plays one request that ends targets, and comes back, among others that do not.
-///
-/// In each step a target ends by itself with the probability `ends`.
-async fn play(seed: u64, targets: usize, ends: f64) -> Shown {
-    let mut rng = SmallRng::seed_from_u64(seed);
-    let nodes: Vec<Quarantine> = (0..targets).map(|_| Quarantine::default()).collect();
-    let mut sites: Vec<Target<'_>> = (0..targets).map(|_| Target::default()).collect();
-    let mut news: Vec<(u32, usize, Crash)> = Vec::new();
-    let mut offered: Vec<(u32, u32, u32)> = Vec::new();
-    let mut shown = Shown::default();
-    let mut next_request = 0;
-    for step in 0..STEPS {
-        advance(STEP).await;
-        for _ in 0..targets {
-            if rng.random_bool(0.3) {
-                offered.push((next_request, 1, step));
-                next_request += 1;
+/// A service under play: what each node knows, and what its target does.
+struct Play<'a> {
+    rng: SmallRng,
+    nodes: &'a [Quarantine],
+    targets: Vec<Target<'a>>,
+    offers: Vec<Offer>,
+    news: Vec<News>,
+    /// With this probability a target ends by itself in a step.
+    ends: f64,
+    step: u32,
+    next_request: u32,
+    shown: Shown,
+}
+
+impl Play<'_> {
+    /// Callers come: some with requests of their own, one with the culprit again and again.
+    fn call(&mut self) {
+        for _ in 0..self.nodes.len() {
+            if self.rng.random_bool(0.3) {
+                self.offer(self.next_request, 1);
+                self.next_request += 1;
             }
         }
-        if step % 70 == 0 {
-            offered.push((CULPRIT, 1, step));
+        if self.step % CULPRIT_EVERY_STEPS == 0 {
+            self.offer(CULPRIT, 1);
         }
-        // The end of a target is known beside it, and then to all others.
-        let (known, unknown) = news.into_iter().partition(|(due, ..)| *due <= step);
-        news = unknown;
-        let known: Vec<(u32, usize, Crash)> = known;
-        for (_, at, crash) in known {
-            let told = nodes[at].note_crash(crash.requests);
-            for (other, node) in nodes.iter().enumerate() {
+    }
+
+    fn offer(&mut self, request: u32, sends: u32) {
+        self.offers.push(Offer { request, sends, since: self.step });
+    }
+
+    /// The ends of targets become known, beside them and to all others.
+    fn spread_news(&mut self) {
+        let is_due = |news: &News| news.due <= self.step;
+        let (due, later): (Vec<News>, _) =
+            std::mem::take(&mut self.news).into_iter().partition(is_due);
+        self.news = later;
+        for News { at, requests, .. } in due {
+            let told = self.nodes[at].note_crash(requests);
+            for (other, node) in self.nodes.iter().enumerate() {
                 if other != at {
                     node.take_crash(&told);
                 }
             }
         }
-        for (request, sends, since) in std::mem::take(&mut offered) {
-            let at = rng.random_range(0..targets);
-            if step - since > 80 {
-                shown.waited_in_vain += u32::from(request != CULPRIT);
+    }
+
+    /// Each request that waits is offered to a target.
+    fn place_all(&mut self) {
+        for offer in std::mem::take(&mut self.offers) {
+            if self.step - offer.since > PATIENCE_STEPS {
+                self.shown.waited_in_vain += u32::from(offer.request != CULPRIT);
                 continue;
             }
-            if sites[at].down_until > step {
-                offered.push((request, sends, since));
+            let at = self.rng.random_range(0..self.nodes.len());
+            if self.targets[at].down_until > self.step {
+                self.offers.push(offer);
                 continue;
             }
-            let apart = match nodes[at].admit(fingerprint(request)).now_or_never() {
-                None => {
-                    offered.push((request, sends, since));
-                    continue;
-                }
-                Some(None) => {
-                    shown.held_in_error += u32::from(request != CULPRIT);
-                    continue;
-                }
-                Some(Some(apart)) => apart,
+            let Some(admitted) = self.nodes[at].admit(fingerprint(offer.request)).now_or_never()
+            else {
+                self.offers.push(offer);
+                continue;
             };
-            let takes = if request == CULPRIT { 3..14 } else { 5..25 };
-            let ends_at = step + rng.random_range(takes);
-            sites[at].running.push(Run { request, sends, ends_at, _apart: apart });
+            let Some(apart) = admitted else {
+                self.shown.held_in_error += u32::from(offer.request != CULPRIT);
+                continue;
+            };
+            let takes = if offer.request == CULPRIT { 3..14 } else { 5..25 };
+            let ends_at = self.step + self.rng.random_range(takes);
+            self.targets[at].running.push(Run { offer, ends_at, _apart: apart });
         }
-        for at in 0..targets {
-            let running = std::mem::take(&mut sites[at].running);
-            let (ended, going_on): (Vec<Run<'_>>, Vec<Run<'_>>) =
-                running.into_iter().partition(|run| run.ends_at <= step);
-            sites[at].running = going_on;
-            let has_crashed = ended.iter().any(|run| run.request == CULPRIT);
-            let ends_by_itself = sites[at].down_until <= step && rng.random_bool(ends);
-            if !has_crashed && !ends_by_itself {
-                for run in ended {
-                    shown.served += 1;
-                    if nodes[at].clear(fingerprint(run.request)).was_suspect {
-                        for node in &nodes {
-                            node.clear(fingerprint(run.request));
-                        }
-                    }
-                }
+    }
+
+    /// Runs come to their end: with an answer, or with their target.
+    fn run_all(&mut self) {
+        for at in 0..self.targets.len() {
+            let running = std::mem::take(&mut self.targets[at].running);
+            let (ended, going_on): (Vec<_>, Vec<_>) =
+                running.into_iter().partition(|run| run.ends_at <= self.step);
+            let is_culprit = ended.iter().any(|run| run.offer.request == CULPRIT);
+            let is_up = self.targets[at].down_until <= self.step;
+            if is_culprit || (is_up && self.rng.random_bool(self.ends)) {
+                self.shown.crashes += u32::from(is_culprit);
+                self.crash(at, ended.into_iter().chain(going_on).map(|run| run.offer).collect());
                 continue;
             }
-            shown.crashes += u32::from(has_crashed);
-            sites[at].down_until = step + DOWN_STEPS;
-            let broken: Vec<Run<'_>> =
-                ended.into_iter().chain(sites[at].running.drain(..)).collect();
-            let requests = broken.iter().map(|run| fingerprint(run.request)).collect();
-            news.push((step + NEWS_STEPS, at, Crash { requests, held: None }));
-            for run in broken {
-                let is_suspect = nodes[at].standing(fingerprint(run.request)) != Standing::Free;
-                if run.sends < SENDS_MAX && !is_suspect {
-                    offered.push((run.request, run.sends + 1, step));
-                }
+            self.targets[at].running = going_on;
+            for run in ended {
+                self.succeed(at, run.offer.request);
+            }
+        }
+    }
+
+    fn succeed(&mut self, at: usize, request: u32) {
+        self.shown.served += 1;
+        if !self.nodes[at].clear(fingerprint(request)).was_suspect {
+            return;
+        }
+        for node in self.nodes {
+            node.clear(fingerprint(request));
+        }
+    }
+
+    /// A target ends with what it runs; nodes repeat what they do not suspect.
+    fn crash(&mut self, at: usize, broken: Vec<Offer>) {
+        self.targets[at].down_until = self.step + DOWN_STEPS;
+        let requests = broken.iter().map(|offer| fingerprint(offer.request)).collect();
+        self.news.push(News { due: self.step + NEWS_STEPS, at, requests });
+        for offer in broken {
+            let is_suspect = self.nodes[at].standing(fingerprint(offer.request)) != Standing::Free;
+            if offer.sends < SENDS_MAX && !is_suspect {
+                self.offer(offer.request, offer.sends + 1);
             }
         }
     }
-    shown
+}
+
+/// Plays one request that ends targets, and comes back, among others that do not.
+///
+/// In each step a target ends by itself with the probability `ends`.
+async fn play(seed: u64, targets: usize, ends: f64) -> Shown {
+    let nodes: Vec<Quarantine> = (0..targets).map(|_| Quarantine::default()).collect();
+    let mut play = Play {
+        rng: SmallRng::seed_from_u64(seed),
+        nodes: &nodes,
+        targets: (0..targets).map(|_| Target::default()).collect(),
+        offers: Vec::new(),
+        news: Vec::new(),
+        ends,
+        step: 0,
+        next_request: 0,
+        shown: Shown::default(),
+    };
+    for step in 0..STEPS {
+        advance(STEP).await;
+        play.step = step;
+        play.call();
+        play.spread_news();
+        play.place_all();
+        play.run_all();
+    }
+    play.shown
 }
 
 /// Whatever the order of ends, repeats and news: the culprit is held back in time, and no other request is; also
