--- a/tests/mesh/crashes.rs
+++ b/tests/mesh/crashes.rs
@@ -17,6 +17,8 @@
 const CRASHES_KNOWN_AFTER: usize = 3;
 /// How often it may be sent to targets after that.
 const REPEATS_MAX: usize = 3;
+/// How many requests run beside it.
+const BESIDE: usize = 40;
 /// How often the caller comes back with it.
 const ATTEMPTS: usize = 12;
 
@@ -74,6 +76,11 @@
     });
 }
 
+/// A request that only runs beside the one that ends targets.
+fn beside(number: usize, attempt: &str) -> String {
+    format!("GET /read/beside-{number} HTTP/1.1\r\nhost: shop.test\r\nx-attempt: {attempt}\r\n\r\n")
+}
+
 /// Beside the request that ends targets, others run, are cut off with it, and come back like it. They are
 /// served, however often that was.
 #[test]
@@ -81,27 +88,21 @@
     run(async {
         let nodes = site(&["stock-1", "stock-2", "stock-3", "stock-4"]).await;
         for attempt in 0..ATTEMPTS {
-            let mut beside = Vec::new();
-            for number in 0..40 {
-                let node = nodes[number % nodes.len()].node.clone();
-                let target = nodes[number % nodes.len()].target.clone();
-                let text = format!(
-                    "GET /read/beside-{number} HTTP/1.1\r\nhost: shop.test\r\n\
-                     x-attempt: b{attempt}-{number}\r\n\r\n"
-                );
-                let entry = TestNode { node, target };
-                beside.push(spawn_local(async move { status(&ask(&entry, &text).await) }));
+            let mut running = Vec::new();
+            for number in 0..BESIDE {
+                let entry = nodes[number % nodes.len()].clone();
+                let text = beside(number, &format!("b{attempt}-{number}"));
+                running.push(spawn_local(async move { ask(&entry, &text).await }));
             }
             ask(&nodes[attempt % nodes.len()], &crashing(attempt)).await;
-            for request in beside {
+            for request in running {
                 request.await.unwrap();
             }
             sleep(Duration::from_millis(100)).await;
         }
         sleep(Duration::from_millis(300)).await;
-        for number in 0..40 {
-            let text = request("read", &format!("z{number}"))
-                .replace("/read/1", &format!("/read/beside-{number}"));
+        for number in 0..BESIDE {
+            let text = beside(number, &format!("z{number}"));
             let answer = ask(&nodes[number % nodes.len()], &text).await;
             assert_eq!(status(&answer), 200, "beside-{number} is refused: {answer}");
         }
--- a/tests/mesh/support.rs
+++ b/tests/mesh/support.rs
@@ -97,6 +97,7 @@
 }
 
 /// A node with its target.
+#[derive(Clone)]
 pub struct TestNode {
     /// The node.
     pub node: Rc<Node>,
