Hold the address at which no collector listens, in the test of spans

The port is now held by a socket that is bound and does not listen, so that connections to it are refused and nobody else draws it. Bounds and checks are the same. tests/peer/delivery.rs asks for a free address in the same way; there nothing listens on drawn ports meanwhile (read, not run).

--- a/tests/telemetry_trace.rs
+++ b/tests/telemetry_trace.rs
@@ -16,6 +16,7 @@
 use rocket::http::{ContentType, Status};
 use rocket::{Build, Rocket, State, post, routes};
 use serde_json::Value;
+use socket2::{Domain, Socket, Type};
 
 /// The longest a test waits for something that must happen.
 const WAIT_MAX: Duration = Duration::from_secs(30);
@@ -128,9 +129,18 @@
     server.stop().unwrap();
 }
 
+/// An address at which nobody listens, for as long as the socket is held: a port that was given back would
+/// be drawn by the collector of another test, which then got the spans.
+fn closed_address() -> (Socket, SocketAddr) {
+    let held = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    held.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    let address = held.local_addr().unwrap().as_socket().unwrap();
+    (held, address)
+}
+
 #[test]
 fn a_collector_that_is_away_costs_only_spans() {
-    let closed = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let (_held, closed) = closed_address();
     let metrics = Metrics::new().unwrap();
     let url = format!("http://{closed}/v1/traces");
     let duty = TraceDuty::start(&options(&url), &metrics, EventLog::discard()).unwrap();
