--- a/src/mesh/budget.rs
+++ b/src/mesh/budget.rs
@@ -76,9 +76,7 @@
 ///
 /// Every node weighs the repeats that it has sent in the last ten seconds against its own requests of the
 /// same time only, so the sum over all nodes keeps to the share without any message between them. What
-/// calm seconds earn is there when a service begins to fail, for all of these ten seconds. Where all targets
-/// of a service turn half of their calls away for 8 s, that and the ranks earned 0.509 of the day's worth in
-/// place of 0.479 with two repeats saved (mean of three plays each, docs/DECISIONS.md).
+/// calm seconds earn is there when a service begins to fail, for all of these ten seconds.
 ///
 /// A call that is made by a repeated run is a repeat at the service it goes to, although nobody chose to
 /// repeat it; it is paid from the same budget, so that a failure deep down, whose repeat costs one run, may
--- a/src/mesh/crash.rs
+++ b/src/mesh/crash.rs
@@ -7,6 +7,7 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use super::blame;
 use super::fingerprint::Fingerprint;
 use super::frame::Call;
 use super::http1::Connection;
@@ -51,7 +52,7 @@
         let requests = broken.requests.take();
         match opened {
             Ok(connection) => node.target.keep(connection),
-            Err(error) if error.is_refused() => node.target_crashed(&instance, &requests),
+            Err(error) if error.is_refused() => blame::note_crash(&node, &instance, &requests),
             Err(_) => {}
         }
     });
--- a/src/mesh/follower.rs
+++ b/src/mesh/follower.rs
@@ -3,8 +3,6 @@
 //! A few of each failure domain do; the others hear of a new version on their links. Every node decides
 //! for itself by what its neighbours say, so nobody has to be elected, and where all links are lost each
 //! node follows by itself.
-//!
-//! With this a calm day of 96 nodes takes 630 calls to the store in place of 874 (docs/DECISIONS.md).
 
 use std::cell::Cell;
 use std::time::Duration;
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -4,6 +4,7 @@
 //! more than a whole decision. docs/DESIGN-platform.md has the figures.
 
 pub mod ancestry;
+pub mod blame;
 pub mod budget;
 pub mod callers;
 pub mod codec;
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -16,20 +16,18 @@
 use super::ancestry::Ancestry;
 use super::budget::RetryBudgets;
 use super::callers::Callers;
-use super::crash::Broken;
 use super::directory::Directory;
-use super::fingerprint::Fingerprint;
 use super::follower::StoreWatch;
-use super::frame::{Crash, Frame, Hello, RootWork, Status, Suspicion};
+use super::frame::{Frame, Hello, RootWork, Status};
 use super::incarnation::Incarnation;
 use super::link::Link;
 use super::metrics::MeshMetrics;
 use super::overload::{Overload, ServiceView};
-use super::quarantine::{Quarantine, Standing};
+use super::quarantine::Quarantine;
 use super::settings::MeshSettings;
 use super::site::Site;
 use super::split::Splitter;
-use super::target::{Heartbeat, Instance, Target};
+use super::target::{Heartbeat, Target};
 use super::vocabulary::Vocabulary;
 
 /// How long a route by which requests have reached the target is remembered as such.
@@ -266,68 +264,6 @@
         self.tell_status();
     }
 
-    /// Takes in that the target has ended with `running`, and tells all other nodes.
-    pub fn target_crashed(&self, instance: &Instance, running: &[Broken]) {
-        if self.target.lose(&instance.incarnation) {
-            self.target_changed("refused_connection");
-        }
-        let requests = running.iter().map(|broken| broken.fingerprint).collect();
-        let crash = self.quarantine.note_crash(requests);
-        let (suspects, _) = self.quarantine.counts();
-        self.log.emit(&LogEvent::TargetCrashed {
-            instance: instance.incarnation.id.clone(),
-            service: instance.service.clone(),
-            running: crash.requests.len() as u32,
-            suspects: suspects as u32,
-        });
-        if let Some(held) = crash.held {
-            let broken = running.iter().find(|broken| broken.fingerprint == held);
-            let path = broken.map(|broken| broken.path.clone()).unwrap_or_default();
-            self.report_held(held, path, "crash");
-        }
-        self.callers.tell_all(&Frame::Crash(crash));
-    }
-
-    /// Takes in that a target beside another node has ended.
-    pub fn take_crash(&self, crash: &Crash) {
-        self.quarantine.take_crash(crash);
-        if let Some(held) = crash.held {
-            self.report_held(held, String::new(), "peer");
-        }
-    }
-
-    /// Takes in that requests are held back, from another node or from where it was written down.
-    pub fn take_suspicions(&self, suspicions: &[Suspicion], learned_from: &'static str) {
-        for suspicion in suspicions {
-            if self.quarantine.take_suspicion(suspicion) {
-                self.report_held(suspicion.fingerprint, String::new(), learned_from);
-            }
-        }
-    }
-
-    /// Takes in that a request has succeeded.
-    pub fn clear(&self, fingerprint: Fingerprint) {
-        let cleared = self.quarantine.clear(fingerprint);
-        if cleared.was_suspect {
-            self.callers.tell_all(&Frame::Cleared(fingerprint));
-        }
-        if cleared.was_held {
-            self.quarantine.save(fingerprint);
-            let fingerprint = fingerprint.to_string();
-            self.log.emit(&LogEvent::RequestReleased { fingerprint });
-        }
-    }
-
-    fn report_held(&self, fingerprint: Fingerprint, path: String, learned_from: &'static str) {
-        let Standing::Held(left) = self.quarantine.standing(fingerprint) else { return };
-        self.log.emit(&LogEvent::RequestHeld {
-            fingerprint: fingerprint.to_string(),
-            path,
-            hold_s: left.as_secs_f64().ceil() as u64,
-            learned_from,
-        });
-    }
-
     /// The state of the node.
     pub fn status(&self) -> Status {
         let current = self.target.current();
--- a/src/mesh/peers.rs
+++ b/src/mesh/peers.rs
@@ -12,6 +12,7 @@
 
 use crate::event::{EventLog, LogEvent};
 
+use super::blame;
 use super::directory::Peer;
 use super::frame::{Call, Frame};
 use super::link::Link;
@@ -105,11 +106,11 @@
             peer.take_status(status);
         }
         Frame::Load(load) => peer.take_load(load),
-        Frame::Crash(crash) => node.take_crash(&crash),
+        Frame::Crash(crash) => blame::take_crash(node, &crash),
         Frame::Cleared(fingerprint) => {
             node.quarantine.clear(fingerprint);
         }
-        Frame::Suspicions(suspicions) => node.take_suspicions(&suspicions, "peer"),
+        Frame::Suspicions(suspicions) => blame::take_suspicions(node, &suspicions, "peer"),
         Frame::Site { document } => match node.take_document(&document, "peer") {
             Ok(_) => {}
             Err(error) => {
--- a/src/mesh/receiver.rs
+++ b/src/mesh/receiver.rs
@@ -15,6 +15,7 @@
 use crate::event::LogEvent;
 
 use super::ancestry::Origin;
+use super::blame;
 use super::crash::note_broken;
 use super::frame::{Call, CallEnd, Doubt, Header, NotRun, TargetAnswer};
 use super::gate::GateError;
@@ -195,7 +196,7 @@
     let served = judge(node, reply, has_failed_below.get());
     // A request that ends targets may be turned away, or fail for want of a call, before it gets so far.
     if served.end.went_well() && !node.quarantine.is_empty() {
-        node.clear(call.fingerprint());
+        blame::note_success(node, call.fingerprint());
     }
     served
 }
--- a/src/mesh/report.rs
+++ b/src/mesh/report.rs
@@ -4,10 +4,6 @@
 //! targets of a service. A sum over many targets bears older reports than a choice between a few, so
 //! the pause between two reports grows with the number of targets that share the work. What a node
 //! hears of one service is bounded by that, however many targets the service has.
-//!
-//! Measured together with hellos that list no nodes, against a report to all nodes each 180 ms and two
-//! pings a second on each link: at 300 nodes the middle one sends and receives 37 kB/s in place of 1,035,
-//! in 2.4% of a core in place of 9.8 (docs/CAPACITY.md).
 
 use std::time::Duration;
 
--- a/src/mesh/window.rs
+++ b/src/mesh/window.rs
@@ -128,8 +128,7 @@
     /// How many requests may be in flight for one of `rank` to be admitted.
     fn bound(&self, rank: u8) -> f64 {
         // A fair share is corrected like what was learnt: after a restart of all nodes under load nothing can
-        // be learnt while queues grow, and an uncorrected share kept them full for 12 s (worth of such a day
-        // 0.530 before and 0.655 after, one play each).
+        // be learnt while queues grow, and an uncorrected share would keep them full.
         let learnt = self.in_flight_sum / self.work_sum.max(0.1) * WORK_WANTED;
         let size = if self.work_sum < LEARNT_MIN { learnt.max(self.fair_share) } else { learnt };
         let size = size * self.correction;
--- a/src/platform/members.rs
+++ b/src/platform/members.rs
@@ -14,6 +14,7 @@
 use super::holds;
 use super::store::{Row, Store};
 use crate::event::LogEvent;
+use crate::mesh::blame;
 use crate::mesh::node::Node;
 use crate::mesh::peers;
 
@@ -79,7 +80,7 @@
 fn take(node: &Rc<Node>, row: &Result<Row, String>) -> eyre::Result<()> {
     let row = row.as_ref().map_err(|error| eyre!("{error}"))?;
     if let Some(held) = holds::read(row)? {
-        node.take_suspicions(&[held], "table");
+        blame::take_suspicions(node, &[held], "table");
         return Ok(());
     }
     let failure_domain = String::from_utf8(row.value()?)?;
