Let requests in by the key of their team, and by its quota over all nodes

Cause: nothing on the call path knew a team; src/platform/document passed over the teams of a configuration.

Change: src/mesh/teams. A roster of the configuration finds the holder of a key by a digest under a secret of its own; 401 comes before the body is read. The node sets the team's name beside the target, the key goes no further than the entry. Calls of a target inherit the team and the rank of their parent and need no key; those whose parent is over are refused as not run. One node owns a team's quota, found by a hash over the linked nodes, and leases tokens to the entries that ask; a node that sees a part of the fleet grants that part only. The equal share of each entry stands in while an owner does not answer, and is the other policy (teams.quota: equal).

Ruled out: tokens leased ahead only (at 71 entries most have less than one request of a team in a lease); reports of use after the fact (a team with few requests at many entries passes its quota before anybody hears).

--- a/src/event.rs
+++ b/src/event.rs
@@ -490,6 +490,10 @@
         /// The service further down with the least room, where requests of its route are refused for
         /// it.
         limited_by: String,
+        /// The team whose key let it in; empty where no key did.
+        team: String,
+        /// What was known of the team's quota, where the request was beyond it.
+        quota: String,
         /// How many repeats the node might still have sent to the service, in hundredths.
         repeats_percent: u32,
         /// The version of the configuration by which it was routed.
--- a/src/mesh/ancestry.rs
+++ b/src/mesh/ancestry.rs
@@ -5,13 +5,19 @@
 //! only looks alike is taken for that of a new request.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::time::Instant;
 
 /// Stands between the id of a request and the own part of a call made for it.
 const SEPARATOR: char = '.';
+/// For how long a run that has ended, or may have begun before this node did, is remembered: calls made for
+/// it may still be on their way, or the target may not have noticed yet.
+const ENDED_REMEMBERED: Duration = Duration::from_secs(6);
+/// The most runs that are remembered so.
+const ENDED_MAX: usize = 20_000;
 
 /// Where a request came from, as far as calls made for it inherit it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -24,14 +30,55 @@
     pub deadline: Instant,
     /// Whether the run repeats another, or was made by one that does.
     pub is_repeat: bool,
+    /// The team whose key let the caller's request in; empty where no key did.
+    pub team: Rc<str>,
     /// Whether a call that it made has failed.
     pub has_failed_below: Rc<Cell<bool>>,
 }
 
 /// The requests that the target is running.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Ancestry {
+    started: Instant,
     running: RefCell<HashMap<String, Origin>>,
+    ended: RefCell<Ended>,
+}
+
+impl Default for Ancestry {
+    fn default() -> Self {
+        Self { started: Instant::now(), running: RefCell::default(), ended: RefCell::default() }
+    }
+}
+
+/// Runs that have ended of late.
+#[derive(Debug, Default)]
+struct Ended {
+    in_order: VecDeque<(Instant, Rc<str>)>,
+    ids: HashSet<Rc<str>>,
+}
+
+impl Ended {
+    fn note(&mut self, id: &str, now: Instant) {
+        let id: Rc<str> = id.into();
+        if self.ids.insert(Rc::clone(&id)) {
+            self.in_order.push_back((now, id));
+        }
+        while self.in_order.len() > ENDED_MAX {
+            self.forget_first();
+        }
+    }
+
+    fn sweep(&mut self, now: Instant) {
+        while self.in_order.front().is_some_and(|(at, _)| now - *at > ENDED_REMEMBERED) {
+            self.forget_first();
+        }
+    }
+
+    fn forget_first(&mut self) {
+        if let Some((_, id)) = self.in_order.pop_front() {
+            self.ids.remove(&id);
+        }
+    }
 }
 
 /// A request that the target is running, until dropped.
@@ -43,6 +90,10 @@
 impl Drop for Running<'_> {
     fn drop(&mut self) {
         self.ancestry.running.borrow_mut().remove(self.id);
+        let now = Instant::now();
+        let mut ended = self.ancestry.ended.borrow_mut();
+        ended.sweep(now);
+        ended.note(self.id, now);
     }
 }
 
@@ -58,6 +109,13 @@
         self.running.borrow().values().filter(|origin| &*origin.root == root).count()
     }
 
+    /// Whether `id` names a call for a run of the target that is over, or that an earlier life of this node
+    /// had begun. Nobody waits for its answer.
+    pub fn is_orphan(&self, id: &str) -> bool {
+        let Some((parent, _)) = id.rsplit_once(SEPARATOR) else { return false };
+        self.started.elapsed() < ENDED_REMEMBERED || self.ended.borrow().ids.contains(parent)
+    }
+
     /// The origin of the request for which the target makes the call `id`, if it makes it.
     pub fn parent(&self, id: &str) -> Option<Origin> {
         let (parent, _) = id.rsplit_once(SEPARATOR)?;
--- a/src/mesh/codec.rs
+++ b/src/mesh/codec.rs
@@ -16,6 +16,8 @@
 pub const FRAME_MAX_BYTES: usize = 80 * 1024 * 1024;
 /// The name under which the beginnings of paths are kept, which no header has.
 const FOLDER: &[u8] = b"/";
+/// The name under which teams are kept, which no header has.
+const TEAM: &[u8] = b"@";
 
 /// Why bytes are no frame.
 #[derive(Debug, Error)]
@@ -56,6 +58,7 @@
     #[serde(borrow)]
     service: Word<'a>,
     root: Word<'a>,
+    team: Word<'a>,
     method: Word<'a>,
     /// The path up to its last slash.
     folder: Word<'a>,
@@ -110,6 +113,7 @@
             attempt_id: &call.attempt_id,
             service: self.words.word(call.service.as_bytes()),
             root: self.words.word(call.root.as_bytes()),
+            team: self.words.value(TEAM, call.team.as_bytes()),
             method: self.words.word(call.method.as_bytes()),
             folder: self.words.value(FOLDER, folder.as_bytes()),
             rest,
@@ -185,6 +189,7 @@
     fn unpack_call(&mut self, packed: &PackedCall<'_>) -> Result<Call, FrameError> {
         let service = self.words.resolve_text(&packed.service)?;
         let root = self.words.resolve_text(&packed.root)?;
+        let team = self.words.resolve_text(&packed.team)?;
         let method = self.words.resolve_text(&packed.method)?;
         let path = self.words.resolve_text(&packed.folder)? + packed.rest;
         Ok(Call {
@@ -195,6 +200,7 @@
             root,
             rank: packed.rank,
             is_repeat: packed.is_repeat,
+            team,
             method,
             path,
             headers: self.unpack_headers(&packed.headers)?,
--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -15,6 +15,7 @@
 use super::frame::{Hello, Load, Neighbour, Status};
 use super::link::Link;
 use super::overload::ServiceView;
+use super::teams::quota::Fleet;
 
 /// How busy a target in the own failure domain may be before one elsewhere is taken, as a share of
 /// what it can run. Bytes between failure domains cost; a queue costs more.
@@ -29,6 +30,8 @@
 const SUSPECT_AFTER: Duration = Duration::from_millis(900);
 /// Ties are broken by chance within this share, so that senders do not all pick the same target.
 const TIE_SPREAD: f64 = 0.06;
+/// For how long a node counts that was read of and has not been reached: rows of nodes that are gone stay.
+const NEW_COUNTS_FOR: Duration = Duration::from_secs(5);
 /// How long a target is avoided after it failed a call, at least.
 const AVOID_AFTER_FAILURE: Duration = Duration::from_millis(400);
 
@@ -51,6 +54,10 @@
     pub greeted: Notify,
     /// How many of its answers were failures of late.
     pub failing: FailureShare,
+    /// Whether it was ever linked with this node.
+    pub was_linked: Cell<bool>,
+    /// When this node first heard of it.
+    met: Instant,
 }
 
 impl Peer {
@@ -65,6 +72,8 @@
             avoided_until: Cell::default(),
             greeted: Notify::new(),
             failing: FailureShare::default(),
+            was_linked: Cell::default(),
+            met: Instant::now(),
         }
     }
 
@@ -193,6 +202,31 @@
         self.peers.borrow().values().filter(|peer| peer.open_link().is_some()).count()
     }
 
+    /// The nodes among which the owners of quotas are found.
+    ///
+    /// A node that stops is none of them, nor one that was read of and never reached within `NEW_COUNTS_FOR`.
+    /// One that was linked and is not any more may be behind a cut: it counts as known until it is forgotten.
+    pub fn fleet(&self, is_stopping: bool) -> Fleet {
+        let mut fleet = Fleet { members: Vec::new(), known: 0 };
+        if !is_stopping {
+            fleet.members.push(self.own_address);
+            fleet.known = 1;
+        }
+        for peer in self.peers.borrow().values() {
+            if peer.status.borrow().stopping {
+                continue;
+            }
+            let is_linked = peer.open_link().is_some();
+            if is_linked {
+                fleet.members.push(peer.address);
+            }
+            let may_be_there = peer.was_linked.get() || peer.met.elapsed() < NEW_COUNTS_FOR;
+            fleet.known += usize::from(is_linked || may_be_there);
+        }
+        fleet.members.sort_unstable();
+        fleet
+    }
+
     /// How many targets of `service` are ready beside other nodes: in the own failure domain, and in
     /// all.
     pub fn siblings(&self, service: &str) -> (usize, usize) {
--- a/src/mesh/frame.rs
+++ b/src/mesh/frame.rs
@@ -52,6 +52,40 @@
     Cleared(Fingerprint),
     /// The suspects that the sender knows, for a node that may not.
     Suspicions(Vec<Suspicion>),
+    /// Asks the owner of a team's quota for tokens.
+    QuotaWanted {
+        /// The team.
+        team: String,
+        /// How many.
+        tokens: u32,
+    },
+    /// Answers that.
+    QuotaGranted {
+        /// The team.
+        team: String,
+        /// What is granted; nothing where the sender does not own the quota.
+        grant: Option<QuotaGrant>,
+    },
+    /// Tokens that were granted and not used.
+    QuotaReturned {
+        /// The team.
+        team: String,
+        /// How many.
+        tokens: u32,
+    },
+}
+
+/// What the owner of a quota grants.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuotaGrant {
+    /// Requests that may run.
+    pub tokens: u32,
+    /// How long it is of no use to ask again, in milliseconds.
+    pub dry_ms: u32,
+    /// When a refused caller may come back, in milliseconds.
+    pub come_back_ms: u32,
+    /// Requests granted to all nodes over the last five seconds.
+    pub used: u32,
 }
 
 /// Who a node is.
@@ -105,6 +139,8 @@
     pub incarnation: Incarnation,
     /// Whether the target takes new work.
     pub ready: bool,
+    /// Whether the node was told to stop.
+    pub stopping: bool,
     /// Whether the target has started only lately and is still slow.
     pub cold: bool,
     /// The version of the configuration in force at the node.
@@ -127,6 +163,7 @@
         self.service == other.service
             && self.incarnation == other.incarnation
             && self.ready == other.ready
+            && self.stopping == other.stopping
             && self.cold == other.cold
             && self.site_version == other.site_version
             && self.reaches_store == other.reaches_store
@@ -178,6 +215,8 @@
     pub rank: u8,
     /// Whether it repeats a run, or is made by a run that does.
     pub is_repeat: bool,
+    /// The team whose key let the caller's request in; empty where no key did.
+    pub team: String,
     /// The method.
     pub method: String,
     /// The path with the query.
@@ -330,6 +369,12 @@
     Quarantined,
     /// The connection to the node was lost before the call was sent.
     Unsent,
+    /// Nobody holds the key that the request carries, or it carries none.
+    NoKey,
+    /// The quota of the team is used up.
+    OverQuota,
+    /// A call for a run that has ended.
+    Orphaned,
 }
 
 impl NotRun {
@@ -351,6 +396,9 @@
             Self::Declined => "target-declined",
             Self::Quarantined => "quarantined",
             Self::Unsent => "unsent",
+            Self::NoKey => "no-key",
+            Self::OverQuota => "over-quota",
+            Self::Orphaned => "orphaned",
         }
     }
 }
--- a/src/mesh/ingress.rs
+++ b/src/mesh/ingress.rs
@@ -18,13 +18,15 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
+use super::ancestry::Origin;
 use super::frame::{Doubt, Header, NotRun, TargetAnswer};
 use super::linger::LingeringStream;
 use super::node::{Counted, Node};
 use super::overload::Admitted;
 use super::peers::pause_after;
 use super::sender::{self, Outcome, Request};
-use super::site::Route;
+use super::site::{Route, Site};
+use super::teams::admission::{self, Holder, OverQuota};
 use super::trail::{Ended, Trail, note_end};
 
 /// How much memory request bodies may take, as a share of what the node may use.
@@ -38,6 +40,11 @@
 /// When a caller should come back whose body does not fit into memory, in milliseconds.
 const RETRY_AFTER_NO_MEMORY_MS: u64 = 1_000;
 
+/// When a call should come back whose parent is not known, in milliseconds.
+const RETRY_AFTER_ORPHANED_MS: u64 = 300;
+/// The least time after which a caller beyond its team's quota should come back, in milliseconds.
+const RETRY_AFTER_QUOTA_MIN_MS: u64 = 20;
+
 /// When a refused caller should come back, as a share of the objective.
 const COME_BACK_SHARES: Range<f64> = 0.3..0.7;
 /// The objective that is assumed at least for that, in milliseconds.
@@ -133,14 +140,17 @@
     let attempt_id = header_text(&parts.headers, &node.vocabulary.attempt_id);
     let parent = node.ancestry.parent(attempt_id);
     let root = parent.as_ref().map_or(&route.name, |parent| &parent.root).clone();
-    let admitted = if parent.is_none() { admit(node, &route).map(Some) } else { Ok(None) };
-    let _admitted = match admitted {
-        Ok(admitted) => admitted,
-        Err(refused) => {
-            let response = response_to(&refused);
+    let entered = match &parent {
+        Some(parent) => Ok(Entered::with(parent)),
+        None => enter(node, &site, &route, &parts.headers, attempt_id).await,
+    };
+    let entered = match entered {
+        Ok(entered) => entered,
+        Err(Refused { outcome, trail }) => {
+            let response = response_to(&outcome);
             let status = response.status().as_u16();
             let ended = Ended { attempt_id, route: &route, root: &root, arrived, status };
-            note_end(node, &ended, &refused, &Trail::default());
+            note_end(node, &ended, &outcome, &trail);
             return response;
         }
     };
@@ -161,10 +171,12 @@
         body,
         deadline,
         root,
-        rank: parent.as_ref().map_or(route.rank, |parent| parent.rank),
+        rank: entered.rank,
         is_repeat: parent.as_ref().is_some_and(|parent| parent.is_repeat),
+        team: entered.team,
     };
-    let (outcome, trail) = sender::send(node, &route, &request).await;
+    let (outcome, mut trail) = sender::send(node, &route, &request).await;
+    trail.team = Rc::clone(&request.team);
     if let Some(parent) = parent.filter(|_| !outcome.went_well()) {
         parent.has_failed_below.set(true);
     }
@@ -178,13 +190,73 @@
     response
 }
 
-/// Admits a request of a caller, or refuses it where there is no room.
-fn admit(node: &Node, route: &Route) -> Result<Admitted, Outcome> {
+/// A request that was let in.
+struct Entered {
+    /// The team whose key let the caller's request in; empty where no key did.
+    team: Rc<str>,
+    /// Its rank.
+    rank: u8,
+    /// Its place among the requests in flight, if it is a caller's.
+    _admitted: Option<Admitted>,
+}
+
+impl Entered {
+    /// A call of the target, which inherits what the request has for which it is made.
+    fn with(parent: &Origin) -> Self {
+        Self { team: Rc::clone(&parent.team), rank: parent.rank, _admitted: None }
+    }
+}
+
+/// A request that was not let in.
+struct Refused {
+    outcome: Outcome,
+    trail: Trail,
+}
+
+impl Refused {
+    fn new(reason: NotRun, retry_after_ms: u64, team: &Rc<str>) -> Self {
+        let outcome = Outcome::refused(reason, retry_after_ms);
+        Self { outcome, trail: Trail { team: Rc::clone(team), ..Trail::default() } }
+    }
+
+    fn over_quota(over: OverQuota, team: &Rc<str>) -> Self {
+        let come_back_ms = (over.come_back.as_millis() as u64).max(RETRY_AFTER_QUOTA_MIN_MS);
+        let mut refused = Self::new(NotRun::OverQuota, come_back_ms, team);
+        refused.trail.quota = Some(over.known);
+        refused
+    }
+}
+
+/// Lets in a request of a caller, by its key, the quota of its team, and the room that there is.
+async fn enter(
+    node: &Rc<Node>,
+    site: &Site,
+    route: &Route,
+    headers: &HeaderMap,
+    attempt_id: &str,
+) -> Result<Entered, Refused> {
+    let nobody: Rc<str> = Rc::default();
+    let Ok(holder) = admission::holder(site, route, headers, &node.vocabulary.api_key) else {
+        if node.ancestry.is_orphan(attempt_id) {
+            return Err(Refused::new(NotRun::Orphaned, RETRY_AFTER_ORPHANED_MS, &nobody));
+        }
+        return Err(Refused::new(NotRun::NoKey, 0, &nobody));
+    };
+    let (team, rank) = match &holder {
+        Holder::Team(team) => (&team.name, team.rank.unwrap_or(route.rank)),
+        Holder::Anyone => (&nobody, route.rank),
+    };
     if node.is_closing() {
-        return Err(Outcome::refused(NotRun::Closing, RETRY_AFTER_CLOSING_MS));
+        return Err(Refused::new(NotRun::Closing, RETRY_AFTER_CLOSING_MS, team));
+    }
+    if let Holder::Team(team) = &holder {
+        admission::admit(node, team).await.map_err(|over| Refused::over_quota(over, &team.name))?;
     }
-    let admitted = node.overload.admit(route, &mut *node.rng.borrow_mut());
-    admitted.ok_or_else(|| Outcome::refused(NotRun::Shed, come_back_ms(node, route)))
+    let admitted = node.overload.admit(route, rank, &mut *node.rng.borrow_mut());
+    if admitted.is_none() {
+        return Err(Refused::new(NotRun::Shed, come_back_ms(node, route), team));
+    }
+    Ok(Entered { team: Rc::clone(team), rank, _admitted: admitted })
 }
 
 /// When a caller should come back whose request was refused, in milliseconds: soon enough to be
@@ -199,6 +271,10 @@
 fn response_to(outcome: &Outcome) -> Response {
     match outcome {
         Outcome::Answered(answer) => target_answer(answer),
+        Outcome::NotRun { reason: NotRun::NoKey, .. } => plain(StatusCode::UNAUTHORIZED),
+        Outcome::NotRun { reason: NotRun::OverQuota, retry_after_ms } => {
+            refusal(StatusCode::TOO_MANY_REQUESTS, *retry_after_ms)
+        }
         Outcome::NotRun { retry_after_ms, .. } => {
             refusal(StatusCode::SERVICE_UNAVAILABLE, *retry_after_ms)
         }
@@ -266,7 +342,9 @@
         let is_replaced = *name == vocabulary.attempt_id
             || *name == vocabulary.deadline_ms
             || *name == vocabulary.expected_instance
-            || *name == vocabulary.calling_service;
+            || *name == vocabulary.calling_service
+            || *name == vocabulary.api_key
+            || *name == vocabulary.team;
         if is_replaced || is_of_connection(name) || named.contains(name) {
             continue;
         }
--- a/src/mesh/metrics.rs
+++ b/src/mesh/metrics.rs
@@ -9,6 +9,7 @@
 
 use super::follower::Role;
 use super::node::Node;
+use super::site::Site;
 
 /// Upper bounds of the buckets of latencies, in seconds.
 const BUCKETS_S: &[f64] = &[0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0];
@@ -19,6 +20,13 @@
 /// Calls that this node ran on its target, or refused, by their end.
 const CALLS: &str = "aspenspring_mesh_calls_total";
 
+/// Requests of callers by the team whose key let them in, and their end.
+const TEAM_REQUESTS: &str = "aspenspring_mesh_team_requests_total";
+/// How many teams have a counter of their own; the others share one, so that the number of series is bounded.
+const TEAMS_NAMED: usize = 20;
+/// The team by which all others are counted.
+const OTHERS: &str = "(others)";
+
 /// The metrics of one node. Handles are kept, so that an increment costs one look-up.
 pub struct MeshMetrics {
     recorder: PrometheusRecorder,
@@ -26,6 +34,8 @@
     requests: RefCell<HashMap<(Rc<str>, &'static str), Counter>>,
     latencies: RefCell<HashMap<Rc<str>, Histogram>>,
     calls: RefCell<HashMap<&'static str, Counter>>,
+    /// Requests of each team by their end, as they are counted until they are scraped.
+    teams: RefCell<HashMap<Rc<str>, HashMap<&'static str, u64>>>,
 }
 
 impl MeshMetrics {
@@ -41,6 +51,7 @@
             requests: RefCell::default(),
             latencies: RefCell::default(),
             calls: RefCell::default(),
+            teams: RefCell::default(),
         }
     }
 
@@ -69,6 +80,36 @@
         counter.increment(1);
     }
 
+    /// Counts a request of a team with its end. A request without a team is not counted.
+    pub fn note_team(&self, team: &Rc<str>, end: &'static str) {
+        if team.is_empty() {
+            return;
+        }
+        let mut teams = self.teams.borrow_mut();
+        if let Some(ends) = teams.get_mut(team) {
+            *ends.entry(end).or_default() += 1;
+            return;
+        }
+        teams.insert(Rc::clone(team), HashMap::from([(end, 1)]));
+    }
+
+    /// Moves what was counted of teams into their counters: the teams with the largest quotas have one each,
+    /// all others one together.
+    fn publish_teams(&self, site: &Site) {
+        let named = site.teams.largest(TEAMS_NAMED);
+        for (team, ends) in self.teams.borrow_mut().drain() {
+            let label = if named.contains(&team) { team.to_string() } else { OTHERS.to_owned() };
+            for (end, count) in ends {
+                let label = label.clone();
+                let counter = with_local_recorder(
+                    &self.recorder,
+                    || counter!(TEAM_REQUESTS, "team" => label, "end" => end),
+                );
+                counter.increment(count);
+            }
+        }
+    }
+
     /// The text that is scraped, with the node's state at this moment.
     pub fn render(&self, node: &Node) -> String {
         let load = node.target.load();
@@ -91,6 +132,7 @@
             self.gauge(name).set(value);
         }
         if let Some(site) = node.site() {
+            self.publish_teams(&site);
             for route in site.routes() {
                 let name = route.name.to_string();
                 let passing = with_local_recorder(
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -36,6 +36,7 @@
 pub mod socket;
 pub mod split;
 pub mod target;
+pub mod teams;
 pub mod trail;
 pub mod vocabulary;
 pub mod window;
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -28,6 +28,8 @@
 use super::site::Site;
 use super::split::Splitter;
 use super::target::{Heartbeat, Target};
+use super::teams::admission;
+use super::teams::quota::Quotas;
 use super::vocabulary::Vocabulary;
 
 /// How long a route by which requests have reached the target is remembered as such.
@@ -71,6 +73,8 @@
     pub overload: Overload,
     /// What the target is running.
     pub ancestry: Ancestry,
+    /// The quotas of teams.
+    pub quotas: Quotas,
     /// Which requests have run on targets as they ended.
     pub quarantine: Quarantine,
     /// The routes by which requests began that reach the target, and when one did last.
@@ -128,6 +132,11 @@
             target: Target::new(settings.target.address),
             overload: Overload::new(settings.overload.policy),
             ancestry: Ancestry::default(),
+            quotas: Quotas::new(
+                settings.listen.peers,
+                settings.teams.quota,
+                settings.teams.tolerance(),
+            ),
             quarantine: Quarantine::default(),
             roots: RefCell::default(),
             site_asked: Cell::default(),
@@ -274,6 +283,7 @@
                 .map(|known| known.incarnation.clone())
                 .unwrap_or_default(),
             ready: current.is_some() && self.takes_calls(),
+            stopping: self.is_stopping(),
             cold: current.is_some_and(|known| known.is_cold),
             site_version: self.site_version(),
             reaches_store: self.store_watch.reaches_store() && !self.is_stopping(),
@@ -327,6 +337,11 @@
         }
         self.follow_store();
         let Some(site) = self.site() else { return };
+        if !site.teams.is_empty() {
+            let fleet = self.directory.fleet(self.is_stopping());
+            self.quotas.set_fleet(fleet, Instant::now());
+            admission::give_back_unused(self);
+        }
         let services = self.directory.services(&status);
         let entries = self.directory.linked() + 1;
         self.overload.adjust(&services, site.rank_max(), entries);
--- a/src/mesh/overload.rs
+++ b/src/mesh/overload.rs
@@ -75,9 +75,9 @@
         Self { policy, ..Self::default() }
     }
 
-    /// Admits a request of a caller on `route`, or refuses it.
-    pub fn admit(&self, route: &Route, rng: &mut impl Rng) -> Option<Admitted> {
-        let passing = self.passing(route);
+    /// Admits a request of a caller on `route`, or refuses it. `rank` is that of its team or of its route.
+    pub fn admit(&self, route: &Route, rank: u8, rng: &mut impl Rng) -> Option<Admitted> {
+        let passing = self.passing_at(route, rank);
         let is_admitted = passing >= 1.0 || (passing > 0.0 && rng.random::<f64>() < passing);
         if !is_admitted {
             self.note_refusal(route);
@@ -105,10 +105,15 @@
 
     /// The probability with which a request of a caller on `route` is admitted.
     pub fn passing(&self, route: &Route) -> f64 {
+        self.passing_at(route, route.rank)
+    }
+
+    /// The same for a request whose rank may be another than that of its route.
+    pub fn passing_at(&self, route: &Route, rank: u8) -> f64 {
         match self.policy {
             Policy::Open => 1.0,
-            Policy::Levels => self.levels.passing(route),
-            Policy::Windows => self.narrowest(route, |passing, _| passing).unwrap_or(1.0),
+            Policy::Levels => self.levels.passing(route, rank),
+            Policy::Windows => self.narrowest(route, rank, |passing, _| passing).unwrap_or(1.0),
         }
     }
 
@@ -119,7 +124,7 @@
             Policy::Levels => self.levels.limited_by(route).filter(|_| self.passing(route) < 1.0),
             Policy::Windows => {
                 let name = |passing: f64, name: &str| (passing < 1.0).then(|| name.to_owned());
-                self.narrowest(route, name).flatten()
+                self.narrowest(route, route.rank, name).flatten()
             }
         }
     }
@@ -163,7 +168,12 @@
 
     /// Hands to `take` the probability of admission by the service with the least room of those that
     /// `route` reaches, and its name.
-    fn narrowest<T>(&self, route: &Route, take: impl FnOnce(f64, &str) -> T) -> Option<T> {
+    fn narrowest<T>(
+        &self,
+        route: &Route,
+        rank: u8,
+        take: impl FnOnce(f64, &str) -> T,
+    ) -> Option<T> {
         let windows = self.windows.borrow();
         let own = self.in_flight.borrow().get(&route.name).map_or(0, |own| own.get());
         let mut narrowest: Option<(f64, &String)> = None;
@@ -172,7 +182,7 @@
                 continue;
             }
             let in_flight = self.in_flight_through(window.roots());
-            let by_rank = window.passing(in_flight, route.rank);
+            let by_rank = window.passing(in_flight, rank);
             let passing = by_rank.max(window.passing_by_reserve(f64::from(own)));
             if narrowest.is_none_or(|(least, _)| passing < least) {
                 narrowest = Some((passing, service));
--- a/src/mesh/peers.rs
+++ b/src/mesh/peers.rs
@@ -19,6 +19,7 @@
 use super::node::Node;
 use super::receiver;
 use super::socket;
+use super::teams::admission;
 
 /// How often all links are looked at.
 const WATCH_EVERY: Duration = Duration::from_millis(500);
@@ -82,6 +83,7 @@
         Frame::Hello(hello) => {
             node.directory.take_hello(&hello);
             peer.link.replace(Some(Rc::clone(&link)));
+            peer.was_linked.set(true);
             node.log.emit(&LogEvent::LinkUp {
                 peer: peer.address,
                 service: hello.status.service.clone(),
@@ -111,6 +113,7 @@
             node.quarantine.clear(fingerprint);
         }
         Frame::Suspicions(suspicions) => blame::take_suspicions(node, &suspicions, "peer"),
+        Frame::QuotaGranted { team, grant } => admission::take_answer(node, &link, team, grant),
         Frame::Site { document } => match node.take_document(&document, "peer") {
             Ok(_) => {}
             Err(error) => {
@@ -122,7 +125,9 @@
         | Frame::Cancel { .. }
         | Frame::Ping
         | Frame::NeighboursWanted
-        | Frame::SiteWanted => {}
+        | Frame::SiteWanted
+        | Frame::QuotaWanted { .. }
+        | Frame::QuotaReturned { .. } => {}
     };
     let error = link.read_all(reader, take).await;
     node.remove_dialled(&link);
@@ -213,7 +218,12 @@
                 link.send(&Frame::Site { document: in_force.document });
             }
         }
+        Frame::QuotaWanted { team, tokens } => admission::answer(&node, &link, team, tokens),
+        Frame::QuotaReturned { team, tokens } => {
+            node.quotas.put_back(&team, tokens, Instant::now());
+        }
         Frame::Answer { .. }
+        | Frame::QuotaGranted { .. }
         | Frame::Status(_)
         | Frame::Load(_)
         | Frame::Crash(_)
--- a/src/mesh/receiver.rs
+++ b/src/mesh/receiver.rs
@@ -173,6 +173,7 @@
         rank: call.rank,
         deadline,
         is_repeat: call.is_repeat,
+        team: call.team.as_str().into(),
         has_failed_below: Rc::clone(&has_failed_below),
     };
     let _running = node.ancestry.run(&call.attempt_id, origin);
@@ -247,6 +248,9 @@
     for header in &call.headers {
         put_header(&mut head, &header.name, &header.value);
     }
+    if !call.team.is_empty() {
+        put_header(&mut head, vocabulary.team.as_str(), call.team.as_bytes());
+    }
     if !call.attempt_id.is_empty() {
         put_header(&mut head, vocabulary.attempt_id.as_str(), call.attempt_id.as_bytes());
     }
--- a/src/mesh/sender.rs
+++ b/src/mesh/sender.rs
@@ -47,6 +47,8 @@
     pub rank: u8,
     /// Whether it is made by a run that repeats another.
     pub is_repeat: bool,
+    /// The team whose key let the caller's request in; empty where no key did.
+    pub team: Rc<str>,
 }
 
 impl Request {
@@ -292,6 +294,7 @@
             root: self.request.root.to_string(),
             rank: self.request.rank,
             is_repeat: self.request.is_repeat || self.trail.arrivals > 0,
+            team: self.request.team.to_string(),
             method: self.request.method.clone(),
             path: self.request.path.clone(),
             headers: self.request.headers.clone(),
@@ -331,6 +334,9 @@
         | NotRun::QueueFull
         | NotRun::Expired
         | NotRun::Declined
+        | NotRun::NoKey
+        | NotRun::OverQuota
+        | NotRun::Orphaned
         | NotRun::Quarantined => RETRY_AFTER_BUSY_MS,
     }
 }
--- a/src/mesh/settings.rs
+++ b/src/mesh/settings.rs
@@ -1,12 +1,15 @@
 //! What a node of the mesh is told at its start.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::Deserialize;
 
 use crate::event::REQUESTS_PER_WINDOW;
 
 use super::overload::Policy;
+use super::teams::owner::Tolerance;
+use super::teams::quota::QuotaPolicy;
 
 /// Everything a node is told at its start, apart from what the platform's adapter reads.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
@@ -24,6 +27,9 @@
     /// What is admitted when targets are busy.
     #[serde(default)]
     pub overload: OverloadSection,
+    /// How the quotas of teams are kept.
+    #[serde(default)]
+    pub teams: TeamsSection,
     /// How much is logged.
     #[serde(default)]
     pub log: LogSection,
@@ -80,6 +86,35 @@
     pub policy: Policy,
 }
 
+/// How the quotas of teams are kept.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(default)]
+pub struct TeamsSection {
+    /// How a quota is shared among the nodes.
+    pub quota: QuotaPolicy,
+    /// The time over which the runs of a team are counted, in milliseconds.
+    pub window_ms: u64,
+    /// By how much they may exceed the quota, as a share of it.
+    pub overage: f64,
+    /// By how many runs they may exceed it besides.
+    pub slack: f64,
+}
+
+impl TeamsSection {
+    /// By how much quotas may be exceeded.
+    pub fn tolerance(&self) -> Tolerance {
+        let window = Duration::from_millis(self.window_ms);
+        Tolerance { window, share: self.overage, slack: self.slack }
+    }
+}
+
+impl Default for TeamsSection {
+    /// Quotas hold exactly, except that a lease may outlive a window by its quarter of a second.
+    fn default() -> Self {
+        Self { quota: QuotaPolicy::default(), window_ms: 5_000, overage: 0.0, slack: 0.0 }
+    }
+}
+
 /// How much is logged of requests.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct LogSection {
--- a/src/mesh/site.rs
+++ b/src/mesh/site.rs
@@ -3,6 +3,8 @@
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 
+use super::teams::roster::Roster;
+
 /// What may be done with a request whose outcome is not known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RouteKind {
@@ -40,6 +42,8 @@
     pub rank: u8,
     /// How many targets one request may be sent to.
     pub attempts_max: u32,
+    /// Whether requests without a key are let in, where the site has teams.
+    pub needs_no_key: bool,
     /// The services that share its requests; never empty.
     pub split: Vec<Share>,
 }
@@ -76,9 +80,11 @@
     pub version: u64,
     /// What a caller may send.
     pub limits: Limits,
+    /// Who may send it.
+    pub teams: Roster,
     /// The routes by host, then by prefix.
     routes: HashMap<String, HashMap<String, Rc<Route>>>,
-    /// The least important rank of any route.
+    /// The least important rank of any route or team.
     rank_max: u8,
     /// The services that the operator lists. Empty where no list was given.
     services: HashSet<String>,
@@ -102,6 +108,13 @@
         self
     }
 
+    /// The same with teams.
+    pub fn with_teams(mut self, teams: Roster) -> Self {
+        self.rank_max = self.rank_max.max(teams.rank_max().unwrap_or(0));
+        self.teams = teams;
+        self
+    }
+
     /// Whether there may be targets of `service`: it is listed, or a route leads to it, or no list was
     /// given.
     pub fn may_have(&self, service: &str) -> bool {
@@ -136,7 +149,7 @@
         self.routes.values().flat_map(HashMap::values).cloned().collect()
     }
 
-    /// The least important rank of any route.
+    /// The least important rank of any route or team.
     pub fn rank_max(&self) -> u8 {
         self.rank_max
     }
--- a/src/mesh/trail.rs
+++ b/src/mesh/trail.rs
@@ -4,6 +4,7 @@
 //! somebody may ask about, and a sample of the others.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use rand::Rng;
 use tokio::time::Instant;
@@ -14,6 +15,7 @@
 use super::node::Node;
 use super::sender::Outcome;
 use super::site::Route;
+use super::teams::admission::QuotaKnown;
 
 /// Where a request was offered.
 #[derive(Clone, Debug, Default)]
@@ -26,6 +28,10 @@
     pub arrivals: u32,
     /// Which request it is, where it is held back.
     pub held: Option<Fingerprint>,
+    /// The team whose key let it in; empty where no key did.
+    pub team: Rc<str>,
+    /// What was known of the team's quota, where the request was beyond it.
+    pub quota: Option<QuotaKnown>,
 }
 
 /// A request as the trail needs it.
@@ -35,7 +41,7 @@
     /// The route that it took.
     pub route: &'a Route,
     /// The route by which a caller's request began it all.
-    pub root: &'a std::rc::Rc<str>,
+    pub root: &'a Rc<str>,
     /// When its head was there.
     pub arrived: Instant,
     /// The status that the caller got.
@@ -47,6 +53,7 @@
     let took = ended.arrived.elapsed();
     let (verdict, reason) = outcome.names();
     node.metrics.note_request(ended.root, reason, took.as_secs_f64());
+    node.metrics.note_team(&trail.team, reason);
     let took_ms = took.as_millis() as u64;
     let went_well = verdict == "answered"
         && ended.status < 500
@@ -74,6 +81,8 @@
         limited_by: node.overload.limited_by(ended.route).unwrap_or_default(),
         repeats_percent: (node.budgets.left(&trail.service) * 100.0) as u32,
         config_version: node.site_version(),
+        team: trail.team.to_string(),
+        quota: trail.quota.as_ref().map(QuotaKnown::to_string).unwrap_or_default(),
         fingerprint: trail.held.map(|held| held.to_string()).unwrap_or_default(),
         took_ms,
     });
--- a/src/mesh/vocabulary.rs
+++ b/src/mesh/vocabulary.rs
@@ -13,6 +13,10 @@
     pub expected_instance: HeaderName,
     /// The service of the target beside which the request began.
     pub calling_service: HeaderName,
+    /// The API key of the caller's team.
+    pub api_key: HeaderName,
+    /// The team whose key let the request in.
+    pub team: HeaderName,
     /// In an answer: the target did not run the request.
     pub not_run: HeaderName,
     /// In an answer: the incarnation of the target.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -314,7 +314,7 @@
 
     /// Writes an event to the log.
     fn log(&self, event: LogEvent, out: &mut Vec<NodeAction>) {
-        out.push(NodeAction::Note(Note::Event(event)));
+        out.push(NodeAction::Note(Note::Event(Box::new(event))));
     }
 
     /// The number of the next hop or attempt.
--- a/src/node/note.rs
+++ b/src/node/note.rs
@@ -12,7 +12,7 @@
 #[derive(Clone, Debug)]
 pub enum Note {
     /// An event for the log.
-    Event(LogEvent),
+    Event(Box<LogEvent>),
     /// A whole call has ended.
     CallEnded {
         /// Where it came from.
--- a/src/platform/document.rs
+++ b/src/platform/document.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 
 use crate::mesh::site::{Limits, Route, RouteKind, Share, Site};
+use crate::mesh::teams::roster::{Quota, Roster, Team};
 
 /// The letter before the number of a version.
 const VERSION_PREFIX: char = 'r';
@@ -48,6 +49,8 @@
     #[serde(default)]
     traffic_split: Vec<SplitEntry>,
     attempts: u32,
+    #[serde(default)]
+    allow_anonymous: bool,
 }
 
 #[derive(Deserialize)]
@@ -56,6 +59,19 @@
     weight: u32,
 }
 
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct TenantSpecification {
+    #[serde(default)]
+    api_keys: Vec<String>,
+    #[serde(default)]
+    priority: Option<u8>,
+    #[serde(default)]
+    rate_per_s: f64,
+    #[serde(default)]
+    burst: f64,
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct LimitsSpecification {
@@ -72,6 +88,7 @@
     let mut routes = Vec::new();
     let mut limits = Limits::default();
     let mut services = HashSet::new();
+    let mut teams = Vec::new();
     for resource in document.resources {
         let name = resource.metadata.name;
         match resource.resource_kind.as_str() {
@@ -80,6 +97,7 @@
                     .wrap_err_with(|| format!("the route {name}"))?,
             ),
             "limits" => limits = read_limits(resource.specification)?,
+            "tenants" => teams.push(read_team(&name, resource.specification)?),
             "services" => {
                 services.insert(name);
             }
@@ -87,7 +105,8 @@
             _ => {}
         }
     }
-    Ok(Site::new(version, routes, limits).with_services(services))
+    let teams = Roster::new(teams)?;
+    Ok(Site::new(version, routes, limits).with_services(services).with_teams(teams))
 }
 
 fn read_version(text: &str) -> eyre::Result<u64> {
@@ -114,10 +133,24 @@
         objective_ms: found.target_latency_ms,
         rank: found.priority,
         attempts_max: found.attempts.max(1),
+        needs_no_key: found.allow_anonymous,
         split,
     })
 }
 
+/// Reads a team with its keys. What is wrong with it is not told in full, as keys stand in it.
+fn read_team(name: &str, specification: serde_json::Value) -> eyre::Result<(Team, Vec<String>)> {
+    let found: TenantSpecification = serde_json::from_value(specification)
+        .map_err(|_| eyre!("the team {name:?} has fields that cannot be read"))?;
+    if !found.rate_per_s.is_finite() || !found.burst.is_finite() || found.burst < 0.0 {
+        return Err(eyre!("the team {name:?} has a quota that is no quota"));
+    }
+    let quota =
+        (found.rate_per_s > 0.0).then_some(Quota { per_s: found.rate_per_s, burst: found.burst });
+    let team = Team { name: name.into(), rank: found.priority, quota };
+    Ok((team, found.api_keys))
+}
+
 /// What is not named as idempotent runs once at most.
 fn read_kind(kind: &str) -> RouteKind {
     match kind {
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -11,6 +11,8 @@
         deadline_ms: HeaderName::from_static("deadline-milliseconds"),
         expected_instance: HeaderName::from_static("expected-instance"),
         calling_service: HeaderName::from_static("calling-service"),
+        api_key: HeaderName::from_static("x-api-key"),
+        team: HeaderName::from_static("tenant-name"),
         not_run: HeaderName::from_static("not-executed"),
         instance_id: HeaderName::from_static("instance-id"),
         load: HeaderName::from_static("instance-load"),
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -13,6 +13,9 @@
 /// The environment variable that holds the path of the settings file.
 pub const SETTINGS_ENV: &str = "ASPENSPRING_CONFIG";
 
+/// The bound that is there where teams have quotas.
+const QUOTA_WINDOW: &str = "quotaWindowS";
+
 /// What the settings file holds.
 #[derive(Clone, Debug, Deserialize)]
 pub struct PlatformSettings {
@@ -60,6 +63,12 @@
             "slack": bound(&bounds, "retryBudgetSlack")? as u32,
         }),
     );
+    if bounds.contains_key(QUOTA_WINDOW) {
+        let teams = rest.entry("teams").or_insert_with(|| serde_json::json!({}));
+        teams["window_ms"] = ((bound(&bounds, QUOTA_WINDOW)? * 1000.0) as u64).into();
+        teams["overage"] = bound(&bounds, "quotaOverage")?.into();
+        teams["slack"] = bound(&bounds, "quotaSlack")?.into();
+    }
     Ok(serde_json::from_value(Value::Object(rest))?)
 }
 
--- a/tests/emulator/mod.rs
+++ b/tests/emulator/mod.rs
@@ -303,6 +303,7 @@
         objective_ms: kind.objective_ms,
         rank: kind.rank,
         attempts_max: 1,
+        needs_no_key: false,
         split: vec![Share { service: service_name(kind.service), weight: 1 }],
     }
 }
@@ -360,7 +361,8 @@
     for _ in 0..=world.scenario.returns {
         let entry = world.rng.borrow_mut().random_range(0..world.nodes.len());
         let overload = &world.nodes[entry].overload;
-        let admitted = overload.admit(&world.routes[index], &mut *world.rng.borrow_mut());
+        let route = &world.routes[index];
+        let admitted = overload.admit(route, route.rank, &mut *world.rng.borrow_mut());
         let Some(_admitted) = admitted else {
             world.report.borrow_mut().tallies[index].refused += 1;
             let share = 0.3 + 0.4 * world.random();
--- a/tests/mesh/decisions.rs
+++ b/tests/mesh/decisions.rs
@@ -169,7 +169,7 @@
     let mut rng = SmallRng::seed_from_u64(1);
     let mut held = Vec::new();
     for _ in 0..20 {
-        held.push(overload.admit(&browse, &mut rng).expect("nothing is known yet"));
+        held.push(overload.admit(&browse, browse.rank, &mut rng).expect("nothing is known yet"));
     }
     let roots = [("browse", 50), ("confirm", 0)];
     let calm = HashMap::from([("stock".to_owned(), view(50, 0, &roots))]);
@@ -179,7 +179,7 @@
     assert_eq!(overload.passing(&browse), 1.0);
     // Twice as many would fill the targets, and four times as many are asked for at once.
     for _ in 0..60 {
-        held.extend(overload.admit(&browse, &mut rng));
+        held.extend(overload.admit(&browse, browse.rank, &mut rng));
     }
     // Some more than that pass, as so many are at once by chance.
     assert!((40..60).contains(&held.len()), "{}", held.len());
@@ -200,7 +200,7 @@
     let mut rng = SmallRng::seed_from_u64(1);
     let mut held = Vec::new();
     for _ in 0..200 {
-        held.extend(overload.admit(&browse, &mut rng));
+        held.extend(overload.admit(&browse, browse.rank, &mut rng));
     }
     // Of 100 slots a quarter is this entry's, and a request is there for part of its time only.
     assert!((50..90).contains(&held.len()), "{}", held.len());
@@ -217,7 +217,7 @@
     let mut rng = SmallRng::seed_from_u64(1);
     let mut held = Vec::new();
     for _ in 0..50 {
-        held.extend(overload.admit(&browse, &mut rng));
+        held.extend(overload.admit(&browse, browse.rank, &mut rng));
     }
     for _ in 0..20 {
         overload.adjust(&overwhelmed, 0, 4);
@@ -239,7 +239,7 @@
     let roots = [("browse", 0), ("confirm", 95)];
     for running in [95, 110] {
         for _ in 0..100 {
-            held.extend(overload.admit(&confirm, &mut rng));
+            held.extend(overload.admit(&confirm, confirm.rank, &mut rng));
         }
         let services = HashMap::from([("stock".to_owned(), view(running, 10, &roots))]);
         for _ in 0..40 {
@@ -249,7 +249,7 @@
     assert!(overload.passing(&confirm) < 1.0, "the bound is full");
     let mut passed = Vec::new();
     for _ in 0..100 {
-        passed.extend(overload.admit(&browse, &mut rng));
+        passed.extend(overload.admit(&browse, browse.rank, &mut rng));
     }
     assert!((5..30).contains(&passed.len()), "{} of {}", passed.len(), held.len());
 }
@@ -258,5 +258,7 @@
 fn nothing_is_refused_before_anything_is_known() {
     let overload = Overload::default();
     let mut rng = SmallRng::seed_from_u64(1);
-    assert!(overload.admit(&route("browse", "page", RouteKind::Idempotent, 9), &mut rng).is_some());
+    assert!(
+        overload.admit(&route("browse", "page", RouteKind::Idempotent, 9), 9, &mut rng).is_some()
+    );
 }
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -8,6 +8,8 @@
 mod nodes;
 mod properties;
 mod quarantine;
+mod quotas;
 mod stop;
 mod support;
 mod targets;
+mod teams;
--- a/tests/mesh/properties.rs
+++ b/tests/mesh/properties.rs
@@ -41,6 +41,7 @@
                 root: "browse".to_owned(),
                 rank: 2,
                 is_repeat: false,
+                team: "growers".to_owned(),
                 method: "POST".to_owned(),
                 path,
                 headers,
--- a/tests/mesh/support.rs
+++ b/tests/mesh/support.rs
@@ -14,10 +14,11 @@
 use aspenspring::mesh::peers;
 use aspenspring::mesh::settings::{
     ListenSection, LogSection, MeshSettings, NodeSection, OverloadSection, RetrySection,
-    TargetSection, TimingSection,
+    TargetSection, TeamsSection, TimingSection,
 };
 use aspenspring::mesh::site::{Limits, Route, RouteKind, Share, Site};
 use aspenspring::mesh::target::{Heartbeat, TargetState};
+use aspenspring::mesh::teams::roster::{Quota, Roster, Team};
 use aspenspring::mesh::vocabulary::Vocabulary;
 use http::HeaderName;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -57,6 +58,8 @@
         deadline_ms: HeaderName::from_static("x-deadline"),
         expected_instance: HeaderName::from_static("x-expected"),
         calling_service: HeaderName::from_static("x-calling"),
+        api_key: HeaderName::from_static("x-key"),
+        team: HeaderName::from_static("x-team"),
         not_run: HeaderName::from_static("x-not-run"),
         instance_id: HeaderName::from_static("x-instance"),
         load: HeaderName::from_static("x-load"),
@@ -75,6 +78,7 @@
         objective_ms: 500,
         rank,
         attempts_max: 3,
+        needs_no_key: false,
         split: vec![Share { service: service.to_owned(), weight: 1 }],
     }
 }
@@ -83,7 +87,10 @@
 pub fn site(version: u64) -> Site {
     let mut slow = route("hasty", "stock", RouteKind::AtMostOnce, 0);
     slow.timeout_ms = 300;
+    let mut open = route("open", "stock", RouteKind::Idempotent, 1);
+    open.needs_no_key = true;
     let routes = vec![
+        open,
         route("read", "stock", RouteKind::Idempotent, 1),
         route("book", "stock", RouteKind::AtMostOnce, 0),
         slow,
@@ -91,9 +98,21 @@
     Site::new(version, routes, Limits::default())
 }
 
-/// The version that a document of these tests holds: the number that it is.
-fn version_of(document: &[u8]) -> u64 {
-    String::from_utf8_lossy(document).parse().unwrap_or(0)
+/// Reads a document of these tests: a version, and after it, apart by spaces, teams written as
+/// `name:key,key:requests a second:burst`. A route `open` needs no key.
+fn read_site(document: &[u8]) -> eyre::Result<Site> {
+    let text = String::from_utf8_lossy(document);
+    let mut words = text.split(' ');
+    let version = words.next().and_then(|word| word.parse().ok()).unwrap_or(0);
+    let mut teams = Vec::new();
+    for word in words {
+        let parts: Vec<&str> = word.split(':').collect();
+        let (per_s, burst): (f64, f64) = (parts[2].parse()?, parts[3].parse()?);
+        let quota = (per_s > 0.0).then_some(Quota { per_s, burst });
+        let keys = parts[1].split(',').filter(|key| !key.is_empty()).map(str::to_owned).collect();
+        teams.push((Team { name: parts[0].into(), rank: None, quota }, keys));
+    }
+    Ok(site(version).with_teams(Roster::new(teams)?))
 }
 
 /// A node with its target.
@@ -186,6 +205,7 @@
         timing: TimingSection { stop_grace_ms: GRACE_MS },
         retry: RetrySection { share: 0.2, slack: 49 },
         overload: OverloadSection::default(),
+        teams: TeamsSection::default(),
         log: LogSection::default(),
     };
     let target = Rc::new(StandIn {
@@ -196,12 +216,7 @@
         crash: Notify::new(),
     });
     let listener = TcpListener::bind(settings.target.address).await.unwrap();
-    let node = Rc::new(Node::new(
-        settings,
-        vocabulary(),
-        Box::new(|text| Ok(site(version_of(text)))),
-        EventLog::discard(),
-    ));
+    let node = Rc::new(Node::new(settings, vocabulary(), Box::new(read_site), EventLog::discard()));
     launch::start(&node).unwrap();
     node.take_document(&"1".into(), "test").unwrap();
     node.has_looked_around.set(true);
