Explain refusals for keys and quotas, and test keys on real processes

Operators asked "why was this request refused" got "the target failed it" for a 401 or a 429, which no line of the log explained. explain tells the version, the team, what was granted to it and how old that is; a call whose parent is over has a cause of its own. Tests: an error about a team tells no key; keys that are taken away or added are in force on two real nodes within the bound, and after a restart while the store is away.

--- a/src/explain/cause.rs
+++ b/src/explain/cause.rs
@@ -74,6 +74,29 @@
         /// What all attempts at the request have in common.
         fingerprint: String,
     },
+    /// Nobody holds the key that it carried, or it carried none, or several.
+    NoKey {
+        /// The entry.
+        node: String,
+        /// The version of the configuration that the entry went by.
+        config_version: u64,
+    },
+    /// The quota of its team was used up.
+    OverQuota {
+        /// The entry.
+        node: String,
+        /// The team.
+        team: String,
+        /// What the entry knew of the quota.
+        quota: String,
+        /// The version of the configuration that the entry went by.
+        config_version: u64,
+    },
+    /// It was a call for a run that had ended, or that began before the node did.
+    Orphaned {
+        /// The node.
+        node: String,
+    },
     /// The node that took it was about to end.
     Closing {
         /// That node.
@@ -168,6 +191,20 @@
                 }
                 Ok(())
             }
+            Self::NoKey { node, config_version } => write!(
+                f,
+                "refused by {node}: by configuration {config_version} no team holds the key that it \
+                 carried, or it carried none or several"
+            ),
+            Self::OverQuota { node, team, quota, config_version } => write!(
+                f,
+                "refused by {node}: the team {team:?} has used up its quota ({quota}; configuration \
+                 {config_version})"
+            ),
+            Self::Orphaned { node } => write!(
+                f,
+                "refused by {node}: it was a call for a run that had ended, or that began before the node"
+            ),
             Self::Closing { node } => write!(f, "{node} was about to end"),
             Self::TimeUsedUp { node, service, took_ms, has_just_started } => {
                 write!(
@@ -318,6 +355,17 @@
             Cause::NoTarget { node: step.node.clone(), service, reason }
         }
         "quarantined" => Cause::HeldBack { fingerprint: step.line.text("fingerprint").to_owned() },
+        "no-key" => Cause::NoKey {
+            node: step.node.clone(),
+            config_version: step.line.number("config_version"),
+        },
+        "over-quota" => Cause::OverQuota {
+            node: step.node.clone(),
+            team: step.line.text("team").to_owned(),
+            quota: step.line.text("quota").to_owned(),
+            config_version: step.line.number("config_version"),
+        },
+        "orphaned" => Cause::Orphaned { node: step.node.clone() },
         "closing" => Cause::Closing { node: step.node.clone() },
         _ if reason == "timeout" || step.status == GATEWAY_TIMEOUT => Cause::Slow {
             node,
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -10,6 +10,7 @@
 use std::path::{Path, PathBuf};
 
 use aspenspring::mesh::site::RouteKind;
+use aspenspring::mesh::teams::roster::Quota;
 use aspenspring::platform::{parse_settings, read_document};
 
 const DOCUMENT: &str = include_str!("document.json");
@@ -30,6 +31,29 @@
     assert_eq!(upload.kind, RouteKind::AtMostOnce, "uploads must not be repeated");
     assert_eq!(site.limits.idle_timeout_ms, 15_000);
     assert_eq!(site.limits.head_max_bytes, 16_384);
+    assert!(upload.needs_no_key && !split.needs_no_key);
+    let growers = site.teams.holder(b"old-key").unwrap();
+    assert_eq!((&*growers.name, growers.rank), ("growers", Some(1)));
+    assert_eq!(growers.quota, Some(Quota { per_s: 368.0, burst: 184.5 }));
+    assert_eq!(site.teams.team("buyers").unwrap().quota, None);
+}
+
+/// What is wrong with a team is told by its name: its keys are secrets, and errors are logged.
+#[test]
+fn an_error_about_a_team_tells_no_key() {
+    for (from, to) in [
+        ("\"apiKeys\":[]", "\"apiKeys\":[\"old-key\"]"),
+        ("\"apiKeys\":[]", "\"apiKeys\":\"blue-key\""),
+        ("\"apiKeys\":[]", "\"apiKeys\":[\"blue-key\",\"\"]"),
+        ("\"apiKeys\":[]", "\"apiKeys\":[],\"burst\":-1"),
+        ("\"name\":\"buyers\"", "\"name\":\"growers\""),
+    ] {
+        assert!(DOCUMENT.contains(from), "{from}");
+        let error = read_document(DOCUMENT.replace(from, to).as_bytes()).expect_err("refused");
+        let text = format!("{error:#}");
+        assert!(!text.contains("-key"), "{text}");
+        assert!(text.contains("growers") || text.contains("buyers"), "{text}");
+    }
 }
 
 #[test]
--- a/tests/platform/process.rs
+++ b/tests/platform/process.rs
@@ -4,7 +4,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use super::node::{Place, Process};
+use super::node::{CALLERS_PORT, Place, Process};
 use super::store::Store;
 use super::target::{heartbeat, serve};
 
@@ -147,6 +147,55 @@
     assert_eq!(store.keys("nodes").len(), 2);
 }
 
+/// A key was taken away, and requests on connections that were open went on being served: for as long as the
+/// store turned a part of the nodes away, and after a restart.
+#[test]
+fn keys_are_in_force_on_nodes_that_hear_of_them_from_others_and_after_a_restart() {
+    let store = Store::start();
+    store.put("op", "config", &with_keys(4, &["old-key"]));
+    let first = start_ready(&store, "one");
+    let mut second = start_ready(&store, "two");
+    beat(&first, "i-1", 1);
+    let status = |node: &Process, key: &str| {
+        let text = format!(
+            "GET /look/1 HTTP/1.1\r\nHost: shop.test\r\nAttempt-Id: a1\r\nX-Api-Key: {key}\r\nConnection: close\r\n\r\n"
+        );
+        node.ask(CALLERS_PORT, &text).and_then(|answer| answer.split(' ').nth(1).map(str::to_owned))
+    };
+    let is = |node: &Process, key: &str, wanted: &str| status(node, key).as_deref() == Some(wanted);
+    wait_for(|| is(&second, "old-key", "200"));
+    store.put("op", "config", &with_keys(5, &["new-key"]));
+    for node in [&first, &second] {
+        wait_at_most(CONFIG_APPLY, || is(node, "old-key", "401") && is(node, "new-key", "200"));
+    }
+    store.set_away(true);
+    second.signal(libc::SIGKILL);
+    second.wait();
+    second.start();
+    // It learns the configuration from the other node, and says no 401 before it has one.
+    wait_for(|| status(&second, "new-key").is_some());
+    wait_for(|| {
+        assert!(
+            !is(&second, "new-key", "401"),
+            "no configuration that it knows is without the key"
+        );
+        is(&second, "old-key", "401")
+    });
+    let log = first.log() + &second.log();
+    assert!(!log.contains("old-key") && !log.contains("new-key"), "a key is in a log");
+}
+
+/// A configuration with one route to `stock` and one team.
+fn with_keys(version: u32, keys: &[&str]) -> Vec<u8> {
+    let mut document: serde_json::Value =
+        serde_json::from_slice(&document(version, "/look/")).unwrap();
+    document["resources"].as_array_mut().unwrap().push(serde_json::json!({
+        "resourceKind": "tenants", "metadata": { "name": "growers" },
+        "specification": { "apiKeys": keys, "ratePerS": 500, "burst": 500 },
+    }));
+    document.to_string().into_bytes()
+}
+
 #[test]
 fn what_another_writer_says_of_a_target_changes_nothing() {
     let store = configured_store();
