Rotate keys and limit a team in the soak

The soak knew no teams: nothing held keys and quotas under kills, standstills, stops, store faults and changes. Its configurations now have three teams: one whose key is always good, one whose key changes with each version, one limited to 15 requests a second. Found is what runs without a key, what is served by a key that was taken away where the newer version was due, and a window of 5 s in which the limited team runs more than it may.

--- a/tests/platform/node.rs
+++ b/tests/platform/node.rs
@@ -71,7 +71,10 @@
             },
             "target": { "address": at(TARGET_PORT) },
             "store": { "address": store.address.to_string() },
-            "bounds": { "graceS": 6, "retryBudgetRatio": 0.2, "retryBudgetSlack": 49 },
+            "bounds": {
+                "graceS": 6, "retryBudgetRatio": 0.2, "retryBudgetSlack": 49, "quotaWindowS": 5,
+                "quotaOverage": 0.1, "quotaSlack": 20,
+            },
         });
         fs::write(folder.join("settings.json"), settings.to_string()).unwrap();
         Self { child: None, ip, folder, keeps_folder: false }
--- a/tests/platform/soak/callers.rs
+++ b/tests/platform/soak/callers.rs
@@ -8,7 +8,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use super::findings::{End, Findings, Kind, Record};
+use super::findings::{End, Findings, Key, Kind, Record};
 use super::site::Site;
 use crate::node::CALLERS_PORT;
 
@@ -47,12 +47,13 @@
             let attempt = format!("{caller:x}-{sent:x}");
             sent += 1;
             let asked = Instant::now();
-            let answer = exchange(&mut reader, kind, &attempt);
+            let key = key_of(site, caller, sent);
+            let answer = exchange(&mut reader, kind, &attempt, key.text().as_deref());
             let goes_on = answer.as_ref().is_some_and(|answer| !answer.closes);
             let pause = pause_after(answer.as_ref(), &mut rng);
             let end = answer.map_or(End::Cut, |answer| end_of(&answer));
-            findings
-                .note(site, Record { attempt, kind, member, asked, ended: Instant::now(), end });
+            let ended = Instant::now();
+            findings.note(site, Record { attempt, kind, key, member, asked, ended, end });
             thread::sleep(pause);
             if !goes_on {
                 break;
@@ -61,6 +62,18 @@
     }
 }
 
+/// The key of a caller's next request: most have one that is always good.
+fn key_of(site: &Site, caller: u64, sent: u64) -> Key {
+    match caller % 8 {
+        0 => Key::Limited,
+        1 => Key::Rotated(site.newest()),
+        // The key of the version before the newest; versions are three apart.
+        2 => Key::Rotated(site.newest().saturating_sub(3)),
+        3 if sent % 4 == 0 => Key::None,
+        _ => Key::Steady,
+    }
+}
+
 /// How long a caller waits before its next request: mostly not long, at times so long that its connection
 /// is idle while a node is told to stop.
 fn pause_after(answer: Option<&Answer>, rng: &mut SmallRng) -> Duration {
@@ -81,14 +94,20 @@
     }
 }
 
-fn exchange(reader: &mut BufReader<TcpStream>, kind: Kind, attempt: &str) -> Option<Answer> {
+fn exchange(
+    reader: &mut BufReader<TcpStream>,
+    kind: Kind,
+    attempt: &str,
+    key: Option<&str>,
+) -> Option<Answer> {
     let (method, path) = match kind {
         Kind::Once => ("POST", "book"),
         Kind::Repeatable => ("GET", "look"),
     };
+    let key = key.map_or_else(String::new, |key| format!("X-Api-Key: {key}\r\n"));
     let request = format!(
         "{method} /{path}/{attempt} HTTP/1.1\r\nHost: shop.test\r\nAttempt-Id: {attempt}\r\n\
-         Deadline-Milliseconds: 3000\r\nContent-Length: 0\r\n\r\n"
+         Deadline-Milliseconds: 3000\r\n{key}Content-Length: 0\r\n\r\n"
     );
     reader.get_mut().write_all(request.as_bytes()).ok()?;
     read_answer(reader)
--- a/tests/platform/soak/findings.rs
+++ b/tests/platform/soak/findings.rs
@@ -6,11 +6,14 @@
 use std::time::{Duration, Instant};
 
 use super::site::Site;
+use super::targets::{LIMITED, LIMITED_KEY, STEADY_KEY, rotated_key};
 
 /// A request has its final answer this long after its route's time at the latest.
 const ANSWERED_WITHIN: Duration = Duration::from_millis(3_000 + 500);
 /// The most targets that one attempt of a caller may be sent to.
 const ATTEMPTS_MAX: u32 = 2;
+/// The time over which the runs of a team are counted.
+const QUOTA_WINDOW: Duration = Duration::from_secs(5);
 /// How many findings of one play are told.
 const TOLD_MAX: usize = 12;
 
@@ -23,6 +26,31 @@
     Repeatable,
 }
 
+/// The key that a request carries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Key {
+    /// None.
+    None,
+    /// One that is always in force.
+    Steady,
+    /// That of the team with a quota.
+    Limited,
+    /// The one that only the given version has.
+    Rotated(u64),
+}
+
+impl Key {
+    /// The key as it is sent.
+    pub fn text(self) -> Option<String> {
+        match self {
+            Self::None => None,
+            Self::Steady => Some(STEADY_KEY.to_owned()),
+            Self::Limited => Some(LIMITED_KEY.to_owned()),
+            Self::Rotated(version) => Some(rotated_key(version)),
+        }
+    }
+}
+
 /// How a request ended for its caller.
 #[derive(Clone, Debug, PartialEq)]
 pub enum End {
@@ -41,6 +69,7 @@
 pub struct Record {
     pub attempt: String,
     pub kind: Kind,
+    pub key: Key,
     /// The node that took it.
     pub member: usize,
     pub asked: Instant,
@@ -93,9 +122,35 @@
         if took > ANSWERED_WITHIN && member.is_in_touch(record.asked, record.ended) {
             self.add(format!("{took:?} without an answer: {record:?}"));
         }
+        if let (Key::Rotated(version), End::Served { .. }) = (record.key, &record.end) {
+            let due = site.due_at(member, record.asked, record.ended);
+            if due.is_some_and(|due| version < due) {
+                self.add(format!("served by a key that was taken away: {record:?}"));
+            }
+        }
         self.records.lock().unwrap().push(record);
     }
 
+    /// Holds what ran for the team with a quota against what may, in every window that begins with one of its
+    /// requests.
+    fn check_quota(&self, records: &[Record], runs: &HashMap<String, u32>) {
+        let ran =
+            |record: &&Record| record.key == Key::Limited && runs.contains_key(&record.attempt);
+        let mut ran: Vec<Instant> = records.iter().filter(ran).map(|record| record.asked).collect();
+        ran.sort();
+        let (per_s, burst) = LIMITED;
+        let allowed = (per_s * QUOTA_WINDOW.as_secs_f64() + burst) * 1.1 + 20.0;
+        for (first, began) in ran.iter().enumerate() {
+            let within = ran[first..].partition_point(|asked| *asked < *began + QUOTA_WINDOW);
+            if within as f64 > allowed {
+                self.add(format!(
+                    "{within} requests of a team ran in {QUOTA_WINDOW:?}, not {allowed}"
+                ));
+                return;
+            }
+        }
+    }
+
     /// Holds what targets have run against what callers were told.
     pub fn check_runs(&self, runs: &HashMap<String, u32>) {
         let records = self.records.lock().unwrap();
@@ -105,6 +160,9 @@
             asked.insert(&record.attempt);
             let ran = runs.get(&record.attempt).copied().unwrap_or(0);
             let most = if record.kind == Kind::Once { 1 } else { ATTEMPTS_MAX };
+            if record.key == Key::None && ran > 0 {
+                self.add(format!("ran without a key: {record:?}"));
+            }
             if ran > most {
                 self.add(format!("ran {ran} times: {record:?}"));
             }
@@ -116,6 +174,7 @@
                 self.add(format!("passed on and cut off: {record:?}"));
             }
         }
+        self.check_quota(&records, runs);
         for attempt in runs.keys().filter(|attempt| !asked.contains(attempt)) {
             self.add(format!("nobody asked for {attempt}"));
         }
--- a/tests/platform/soak/site.rs
+++ b/tests/platform/soak/site.rs
@@ -10,7 +10,7 @@
 use super::faults::Kind;
 use super::findings::Findings;
 use super::spans::Spans;
-use super::targets::{Runs, beat, document, serve};
+use super::targets::{Runs, STEADY_KEY, beat, document, serve};
 use crate::node::{self, Place, Process};
 use crate::store::Store;
 use crate::target::CRASHES;
@@ -87,7 +87,7 @@
     fn get(&self, port: u16, path: &str, attempt: &str) -> Option<String> {
         let text = format!(
             "GET {path} HTTP/1.1\r\nHost: shop.test\r\nAttempt-Id: {attempt}\r\n\
-             Connection: close\r\n\r\n"
+             X-Api-Key: {STEADY_KEY}\r\nConnection: close\r\n\r\n"
         );
         self.ask(port, &text)
     }
@@ -219,9 +219,8 @@
                     findings.add(format!("node {index} went from {seen_version} to {version}"));
                 }
                 seen[index] = (life, version);
-                let is_calm = !self.store_trouble.touch(asked - CONTACT, until);
-                let due = self.due(asked);
-                if is_calm && member.is_in_touch(asked, until) && version < due {
+                let due = self.due_at(member, asked, until).unwrap_or(0);
+                if version < due {
                     findings.add(format!("node {index} has {version}, {due} is due"));
                 }
             }
@@ -229,6 +228,18 @@
         }
     }
 
+    /// The version that was acknowledged last.
+    pub fn newest(&self) -> u64 {
+        self.acknowledged.lock().unwrap().last().map_or(0, |(version, _)| *version)
+    }
+
+    /// The version that has to be in force at a node for a request of the given time, if one has to: the store
+    /// and the node were left alone.
+    pub fn due_at(&self, member: &Member, asked: Instant, ended: Instant) -> Option<u64> {
+        let is_calm = !self.store_trouble.touch(asked - CONTACT, ended);
+        (is_calm && member.is_in_touch(asked, ended)).then(|| self.due(asked))
+    }
+
     /// The version that has to be in force.
     fn due(&self, now: Instant) -> u64 {
         let acknowledged = self.acknowledged.lock().unwrap();
--- a/tests/platform/soak/targets.rs
+++ b/tests/platform/soak/targets.rs
@@ -25,7 +25,19 @@
 /// How often each attempt was run, by any target.
 pub type Runs = Arc<Mutex<HashMap<String, u32>>>;
 
-/// A configuration: reads of `stock`, and bookings of `orders`, which may run once.
+/// The key of a team that always has the same.
+pub const STEADY_KEY: &str = "steady-key";
+/// The key of a team with a quota.
+pub const LIMITED_KEY: &str = "limited-key";
+/// What that team may send, in requests a second and at once.
+pub const LIMITED: (f64, f64) = (15.0, 15.0);
+
+/// The key of the team that gets a new one with each configuration, and loses the one before.
+pub fn rotated_key(version: u64) -> String {
+    format!("rotated-key-{version}")
+}
+
+/// A configuration: reads of `stock`, and bookings of `orders`, which may run once; and three teams.
 pub fn document(version: u64) -> Vec<u8> {
     let route = |name: &str, kind: &str, service: &str, attempts: u32| {
         json!({
@@ -41,7 +53,15 @@
         let metadata = json!({ "name": name });
         json!({ "resourceKind": "services", "metadata": metadata, "specification": {} })
     };
+    let team = |name: &str, key: &str, (per_s, burst): (f64, f64)| {
+        let specification = json!({ "apiKeys": [key], "ratePerS": per_s, "burst": burst });
+        let metadata = json!({ "name": name });
+        json!({ "resourceKind": "tenants", "metadata": metadata, "specification": specification })
+    };
     let resources = json!([
+        team("steady", STEADY_KEY, (0.0, 0.0)),
+        team("limited", LIMITED_KEY, LIMITED),
+        team("rotated", &rotated_key(version), (0.0, 0.0)),
         service("stock"),
         service("orders"),
         route("look", "idempotent", "stock", 2),
