Repeat a broken read only when it is known whether its target has ended

Cause: the entry repeated the request at once, and news of an end needs 30 ms and a link. A rule that spares the last target was missing.

Ruled out: to wait at each entry (a target that only breaks an answer off would delay its repeat, too); to hold the answer to what may run once (nothing is decided for it).

Change: the node beside the target looks at once whether it still takes connections. If not, the answer to a call that may be repeated is given when all nodes have been told, and 20 ms later, so that what others tell of the same moment has come. A request that ran on a target that ended is not repeated on the last target of its service.

--- a/src/mesh/fingerprint.rs
+++ b/src/mesh/fingerprint.rs
@@ -41,7 +41,7 @@
 }
 
 /// The host that a request names, as routes know it: without the port, in lower case.
-fn host(headers: &[Header]) -> Vec<u8> {
+pub fn host(headers: &[Header]) -> Vec<u8> {
     let named = headers.iter().find(|header| header.name.eq_ignore_ascii_case(b"host"));
     let Some(header) = named else { return Vec::new() };
     let end = header.value.iter().rposition(|byte| *byte == b':').unwrap_or(header.value.len());
--- a/src/mesh/quarantine.rs
+++ b/src/mesh/quarantine.rs
@@ -132,6 +132,12 @@
         Standing::Free
     }
 
+    /// Whether a target has ended with the request running, and it has not succeeded since.
+    pub fn has_crashed(&self, fingerprint: Fingerprint) -> bool {
+        let records = self.records.borrow();
+        records.get(&fingerprint).is_some_and(|record| record.is_recent(Instant::now()))
+    }
+
     /// Whether a request is held back.
     pub fn is_held(&self, fingerprint: Fingerprint) -> bool {
         matches!(self.standing(fingerprint), Standing::Held(_))
--- a/src/mesh/receiver.rs
+++ b/src/mesh/receiver.rs
@@ -16,11 +16,13 @@
 
 use super::ancestry::Origin;
 use super::blame;
-use super::crash::note_broken;
+use super::crash::{self, note_broken};
+use super::fingerprint;
 use super::frame::{Call, CallEnd, Doubt, Header, NotRun, TargetAnswer};
 use super::gate::GateError;
 use super::http1::{Connection, ExchangeError, Reply};
 use super::node::{Counted, Node};
+use super::site::RouteKind;
 use super::target::Instance;
 
 /// What is left of a deadline that is too short to be worth a run.
@@ -186,6 +188,9 @@
         Ok(Err(error)) => {
             if matches!(error, ExchangeError::Broken(_)) {
                 note_broken(node, instance, call);
+                if may_be_repeated(node, call) {
+                    crash::until_known(node).await;
+                }
             }
             return broke(error.to_string());
         }
@@ -202,6 +207,14 @@
     served
 }
 
+/// Whether whoever sent a call may send it again although it may have run.
+fn may_be_repeated(node: &Node, call: &Call) -> bool {
+    let host = fingerprint::host(&call.headers);
+    let path = call.path.split('?').next().unwrap_or_default();
+    let route = node.site().and_then(|site| site.route(std::str::from_utf8(&host).ok()?, path));
+    route.is_some_and(|route| route.kind == RouteKind::Idempotent)
+}
+
 /// What becomes of a call whose target broke off, or gave an answer that is none.
 fn broke(detail: String) -> Served {
     Served { end: CallEnd::MayHaveRun(Doubt::TargetBroke), detail }
--- a/src/mesh/sender.rs
+++ b/src/mesh/sender.rs
@@ -189,10 +189,22 @@
         }
     }
 
-    /// Whether targets have ended with the request. If another one has now, it takes a moment until that is
-    /// known; until then it must not be sent to the next.
-    fn is_suspect(&self) -> bool {
-        self.standing() != Standing::Free
+    /// Whether the request must not be sent to the next target, as it may end that, too: it is a suspect, or it
+    /// ran on a target that has ended and the next is the last one of the service.
+    fn may_end_the_next(&self) -> bool {
+        let quarantine = &self.node.quarantine;
+        if quarantine.is_empty() {
+            return false;
+        }
+        let fingerprint = self.request.fingerprint();
+        quarantine.standing(fingerprint) != Standing::Free
+            || quarantine.has_crashed(fingerprint) && self.targets_ready() <= 1
+    }
+
+    /// How many targets of the service take work, as far as this node knows.
+    fn targets_ready(&self) -> usize {
+        let own = self.node.target.current().filter(|known| known.service == self.service);
+        self.node.directory.siblings(self.service).1 + usize::from(own.is_some())
     }
 
     /// A target that has had the request already, if there is no other.
@@ -229,8 +241,8 @@
         let is_right = match end {
             CallEnd::NotRun(reason) => !matches!(reason, NotRun::Expired | NotRun::Quarantined),
             CallEnd::MayHaveRun(doubt) => {
-                let may_have_ended_it = *doubt == Doubt::TargetBroke && self.is_suspect();
-                self.route.kind == RouteKind::Idempotent && !may_have_ended_it
+                let is_risky = *doubt == Doubt::TargetBroke && self.may_end_the_next();
+                self.route.kind == RouteKind::Idempotent && !is_risky
             }
             // Whoever made the call that failed below has repeated it if that could be afforded; to
             // run all of it again costs many times as much.
--- a/src/mesh/teams/lease.rs
+++ b/src/mesh/teams/lease.rs
@@ -9,8 +9,8 @@
 use super::owner::{Grant, scaled};
 use super::roster::Quota;
 
-/// How long leased tokens may be used. Whoever is frozen with some, or ends, keeps the owner's count from
-/// being wrong for longer.
+/// How long leased tokens may be used: it bounds by how much the runs of a window may exceed the grants of that
+/// window.
 pub const LEASE: Duration = Duration::from_millis(250);
 /// For how much of its usual demand an entry asks beyond the requests that wait, so that a team with much
 /// traffic at one entry does not ask for each request.
--- a/tests/mesh/crashes.rs
+++ b/tests/mesh/crashes.rs
@@ -161,3 +161,35 @@
         assert_eq!(standing(), Standing::Free);
     });
 }
+
+/// One request, sent by four entries at once, ended 6 of 8 targets: each entry repeated it at once, before the
+/// news of the ends could come. A repeat now waits until it is known whether the target has ended, and by then
+/// four ends are known too. What the entries had sent before the first end cannot be taken back.
+#[test]
+fn copies_sent_at_once_are_not_repeated_after_their_targets_have_ended() {
+    run(async {
+        let names: Vec<String> = (1..9).map(|number| format!("stock-{number}")).collect();
+        let names: Vec<&str> = names.iter().map(String::as_str).collect();
+        let nodes = site(&names).await;
+        let mut sent = Vec::new();
+        for (number, entry) in nodes.iter().take(4).enumerate() {
+            let entry = entry.clone();
+            sent.push(spawn_local(async move { ask(&entry, &crashing(number)).await }));
+        }
+        for answer in sent {
+            assert_eq!(status(&answer.await.unwrap()), 502, "it may have run");
+        }
+        assert_eq!(arrivals(&nodes, CRASHES), 4);
+    });
+}
+
+/// Two targets of a service were left, a request ended one of them, and its repeat the other.
+#[test]
+fn a_request_that_ended_a_target_is_not_repeated_on_the_last_one() {
+    run(async {
+        let nodes = site(&["stock-1", "stock-2"]).await;
+        assert_eq!(status(&ask(&nodes[0], &crashing(1)).await), 502, "it may have run");
+        assert_eq!(arrivals(&nodes, CRASHES), 1);
+        assert_eq!(status(&ask(&nodes[0], &request("read", "a1")).await), 200);
+    });
+}
