Let the route's rank count among teams of one rank

Cause: a team's rank was taken in place of its route's, so all requests of teams of one rank were alike.

Change: the team's rank goes first, and the route's decides among teams of one rank. With more ranks than three the window leaves the same part of its bound to all of them together, not more; up to three ranks it is as it was.

--- a/src/mesh/ingress.rs
+++ b/src/mesh/ingress.rs
@@ -246,8 +246,8 @@
         return Err(Refused::new(NotRun::NoKey, 0, &nobody));
     };
     let (team, rank) = match &holder {
-        Holder::Team(team) => (&team.name, team.rank.unwrap_or(route.rank)),
-        Holder::Anyone => (&nobody, route.rank),
+        Holder::Team(team) => (&team.name, site.rank(route, Some(team))),
+        Holder::Anyone => (&nobody, site.rank(route, None)),
     };
     if node.is_closing() {
         return Err(Refused::new(NotRun::Closing, RETRY_AFTER_CLOSING_MS, team));
--- a/src/mesh/site.rs
+++ b/src/mesh/site.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 
-use super::teams::roster::Roster;
+use super::teams::roster::{Roster, Team};
 
 /// What may be done with a request whose outcome is not known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -84,7 +84,7 @@
     pub teams: Roster,
     /// The routes by host, then by prefix.
     routes: HashMap<String, HashMap<String, Rc<Route>>>,
-    /// The least important rank of any route or team.
+    /// The least important rank of any route.
     rank_max: u8,
     /// The services that the operator lists. Empty where no list was given.
     services: HashSet<String>,
@@ -110,11 +110,18 @@
 
     /// The same with teams.
     pub fn with_teams(mut self, teams: Roster) -> Self {
-        self.rank_max = self.rank_max.max(teams.rank_max().unwrap_or(0));
         self.teams = teams;
         self
     }
 
+    /// The rank of a caller's request: a team's goes before its route's, so that requests of teams of the same
+    /// rank are told apart by their routes. A request without a team comes after all that have one.
+    pub fn rank(&self, route: &Route, team: Option<&Team>) -> u8 {
+        let place = team.map_or(self.teams.rank_places() - 1, |team| self.teams.rank_place(team));
+        let before = place.saturating_mul(usize::from(self.rank_max) + 1);
+        u8::try_from(before + usize::from(route.rank)).unwrap_or(u8::MAX)
+    }
+
     /// Whether there may be targets of `service`: it is listed, or a route leads to it, or no list was
     /// given.
     pub fn may_have(&self, service: &str) -> bool {
@@ -149,8 +156,9 @@
         self.routes.values().flat_map(HashMap::values).cloned().collect()
     }
 
-    /// The least important rank of any route or team.
+    /// The least important rank of any request.
     pub fn rank_max(&self) -> u8 {
-        self.rank_max
+        let ranks = self.teams.rank_places() * (usize::from(self.rank_max) + 1);
+        u8::try_from(ranks - 1).unwrap_or(u8::MAX)
     }
 }
--- a/src/mesh/teams/roster.rs
+++ b/src/mesh/teams/roster.rs
@@ -50,6 +50,8 @@
     hasher: KeyHasher,
     teams: HashMap<Rc<str>, Rc<Team>>,
     holders: HashMap<KeyDigest, Rc<Team>>,
+    /// The ranks that teams have, each once, the most important first.
+    ranks: Vec<u8>,
 }
 
 impl Roster {
@@ -68,7 +70,10 @@
             for key in &keys {
                 roster.add_key(&team, key)?;
             }
+            roster.ranks.extend(team.rank);
         }
+        roster.ranks.sort_unstable();
+        roster.ranks.dedup();
         Ok(roster)
     }
 
@@ -112,8 +117,14 @@
         teams.into_iter().map(|team| Rc::clone(&team.name)).collect()
     }
 
-    /// The least important rank of any team.
-    pub fn rank_max(&self) -> Option<u8> {
-        self.teams.values().filter_map(|team| team.rank).max()
+    /// How many ranks there are among the teams; one where no team has any.
+    pub fn rank_places(&self) -> usize {
+        self.ranks.len().max(1)
+    }
+
+    /// The place of a team's rank among those that there are. A team without a rank has the last one.
+    pub fn rank_place(&self, team: &Team) -> usize {
+        let place = self.ranks.iter().position(|rank| Some(*rank) == team.rank);
+        place.unwrap_or(self.rank_places() - 1)
     }
 }
--- a/src/mesh/window.rs
+++ b/src/mesh/window.rs
@@ -29,6 +29,8 @@
 const WORK_LOW: f64 = 0.6;
 /// The part of the bound that each rank leaves to those above it.
 const LEFT_PER_RANK: f64 = 0.12;
+/// The part of the bound that is left to all ranks above the least important one, at most.
+const LEFT_TO_ALL: f64 = 0.24;
 
 /// The part of the bound that requests of each route may fill whatever their rank. Refusing a route
 /// that uses less makes hardly any room for others, and no route is starved.
@@ -52,6 +54,8 @@
     correction: f64,
     /// The work found last.
     work: f64,
+    /// The level at which every rank passes.
+    top: f64,
     /// What is a fair number of requests in flight for this entry.
     fair_share: f64,
     /// Requests of a rank below it pass, those of the rank that it cuts with the probability of its
@@ -70,6 +74,7 @@
             work_sum: 0.0,
             correction: 1.0,
             work: 0.0,
+            top: 1.0,
             fair_share: f64::INFINITY,
             level: None,
             has_refused: Cell::default(),
@@ -85,6 +90,7 @@
     /// in flight for this entry as long as hardly anything was learnt.
     pub fn adjust(&mut self, work: f64, in_flight: f64, top: f64, fair_share: f64) {
         self.work = work;
+        self.top = top;
         self.fair_share = fair_share;
         let filled = in_flight / self.bound(0).max(1.0);
         let change = (FILLED_WANTED - filled) * LEVEL_RATE;
@@ -132,7 +138,8 @@
         let learnt = self.in_flight_sum / self.work_sum.max(0.1) * WORK_WANTED;
         let size = if self.work_sum < LEARNT_MIN { learnt.max(self.fair_share) } else { learnt };
         let size = size * self.correction;
-        let left = 1.0 - LEFT_PER_RANK * f64::from(rank);
+        let steps = (self.top - 1.0).max(1.0);
+        let left = 1.0 - LEFT_PER_RANK.min(LEFT_TO_ALL / steps) * f64::from(rank);
         (size + CHANCE * size.sqrt()) * left + self.spare()
     }
 
--- a/tests/mesh/teams.rs
+++ b/tests/mesh/teams.rs
@@ -5,12 +5,13 @@
 
 use std::time::Duration;
 
+use aspenspring::mesh::site::{Limits, RouteKind, Site};
 use aspenspring::mesh::teams::roster::{Quota, Roster, RosterError, Team};
 use tokio::io::AsyncWriteExt;
 use tokio::time::sleep;
 
 use super::support::{
-    Reaction, TestNode, acquaint, ask, connect, header, read_message, run, start, status,
+    Reaction, TestNode, acquaint, ask, connect, header, read_message, route, run, start, status,
 };
 
 const FAST: Reaction = Reaction::Answer(200, 0);
@@ -153,6 +154,37 @@
     });
 }
 
+/// A team's rank took the place of its route's, so that under overload orders of teams of one rank were refused
+/// as often as pages, and what was put behind the less urgent cost a busy day most.
+#[test]
+fn a_team_s_rank_goes_before_its_route_s_and_the_route_s_still_counts() {
+    let team = |name: &str, rank| Team { name: name.into(), rank, quota: None };
+    let (first, second, last) = (team("a", Some(3)), team("b", Some(7)), team("c", None));
+    let listed =
+        |teams: &[&Team]| Roster::new(teams.iter().map(|team| ((*team).clone(), vec![])).collect());
+    let routes = || {
+        vec![
+            route("book", "stock", RouteKind::AtMostOnce, 0),
+            route("read", "stock", RouteKind::Idempotent, 2),
+        ]
+    };
+    let site = |teams: &[&Team]| {
+        Site::new(1, routes(), Limits::default()).with_teams(listed(teams).unwrap())
+    };
+    let ranks = |site: &Site, team| {
+        ["/book/1", "/read/1"].map(|path| site.rank(&site.route("shop.test", path).unwrap(), team))
+    };
+    let one_rank = site(&[&first]);
+    assert_eq!(ranks(&one_rank, Some(&first)), [0, 2], "as without teams");
+    assert_eq!(one_rank.rank_max(), 2);
+    let two_ranks = site(&[&second, &first, &last]);
+    assert_eq!(ranks(&two_ranks, Some(&first)), [0, 2]);
+    assert_eq!(ranks(&two_ranks, Some(&second)), [3, 5]);
+    assert_eq!(ranks(&two_ranks, Some(&last)), [3, 5], "it has none");
+    assert_eq!(ranks(&two_ranks, None), [3, 5]);
+    assert_eq!(two_ranks.rank_max(), 5);
+}
+
 /// How many of `count` requests, sent in turn to the given entries, are let in; the others are told when to
 /// come back.
 async fn let_in(entries: &[&TestNode], count: usize) -> usize {
