Tell when a node notices that a caller has left

The users saw that work went on for callers that had left. The logs could not tell why: a request that is withdrawn leaves no line, one that is answered to a closed connection looks like any other. CallerLeft (1042) and a counter say whether the close was noticed as the request was read, while it waited, or only with its answer. No decision is changed: the stream of a caller hands out its write half as well, by which the runtime tells of a close even while bytes are unread.

--- a/src/event.rs
+++ b/src/event.rs
@@ -532,6 +532,20 @@
         /// How many the target may run at once.
         limit: u32,
     }
+    /// The caller of a request left before it had the answer.
+    1042 Info CallerLeft {
+        /// The id of the caller's attempt.
+        attempt: String,
+        /// The route by which a caller's request began it all.
+        root: String,
+        /// When that was noticed: `reading` (the request was read only then), `waiting` (the request ended with
+        /// it) or `answered` (the answer was there already).
+        noticed: &'static str,
+        /// Whether the request was carried through to its answer.
+        answered: bool,
+        /// How long after its head was read, in milliseconds.
+        took_ms: u64,
+    }
 }
 
 impl LogEvent {
--- a/src/mesh/ingress.rs
+++ b/src/mesh/ingress.rs
@@ -20,14 +20,14 @@
 
 use super::ancestry::Origin;
 use super::frame::{Doubt, Header, NotRun, TargetAnswer};
-use super::linger::LingeringStream;
+use super::linger::{LingeringStream, PeerWatch};
 use super::node::{Counted, Node};
 use super::overload::Admitted;
 use super::peers::pause_after;
 use super::sender::{self, Outcome, Request};
 use super::site::{Route, Site};
 use super::teams::admission::{self, Holder, OverQuota};
-use super::trail::{Ended, Trail, note_end};
+use super::trail::{Answering, Ended, Trail, note_end};
 
 /// How much memory request bodies may take, as a share of what the node may use.
 const BODIES_SHARE: f64 = 0.25;
@@ -55,6 +55,8 @@
 
 /// What is known of a connection of a caller.
 struct Connection {
+    /// Whether the caller is still there.
+    caller: PeerWatch,
     /// Whether a request on it is being answered.
     is_busy: Cell<bool>,
     /// When its last answer was given.
@@ -78,8 +80,12 @@
     if stream.set_nodelay(true).is_err() {
         return;
     }
-    let state =
-        Rc::new(Connection { is_busy: Cell::new(false), idle_since: Cell::new(Instant::now()) });
+    let stream = LingeringStream::new(stream);
+    let state = Rc::new(Connection {
+        caller: stream.peer(),
+        is_busy: Cell::new(false),
+        idle_since: Cell::new(Instant::now()),
+    });
     let service = service_fn(|request| {
         let node = Rc::clone(&node);
         let state = Rc::clone(&state);
@@ -87,8 +93,7 @@
     });
     let mut builder = hyper::server::conn::http1::Builder::new();
     builder.max_buf_size(BUFFER_BYTES);
-    let io = TokioIo::new(LingeringStream::new(stream));
-    let connection = builder.serve_connection(io, service);
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     loop {
         let limits = node.site().map(|site| site.limits).unwrap_or_default();
@@ -114,7 +119,7 @@
 ) -> Response {
     let _in_flight = sender::count(node);
     connection.is_busy.set(true);
-    let mut response = respond(node, request).await;
+    let mut response = respond(node, &connection.caller, request).await;
     connection.is_busy.set(false);
     connection.idle_since.set(Instant::now());
     if node.is_stopping() {
@@ -123,7 +128,11 @@
     response
 }
 
-async fn respond(node: &Rc<Node>, request: http::Request<Incoming>) -> Response {
+async fn respond(
+    node: &Rc<Node>,
+    caller: &PeerWatch,
+    request: http::Request<Incoming>,
+) -> Response {
     let arrived = Instant::now();
     let Some(site) = node.site() else {
         return refusal(StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER_NOT_READY_MS);
@@ -140,6 +149,7 @@
     let attempt_id = header_text(&parts.headers, &node.vocabulary.attempt_id);
     let parent = node.ancestry.parent(attempt_id);
     let root = parent.as_ref().map_or(&route.name, |parent| &parent.root).clone();
+    let answering = Answering::new(node, caller, attempt_id, &root, arrived);
     let entered = match &parent {
         Some(parent) => Ok(Entered::with(parent)),
         None => enter(node, &site, &route, &parts.headers, attempt_id).await,
@@ -190,6 +200,7 @@
     let status = response.status().as_u16();
     let ended = Ended { attempt_id, route: &route, root: &request.root, arrived, status };
     note_end(node, &ended, &outcome, &trail);
+    answering.finish();
     response
 }
 
--- a/src/mesh/linger.rs
+++ b/src/mesh/linger.rs
@@ -1,12 +1,17 @@
-//! A stream whose closing lets the last answer arrive.
+//! A stream whose closing lets the last answer arrive, and whose peer is watched meanwhile.
 
+use std::future::pending;
 use std::io;
-use std::pin::Pin;
-use std::task::{Context, Poll, ready};
+use std::net::Shutdown;
+use std::pin::{Pin, pin};
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
 
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::time::{Sleep, sleep};
 
 /// How long the peer may take to close a connection that the node has closed.
@@ -18,7 +23,8 @@
 /// reset would take back an answer that has not been read yet.
 #[derive(Debug)]
 pub struct LingeringStream {
-    stream: TcpStream,
+    reader: OwnedReadHalf,
+    writer: Rc<OwnedWriteHalf>,
     /// When the peer is cut off; set once the node's side is closed.
     cut_off: Option<Pin<Box<Sleep>>>,
 }
@@ -26,7 +32,33 @@
 impl LingeringStream {
     /// Wraps a stream.
     pub fn new(stream: TcpStream) -> Self {
-        Self { stream, cut_off: None }
+        let (reader, writer) = stream.into_split();
+        Self { reader, writer: Rc::new(writer), cut_off: None }
+    }
+
+    /// Tells whether the peer is still there.
+    pub fn peer(&self) -> PeerWatch {
+        PeerWatch(Rc::clone(&self.writer))
+    }
+}
+
+/// Tells whether the peer of a stream is still there, even while nobody reads what it has sent.
+#[derive(Clone, Debug)]
+pub struct PeerWatch(Rc<OwnedWriteHalf>);
+
+impl PeerWatch {
+    /// Waits until the peer has closed or reset the connection.
+    pub async fn closed(&self) {
+        // Unread bytes leave a socket readable, so waiting for that would return at once.
+        match self.0.ready(Interest::PRIORITY).await {
+            Ok(ready) if !ready.is_read_closed() => pending().await,
+            Ok(_) | Err(_) => {}
+        }
+    }
+
+    /// Whether the peer has closed or reset the connection, as far as the runtime has been told.
+    pub fn has_closed(&self) -> bool {
+        pin!(self.closed()).poll(&mut Context::from_waker(Waker::noop())).is_ready()
     }
 }
 
@@ -36,26 +68,26 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        Pin::new(&mut self.reader).poll_read(context, buffer)
     }
 }
 
 impl AsyncWrite for LingeringStream {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        poll_write_with(&self.writer, context, |stream| stream.try_write(bytes))
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         if self.cut_off.is_none() {
-            ready!(Pin::new(&mut self.stream).poll_shutdown(context))?;
+            SockRef::from((*self.writer).as_ref()).shutdown(Shutdown::Write)?;
             self.cut_off = Some(Box::pin(sleep(LINGER)));
         }
         let mut scratch = [0; 4096];
@@ -64,7 +96,7 @@
                 return Poll::Ready(Ok(()));
             }
             let mut rest = ReadBuf::new(&mut scratch);
-            ready!(Pin::new(&mut self.stream).poll_read(context, &mut rest))?;
+            ready!(Pin::new(&mut self.reader).poll_read(context, &mut rest))?;
             if rest.filled().is_empty() {
                 return Poll::Ready(Ok(()));
             }
@@ -72,14 +104,30 @@
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, parts)
+        poll_write_with(&self.writer, context, |stream| stream.try_write_vectored(parts))
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        true
+    }
+}
+
+/// Writes with `write` once the socket takes bytes.
+fn poll_write_with(
+    writer: &OwnedWriteHalf,
+    context: &mut Context<'_>,
+    write: impl Fn(&TcpStream) -> io::Result<usize>,
+) -> Poll<io::Result<usize>> {
+    let stream: &TcpStream = writer.as_ref();
+    loop {
+        ready!(stream.poll_write_ready(context))?;
+        match write(stream) {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            written => return Poll::Ready(written),
+        }
     }
 }
--- a/src/mesh/metrics.rs
+++ b/src/mesh/metrics.rs
@@ -19,6 +19,8 @@
 const LATENCY: &str = "aspenspring_mesh_request_seconds";
 /// Calls that this node ran on its target, or refused, by their end.
 const CALLS: &str = "aspenspring_mesh_calls_total";
+/// Requests whose caller left before the answer, by when that was noticed.
+const CALLERS_LEFT: &str = "aspenspring_mesh_callers_left_total";
 
 /// Requests of callers by the team whose key let them in, and their end.
 const TEAM_REQUESTS: &str = "aspenspring_mesh_team_requests_total";
@@ -34,6 +36,7 @@
     requests: RefCell<HashMap<(Rc<str>, &'static str), Counter>>,
     latencies: RefCell<HashMap<Rc<str>, Histogram>>,
     calls: RefCell<HashMap<&'static str, Counter>>,
+    left: RefCell<HashMap<&'static str, Counter>>,
     /// Requests of each team by their end, as they are counted until they are scraped.
     teams: RefCell<HashMap<Rc<str>, HashMap<&'static str, u64>>>,
 }
@@ -51,6 +54,7 @@
             requests: RefCell::default(),
             latencies: RefCell::default(),
             calls: RefCell::default(),
+            left: RefCell::default(),
             teams: RefCell::default(),
         }
     }
@@ -80,6 +84,15 @@
         counter.increment(1);
     }
 
+    /// Counts a request whose caller has left.
+    pub fn note_left(&self, noticed: &'static str) {
+        let mut left = self.left.borrow_mut();
+        let counter = left.entry(noticed).or_insert_with(|| {
+            with_local_recorder(&self.recorder, || counter!(CALLERS_LEFT, "noticed" => noticed))
+        });
+        counter.increment(1);
+    }
+
     /// Counts a request of a team with its end. A request without a team is not counted.
     pub fn note_team(&self, team: &Rc<str>, end: &'static str) {
         if team.is_empty() {
--- a/src/mesh/trail.rs
+++ b/src/mesh/trail.rs
@@ -12,6 +12,7 @@
 use crate::event::LogEvent;
 
 use super::fingerprint::Fingerprint;
+use super::linger::PeerWatch;
 use super::node::Node;
 use super::sender::Outcome;
 use super::site::Route;
@@ -94,3 +95,55 @@
     let link = node.directory.get(*address).and_then(|peer| peer.open_link());
     link.map_or(0, |link| link.heard().elapsed().as_millis() as u64)
 }
+
+/// A request that is being answered; when dropped, notes it if its caller has left.
+pub struct Answering<'a> {
+    node: &'a Node,
+    caller: &'a PeerWatch,
+    attempt_id: &'a str,
+    root: Rc<str>,
+    arrived: Instant,
+    had_left: bool,
+    is_answered: bool,
+}
+
+impl<'a> Answering<'a> {
+    /// A request of `caller` whose head has just been read.
+    pub fn new(
+        node: &'a Node,
+        caller: &'a PeerWatch,
+        attempt_id: &'a str,
+        root: &Rc<str>,
+        arrived: Instant,
+    ) -> Self {
+        let had_left = caller.has_closed();
+        let root = Rc::clone(root);
+        Self { node, caller, attempt_id, root, arrived, had_left, is_answered: false }
+    }
+
+    /// Notes that the request has its final answer.
+    pub fn finish(mut self) {
+        self.is_answered = true;
+    }
+}
+
+impl Drop for Answering<'_> {
+    fn drop(&mut self) {
+        if !self.caller.has_closed() {
+            return;
+        }
+        let noticed = match (self.had_left, self.is_answered) {
+            (true, _) => "reading",
+            (false, false) => "waiting",
+            (false, true) => "answered",
+        };
+        self.node.metrics.note_left(noticed);
+        self.node.log.emit(&LogEvent::CallerLeft {
+            attempt: self.attempt_id.to_owned(),
+            root: self.root.to_string(),
+            noticed,
+            answered: self.is_answered,
+            took_ms: self.arrived.elapsed().as_millis() as u64,
+        });
+    }
+}
