--- /dev/null
+++ b/tests/mesh/callers.rs
@@ -0,0 +1,78 @@
+//! Callers that leave before their answer: nothing is begun for them, and what was begun ends.
+
+use std::io::Write;
+use std::time::Duration;
+
+use tokio::io::AsyncWriteExt;
+use tokio::time::{Instant, sleep, timeout};
+
+use super::support::{Reaction, TestNode, acquaint, ask, connect, request, run, start};
+
+const FAST: Reaction = Reaction::Answer(200, 0);
+/// How long work may go on for a caller that has left.
+const WITHDRAWN_WITHIN: Duration = Duration::from_millis(500);
+
+/// An entry without a target for reads, and a node whose target takes `run_ms` for each.
+async fn entry_and_target(run_ms: u64) -> (TestNode, TestNode) {
+    let entry = start("page-1", "page", vec![FAST]).await;
+    let other = start("stock-1", "stock", vec![Reaction::Answer(200, run_ms)]).await;
+    acquaint(&entry, &other).await;
+    (entry, other)
+}
+
+async fn wait_for_arrival(at: &TestNode) {
+    while at.target.arrivals() == 0 {
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Waits until the target's only run has been cut off, for as long as it may go on.
+async fn expect_cut_off(at: &TestNode) {
+    let cut_off = async {
+        while at.target.cut_off.get() == 0 {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(WITHDRAWN_WITHIN, cut_off).await.expect("the target works on for nobody");
+}
+
+/// A caller sends a read and `behind`, and leaves once the read runs.
+async fn leave_with(behind: &str) {
+    let (entry, other) = entry_and_target(700).await;
+    let mut caller = connect(&entry).await;
+    caller.write_all((request("read", "a1") + behind).as_bytes()).await.unwrap();
+    wait_for_arrival(&other).await;
+    drop(caller);
+    expect_cut_off(&other).await;
+    sleep(Duration::from_millis(1_000)).await;
+    assert_eq!(other.target.arrivals(), 1, "what stood behind was begun for nobody");
+    assert_eq!(entry.node.in_flight.get(), 0);
+}
+
+#[test]
+fn bytes_behind_a_request_do_not_hide_that_its_caller_has_left() {
+    run(async {
+        leave_with(&request("read", "a2")).await;
+        leave_with("\r\n").await;
+        leave_with(&"x".repeat(300_000)).await;
+    });
+}
+
+#[test]
+fn a_request_that_is_read_after_its_caller_has_left_is_not_begun() {
+    run(async {
+        let entry = start("stock-1", "stock", vec![FAST]).await;
+        ask(&entry, &request("read", "warm")).await;
+        let callers = entry.node.settings.listen.callers;
+        for number in 0..20 {
+            // The node's thread is this one, so it reads only after the close.
+            let mut caller = std::net::TcpStream::connect(callers).unwrap();
+            caller.write_all(request("read", &format!("a{number}")).as_bytes()).unwrap();
+        }
+        let until = Instant::now() + WITHDRAWN_WITHIN;
+        while Instant::now() < until {
+            sleep(Duration::from_millis(20)).await;
+        }
+        assert_eq!(entry.target.arrivals(), 1);
+    });
+}
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -1,5 +1,6 @@
 //! The call path: its decisions by themselves, and whole nodes on loopback with stand-in targets.
 
+mod callers;
 mod crashes;
 mod decisions;
 mod exchange;
