End a request when its caller closes, whatever bytes stand behind it

What callers saw: work went on for callers that had left, and requests were sent on after that. Cause: hyper asks the socket for the end of the stream only while its buffer is empty. A caller that sends a second request, or a bare CRLF, and closes is not missed: its run goes on to the end, is repeated where it fails, and the request behind it begins.

The connection's task now waits for the close itself, by the readiness that the runtime keeps for the socket, which tells of a close also while bytes are unread; it comes first in the task, so nothing is begun after it. Dropping the connection withdraws the request on every node, as before.

Ruled out: reading ahead into a buffer of our own (memory a connection, and a bound behind which the close is hidden again).

--- a/src/mesh/ingress.rs
+++ b/src/mesh/ingress.rs
@@ -95,12 +95,19 @@
     builder.max_buf_size(BUFFER_BYTES);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
+    let caller_left = state.caller.closed();
+    tokio::pin!(caller_left);
     loop {
         let limits = node.site().map(|site| site.limits).unwrap_or_default();
         let idle_until = state.idle_since.get() + Duration::from_millis(limits.idle_timeout_ms);
         let check_at =
             idle_until.max(Instant::now() + Duration::from_millis(limits.head_timeout_ms));
         tokio::select! {
+            // Before the connection, so that nothing is begun for a caller that has left.
+            biased;
+            // Dropping the connection withdraws its request. hyper does not look for the end of the stream while
+            // bytes behind a request are unread.
+            () = caller_left.as_mut() => return,
             // How it ended concerns nobody else.
             _ = connection.as_mut() => return,
             () = sleep_until(check_at) => {}
