Learn of a close before the first request of a connection is read

What callers saw: requests were sent on after their callers had left, in a burst once a stopped node went on. Cause: the runtime takes a socket that was just accepted as readable, without having asked. The first read then finds a request whose caller has closed behind it, and it is begun before the runtime has been told of the close: at once where a connection to the target is kept, and cut off a moment later elsewhere.

--- a/src/mesh/ingress.rs
+++ b/src/mesh/ingress.rs
@@ -15,7 +15,7 @@
 use hyper_util::rt::TokioIo;
 use rand::Rng;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, yield_now};
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 use super::ancestry::Origin;
@@ -97,6 +97,8 @@
     tokio::pin!(connection);
     let caller_left = state.caller.closed();
     tokio::pin!(caller_left);
+    // The runtime takes a new socket as readable before it has asked, and only then learns of a close.
+    yield_now().await;
     loop {
         let limits = node.site().map(|site| site.limits).unwrap_or_default();
         let idle_until = state.idle_since.get() + Duration::from_millis(limits.idle_timeout_ms);
