End the calls of a run that ends without an answer

What callers saw: work went on for callers that had left. Cause: a call that a target makes for a run was a request of its own. When the run was withdrawn, the call went on, further down as well, until the target closed its connection; one that came later was taken for a new request where the site has no teams, with a deadline and a rank of its own.

A run that ends without an answer of its target now ends the calls in progress that were made for it (502, as they may have run), and later ones are refused as orphans (503, not run). Calls of a run that was answered go on: what a target leaves running then is its own decision. A request with a team's key is never taken for an orphan.

a_call_does_not_outlive_the_run_whose_caller_has_left and a_call_for_a_run_whose_caller_has_left_is_not_begun failed before (200 instead of 503; not cut off within half a second); a_call_is_carried_through_after_its_run _was_answered passed before and guards the bound of this change.

--- a/src/explain/cause.rs
+++ b/src/explain/cause.rs
@@ -203,7 +203,7 @@
             ),
             Self::Orphaned { node } => write!(
                 f,
-                "refused by {node}: it was a call for a run that had ended, or that began before the node"
+                "given up by {node}: it was a call for a run that had ended, or that began before the node"
             ),
             Self::Closing { node } => write!(f, "{node} was about to end"),
             Self::TimeUsedUp { node, service, took_ms, has_just_started } => {
@@ -365,7 +365,7 @@
             quota: step.line.text("quota").to_owned(),
             config_version: step.line.number("config_version"),
         },
-        "orphaned" => Cause::Orphaned { node: step.node.clone() },
+        "orphaned" | "withdrawn" => Cause::Orphaned { node: step.node.clone() },
         "closing" => Cause::Closing { node: step.node.clone() },
         _ if reason == "timeout" || step.status == GATEWAY_TIMEOUT => Cause::Slow {
             node,
--- a/src/mesh/ancestry.rs
+++ b/src/mesh/ancestry.rs
@@ -5,11 +5,12 @@
 //! only looks alike is taken for that of a new request.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 /// Stands between the id of a request and the own part of a call made for it.
 const SEPARATOR: char = '.';
@@ -20,7 +21,7 @@
 const ENDED_MAX: usize = 20_000;
 
 /// Where a request came from, as far as calls made for it inherit it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug)]
 pub struct Origin {
     /// The route by which a caller's request began it all.
     pub root: Rc<str>,
@@ -34,6 +35,8 @@
     pub team: Rc<str>,
     /// Whether a call that it made has failed.
     pub has_failed_below: Rc<Cell<bool>>,
+    /// Cancelled when the run ends without an answer: nobody waits for the calls made for it any more.
+    pub withdrawn: CancellationToken,
 }
 
 /// The requests that the target is running.
@@ -54,13 +57,14 @@
 #[derive(Debug, Default)]
 struct Ended {
     in_order: VecDeque<(Instant, Rc<str>)>,
-    ids: HashSet<Rc<str>>,
+    /// The id of each, and whether the target answered it.
+    answered: HashMap<Rc<str>, bool>,
 }
 
 impl Ended {
-    fn note(&mut self, id: &str, now: Instant) {
+    fn note(&mut self, id: &str, is_answered: bool, now: Instant) {
         let id: Rc<str> = id.into();
-        if self.ids.insert(Rc::clone(&id)) {
+        if self.answered.insert(Rc::clone(&id), is_answered).is_none() {
             self.in_order.push_back((now, id));
         }
         while self.in_order.len() > ENDED_MAX {
@@ -76,7 +80,7 @@
 
     fn forget_first(&mut self) {
         if let Some((_, id)) = self.in_order.pop_front() {
-            self.ids.remove(&id);
+            self.answered.remove(&id);
         }
     }
 }
@@ -85,23 +89,36 @@
 pub struct Running<'a> {
     ancestry: &'a Ancestry,
     id: &'a str,
+    withdrawn: CancellationToken,
+    is_answered: bool,
+}
+
+impl Running<'_> {
+    /// Ends the run with the target's answer. Calls that it has begun are the target's to end.
+    pub fn finish(mut self) {
+        self.is_answered = true;
+    }
 }
 
 impl Drop for Running<'_> {
     fn drop(&mut self) {
         self.ancestry.running.borrow_mut().remove(self.id);
+        if !self.is_answered {
+            self.withdrawn.cancel();
+        }
         let now = Instant::now();
         let mut ended = self.ancestry.ended.borrow_mut();
         ended.sweep(now);
-        ended.note(self.id, now);
+        ended.note(self.id, self.is_answered, now);
     }
 }
 
 impl Ancestry {
     /// Notes that the target runs the request `id` until what is given back is dropped.
     pub fn run<'a>(&'a self, id: &'a str, origin: Origin) -> Running<'a> {
+        let withdrawn = origin.withdrawn.clone();
         self.running.borrow_mut().insert(id.to_owned(), origin);
-        Running { ancestry: self, id }
+        Running { ancestry: self, id, withdrawn, is_answered: false }
     }
 
     /// How many of the requests that run began by the route `root`.
@@ -113,7 +130,14 @@
     /// had begun. Nobody waits for its answer.
     pub fn is_orphan(&self, id: &str) -> bool {
         let Some((parent, _)) = id.rsplit_once(SEPARATOR) else { return false };
-        self.started.elapsed() < ENDED_REMEMBERED || self.ended.borrow().ids.contains(parent)
+        self.started.elapsed() < ENDED_REMEMBERED
+            || self.ended.borrow().answered.contains_key(parent)
+    }
+
+    /// Whether `id` names a call for a run that ended without an answer.
+    pub fn was_withdrawn(&self, id: &str) -> bool {
+        let Some((parent, _)) = id.rsplit_once(SEPARATOR) else { return false };
+        self.ended.borrow().answered.get(parent) == Some(&false)
     }
 
     /// The origin of the request for which the target makes the call `id`, if it makes it.
--- a/src/mesh/frame.rs
+++ b/src/mesh/frame.rs
@@ -412,6 +412,8 @@
     LinkLost,
     /// The target broke off, or its answer made no sense.
     TargetBroke,
+    /// It was made for a run that ended without an answer.
+    Withdrawn,
 }
 
 impl Doubt {
@@ -421,6 +423,7 @@
             Self::Timeout => "timeout",
             Self::LinkLost => "link-lost",
             Self::TargetBroke => "target-broke",
+            Self::Withdrawn => "withdrawn",
         }
     }
 }
--- a/src/mesh/ingress.rs
+++ b/src/mesh/ingress.rs
@@ -26,7 +26,7 @@
 use super::peers::pause_after;
 use super::sender::{self, Outcome, Request};
 use super::site::{Route, Site};
-use super::teams::admission::{self, Holder, OverQuota};
+use super::teams::admission::{self, Holder, NoHolder, OverQuota};
 use super::trail::{Answering, Ended, Trail, note_end};
 
 /// How much memory request bodies may take, as a share of what the node may use.
@@ -194,7 +194,7 @@
         is_repeat: parent.as_ref().is_some_and(|parent| parent.is_repeat),
         team: entered.team,
     };
-    let (outcome, mut trail) = sender::send(node, &route, &request).await;
+    let (outcome, mut trail) = send(node, &route, &request, parent.as_ref()).await;
     trail.team = Rc::clone(&request.team);
     if parent.is_none() && matches!(outcome, Outcome::NotRun { .. }) {
         admission::give_back(node, &request.team);
@@ -213,6 +213,24 @@
     response
 }
 
+/// Sends a request until it has its final answer, or until the run that makes it ends without one.
+async fn send(
+    node: &Rc<Node>,
+    route: &Route,
+    request: &Request,
+    parent: Option<&Origin>,
+) -> (Outcome, Trail) {
+    let sent = sender::send(node, route, request);
+    let Some(parent) = parent else { return sent.await };
+    tokio::select! {
+        biased;
+        () = parent.withdrawn.cancelled() => {
+            (Outcome::MayHaveRun(Doubt::Withdrawn), Trail::default())
+        }
+        sent = sent => sent,
+    }
+}
+
 /// A request that was let in.
 struct Entered {
     /// The team whose key let the caller's request in; empty where no key did.
@@ -259,12 +277,16 @@
     attempt_id: &str,
 ) -> Result<Entered, Refused> {
     let nobody: Rc<str> = Rc::default();
-    let Ok(holder) = admission::holder(site, route, headers, &node.vocabulary.api_key) else {
-        if node.ancestry.is_orphan(attempt_id) {
-            return Err(Refused::new(NotRun::Orphaned, RETRY_AFTER_ORPHANED_MS, &nobody));
-        }
-        return Err(Refused::new(NotRun::NoKey, 0, &nobody));
+    let holder = admission::holder(site, route, headers, &node.vocabulary.api_key);
+    let is_orphan = match &holder {
+        Ok(Holder::Team(_)) => false,
+        Ok(Holder::Anyone) => node.ancestry.was_withdrawn(attempt_id),
+        Err(NoHolder) => node.ancestry.is_orphan(attempt_id),
     };
+    if is_orphan {
+        return Err(Refused::new(NotRun::Orphaned, RETRY_AFTER_ORPHANED_MS, &nobody));
+    }
+    let Ok(holder) = holder else { return Err(Refused::new(NotRun::NoKey, 0, &nobody)) };
     let (team, rank) = match &holder {
         Holder::Team(team) => (&team.name, site.rank(route, Some(team))),
         Holder::Anyone => (&nobody, site.rank(route, None)),
--- a/src/mesh/receiver.rs
+++ b/src/mesh/receiver.rs
@@ -11,6 +11,7 @@
 use bytes::{BufMut, Bytes, BytesMut};
 use http::Method;
 use tokio::time::{Instant, timeout_at};
+use tokio_util::sync::CancellationToken;
 
 use crate::event::LogEvent;
 
@@ -177,8 +178,9 @@
         is_repeat: call.is_repeat,
         team: call.team.as_str().into(),
         has_failed_below: Rc::clone(&has_failed_below),
+        withdrawn: CancellationToken::new(),
     };
-    let _running = node.ancestry.run(&call.attempt_id, origin);
+    let running = node.ancestry.run(&call.attempt_id, origin);
     let method = if call.method == "HEAD" { Method::HEAD } else { Method::GET };
     let attempt_id = node.vocabulary.attempt_id.as_str();
     let is_mine = |reply: &Reply| reply.header(attempt_id) == Some(&call.attempt_id);
@@ -196,6 +198,7 @@
         }
         Err(_) => return CallEnd::MayHaveRun(Doubt::Timeout).into(),
     };
+    running.finish();
     if reply.is_reusable {
         node.target.keep(connection);
     }
--- a/src/mesh/sender.rs
+++ b/src/mesh/sender.rs
@@ -327,7 +327,8 @@
 /// Whether an end shows that the node or its target is away for now.
 fn speaks_against_node(end: &CallEnd) -> bool {
     match end {
-        CallEnd::Answered(_) | CallEnd::MayHaveRun(Doubt::Timeout | Doubt::TargetBroke) => false,
+        CallEnd::Answered(_)
+        | CallEnd::MayHaveRun(Doubt::Timeout | Doubt::TargetBroke | Doubt::Withdrawn) => false,
         CallEnd::MayHaveRun(Doubt::LinkLost) => true,
         CallEnd::NotRun(reason) => {
             !matches!(reason, NotRun::Declined | NotRun::Expired | NotRun::Quarantined)
--- a/tests/mesh/callers.rs
+++ b/tests/mesh/callers.rs
@@ -4,9 +4,12 @@
 use std::time::Duration;
 
 use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep, timeout};
 
-use super::support::{Reaction, TestNode, acquaint, ask, connect, request, run, start};
+use super::support::{
+    Reaction, TestNode, acquaint, ask, connect, read_message, request, run, start, status,
+};
 
 const FAST: Reaction = Reaction::Answer(200, 0);
 /// How long work may go on for a caller that has left.
@@ -77,3 +80,57 @@
         assert_eq!(entry.target.arrivals(), 1);
     });
 }
+
+/// A node whose target runs `a1` for a caller, which is given back; further requests get `reactions`.
+async fn run_for_a_caller(first_ms: u64, reactions: &[Reaction]) -> (TestNode, TcpStream) {
+    let mut all = vec![Reaction::Answer(200, first_ms)];
+    all.extend_from_slice(reactions);
+    let entry = start("stock-1", "stock", all).await;
+    let mut caller = connect(&entry).await;
+    caller.write_all(request("read", "a1").as_bytes()).await.unwrap();
+    wait_for_arrival(&entry).await;
+    (entry, caller)
+}
+
+#[test]
+fn a_call_does_not_outlive_the_run_whose_caller_has_left() {
+    run(async {
+        let (entry, caller) = run_for_a_caller(60_000, &[Reaction::Answer(200, 60_000)]).await;
+        let mut target = connect(&entry).await;
+        target.write_all(request("read", "a1.b1").as_bytes()).await.unwrap();
+        while entry.target.arrivals() < 2 {
+            sleep(Duration::from_millis(5)).await;
+        }
+        drop(caller);
+        let cut_off = async {
+            while entry.target.cut_off.get() < 2 {
+                sleep(Duration::from_millis(5)).await;
+            }
+        };
+        timeout(WITHDRAWN_WITHIN, cut_off).await.expect("the call goes on for nobody");
+        let answer = read_message(&mut target).await.expect("an answer");
+        assert_eq!(status(&answer), 502, "it may have run");
+    });
+}
+
+#[test]
+fn a_call_for_a_run_whose_caller_has_left_is_not_begun() {
+    run(async {
+        let (entry, caller) = run_for_a_caller(60_000, &[FAST]).await;
+        drop(caller);
+        expect_cut_off(&entry).await;
+        assert_eq!(status(&ask(&entry, &request("read", "a1.b1")).await), 503);
+        assert_eq!(entry.target.arrivals(), 1);
+    });
+}
+
+#[test]
+fn a_call_is_carried_through_after_its_run_was_answered() {
+    run(async {
+        let (entry, mut caller) = run_for_a_caller(100, &[Reaction::Answer(200, 400)]).await;
+        let call = request("read", "a1.b1");
+        let (answer, called) = tokio::join!(read_message(&mut caller), ask(&entry, &call));
+        assert_eq!(status(&answer.expect("an answer")), 200);
+        assert_eq!(status(&called), 200);
+    });
+}
