Let callers leave in the soak, with requests behind those that run

The soak's callers waited for every answer, so nothing of the incident could be found by it. Eight in a hundred now close their connection within 0.4 s, half of them with a second request behind the first; more than three requests of a play that begin over half a second after the close are a finding, whatever happened to the node.

--- a/tests/platform/soak/callers.rs
+++ b/tests/platform/soak/callers.rs
@@ -1,6 +1,6 @@
 //! Callers that keep their connections for as long as the process at the other end lives.
 
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -19,6 +19,11 @@
 /// The longest pause after a refusal.
 const REFUSED_PAUSE_MAX: Duration = Duration::from_millis(300);
 
+/// The share of requests whose callers leave before the answer.
+const LEAVING_SHARE: f64 = 0.08;
+/// How long such a caller waits at most, in milliseconds.
+const LEAVING_AFTER_MS: u64 = 400;
+
 /// An answer.
 struct Answer {
     status: u16,
@@ -48,6 +53,20 @@
             sent += 1;
             let asked = Instant::now();
             let key = key_of(site, caller, sent);
+            if rng.random_bool(LEAVING_SHARE) {
+                let mut attempts = vec![attempt];
+                if rng.random_bool(0.5) {
+                    attempts.push(format!("{caller:x}-{sent:x}"));
+                    sent += 1;
+                }
+                let wait = Duration::from_millis(rng.random_range(1..LEAVING_AFTER_MS));
+                let ended = leave(reader, &attempts, key.text().as_deref(), wait);
+                for attempt in attempts {
+                    let (kind, end) = (Kind::Repeatable, End::Left);
+                    findings.note(site, Record { attempt, kind, key, member, asked, ended, end });
+                }
+                break;
+            }
             let answer = exchange(&mut reader, kind, &attempt, key.text().as_deref());
             let goes_on = answer.as_ref().is_some_and(|answer| !answer.closes);
             let pause = pause_after(answer.as_ref(), &mut rng);
@@ -94,12 +113,33 @@
     }
 }
 
+/// Sends reads, one behind the other, and leaves after `wait`; gives when it closed.
+fn leave(
+    mut reader: BufReader<TcpStream>,
+    attempts: &[String],
+    key: Option<&str>,
+    wait: Duration,
+) -> Instant {
+    for attempt in attempts {
+        // Whoever cannot send has left all the same.
+        drop(send(reader.get_mut(), Kind::Repeatable, attempt, key));
+    }
+    thread::sleep(wait);
+    drop(reader);
+    Instant::now()
+}
+
 fn exchange(
     reader: &mut BufReader<TcpStream>,
     kind: Kind,
     attempt: &str,
     key: Option<&str>,
 ) -> Option<Answer> {
+    send(reader.get_mut(), kind, attempt, key).ok()?;
+    read_answer(reader)
+}
+
+fn send(stream: &mut TcpStream, kind: Kind, attempt: &str, key: Option<&str>) -> io::Result<()> {
     let (method, path) = match kind {
         Kind::Once => ("POST", "book"),
         Kind::Repeatable => ("GET", "look"),
@@ -109,8 +149,7 @@
         "{method} /{path}/{attempt} HTTP/1.1\r\nHost: shop.test\r\nAttempt-Id: {attempt}\r\n\
          Deadline-Milliseconds: 3000\r\n{key}Content-Length: 0\r\n\r\n"
     );
-    reader.get_mut().write_all(request.as_bytes()).ok()?;
-    read_answer(reader)
+    stream.write_all(request.as_bytes())
 }
 
 fn read_answer(reader: &mut BufReader<TcpStream>) -> Option<Answer> {
--- a/tests/platform/soak/findings.rs
+++ b/tests/platform/soak/findings.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use super::site::Site;
-use super::targets::{LIMITED, LIMITED_KEY, STEADY_KEY, rotated_key};
+use super::targets::{LIMITED, LIMITED_KEY, Ran, STEADY_KEY, rotated_key};
 
 /// A request has its final answer this long after its route's time at the latest.
 const ANSWERED_WITHIN: Duration = Duration::from_millis(3_000 + 500);
@@ -14,6 +14,10 @@
 const ATTEMPTS_MAX: u32 = 2;
 /// The time over which the runs of a team are counted.
 const QUOTA_WINDOW: Duration = Duration::from_secs(5);
+/// A request is not begun so long after its caller has left.
+const BEGUN_WITHIN: Duration = Duration::from_millis(500);
+/// How many are nevertheless, at most, in one play: a close travels, as a request does.
+const BEGUN_LATE_MAX: usize = 3;
 /// How many findings of one play are told.
 const TOLD_MAX: usize = 12;
 
@@ -62,6 +66,8 @@
     Failed(u16),
     /// Without an answer.
     Cut,
+    /// The caller closed its connection without waiting for the answer.
+    Left,
 }
 
 /// A request as its caller saw it.
@@ -97,6 +103,7 @@
     not_run: usize,
     failed: usize,
     cut: usize,
+    left: usize,
     recovered: Option<Duration>,
 }
 
@@ -133,7 +140,7 @@
 
     /// Holds what ran for the team with a quota against what may, in every window that begins with one of its
     /// requests.
-    fn check_quota(&self, records: &[Record], runs: &HashMap<String, u32>) {
+    fn check_quota(&self, records: &[Record], runs: &HashMap<String, Ran>) {
         let ran =
             |record: &&Record| record.key == Key::Limited && runs.contains_key(&record.attempt);
         let mut ran: Vec<Instant> = records.iter().filter(ran).map(|record| record.asked).collect();
@@ -151,14 +158,28 @@
         }
     }
 
+    /// Looks for requests that were begun long after their callers had left.
+    fn check_left(&self, records: &[Record], runs: &HashMap<String, Ran>) {
+        let begun_late = |record: &&Record| {
+            let began = runs.get(&record.attempt).and_then(|ran| ran.last_began);
+            record.end == End::Left
+                && began.is_some_and(|began| began > record.ended + BEGUN_WITHIN)
+        };
+        let late: Vec<&Record> = records.iter().filter(begun_late).collect();
+        if late.len() > BEGUN_LATE_MAX {
+            let count = late.len();
+            self.add(format!("{count} begun though their callers had left: {:?}", late[0]));
+        }
+    }
+
     /// Holds what targets have run against what callers were told.
-    pub fn check_runs(&self, runs: &HashMap<String, u32>) {
+    pub fn check_runs(&self, runs: &HashMap<String, Ran>) {
         let records = self.records.lock().unwrap();
         let cut = self.cut_without_cause.lock().unwrap();
         let mut asked = HashSet::new();
         for record in records.iter() {
             asked.insert(&record.attempt);
-            let ran = runs.get(&record.attempt).copied().unwrap_or(0);
+            let ran = runs.get(&record.attempt).map_or(0, |ran| ran.times);
             let most = if record.kind == Kind::Once { 1 } else { ATTEMPTS_MAX };
             if record.key == Key::None && ran > 0 {
                 self.add(format!("ran without a key: {record:?}"));
@@ -175,6 +196,7 @@
             }
         }
         self.check_quota(&records, runs);
+        self.check_left(&records, runs);
         for attempt in runs.keys().filter(|attempt| !asked.contains(attempt)) {
             self.add(format!("nobody asked for {attempt}"));
         }
@@ -194,6 +216,7 @@
             not_run: count(|end| matches!(end, End::NotRun(_))),
             failed: count(|end| matches!(end, End::Failed(_))),
             cut: count(|end| matches!(end, End::Cut)),
+            left: count(|end| matches!(end, End::Left)),
             recovered,
         }
     }
@@ -208,11 +231,12 @@
 
 impl fmt::Display for Report {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { seed, faults, found, requests, served, not_run, failed, cut, recovered } = self;
+        let Self { seed, faults, found, requests, served, not_run, failed, cut, left, recovered } =
+            self;
         write!(
             formatter,
             "seed {seed}: {requests} requests, {served} served, {not_run} not run, {failed} failed, \
-             {cut} cut; served again {recovered:.1?} after {} faults; {} findings",
+             {cut} cut, {left} left; served again {recovered:.1?} after {} faults; {} findings",
             faults.len(),
             found.len()
         )?;
--- a/tests/platform/soak/site.rs
+++ b/tests/platform/soak/site.rs
@@ -10,7 +10,7 @@
 use super::faults::Kind;
 use super::findings::Findings;
 use super::spans::Spans;
-use super::targets::{Runs, STEADY_KEY, beat, document, serve};
+use super::targets::{Ran, Runs, STEADY_KEY, beat, document, serve};
 use crate::node::{self, Place, Process};
 use crate::store::Store;
 use crate::target::CRASHES;
@@ -150,8 +150,8 @@
         self.is_stopped.load(Ordering::Relaxed)
     }
 
-    /// What the targets have run, and how often.
-    pub fn runs(&self) -> HashMap<String, u32> {
+    /// What the targets have run.
+    pub fn runs(&self) -> HashMap<String, Ran> {
         let mut runs = self.runs.lock().unwrap().clone();
         runs.retain(|attempt, _| !attempt.starts_with("probe") && attempt != CRASHES);
         runs
@@ -294,7 +294,7 @@
 
     /// How often targets have run the request that ends them.
     fn crashes(&self) -> u32 {
-        self.runs.lock().unwrap().get(CRASHES).copied().unwrap_or(0)
+        self.runs.lock().unwrap().get(CRASHES).map_or(0, |ran| ran.times)
     }
 
     /// Writes the next configuration.
--- a/tests/platform/soak/targets.rs
+++ b/tests/platform/soak/targets.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::json;
 
@@ -22,8 +22,17 @@
 /// How long a target is away that a request has ended.
 const DOWN: Duration = Duration::from_millis(800);
 
-/// How often each attempt was run, by any target.
-pub type Runs = Arc<Mutex<HashMap<String, u32>>>;
+/// What targets have run of an attempt.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Ran {
+    /// How often, by any target.
+    pub times: u32,
+    /// When it began last.
+    pub last_began: Option<Instant>,
+}
+
+/// What targets have run of each attempt.
+pub type Runs = Arc<Mutex<HashMap<String, Ran>>>;
 
 /// The key of a team that always has the same.
 pub const STEADY_KEY: &str = "steady-key";
@@ -91,12 +100,16 @@
 
 /// A target that notes what it runs and answers with its name and the id of the attempt. A request may end it; it
 /// comes back.
-pub fn serve(address: SocketAddr, name: &str, runs: Runs) {
+pub fn serve(address: SocketAddr, name: &str, all_runs: Runs) {
     let signature = name.to_owned();
     target::serve_lives(address, name, Some(DOWN), move |path| {
         let attempt = path.rsplit('/').next().unwrap_or_default();
         let attempt = if attempt == "x" { "probe" } else { attempt }.to_owned();
-        *runs.lock().unwrap().entry(attempt.clone()).or_default() += 1;
+        let mut runs = all_runs.lock().unwrap();
+        let ran = runs.entry(attempt.clone()).or_default();
+        ran.times += 1;
+        ran.last_began = Some(Instant::now());
+        drop(runs);
         thread::sleep(work(&attempt));
         let body = format!("{signature} {attempt}");
         (attempt, body)
