Explain a request whose caller left

`aspenspring explain` said of such a request that no line told of it, or gave the failure of a call that was withdrawn with it. CallerLeft is a step now, and the cause; what failed below a request whose caller has left is not searched.

--- a/src/explain/cause.rs
+++ b/src/explain/cause.rs
@@ -5,7 +5,7 @@
 use serde::Serialize;
 
 use super::line::Line;
-use super::step::{Role, Step};
+use super::step::{CALLER_LEFT, Role, Step};
 
 /// How far around the end of a step a node's lines about itself may bear on it, in milliseconds: a
 /// node that was lost is noticed within 2.5 s, and its successor needs a moment more to start.
@@ -34,6 +34,15 @@
         /// How often it reached a target.
         arrivals: u64,
     },
+    /// Its caller closed the connection before it had the answer.
+    CallerLeft {
+        /// The entry.
+        node: String,
+        /// How long after the request had been read that was noticed, in milliseconds.
+        took_ms: u64,
+        /// When that was: `reading`, `waiting` or `answered`.
+        noticed: String,
+    },
     /// The entry refused it as a service further down had no room.
     Shed {
         /// The entry.
@@ -191,6 +200,10 @@
                 }
                 Ok(())
             }
+            Self::CallerLeft { node, took_ms, noticed } => write!(
+                f,
+                "its caller closed the connection to {node}, noticed after {took_ms} ms ({noticed})"
+            ),
             Self::NoKey { node, config_version } => write!(
                 f,
                 "refused by {node}: by configuration {config_version} no team holds the key that it \
@@ -268,6 +281,10 @@
 /// failed call that ended last, as that is the one that failed its parent.
 fn deepest_failed(steps: &[Step]) -> Option<&Step> {
     let mut found = steps.iter().find(|step| step.depth == 0 && step.has_failed())?;
+    // Whatever failed below was withdrawn for it.
+    if found.reason == CALLER_LEFT {
+        return Some(found);
+    }
     loop {
         let is_below = |step: &&Step| {
             step.has_failed()
@@ -365,6 +382,11 @@
             quota: step.line.text("quota").to_owned(),
             config_version: step.line.number("config_version"),
         },
+        CALLER_LEFT => Cause::CallerLeft {
+            node: step.node.clone(),
+            took_ms: step.took_ms,
+            noticed: step.line.text("noticed").to_owned(),
+        },
         "orphaned" | "withdrawn" => Cause::Orphaned { node: step.node.clone() },
         "closing" => Cause::Closing { node: step.node.clone() },
         _ if reason == "timeout" || step.status == GATEWAY_TIMEOUT => Cause::Slow {
--- a/src/explain/line.rs
+++ b/src/explain/line.rs
@@ -77,6 +77,7 @@
 
 /// How many lines about requests were left out, by what the nodes counted.
 pub fn left_out(lines: &[Line]) -> u64 {
-    let about_requests = |line: &&Line| line.name == "RequestEnded" || line.name == "CallEnded";
+    const ABOUT_REQUESTS: [&str; 3] = ["RequestEnded", "CallEnded", "CallerLeft"];
+    let about_requests = |line: &&Line| ABOUT_REQUESTS.contains(&line.name.as_str());
     lines.iter().filter(about_requests).map(|line| line.number("suppressed")).sum()
 }
--- a/src/explain/step.rs
+++ b/src/explain/step.rs
@@ -6,6 +6,9 @@
 
 use super::line::{Line, node_at};
 
+/// What ended a request whose caller left before the answer.
+pub const CALLER_LEFT: &str = "caller-left";
+
 /// Who writes about a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -35,7 +38,7 @@
     pub root: String,
     /// The service that was to run it.
     pub service: String,
-    /// `answered`, `not_run` or `may_have_run`.
+    /// `answered`, `not_run`, `may_have_run`, or `withdrawn` where its caller had left.
     pub verdict: String,
     /// What ended it.
     pub reason: String,
@@ -55,10 +58,14 @@
 
     fn read(line: &Line, lines: &[Line]) -> Option<Self> {
         let role = match line.name.as_str() {
-            "RequestEnded" => Role::Entry,
+            "RequestEnded" | "CallerLeft" => Role::Entry,
             "CallEnded" => Role::Target,
             _ => return None,
         };
+        let (verdict, reason) = match line.name.as_str() {
+            "CallerLeft" => ("withdrawn", CALLER_LEFT),
+            _ => (line.text("verdict"), line.text("reason")),
+        };
         let attempt = line.text("attempt").to_owned();
         let mut offered = Vec::new();
         for place in line.text("offered").split_whitespace() {
@@ -72,8 +79,8 @@
             took_ms: line.number("took_ms"),
             root: line.text("root").to_owned(),
             service: line.text("service").to_owned(),
-            verdict: line.text("verdict").to_owned(),
-            reason: line.text("reason").to_owned(),
+            verdict: verdict.to_owned(),
+            reason: reason.to_owned(),
             status: line.number("status"),
             offered,
             attempt,
