Keep what the nodes say in the tests of the old path's processes

a_planned_stop_cuts_nothing_off_and_exits_with_zero (known red, not traced) said of call 40 only that a target had answered 503. That is what a target says whenever the call that it makes is refused, for whatever reason; the logs of the nodes went nowhere. Now the target's answer tells status and verdict of that call, the test prints the answer, and each node's log stays in the folder of the test, which has the number of its process. No check is changed.

--- a/src/standin/target/children.rs
+++ b/src/standin/target/children.rs
@@ -16,11 +16,23 @@
 /// The status of a target whose own call got no usable answer.
 const BAD_GATEWAY: u16 = 502;
 
+/// The header in which a node says what became of a call.
+const VERDICT_HEADER: &str = "aspenspring-verdict";
+
 /// Why a call to another service gave no answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct ChildError {
     /// The status the target answers with.
     pub(super) status: u16,
+    /// What the node said of the call: the status and the verdict.
+    pub(super) told: String,
+}
+
+impl ChildError {
+    /// A call without a usable answer.
+    fn bad_gateway(told: impl Into<String>) -> Self {
+        Self { status: BAD_GATEWAY, told: told.into() }
+    }
 }
 
 /// Calls every service of `services`, all at once or one after the other, and stops at an error.
@@ -46,7 +58,8 @@
     }
     for child in &mut running {
         let joined = (&mut child.0).await;
-        answers.push(joined.unwrap_or(Err(ChildError { status: BAD_GATEWAY }))?);
+        answers
+            .push(joined.unwrap_or_else(|error| Err(ChildError::bad_gateway(error.to_string())))?);
     }
     Ok(answers)
 }
@@ -67,25 +80,29 @@
     service: &str,
     call: &Call,
 ) -> Result<Answer, ChildError> {
-    let bad_gateway = ChildError { status: BAD_GATEWAY };
-    let method = Method::from_bytes(call.method.as_bytes()).map_err(|_| bad_gateway)?;
+    let method = Method::from_bytes(call.method.as_bytes())
+        .map_err(|error| ChildError::bad_gateway(error.to_string()))?;
     let url = format!("http://{node}/{service}{}", call.path);
     let mut request = client.request(method, url).body(call.body.clone());
     for name in PASSED_ON {
         let Some(value) = call.header(name) else { continue };
         request = request.header(name, value);
     }
-    let answer = request.send().await.map_err(|_| bad_gateway)?;
+    let sent = request.send().await;
+    let answer = sent.map_err(|error| ChildError::bad_gateway(error.to_string()))?;
     let status = answer.status().as_u16();
+    let verdict = answer.headers().get(VERDICT_HEADER).and_then(|value| value.to_str().ok());
+    let told = format!("{status} {}", verdict.unwrap_or("without a verdict"));
     if matches!(status, 429 | 503 | 504) {
-        return Err(ChildError { status: UNAVAILABLE });
+        return Err(ChildError { status: UNAVAILABLE, told });
     }
     if status != 200 {
-        return Err(bad_gateway);
+        return Err(ChildError::bad_gateway(told));
     }
-    let answer = answer.json::<Answer>().await.map_err(|_| bad_gateway)?;
+    let answer = answer.json::<Answer>().await;
+    let answer = answer.map_err(|error| ChildError::bad_gateway(error.to_string()))?;
     if answer.service != service {
-        return Err(bad_gateway);
+        return Err(ChildError::bad_gateway(format!("an answer of {:?}", answer.service)));
     }
     Ok(answer)
 }
--- a/src/standin/target/work.rs
+++ b/src/standin/target/work.rs
@@ -74,7 +74,8 @@
     let children = match children {
         Ok(children) => children,
         Err(error) => {
-            let reply = Reply::problem(error.status, "a service further down gave no answer");
+            let title = format!("a service further down gave no answer: {}", error.told);
+            let reply = Reply::problem(error.status, &title);
             return (RunEnd::ChildFailed, reply);
         }
     };
--- a/tests/process_site.rs
+++ b/tests/process_site.rs
@@ -59,8 +59,13 @@
         }
         let path = format!("/confirm/{call}");
         let answer = site.call(call % 2, "POST", &path, None).await;
-        let (status, verdict, _) = answer.expect("the entry node answers");
-        assert_eq!((status, verdict.as_str()), (200, "answered"), "call {call}");
+        let (status, verdict, body) = answer.expect("the entry node answers");
+        assert_eq!(
+            (status, verdict.as_str()),
+            (200, "answered"),
+            "call {call}: {body}; logs in {:?}",
+            site.folder
+        );
         answered += 1;
     }
     assert_eq!(answered, 120);
--- a/tests/processes/mod.rs
+++ b/tests/processes/mod.rs
@@ -1,6 +1,7 @@
 //! A small site of real processes on loopback, each ended by its id when the test ends.
 
 use std::collections::HashSet;
+use std::fs::File;
 use std::net::TcpListener;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -34,7 +35,8 @@
     pub pairs: Vec<Pair>,
     pub table_port: u16,
     pub collector_port: u16,
-    folder: PathBuf,
+    /// Where the settings and the logs of the nodes are.
+    pub folder: PathBuf,
     platform: Vec<Child>,
     pub client: reqwest::Client,
 }
@@ -43,7 +45,8 @@
     /// Starts services in a row, the first calling the second and so on, `targets` of each.
     pub fn start(name: &str, services: &[&'static str], targets: usize) -> Self {
         let ports = free_ports(2 + services.len() * targets * 5);
-        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+        let folder = format!("{name}-{}", std::process::id());
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(folder);
         std::fs::create_dir_all(&folder).expect("the folder for settings can be made");
         let (table_port, collector_port) = (ports[0], ports[1]);
         let table = standin(&["table", "--listen", &at(table_port)]);
@@ -91,7 +94,8 @@
         let file = self.folder.join(format!("{index}.json"));
         std::fs::write(&file, settings.to_string()).expect("settings can be written");
         let file = file.to_string_lossy().into_owned();
-        let node = program(&["node", "--settings", &file]);
+        let log = File::create(self.folder.join(format!("{index}.log"))).expect("a log");
+        let node = program(&["node", "--settings", &file], log.into());
         let (listen, beside) = (at(ports[4]), at(ports[1]));
         let mut arguments =
             vec!["target", "--service", service, "--listen", &listen, "--node", &beside];
@@ -296,16 +300,16 @@
 fn standin(arguments: &[&str]) -> Child {
     let mut all = vec!["standin"];
     all.extend(arguments);
-    program(&all)
+    program(&all, Stdio::null())
 }
 
-/// Starts the program.
-fn program(arguments: &[&str]) -> Child {
+/// Starts the program, with its log at `log`.
+fn program(arguments: &[&str], log: Stdio) -> Child {
     Command::new(env!("CARGO_BIN_EXE_aspenspring"))
         .args(arguments)
         .stdin(Stdio::null())
         .stdout(Stdio::null())
-        .stderr(Stdio::null())
+        .stderr(log)
         .spawn()
         .expect("the program can be started")
 }
