Let leaving callers of the soak keep more requests behind one that takes long

Callers that leave now send one to four requests that take 0.7 s each.

The test of the call path gets the case with two behind.

--- a/tests/mesh/callers.rs
+++ b/tests/mesh/callers.rs
@@ -56,6 +56,7 @@
 fn bytes_behind_a_request_do_not_hide_that_its_caller_has_left() {
     run(async {
         leave_with(&request("read", "a2")).await;
+        leave_with(&(request("read", "a2") + &request("read", "a3"))).await;
         leave_with("\r\n").await;
         leave_with(&"x".repeat(20_000)).await;
     });
--- a/tests/platform/soak/callers.rs
+++ b/tests/platform/soak/callers.rs
@@ -10,6 +10,7 @@
 
 use super::findings::{End, Findings, Key, Kind, Record};
 use super::site::Site;
+use super::targets::LONG;
 use crate::node::CALLERS_PORT;
 
 /// How long a connection may take to be established.
@@ -24,6 +25,9 @@
 /// How long such a caller waits at most, in milliseconds.
 const LEAVING_AFTER_MS: u64 = 400;
 
+/// How many requests stand behind the one that such a caller waits for, at most.
+const BEHIND_MAX: u32 = 3;
+
 /// An answer.
 struct Answer {
     status: u16,
@@ -54,9 +58,9 @@
             let asked = Instant::now();
             let key = key_of(site, caller, sent);
             if rng.random_bool(LEAVING_SHARE) {
-                let mut attempts = vec![attempt];
-                if rng.random_bool(0.5) {
-                    attempts.push(format!("{caller:x}-{sent:x}"));
+                let mut attempts = Vec::new();
+                for _ in 0..rng.random_range(1..=BEHIND_MAX + 1) {
+                    attempts.push(format!("{LONG}{caller:x}-{sent:x}"));
                     sent += 1;
                 }
                 let wait = Duration::from_millis(rng.random_range(1..LEAVING_AFTER_MS));
--- a/tests/platform/soak/targets.rs
+++ b/tests/platform/soak/targets.rs
@@ -116,8 +116,16 @@
     });
 }
 
-/// How long a request takes: not long, but for one in twenty, so that some run whatever happens.
+/// With what the id of an attempt begins that takes long.
+pub const LONG: char = 'l';
+
+/// How long a request takes: not long, but for one in twenty, so that some run whatever happens, and those that
+/// are meant to.
 fn work(attempt: &str) -> Duration {
     let drawn = attempt.bytes().fold(7_u64, |sum, byte| sum * 31 % 1_009 + u64::from(byte));
-    Duration::from_millis(if drawn % 20 == 0 { 700 } else { 5 + drawn % 50 })
+    Duration::from_millis(if drawn % 20 == 0 || attempt.starts_with(LONG) {
+        700
+    } else {
+        5 + drawn % 50
+    })
 }
