--- a/tests/site_faults.rs
+++ b/tests/site_faults.rs
@@ -182,3 +182,53 @@
         served => Err(format!("{served} of 120 served")),
     }
 }
+
+/// Confirms once at `entry`; the node at `leaving` leaves `after_ms` later, and the entry stands still for
+/// `frozen_ms`. Says whether the call was served.
+fn served_beside_a_leaving_node(
+    entry: usize,
+    leaving: usize,
+    after_ms: u64,
+    frozen_ms: u64,
+) -> Result<bool, String> {
+    let mut site = Site::start(19, Network::default());
+    site.run(3 * SECOND)?;
+    for index in 0..40 {
+        site.call(entry ^ (index & 1), true);
+        site.run(site.now_us + 40 * MS)?;
+    }
+    site.run(site.now_us + 2 * SECOND)?;
+    let before = site.served();
+    site.call(entry, true);
+    site.run(site.now_us + after_ms * MS)?;
+    site.leave(leaving);
+    site.freeze(entry, frozen_ms * MS);
+    site.run(site.now_us + 4 * SECOND)?;
+    site.check_end()?;
+    Ok(site.served() == before + 1)
+}
+
+/// Fails with the moments and times, in milliseconds, of calls that were not served.
+fn expect_served_beside_a_leaving_node(leaving: usize, frozen_ms: &[u64]) -> Checked {
+    let mut failed = Vec::new();
+    for entry in 0..2 {
+        for after_ms in 0..8 {
+            for frozen_ms in frozen_ms {
+                if !served_beside_a_leaving_node(entry, leaving, after_ms, *frozen_ms)? {
+                    failed.push((entry, after_ms, *frozen_ms));
+                }
+            }
+        }
+    }
+    if failed.is_empty() { Ok(()) } else { Err(format!("(entry, after, frozen): {failed:?}")) }
+}
+
+#[test]
+fn a_planned_stop_fails_no_call_whose_entry_stands_still_for_a_moment() -> Checked {
+    expect_served_beside_a_leaving_node(3, &[0, 50, 160, 400])
+}
+
+#[test]
+fn a_planned_stop_fails_no_call_of_a_service_that_the_entry_does_not_call() -> Checked {
+    expect_served_beside_a_leaving_node(5, &[0])
+}
