Wait for the leave to retry for as long as a retry is of use

What callers saw: 503 at a planned stop, though another node had room. Cause: a call that a leaving node refuses goes to the next one only with the leave of the request's entry node, and an entry that gave none within 100 ms counted as a no. An entry that stands still for a moment, as on a busy machine, thereby cost the call. Whoever waits for the answer waits at that very entry, so giving up earlier helps nobody.

Now the leave is waited for until a retry could no longer end before the deadline, or until the connection to the entry is lost.

Ruled out: a longer fixed wait, which only moves the moment.

--- a/src/node/links.rs
+++ b/src/node/links.rs
@@ -36,6 +36,21 @@
             let until_us = (now_us + FENCE_WAIT_US).min(hop.deadline_us);
             self.enter(id, HopState::Fencing { attempt, node: lost, until_us });
         }
+        for id in self.asking_retry_at(lost) {
+            self.give_up_asking(now_us, id, out);
+        }
+    }
+
+    /// The hops that wait for the leave of an entry node to retry, in a stable order.
+    fn asking_retry_at(&self, entry: NodeId) -> Vec<HopId> {
+        let mut found = Vec::new();
+        for (id, hop) in &self.hops {
+            if hop.entry == Some(entry) && matches!(hop.state, HopState::AskingRetry { .. }) {
+                found.push(*id);
+            }
+        }
+        found.sort_unstable();
+        found
     }
 
     /// A connection works again: attempts that were on the old one are settled over it.
--- a/src/node/retrying.rs
+++ b/src/node/retrying.rs
@@ -9,9 +9,6 @@
 use super::hop::{HopId, HopState};
 use super::note::{self, Note};
 
-/// How long an entry node may take to grant a retry.
-const GRANT_WAIT_US: u64 = 100_000;
-
 impl Node {
     /// Decides what follows an attempt: another one, or the end of the hop.
     pub(super) fn after_attempt(
@@ -33,7 +30,7 @@
         }
         self.note_success(now_us, &verdict, arm);
         let Some(hop) = self.hops.get(&id) else { return };
-        let expected_us = self.service_latency_us.get(&hop.service).copied().unwrap_or(0);
+        let expected_us = self.expected_latency_us(&hop.service);
         let floor = self.router.floor(now_us, &hop.service, arm, hop.class);
         let failure = Failure::builder()
             .verdict(&verdict)
@@ -79,6 +76,7 @@
     ) {
         let Some(hop) = self.hops.get(&id) else { return };
         let (root, entry, deadline_us) = (hop.root, hop.entry, hop.deadline_us);
+        let service = hop.service.clone();
         let in_budget = self.budgets.get_mut(&hop.arm).is_some_and(|b| b.try_take(now_us));
         if !in_budget {
             self.note_retry(id, RetryOutcome::Budget, out);
@@ -94,7 +92,8 @@
         }
         let failed =
             failed.unwrap_or(AttemptId { origin: self.identity.id, sequence: id.0, nonce: 0 });
-        let until_us = (now_us + GRANT_WAIT_US).min(deadline_us);
+        // Whoever waits for the answer waits at the entry, so a grant is of use for as long as a retry is.
+        let until_us = deadline_us.saturating_sub(self.expected_latency_us(&service)).max(now_us);
         let state = HopState::AskingRetry { failed, last: last.clone(), backoff_us, until_us };
         self.enter(id, state);
         self.outstanding.insert(failed, id);
@@ -118,6 +117,15 @@
         self.follow_grant(now_us, id, last, backoff_us, granted, out);
     }
 
+    /// Ends a hop whose entry node gives no word on a retry.
+    pub(super) fn give_up_asking(&mut self, now_us: u64, id: HopId, out: &mut Vec<NodeAction>) {
+        let Some(hop) = self.hops.get(&id) else { return };
+        let HopState::AskingRetry { failed, last, .. } = hop.state.clone() else { return };
+        self.outstanding.remove(&failed);
+        self.note_retry(id, RetryOutcome::EntryAway, out);
+        self.conclude(now_us, id, last, out);
+    }
+
     /// Does what the entry node's word on a retry allows.
     pub(super) fn follow_grant(
         &mut self,
--- a/src/node/sending.rs
+++ b/src/node/sending.rs
@@ -7,7 +7,7 @@
 use crate::clock::US_PER_S;
 use crate::event::LogEvent;
 use crate::routing::{Observation, Outcome, Pick};
-use crate::telemetry::metrics::{CallSource, RetryOutcome};
+use crate::telemetry::metrics::CallSource;
 
 use super::event::{CallEnd, NodeAction, Ticket};
 use super::hop::{Hop, HopId, HopKey, HopState};
@@ -248,11 +248,7 @@
         match hop.state.clone() {
             HopState::Resolving { .. } => self.attempt(now_us, id, out),
             HopState::BackingOff { .. } => self.retry(now_us, id, out),
-            HopState::AskingRetry { failed, last, .. } => {
-                self.outstanding.remove(&failed);
-                self.note_retry(id, RetryOutcome::EntryAway, out);
-                self.conclude(now_us, id, last, out);
-            }
+            HopState::AskingRetry { .. } => self.give_up_asking(now_us, id, out),
             HopState::Fencing { attempt, node, .. } => {
                 self.log(LogEvent::FenceUnsettled { attempt, peer: node }, out);
                 let verdict = Verdict::MayHaveRun(Doubt::ConnectionLost);
@@ -386,6 +382,11 @@
         *known_us = *known_us - *known_us / LATENCY_SMOOTHING + latency_us / LATENCY_SMOOTHING;
     }
 
+    /// The typical latency of a service; 0 where none is known.
+    pub(super) fn expected_latency_us(&self, service: &str) -> u64 {
+        self.service_latency_us.get(service).copied().unwrap_or(0)
+    }
+
     /// Passes the floor of a service that was called on to those who call this node.
     fn note_floor(&mut self, now_us: u64, id: HopId) {
         let Some(hop) = self.hops.get(&id) else { return };
--- a/tests/site_faults.rs
+++ b/tests/site_faults.rs
@@ -183,14 +183,14 @@
     }
 }
 
-/// Confirms once at `entry`; the node at `leaving` leaves `after_ms` later, and the entry stands still for
-/// `frozen_ms`. Says whether the call was served.
-fn served_beside_a_leaving_node(
+/// A site that has served for a while, with a confirmation under way from `entry`; the node at `leaving` leaves
+/// `after_ms` after it, and the entry stands still for `frozen_ms`.
+fn calling_beside_a_leaving_node(
     entry: usize,
     leaving: usize,
     after_ms: u64,
     frozen_ms: u64,
-) -> Result<bool, String> {
+) -> Result<Site, String> {
     let mut site = Site::start(19, Network::default());
     site.run(3 * SECOND)?;
     for index in 0..40 {
@@ -198,14 +198,24 @@
         site.run(site.now_us + 40 * MS)?;
     }
     site.run(site.now_us + 2 * SECOND)?;
-    let before = site.served();
     site.call(entry, true);
     site.run(site.now_us + after_ms * MS)?;
     site.leave(leaving);
     site.freeze(entry, frozen_ms * MS);
+    Ok(site)
+}
+
+/// Whether that call, and all before it, were served.
+fn served_beside_a_leaving_node(
+    entry: usize,
+    leaving: usize,
+    after_ms: u64,
+    frozen_ms: u64,
+) -> Result<bool, String> {
+    let mut site = calling_beside_a_leaving_node(entry, leaving, after_ms, frozen_ms)?;
     site.run(site.now_us + 4 * SECOND)?;
     site.check_end()?;
-    Ok(site.served() == before + 1)
+    Ok(site.served() == 41)
 }
 
 /// Fails with the moments and times, in milliseconds, of calls that were not served.
@@ -232,3 +242,19 @@
 fn a_planned_stop_fails_no_call_of_a_service_that_the_entry_does_not_call() -> Checked {
     expect_served_beside_a_leaving_node(5, &[0])
 }
+
+#[test]
+fn nobody_waits_for_the_leave_of_an_entry_that_is_gone() -> Checked {
+    let mut site = calling_beside_a_leaving_node(1, 3, 1, 400)?;
+    site.run(site.now_us + 5 * MS)?;
+    if site.in_flight() == 0 {
+        return Err("nothing waits for the entry".to_owned());
+    }
+    site.kill(1);
+    // The connection is lost 20 ms later, and targets need some milliseconds to answer.
+    site.run(site.now_us + 60 * MS)?;
+    match site.in_flight() {
+        0 => Ok(()),
+        left => Err(format!("{left} still in flight")),
+    }
+}
