Ask the entry for leave to retry wherever the call has come from

What callers saw: a call two or more services below its entry that a leaving node refused failed with 503, though another node had room. Cause: the node that asks for leave to retry looked the entry up among the nodes of the services that its own target calls, found nobody there, and took that for a no. Every retry of the old path below the second service was denied so.

The address of the entry travels with the call now (absent in recorded traces, where it is looked up as before), and the loss of the connection to it is told apart by that address, too.

--- a/examples/peer_bench.rs
+++ b/examples/peer_bench.rs
@@ -135,6 +135,7 @@
         attempt: AttemptId { origin: NodeId(2), sequence, nonce: 7 },
         root,
         entry: Some(NodeId(2)),
+        entry_address: None,
         class,
         level: Level::new(class, root),
         arm: ArmId(0),
--- a/src/call/frame.rs
+++ b/src/call/frame.rs
@@ -1,5 +1,7 @@
 //! The messages nodes exchange.
 
+use std::net::SocketAddr;
+
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
@@ -54,6 +56,9 @@
     pub root: RootId,
     /// The node that holds the retry allowance of the root, or none where there is no allowance.
     pub entry: Option<NodeId>,
+    /// Where that node listens for others: whoever is called further down may not know it.
+    #[serde(default)]
+    pub entry_address: Option<SocketAddr>,
     /// The class of the root.
     pub class: ClassRank,
     /// Where the call stands in the order of shedding.
--- a/src/node/hop.rs
+++ b/src/node/hop.rs
@@ -1,5 +1,7 @@
 //! The sending side of one hop: a request and the attempts made for it.
 
+use std::net::SocketAddr;
+
 use crate::call::{
     ArmId, AttemptId, ClassRank, HttpRequest, Key, Level, NodeId, RootId, TraceContext, Verdict,
 };
@@ -22,6 +24,8 @@
     pub root: RootId,
     /// The node that holds the root's retry allowance.
     pub entry: Option<NodeId>,
+    /// Where that node listens for others.
+    pub entry_address: Option<SocketAddr>,
     /// The class of the root.
     pub class: ClassRank,
     /// Whether the call must run at most once.
--- a/src/node/intake.rs
+++ b/src/node/intake.rs
@@ -61,6 +61,7 @@
                 let root = RootId(self.rng.random());
                 self.caller_hop(now_us, intake, root).map(|hop| Hop {
                     entry: None,
+                    entry_address: None,
                     outside: false,
                     ..hop
                 })
@@ -139,6 +140,7 @@
             parent: None,
             root,
             entry: Some(self.identity.id),
+            entry_address: Some(self.identity.peer_address),
             class: rank,
             at_most_once: class.at_most_once || key != HopKey::None,
             level: Level::new(rank, root),
@@ -185,6 +187,7 @@
             parent: Some(parent),
             root: frame.root,
             entry: frame.entry,
+            entry_address: frame.entry_address,
             class: frame.class,
             at_most_once,
             level: frame.level,
--- a/src/node/links.rs
+++ b/src/node/links.rs
@@ -20,6 +20,9 @@
         peer: SocketAddr,
         out: &mut Vec<NodeAction>,
     ) {
+        for id in self.asking_retry_at(peer) {
+            self.give_up_asking(now_us, id, out);
+        }
         let Some(lost) = self.router.node_at(peer) else { return };
         self.router.link_lost(now_us, lost);
         let unsettled = self.attempts_at(lost).len() as u64;
@@ -36,16 +39,15 @@
             let until_us = (now_us + FENCE_WAIT_US).min(hop.deadline_us);
             self.enter(id, HopState::Fencing { attempt, node: lost, until_us });
         }
-        for id in self.asking_retry_at(lost) {
-            self.give_up_asking(now_us, id, out);
-        }
     }
 
-    /// The hops that wait for the leave of an entry node to retry, in a stable order.
-    fn asking_retry_at(&self, entry: NodeId) -> Vec<HopId> {
+    /// The hops that wait for the leave of the entry node at `address` to retry, in a stable order.
+    fn asking_retry_at(&self, address: SocketAddr) -> Vec<HopId> {
         let mut found = Vec::new();
         for (id, hop) in &self.hops {
-            if hop.entry == Some(entry) && matches!(hop.state, HopState::AskingRetry { .. }) {
+            if hop.entry_address == Some(address)
+                && matches!(hop.state, HopState::AskingRetry { .. })
+            {
                 found.push(*id);
             }
         }
--- a/src/node/retrying.rs
+++ b/src/node/retrying.rs
@@ -76,6 +76,7 @@
     ) {
         let Some(hop) = self.hops.get(&id) else { return };
         let (root, entry, deadline_us) = (hop.root, hop.entry, hop.deadline_us);
+        let entry_address = hop.entry_address;
         let service = hop.service.clone();
         let in_budget = self.budgets.get_mut(&hop.arm).is_some_and(|b| b.try_take(now_us));
         if !in_budget {
@@ -97,9 +98,10 @@
         let state = HopState::AskingRetry { failed, last: last.clone(), backoff_us, until_us };
         self.enter(id, state);
         self.outstanding.insert(failed, id);
-        if !self.send(entry, Message::AskRetry { root, failed }, out) {
-            self.outstanding.remove(&failed);
-            self.conclude(now_us, id, last, out);
+        let message = Message::AskRetry { root, failed };
+        match entry_address.or_else(|| self.router.address(entry)) {
+            Some(to) => out.push(NodeAction::Send { to, message }),
+            None => self.give_up_asking(now_us, id, out),
         }
     }
 
--- a/src/node/sending.rs
+++ b/src/node/sending.rs
@@ -134,6 +134,7 @@
             attempt: AttemptId { origin: self.identity.id, sequence, nonce },
             root: hop.root,
             entry: hop.entry,
+            entry_address: hop.entry_address,
             class: hop.class,
             level: hop.level,
             arm: hop.arm,
--- a/tests/codec.rs
+++ b/tests/codec.rs
@@ -63,6 +63,7 @@
                 attempt,
                 root: RootId(root),
                 entry: entry.map(NodeId),
+                entry_address: entry.map(|entry| ([127, 0, 0, 1], entry as u16).into()),
                 class: ClassRank(class),
                 level: Level(level),
                 arm: ArmId(arm),
--- a/tests/peer/support.rs
+++ b/tests/peer/support.rs
@@ -202,6 +202,7 @@
         attempt: AttemptId { origin: node(origin), sequence, nonce: 7 },
         root,
         entry: Some(node(origin)),
+        entry_address: None,
         class,
         level: Level::new(class, root),
         arm: ArmId(0),
