Show what targets state in their answers, and what they are sent

Callers saw nothing; the users saw a target with a limit get four times as much as it had named.

TargetSignalled (1014) is logged when answers begin or cease to name a limit or to state that the target leaves; aspenspring_mesh_target_requests_total counts requests sent to the target, retries apart; aspenspring_mesh_target_limit_per_second has the limit. The head of each answer is read for it before its body, also of answers to earlier requests.

No decision depends on any of it yet.

--- a/src/event.rs
+++ b/src/event.rs
@@ -380,7 +380,8 @@
     }
     /// Invalid input from another process was rejected.
     1002 Warning InputRefused {
-        /// The kind of input: `heartbeat`, `configuration` or `connection`.
+        /// The kind of input: `heartbeat`, `configuration`, `connection` or `limit` (in an answer of
+        /// the target).
         input: &'static str,
         /// The reason.
         detail: String,
@@ -427,6 +428,18 @@
         /// The fingerprint that all attempts of the request share.
         fingerprint: String,
     }
+    /// The node's target began or ceased to name a limit, or to state that it is about to leave.
+    1014 Info TargetSignalled {
+        /// The incarnation.
+        instance: String,
+        /// The requests per second that it accepts from all nodes together; empty if it names no
+        /// limit.
+        limit_per_s: String,
+        /// Whether it is about to leave.
+        leaving: bool,
+        /// `answer` (of the target) or `peer` (which was told before this node was restarted).
+        learned_from: &'static str,
+    }
     /// Another node can be called.
     1020 Info LinkUp {
         /// Its address.
--- a/src/mesh/header_names.rs
+++ b/src/mesh/header_names.rs
@@ -23,6 +23,10 @@
     pub instance_id: HeaderName,
     /// In an answer: the load of the target.
     pub load: HeaderName,
+    /// In an answer: the requests per second that the target accepts from all nodes together.
+    pub limit: HeaderName,
+    /// In an answer: the target is about to leave.
+    pub leaving: HeaderName,
     /// In an answer: the target's signature of the answer.
     pub signature: HeaderName,
 }
--- a/src/mesh/http1.rs
+++ b/src/mesh/http1.rs
@@ -108,7 +108,8 @@
         matches!(self.stream.try_read(&mut probe), Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
-    /// Writes a request and reads answers until `accepts` accepts one.
+    /// Writes a request and reads answers until `accepts` accepts one. `accepts` is called with the
+    /// head of each answer, before its body is read.
     ///
     /// After an error, or if the future is dropped, the connection must not be used again.
     pub async fn exchange(
@@ -172,8 +173,10 @@
     accepts: impl Fn(&Reply) -> bool,
 ) -> Result<Reply, ExchangeError> {
     for _ in 0..=SKIPPED_MAX {
-        let reply = read_reply(reader, buffer, method).await?;
-        if accepts(&reply) {
+        let reply = read_final_head(reader, buffer).await?;
+        let is_accepted = accepts(&reply);
+        let reply = read_body(reader, buffer, method, reply).await?;
+        if is_accepted {
             return Ok(reply);
         }
         if !reply.is_reusable {
@@ -195,28 +198,36 @@
     })
 }
 
-/// Reads one complete answer, skipping interim ones.
-async fn read_reply(
+/// Reads the head of an answer, skipping interim ones.
+async fn read_final_head(
     reader: &mut (impl AsyncReadExt + Unpin),
     buffer: &mut BytesMut,
-    method: &Method,
 ) -> Result<Reply, ExchangeError> {
     loop {
-        let mut reply = read_head(reader, buffer).await?;
-        if (100..200).contains(&reply.status) {
-            continue;
+        let reply = read_head(reader, buffer).await?;
+        if !(100..200).contains(&reply.status) {
+            return Ok(reply);
         }
-        let framing = framing(&reply, method)?;
-        reply.is_reusable &= !matches!(framing, Framing::UntilClose);
-        reply.body = match framing {
-            Framing::Length(length) => read_fixed(reader, buffer, length).await?,
-            Framing::Chunked => read_chunks(reader, buffer).await?,
-            Framing::UntilClose => read_to_end(reader, buffer).await?,
-        };
-        return Ok(reply);
     }
 }
 
+/// Reads the body of the answer whose head is `reply`.
+async fn read_body(
+    reader: &mut (impl AsyncReadExt + Unpin),
+    buffer: &mut BytesMut,
+    method: &Method,
+    mut reply: Reply,
+) -> Result<Reply, ExchangeError> {
+    let framing = framing(&reply, method)?;
+    reply.is_reusable &= !matches!(framing, Framing::UntilClose);
+    reply.body = match framing {
+        Framing::Length(length) => read_fixed(reader, buffer, length).await?,
+        Framing::Chunked => read_chunks(reader, buffer).await?,
+        Framing::UntilClose => read_to_end(reader, buffer).await?,
+    };
+    Ok(reply)
+}
+
 async fn read_head(
     reader: &mut (impl AsyncReadExt + Unpin),
     buffer: &mut BytesMut,
--- a/src/mesh/metrics.rs
+++ b/src/mesh/metrics.rs
@@ -19,6 +19,8 @@
 const LATENCIES: &str = "aspenspring_mesh_request_seconds";
 /// Calls that this node ran on its target or refused, by outcome.
 const CALLS: &str = "aspenspring_mesh_calls_total";
+/// Requests sent to the target, by whether they are retries or made by one.
+const TARGET_REQUESTS: &str = "aspenspring_mesh_target_requests_total";
 /// Requests whose caller disconnected before the answer, by when this was noticed.
 const CALLERS_LEFT: &str = "aspenspring_mesh_callers_left_total";
 
@@ -37,6 +39,7 @@
     requests: RefCell<HashMap<(Rc<str>, &'static str), Counter>>,
     latencies: RefCell<HashMap<Rc<str>, Histogram>>,
     calls: RefCell<HashMap<&'static str, Counter>>,
+    target_requests: RefCell<HashMap<bool, Counter>>,
     callers_left: RefCell<HashMap<&'static str, Counter>>,
     /// Requests per team and outcome since the last scrape.
     team_requests: RefCell<HashMap<Rc<str>, HashMap<&'static str, u64>>>,
@@ -56,6 +59,7 @@
             requests: RefCell::default(),
             latencies: RefCell::default(),
             calls: RefCell::default(),
+            target_requests: RefCell::default(),
             callers_left: RefCell::default(),
             team_requests: RefCell::default(),
         }
@@ -86,6 +90,16 @@
         counter.increment(1);
     }
 
+    /// Counts a request that is sent to the target.
+    pub fn record_target_request(&self, is_repeat: bool) {
+        let mut counters = self.target_requests.borrow_mut();
+        let counter = counters.entry(is_repeat).or_insert_with(|| {
+            let repeat = is_repeat.to_string();
+            with_local_recorder(&self.recorder, || counter!(TARGET_REQUESTS, "repeat" => repeat))
+        });
+        counter.increment(1);
+    }
+
     /// Counts a request whose caller has disconnected.
     pub fn record_caller_left(&self, noticed: &'static str) {
         let mut counters = self.callers_left.borrow_mut();
@@ -133,6 +147,7 @@
             ("aspenspring_mesh_running", f64::from(load.running)),
             ("aspenspring_mesh_waiting", f64::from(load.waiting)),
             ("aspenspring_mesh_limit", f64::from(load.limit)),
+            ("aspenspring_mesh_target_limit_per_second", limit_per_s(node)),
             ("aspenspring_mesh_wait_milliseconds", f64::from(node.target.gate.wait_ms())),
             ("aspenspring_mesh_in_flight", node.in_flight.get() as f64),
             ("aspenspring_mesh_held_bytes", node.held_bytes.get() as f64),
@@ -167,6 +182,11 @@
     }
 }
 
+/// The limit that the target names, in requests per second; infinite if it names none.
+fn limit_per_s(node: &Node) -> f64 {
+    node.target.last_signal().and_then(|signal| signal.limit_per_s).unwrap_or(f64::INFINITY)
+}
+
 /// 1 for a node that follows the store, 0 for one that receives changes from its peers.
 fn follows_store(node: &Node) -> f64 {
     match node.store_watch.role() {
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -36,6 +36,7 @@
 pub mod running_requests;
 pub mod sender;
 pub mod settings;
+pub mod signal;
 pub mod site;
 pub mod socket;
 pub mod split;
--- a/src/mesh/receiver.rs
+++ b/src/mesh/receiver.rs
@@ -23,8 +23,9 @@
 use super::http1::{Connection, ExchangeError, Reply};
 use super::node::{CountGuard, Node};
 use super::running_requests::ParentRequest;
+use super::signal::Signal;
 use super::site::RouteKind;
-use super::target::Instance;
+use super::target::{Instance, StatedSignal};
 
 /// A call with less time than this before its deadline is not worth running.
 const REMAINING_MIN: Duration = Duration::from_millis(3);
@@ -186,8 +187,12 @@
     let running = node.running_requests.register(&call.attempt_id, parent);
     let method = if call.method == "HEAD" { Method::HEAD } else { Method::GET };
     let attempt_id = node.header_names.attempt_id.as_str();
-    let is_mine = |reply: &Reply| reply.header(attempt_id) == Some(&call.attempt_id);
-    let exchanged = connection.exchange(&method, &head, &call.body, is_mine);
+    let accepts = |reply: &Reply| {
+        record_signal(node, instance, reply);
+        reply.header(attempt_id) == Some(&call.attempt_id)
+    };
+    node.metrics.record_target_request(call.is_repeat);
+    let exchanged = connection.exchange(&method, &head, &call.body, accepts);
     let reply = match timeout_at(deadline, exchanged).await {
         Ok(Ok(reply)) => reply,
         Ok(Err(error)) => {
@@ -214,6 +219,22 @@
     result
 }
 
+/// Records what an answer states about the target.
+fn record_signal(node: &Node, instance: &Instance, reply: &Reply) {
+    let signal = Signal::read(reply, &node.header_names);
+    let Ok(limit_per_s) = signal.limit_per_s else { return };
+    let incarnation = instance.incarnation.clone();
+    let stated = StatedSignal { incarnation, limit_per_s, is_leaving: signal.is_leaving };
+    if node.target.record_signal(&stated) {
+        node.log.emit(&LogEvent::TargetSignalled {
+            instance: stated.incarnation.id.clone(),
+            limit_per_s: stated.limit_per_s.map(|limit| limit.to_string()).unwrap_or_default(),
+            leaving: stated.is_leaving,
+            learned_from: "answer",
+        });
+    }
+}
+
 /// Whether the sender may retry a call that may have run.
 fn is_retryable(node: &Node, call: &Call) -> bool {
     let host = fingerprint::host(&call.headers);
--- a/src/mesh/target.rs
+++ b/src/mesh/target.rs
@@ -81,6 +81,19 @@
     /// Incarnations that are draining, have left or were replaced, oldest first.
     left: RefCell<Vec<Incarnation>>,
     idle: RefCell<Vec<Connection>>,
+    /// What the last answer stated.
+    last_signal: RefCell<Option<StatedSignal>>,
+}
+
+/// What an incarnation of a target stated in its last answer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StatedSignal {
+    /// The incarnation.
+    pub incarnation: Incarnation,
+    /// The requests per second that it accepts from all nodes together, if it names a limit.
+    pub limit_per_s: Option<f64>,
+    /// Whether it is about to leave.
+    pub is_leaving: bool,
 }
 
 impl Target {
@@ -95,6 +108,7 @@
             last_heartbeats: RefCell::default(),
             left: RefCell::default(),
             idle: RefCell::default(),
+            last_signal: RefCell::default(),
         }
     }
 
@@ -196,6 +210,19 @@
         self.left.borrow().clone()
     }
 
+    /// What the last answer stated, if it stated anything.
+    pub fn last_signal(&self) -> Option<StatedSignal> {
+        self.last_signal.borrow().clone()
+    }
+
+    /// Records what an answer stated. Returns whether it differs from the answer before.
+    pub fn record_signal(&self, signal: &StatedSignal) -> bool {
+        let stated = signal.limit_per_s.is_some() || signal.is_leaving;
+        let signal = stated.then(|| signal.clone());
+        let before = self.last_signal.replace(signal.clone());
+        before != signal
+    }
+
     /// The load of the target.
     pub fn load(&self) -> Load {
         self.gate.load()
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -16,6 +16,8 @@
         not_run: HeaderName::from_static("not-executed"),
         instance_id: HeaderName::from_static("instance-id"),
         load: HeaderName::from_static("instance-load"),
+        limit: HeaderName::from_static("server-limit"),
+        leaving: HeaderName::from_static("server-leaving"),
         signature: HeaderName::from_static("response-signature"),
     }
 }
--- a/tests/mesh/support.rs
+++ b/tests/mesh/support.rs
@@ -64,6 +64,8 @@
         not_run: HeaderName::from_static("x-not-run"),
         instance_id: HeaderName::from_static("x-instance"),
         load: HeaderName::from_static("x-load"),
+        limit: HeaderName::from_static("x-limit"),
+        leaving: HeaderName::from_static("x-leaving"),
         signature: HeaderName::from_static("x-signature"),
     }
 }
