Add failing tests for limits and leaving named in answers

Two rules, two faults, a test for each, both on whole nodes on loopback:

- a target that names a limit of 4 per second gets several times the 29 requests that are allowed in 4 s; seen: hundreds;
- a target that states that it leaves gets the next request all the same, from the entry that passed the answer on and from another.

--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod decisions;
 mod exchange;
+mod limits;
 mod links;
 mod nodes;
 mod polling;
--- a/tests/mesh/support.rs
+++ b/tests/mesh/support.rs
@@ -156,6 +156,8 @@
     pub name: String,
     /// How it handles the next requests; the last one is used for all further requests.
     pub reactions: RefCell<Vec<Reaction>>,
+    /// Header lines that all its answers contain.
+    pub signals: RefCell<String>,
     /// The requests that reached it, with head and body.
     pub seen: RefCell<Vec<String>>,
     /// Number of them that the node cancelled before they were answered.
@@ -214,6 +216,7 @@
     let target = Rc::new(SimulatedTarget {
         name: name.to_owned(),
         reactions: RefCell::new(reactions),
+        signals: RefCell::default(),
         seen: RefCell::default(),
         cut_off: Cell::default(),
         crash: Notify::new(),
@@ -330,6 +333,7 @@
                  content-length: 0\r\n\r\n"
             ),
         };
+        let answer = answer.replacen("\r\n", &format!("\r\n{}", target.signals.borrow()), 1);
         let written = std::mem::take(&mut duplicate) + &answer;
         if stream.write_all(written.as_bytes()).await.is_err() {
             return;
