Stop using a target that states in an answer that it leaves

Callers saw requests reach a target that had already told its leaving: a target may say so in its answers (header of the platform: Server-Leaving) while its heartbeats still say ready, and no node read the header.

Leaving is one state with two sources. An answer that states it now marks the incarnation that sent it as left, exactly as a draining heartbeat does: queued calls are refused as not run and go elsewhere, the other nodes are told before the answer is (same link, same order), and tell it to a node that has restarted. The head of an answer is enough, whatever its status; an answer of another incarnation (421) counts for the one it names. The next incarnation starts afresh. A connection of an incarnation that has left is no longer kept.

--- a/src/event.rs
+++ b/src/event.rs
@@ -394,8 +394,8 @@
         service: String,
         /// `ready`, `cold` or `none`.
         state: &'static str,
-        /// The source of the information: `heartbeat`, `farewell`, `refused_connection` or
-        /// `other_incarnation`.
+        /// The source of the information: `heartbeat`, `farewell`, `answer`,
+        /// `refused_connection` or `other_incarnation`.
         learned_from: &'static str,
         /// Maximum number of requests running concurrently.
         limit: u32,
--- a/src/mesh/receiver.rs
+++ b/src/mesh/receiver.rs
@@ -21,6 +21,7 @@
 use super::frame::{Call, CallEnd, Doubt, Header, NotRun, TargetAnswer};
 use super::gate::GateError;
 use super::http1::{Connection, ExchangeError, Reply};
+use super::incarnation::Incarnation;
 use super::node::{CountGuard, Node};
 use super::running_requests::ParentRequest;
 use super::signal::Signal;
@@ -207,7 +208,8 @@
         Err(_) => return CallEnd::MayHaveRun(Doubt::Timeout).into(),
     };
     running.finish();
-    if reply.is_reusable {
+    let is_current = |now: Rc<Instance>| now.incarnation == instance.incarnation;
+    if reply.is_reusable && node.target.current().is_some_and(is_current) {
         node.target.keep(connection);
     }
     let result = classify_reply(node, reply, has_failed_below.get());
@@ -221,9 +223,12 @@
 
 /// Records what an answer states about the target.
 fn record_signal(node: &Node, instance: &Instance, reply: &Reply) {
+    let Some(incarnation) = answering_incarnation(node, instance, reply) else { return };
     let signal = Signal::read(reply, &node.header_names);
+    if signal.is_leaving && node.target.mark_left(&incarnation) {
+        node.target_changed("answer");
+    }
     let Ok(limit_per_s) = signal.limit_per_s else { return };
-    let incarnation = instance.incarnation.clone();
     let stated = StatedSignal { incarnation, limit_per_s, is_leaving: signal.is_leaving };
     if node.target.record_signal(&stated) {
         node.log.emit(&LogEvent::TargetSignalled {
@@ -235,6 +240,16 @@
     }
 }
 
+/// The incarnation that sent an answer to a request for `expected`; `None` if it is another one and
+/// does not state its id.
+fn answering_incarnation(node: &Node, expected: &Instance, reply: &Reply) -> Option<Incarnation> {
+    if reply.status != http::StatusCode::MISDIRECTED_REQUEST.as_u16() {
+        return Some(expected.incarnation.clone());
+    }
+    let id = reply.header(node.header_names.instance_id.as_str())?;
+    Some(node.target.incarnation(id))
+}
+
 /// Whether the sender may retry a call that may have run.
 fn is_retryable(node: &Node, call: &Call) -> bool {
     let host = fingerprint::host(&call.headers);
--- a/src/mesh/target.rs
+++ b/src/mesh/target.rs
@@ -171,6 +171,13 @@
         self.set_current(instance, slots)
     }
 
+    /// The latest known incarnation with the given id.
+    pub fn incarnation(&self, id: &str) -> Incarnation {
+        let last_heartbeats = self.last_heartbeats.borrow();
+        let known = last_heartbeats.get(id).map(|known| known.instance.incarnation.clone());
+        known.unwrap_or_else(|| Incarnation { id: id.to_owned(), started_unix_ms: 0 })
+    }
+
     /// Permanently stops giving work to an incarnation and to earlier ones with the same id.
     /// Returns whether the state has changed.
     pub fn mark_left(&self, incarnation: &Incarnation) -> bool {
--- a/tests/platform/process.rs
+++ b/tests/platform/process.rs
@@ -1,12 +1,13 @@
 //! Tests nodes as real processes against stand-ins for the store and the targets.
 
 use std::net::TcpStream;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use super::node::{CALLERS_PORT, NodeSpec, Process};
 use super::store::Store;
-use super::target::{heartbeat, serve};
+use super::target::{Answer, heartbeat, serve};
 
 /// The timeout of every wait without a tighter bound.
 const TIMEOUT: Duration = Duration::from_secs(30);
@@ -20,11 +21,15 @@
     let mut process =
         Process::prepare(store, &NodeSpec { name, failure_domain: "a", service: "stock" });
     let body = name.to_owned();
-    serve(process.target_address(), name, move |_| ("a1".to_owned(), body.clone()));
+    serve(process.target_address(), name, move |_| answer_with(body.clone()));
     process.start();
     process
 }
 
+fn answer_with(body: String) -> Answer {
+    Answer { attempt: "a1".to_owned(), body, signals: String::new() }
+}
+
 /// Starts a node as [`start`] does, and waits until it is ready.
 fn start_ready(store: &Store, name: &str) -> Process {
     let process = start(store, name);
@@ -331,7 +336,7 @@
     for name in ["one", "two", "three", "four"] {
         let mut node =
             Process::prepare(&store, &NodeSpec { name, failure_domain: "a", service: "stock" });
-        serve(node.target_address(), name, |_| ("a1".to_owned(), String::new()));
+        serve(node.target_address(), name, |_| answer_with(String::new()));
         node.start();
         nodes.push(node);
     }
@@ -370,3 +375,48 @@
 fn target_runs(node: &Process) -> bool {
     TcpStream::connect(node.target_address()).is_ok()
 }
+
+/// Starts a node whose target states `signals` in its answers. Returns it with the times at which requests arrived.
+fn start_with_signals(
+    store: &Store,
+    name: &str,
+    signals: &'static str,
+) -> (Process, Arc<Mutex<Vec<Instant>>>) {
+    let mut node =
+        Process::prepare(store, &NodeSpec { name, failure_domain: "a", service: "stock" });
+    let arrivals: Arc<Mutex<Vec<Instant>>> = Arc::default();
+    let recorded = Arc::clone(&arrivals);
+    serve(node.target_address(), name, move |_| {
+        recorded.lock().unwrap().push(Instant::now());
+        Answer { signals: signals.to_owned(), ..answer_with("two".to_owned()) }
+    });
+    node.start();
+    wait_for(|| node.is_ready());
+    (node, arrivals)
+}
+
+/// Kills a node and waits until it is ready again.
+fn restart(node: &mut Process) {
+    node.signal(libc::SIGKILL);
+    node.wait();
+    node.start();
+    wait_for(|| node.is_ready());
+}
+
+#[test]
+fn a_target_that_states_that_it_leaves_gets_nothing_after_a_restart_of_its_node() {
+    let store = configured_store();
+    let entry = start_ready(&store, "one");
+    let (mut node, arrivals) = start_with_signals(&store, "two", "Server-Leaving: 1\r\n");
+    register_target(&node, "i-2", 1);
+    wait_for(|| entry.get(CALLERS_PORT, "/look/1").contains(" 200 "));
+    restart(&mut node);
+    register_target(&node, "i-2", 2);
+    for _ in 0..20 {
+        assert!(entry.get(CALLERS_PORT, "/look/1").contains(" 503 "));
+        thread::sleep(Duration::from_millis(50));
+    }
+    assert_eq!(arrivals.lock().unwrap().len(), 1);
+    register_target(&node, "i-3", 1);
+    wait_for(|| entry.get(CALLERS_PORT, "/look/1").contains(" 200 "));
+}
--- a/tests/platform/soak/targets.rs
+++ b/tests/platform/soak/targets.rs
@@ -11,7 +11,7 @@
 
 use super::site::PROBE_TIMEOUT;
 use crate::node::{self, HEARTBEATS_PORT, TARGET_PORT};
-use crate::target::{self, heartbeat};
+use crate::target::{self, Answer, heartbeat};
 
 /// The interval between heartbeats of a target.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
@@ -116,7 +116,7 @@
         drop(runs);
         thread::sleep(service_time(&attempt));
         let body = format!("{signature} {attempt}");
-        (attempt, body)
+        Answer { attempt, body, ..Answer::default() }
     });
 }
 
--- a/tests/platform/target.rs
+++ b/tests/platform/target.rs
@@ -23,12 +23,21 @@
 /// A request with this in its path crashes the target that runs it.
 pub const CRASH_PATH: &str = "crash";
 
+/// What a target answers.
+#[derive(Default)]
+pub struct Answer {
+    pub attempt: String,
+    pub body: String,
+    /// Additional header lines.
+    pub signals: String,
+}
+
 /// Serves requests at `address`, one at a time on each connection, and signs the answers with `name`. `run` gets
-/// the path and returns the attempt id and the body.
+/// the path.
 pub fn serve(
     address: SocketAddr,
     name: &str,
-    run: impl Fn(&str) -> (String, String) + Send + Sync + 'static,
+    run: impl Fn(&str) -> Answer + Send + Sync + 'static,
 ) {
     serve_with_restarts(address, name, None, run);
 }
@@ -39,7 +48,7 @@
     address: SocketAddr,
     name: &str,
     downtime: Option<Duration>,
-    run: impl Fn(&str) -> (String, String) + Send + Sync + 'static,
+    run: impl Fn(&str) -> Answer + Send + Sync + 'static,
 ) {
     let mut listener = TcpListener::bind(address).unwrap();
     let (name, run) = (name.to_owned(), Arc::new(run));
@@ -57,7 +66,7 @@
 /// Serves one incarnation of a target until its end.
 fn serve_incarnation<R>(listener: &TcpListener, name: &str, run: &Arc<R>)
 where
-    R: Fn(&str) -> (String, String) + Send + Sync + 'static,
+    R: Fn(&str) -> Answer + Send + Sync + 'static,
 {
     let incarnation = Arc::new(Incarnation::default());
     let address = listener.local_addr().unwrap();
@@ -69,11 +78,11 @@
             let mut writer = stream.try_clone().unwrap();
             let mut reader = BufReader::new(stream);
             while let Some((path, _)) = read_request(&mut reader) {
-                let (attempt, body) = run(&path);
+                let answer = run(&path);
                 if path.contains(CRASH_PATH) {
                     return incarnation.end(address);
                 }
-                drop(writer.write_all(response_text(&attempt, &name, &body).as_bytes()));
+                drop(writer.write_all(response_text(&answer, &name).as_bytes()));
             }
             incarnation.remove(number);
         });
@@ -118,9 +127,10 @@
 }
 
 /// The complete answer of a target.
-fn response_text(attempt: &str, name: &str, body: &str) -> String {
+fn response_text(answer: &Answer, name: &str) -> String {
+    let Answer { attempt, body, signals } = answer;
     format!(
-        "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Signature: {name}\r\n\
+        "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Signature: {name}\r\n{signals}\
          Content-Length: {}\r\n\r\n{body}",
         body.len()
     )
