Keep to the limit that a target names in its answers

Nothing was refused and no queue was long; the rate at the target did not change when it named its limit. Cause: no node read the header (Server-Limit on the platform). Slots were the only limit that a node knew, so a target could not ask for less than its slots allow.

What is enforced is enforced where all requests pass, at the node beside the target: a token bucket (pacer) that is empty when the limit is named, holds half a second's worth and leaves a part to more important ranks. A request takes its token when it gets its slot; one that gets none is refused as not run, and goes elsewhere. Any four seconds hold at most 4.5 N + 1 requests, whatever has queued. A limit belongs to an incarnation; it is lowered at once, and raised or ended only by an answer to a request sent after it was last named, as answers come out of order. One request every two seconds passes at a limit of 0, since only an answer can end it.

All other nodes are told the limit before the answer that names it: they tell it to a node that has restarted before they send it calls, avoid a target whose limit is used up for 0.3 to 4 s, and do not offer a refused call to another such target. A call that no target could take counts as demand, so entries shed trees that would need the service before they run. The limit, its age and who named it stand in RequestEnded and CallEnded; aspenspring explain has a cause for it.

--- a/src/event.rs
+++ b/src/event.rs
@@ -522,6 +522,9 @@
         /// If the request is quarantined, the fingerprint that all its attempts share; otherwise
         /// empty.
         fingerprint: String,
+        /// If it was refused because of the limits that targets name: the limit of the last one, who
+        /// named it and how long ago.
+        target_limit: String,
         /// How long it took, in milliseconds.
         took_ms: u64,
     }
@@ -555,6 +558,9 @@
         waiting: u32,
         /// Maximum number of requests running on the target concurrently.
         limit: u32,
+        /// If it was refused because of the limit that the target names: the limit, who named it
+        /// and how long ago.
+        target_limit: String,
     }
     /// The caller of a request disconnected before it received the answer.
     1042 Info CallerLeft {
--- a/src/explain/cause.rs
+++ b/src/explain/cause.rs
@@ -69,6 +69,15 @@
         /// Whether that target, or its node, had only just started.
         has_just_started: bool,
     },
+    /// The limits that the targets of the service had named were used up.
+    Limited {
+        /// The node that refused it.
+        node: String,
+        /// The service.
+        service: String,
+        /// The limit of the target that refused it last, who named it and how long before.
+        limit: String,
+    },
     /// No known node had a target that accepts requests for the service.
     NoTarget {
         /// The node that looked for one.
@@ -190,6 +199,16 @@
                 }
                 Ok(())
             }
+            Self::Limited { node, service, limit } => {
+                write!(
+                    f,
+                    "refused by {node} before it ran: the targets of {service} accept no more"
+                )?;
+                if !limit.is_empty() {
+                    write!(f, " ({limit})")?;
+                }
+                Ok(())
+            }
             Self::NoTarget { node, service, reason } => {
                 write!(f, "{node} found no target of {service} that accepts requests ({reason})")
             }
@@ -304,12 +323,13 @@
 
 /// Events of `node` and of the step's own node that were logged around the end of the step.
 fn context(step: &Step, node: &str, lines: &[Line]) -> Vec<Line> {
-    const NODE_EVENTS: [&str; 12] = [
+    const NODE_EVENTS: [&str; 13] = [
         "MeshStarted",
         "LeavingStarted",
         "LeavingFinished",
         "TargetChanged",
         "TargetCrashed",
+        "TargetSignalled",
         "RequestHeld",
         "AdmissionChanged",
         "LinkLost",
@@ -372,6 +392,9 @@
         "no-target" | "leaving" | "target-unreachable" | "unsent" => {
             Cause::NoTarget { node: step.node.clone(), service, reason }
         }
+        "target-limited" => {
+            Cause::Limited { node, service, limit: step.line.text("target_limit").to_owned() }
+        }
         "quarantined" => Cause::HeldBack { fingerprint: step.line.text("fingerprint").to_owned() },
         "no-key" => Cause::NoKey {
             node: step.node.clone(),
--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -15,6 +15,7 @@
 use super::frame::{Hello, Load, Neighbour, Status};
 use super::link::Link;
 use super::overload::ServiceView;
+use super::peer_limit::PeerLimit;
 use super::teams::quota::Fleet;
 
 /// Utilisation up to which a target in the same failure domain is preferred. Traffic between
@@ -27,6 +28,8 @@
 /// Cost, in units of utilisation, of a node that is being avoided, or that has been silent for
 /// `SUSPECT_AFTER` with pending calls.
 const SUSPECT_COST: f64 = 3.0;
+/// Cost, in units of utilisation, of a target whose limit is used up.
+pub const LIMITED_COST: f64 = 3.0;
 /// Silence on a link with pending calls after which other nodes are preferred.
 const SUSPECT_AFTER: Duration = Duration::from_millis(900);
 /// Random spread added to costs, so that senders don't all pick the same target.
@@ -56,6 +59,8 @@
     pub hello_received: Notify,
     /// Recent share of failures among its answers.
     pub failing: FailureShare,
+    /// The limit that its target has named.
+    pub limit: PeerLimit,
     /// Whether it was ever linked with this node.
     pub was_linked: Cell<bool>,
     /// When this node first learned of it.
@@ -74,6 +79,7 @@
             avoided_until: Cell::default(),
             hello_received: Notify::new(),
             failing: FailureShare::default(),
+            limit: PeerLimit::default(),
             was_linked: Cell::default(),
             discovered_at: Instant::now(),
         }
@@ -114,6 +120,9 @@
         if self.avoided_until.get().is_some_and(|until| now < until) {
             utilisation += SUSPECT_COST;
         }
+        if self.limit.is_held(now) {
+            utilisation += LIMITED_COST;
+        }
         let link = self.link.borrow();
         let is_silent =
             link.as_ref().is_some_and(|link| now - link.last_received() > SUSPECT_AFTER);
@@ -148,6 +157,8 @@
     pub local_utilisation: Option<f64>,
     /// Nodes that were already tried.
     pub tried: &'a [SocketAddr],
+    /// Whether nodes may be picked whose target has used up its limit.
+    pub allows_limited: bool,
 }
 
 /// The other nodes.
@@ -306,6 +317,9 @@
                     continue;
                 }
             }
+            if !wanted.allows_limited && peer.limit.is_held(now) {
+                continue;
+            }
             let mut cost = peer.cost(now);
             if !self.is_same_domain(peer) {
                 cost =
@@ -319,13 +333,16 @@
         cheapest.map(|(_, destination)| destination)
     }
 
-    /// Aggregated load of each service, including the local target with status `own`.
-    pub fn services(&self, own: &Status) -> HashMap<String, ServiceView> {
+    /// Aggregated load of each service, including the local target with status `own`, whose load is
+    /// `own_load`. The load of a target with a limit is that of the limit, as its slots are free.
+    pub fn services(&self, own: &Status, own_load: Load) -> HashMap<String, ServiceView> {
         let mut views = HashMap::new();
-        add_to_view(&mut views, own);
+        add_to_view(&mut views, own, own_load);
         for peer in self.peers.borrow().values() {
             if peer.open_link().is_some() {
-                add_to_view(&mut views, &peer.status.borrow());
+                let status = peer.status.borrow();
+                let limit = peer.limit.of(&status.incarnation);
+                add_to_view(&mut views, &status, limit.map_or(status.load, |limit| limit.load));
             }
         }
         views
@@ -333,7 +350,7 @@
 }
 
 /// Adds one target to the aggregated load of its service.
-fn add_to_view(views: &mut HashMap<String, ServiceView>, status: &Status) {
+fn add_to_view(views: &mut HashMap<String, ServiceView>, status: &Status, load: Load) {
     if !status.ready {
         return;
     }
@@ -343,9 +360,9 @@
     let Some(view) = views.get_mut(&status.service) else { return };
     let weight = capacity_weight(f64::from(status.failing_percent) / 100.0);
     let weighted = |count: u32| (f64::from(count) * weight).ceil() as u32;
-    view.load.running += weighted(status.load.running);
-    view.load.waiting += weighted(status.load.waiting);
-    view.load.limit += weighted(status.load.limit);
+    view.load.running += weighted(load.running);
+    view.load.waiting += weighted(load.waiting);
+    view.load.limit += weighted(load.limit);
     for work in &status.roots {
         if let Some(running) = view.roots.get_mut(&work.root) {
             *running += work.running;
--- a/src/mesh/frame.rs
+++ b/src/mesh/frame.rs
@@ -74,6 +74,26 @@
         /// Number of tokens.
         tokens: u32,
     },
+    /// The limit that the sender's target has named. From a node that has dialled the link: the
+    /// limit that the receiver reported earlier, which it may have forgotten in a restart.
+    Limit(TargetLimit),
+    /// A call that the receiver refused because of the limit of its target, and that no other
+    /// target could take.
+    Unmet,
+}
+
+/// The limit of a target.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TargetLimit {
+    /// The incarnation of the target.
+    pub incarnation: Incarnation,
+    /// Requests per second that it accepts from all nodes together; `None` if it no longer limits
+    /// them.
+    pub per_s: Option<f64>,
+    /// How long ago this limit was first named, in milliseconds.
+    pub age_ms: u32,
+    /// Requests per second: accepted, unmet (weighted) and permitted.
+    pub load: Load,
 }
 
 /// Tokens granted by the owner of a quota.
@@ -377,6 +397,8 @@
     OverQuota,
     /// The parent request has ended.
     Orphaned,
+    /// The target has named a limit, and the limit is used up.
+    Limited,
 }
 
 impl NotRun {
@@ -401,6 +423,7 @@
             Self::NoKey => "no-key",
             Self::OverQuota => "over-quota",
             Self::Orphaned => "orphaned",
+            Self::Limited => "target-limited",
         }
     }
 }
--- a/src/mesh/gate.rs
+++ b/src/mesh/gate.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use super::frame::Load;
+use super::pacer::Pacer;
 
 /// Fraction of a target's slots that is used. Some targets slow down when nearly full (by a factor
 /// of 1.3 from 0.95 of their slots on), which costs more than the unused slots.
@@ -29,6 +30,8 @@
     /// Maximum number of running requests.
     limit: Cell<usize>,
     running: Cell<usize>,
+    /// Paces the requests if the target has named a limit.
+    pub pacer: Pacer,
     next_sequence: Cell<u64>,
     waiting: RefCell<BTreeMap<QueueKey, Waiter>>,
     /// How long the request that was admitted last had waited.
@@ -44,7 +47,8 @@
 #[derive(Debug)]
 struct Waiter {
     since: Instant,
-    admitted: oneshot::Sender<Slot>,
+    rank: u8,
+    admitted: oneshot::Sender<Result<Slot, GateError>>,
 }
 
 /// Why a request was not admitted.
@@ -54,6 +58,8 @@
     Full,
     /// The target no longer accepts work.
     Closed,
+    /// The limit that the target has named is used up.
+    Limited,
 }
 
 /// A slot for one running request, released when dropped.
@@ -103,9 +109,15 @@
     /// Waits for a slot. Dropping the future leaves the queue.
     pub async fn enter(self: &Rc<Self>, rank: u8) -> Result<Slot, GateError> {
         if self.waiting.borrow().is_empty() && self.running.get() < self.limit.get() {
+            if !self.pacer.try_take(rank) {
+                return Err(GateError::Limited);
+            }
             self.last_wait_ms.set(0);
             return Ok(self.slot());
         }
+        if !self.pacer.has_token(rank) {
+            return Err(GateError::Limited);
+        }
         if self.waiting.borrow().len() >= self.limit.get() * QUEUE_PER_SLOT {
             return Err(GateError::Full);
         }
@@ -113,9 +125,9 @@
         self.next_sequence.set(sequence + 1);
         let key = (Instant::now() + RANK_DELAY * u32::from(rank), sequence);
         let (admitted, admission) = oneshot::channel();
-        self.waiting.borrow_mut().insert(key, Waiter { since: Instant::now(), admitted });
+        self.waiting.borrow_mut().insert(key, Waiter { since: Instant::now(), rank, admitted });
         let _guard = QueueGuard { gate: self, key };
-        admission.await.map_err(|_| GateError::Closed)
+        admission.await.unwrap_or(Err(GateError::Closed))
     }
 
     /// Moving average of the time that the target takes for a request.
@@ -147,7 +159,8 @@
         Slot { gate: Rc::clone(self), since: Instant::now() }
     }
 
-    /// Assigns free slots to queued requests.
+    /// Assigns free slots to queued requests. Refuses those that the limit of the target does not
+    /// permit: they can be sent to other targets at once.
     fn admit(self: &Rc<Self>) {
         while self.running.get() < self.limit.get() {
             let Some((_, waiter)) = self.waiting.borrow_mut().pop_first() else { return };
@@ -155,9 +168,13 @@
             if waiter.admitted.is_closed() {
                 continue;
             }
+            if !self.pacer.try_take(waiter.rank) {
+                drop(waiter.admitted.send(Err(GateError::Limited)));
+                continue;
+            }
             let slot = self.slot();
             // If the receiver has just gone, dropping the slot admits the next request.
-            drop(waiter.admitted.send(slot));
+            drop(waiter.admitted.send(Ok(slot)));
         }
     }
 }
--- a/src/mesh/inbound.rs
+++ b/src/mesh/inbound.rs
@@ -7,7 +7,7 @@
 
 use tokio::time::Instant;
 
-use super::frame::{Frame, Status};
+use super::frame::{Frame, Load, Status, TargetLimit};
 use super::link::Link;
 use super::overload::Policy;
 use super::report::{INTERVAL_BUSY, LoadReport};
@@ -37,6 +37,8 @@
     same_domain_report: Cell<LoadReport>,
     /// The last load sent to all other nodes.
     other_domain_report: Cell<LoadReport>,
+    /// The last demand on the limit of the target sent to all nodes.
+    limit_report: Cell<LoadReport>,
 }
 
 impl InboundLinks {
@@ -50,6 +52,7 @@
             sent_status: RefCell::default(),
             same_domain_report: Cell::default(),
             other_domain_report: Cell::default(),
+            limit_report: Cell::default(),
         }
     }
 
@@ -116,6 +119,20 @@
         }
     }
 
+    /// Whether the demand on the limit of the target should be reported now. `targets` is the
+    /// number of targets of the service.
+    pub fn is_limit_due(&self, demand: Load, targets: usize) -> bool {
+        self.limit_report.get().is_due(demand, targets, Instant::now())
+    }
+
+    /// Sends the limit of the target to all nodes.
+    pub fn report_limit(&self, limit: TargetLimit) {
+        let mut report = self.limit_report.get();
+        report.record(limit.load, Instant::now());
+        self.limit_report.set(report);
+        self.broadcast(&Frame::Limit(limit));
+    }
+
     /// Sends a frame to all nodes.
     pub fn broadcast(&self, frame: &Frame) {
         for inbound in self.links.borrow().iter() {
--- a/src/mesh/metrics.rs
+++ b/src/mesh/metrics.rs
@@ -184,7 +184,7 @@
 
 /// The limit that the target names, in requests per second; infinite if it names none.
 fn limit_per_s(node: &Node) -> f64 {
-    node.target.last_signal().and_then(|signal| signal.limit_per_s).unwrap_or(f64::INFINITY)
+    node.target.limit().and_then(|limit| limit.per_s).unwrap_or(f64::INFINITY)
 }
 
 /// 1 for a node that follows the store, 0 for one that receives changes from its peers.
--- /dev/null
+++ b/src/mesh/named_limit.rs
@@ -0,0 +1,133 @@
+//! Keeps the limits that incarnations of the local target have named.
+//!
+//! A limit belongs to the incarnation that named it. Answers may arrive out of order, so an answer
+//! may lower a limit at once, but raises or ends it only if its request was sent after the limit
+//! had last been named.
+
+use std::cell::RefCell;
+use std::fmt;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::incarnation::Incarnation;
+
+/// Maximum number of incarnations whose limit is kept.
+const KEPT_MAX: usize = 16;
+
+/// The limit of one incarnation.
+#[derive(Clone, Debug, PartialEq)]
+pub struct NamedLimit {
+    /// The incarnation.
+    pub incarnation: Incarnation,
+    /// The requests per second that it accepts from all nodes together; `None` if it does not limit
+    /// them.
+    pub per_s: Option<f64>,
+    /// When this limit was first named.
+    pub since: Instant,
+    /// When it was last named.
+    last_named_at: Instant,
+}
+
+impl NamedLimit {
+    /// How long ago the limit was first named.
+    pub fn age(&self) -> Duration {
+        self.since.elapsed()
+    }
+
+    /// Describes the limit for the log; `None` if there is none.
+    pub fn text(&self) -> Option<String> {
+        let (incarnation, age) = (&self.incarnation, self.age());
+        Some(LimitText { per_s: self.per_s?, incarnation, age }.to_string())
+    }
+}
+
+/// The limits of the incarnations that answered last, oldest first.
+#[derive(Debug, Default)]
+pub struct NamedLimits(RefCell<Vec<NamedLimit>>);
+
+impl NamedLimits {
+    /// Applies what an answer of an incarnation states. `sent_at` is when its request was sent;
+    /// `None` if that is not known. Returns whether the limit has changed.
+    pub fn observe(
+        &self,
+        incarnation: &Incarnation,
+        per_s: Option<f64>,
+        sent_at: Option<Instant>,
+    ) -> bool {
+        let now = Instant::now();
+        let mut limits = self.0.borrow_mut();
+        let Some(known) = limits.iter_mut().find(|known| known.incarnation == *incarnation) else {
+            insert(&mut limits, incarnation, per_s, now);
+            return per_s.is_some();
+        };
+        let is_newer = sent_at.is_some_and(|sent_at| sent_at >= known.last_named_at);
+        let is_higher = match (known.per_s, per_s) {
+            (Some(known), Some(named)) => named > known,
+            (Some(_), None) => true,
+            (None, _) => false,
+        };
+        if is_higher && !is_newer {
+            return false;
+        }
+        if per_s.is_some() {
+            known.last_named_at = now;
+        }
+        if known.per_s == per_s {
+            return false;
+        }
+        (known.per_s, known.since) = (per_s, now);
+        true
+    }
+
+    /// Applies a limit that this node had reported to a peer before it was restarted. Ignored once
+    /// the incarnation has answered. Returns whether the limit has changed.
+    pub fn restore(&self, incarnation: &Incarnation, per_s: f64, age: Duration) -> bool {
+        if self.of(incarnation).is_some() {
+            return false;
+        }
+        let now = Instant::now();
+        let since = now.checked_sub(age).unwrap_or(now);
+        let mut limits = self.0.borrow_mut();
+        insert(&mut limits, incarnation, Some(per_s), now);
+        if let Some(restored) = limits.last_mut() {
+            restored.since = since;
+        }
+        true
+    }
+
+    /// The limit of an incarnation; `None` if it has neither answered nor been restored.
+    pub fn of(&self, incarnation: &Incarnation) -> Option<NamedLimit> {
+        self.0.borrow().iter().find(|known| known.incarnation == *incarnation).cloned()
+    }
+}
+
+fn insert(
+    limits: &mut Vec<NamedLimit>,
+    incarnation: &Incarnation,
+    per_s: Option<f64>,
+    now: Instant,
+) {
+    if limits.len() >= KEPT_MAX {
+        limits.remove(0);
+    }
+    let incarnation = incarnation.clone();
+    limits.push(NamedLimit { incarnation, per_s, since: now, last_named_at: now });
+}
+
+/// Describes a limit for the log: its value, the target that named it and its age.
+pub struct LimitText<'a> {
+    /// The requests per second.
+    pub per_s: f64,
+    /// The incarnation that named it.
+    pub incarnation: &'a Incarnation,
+    /// How long ago it was first named.
+    pub age: Duration,
+}
+
+impl fmt::Display for LimitText<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { per_s, incarnation, age } = self;
+        write!(f, "{per_s} per second, named by {} {} ms ago", incarnation.id, age.as_millis())
+    }
+}
--- a/src/mesh/peers.rs
+++ b/src/mesh/peers.rs
@@ -15,7 +15,7 @@
 
 use super::crash_reports;
 use super::directory::Peer;
-use super::frame::{Call, Frame};
+use super::frame::{Call, Frame, TargetLimit};
 use super::link::Link;
 use super::node::Node;
 use super::receiver;
@@ -79,6 +79,10 @@
     let (link, reader) = Link::start(stream);
     let left_incarnations = peer.status.borrow().left.clone();
     link.send(&Frame::Hello(node.hello(left_incarnations)));
+    // Sent before any call: the peer may have been restarted and have forgotten the limit.
+    if let Some(limit) = peer.limit.reported() {
+        link.send(&Frame::Limit(limit));
+    }
     node.add_dialled(&link);
     let on_frame = |frame| match frame {
         Frame::Hello(hello) => {
@@ -109,6 +113,7 @@
             peer.update_status(status);
         }
         Frame::Load(load) => peer.update_load(load),
+        Frame::Limit(limit) => peer.limit.update(limit),
         Frame::Crash(crash) => crash_reports::receive_crash(node, &crash),
         Frame::Cleared(fingerprint) => {
             node.quarantine.clear(fingerprint);
@@ -130,7 +135,8 @@
         | Frame::NeighboursWanted
         | Frame::SiteWanted
         | Frame::QuotaWanted { .. }
-        | Frame::QuotaReturned { .. } => {}
+        | Frame::QuotaReturned { .. }
+        | Frame::Unmet => {}
     };
     let error = link.read_all(reader, on_frame).await;
     node.remove_dialled(&link);
@@ -199,6 +205,9 @@
             }
             node.inbound.add(&link, &hello.failure_domain);
             link.send(&Frame::Hello(node.hello(Vec::new())));
+            if let Some(limit) = node.limit_report().filter(|limit| limit.per_s.is_some()) {
+                link.send(&Frame::Limit(limit));
+            }
             let suspicions = node.quarantine.suspicions();
             if !suspicions.is_empty() {
                 link.send(&Frame::Suspicions(suspicions));
@@ -215,6 +224,8 @@
                 call.abort();
             }
         }
+        Frame::Limit(limit) => restore_limit(&node, &link, &limit),
+        Frame::Unmet => node.target.gate.pacer.record_unmet(),
         Frame::Ping => link.send(&node.inbound.load_frame(&node.status())),
         Frame::NeighboursWanted => link.send(&Frame::Neighbours(node.directory.neighbours())),
         Frame::SiteWanted => {
@@ -246,6 +257,18 @@
     node.inbound.remove(&link);
 }
 
+/// Applies a limit that a peer was told before it lost its link to this node, or corrects the peer
+/// if it is outdated.
+fn restore_limit(node: &Node, link: &Link, limit: &TargetLimit) {
+    let Some(per_s) = limit.per_s else { return };
+    let age = Duration::from_millis(limit.age_ms.into());
+    if node.target.restore_limit(&limit.incarnation, per_s, age) {
+        node.limit_changed(&limit.incarnation, "peer");
+    } else if let Some(current) = node.limit_report() {
+        link.send(&Frame::Limit(current));
+    }
+}
+
 /// Runs one call and sends its answer.
 async fn serve_call(
     node: Rc<Node>,
--- a/src/mesh/receiver.rs
+++ b/src/mesh/receiver.rs
@@ -26,10 +26,12 @@
 use super::running_requests::ParentRequest;
 use super::signal::Signal;
 use super::site::RouteKind;
-use super::target::{Instance, StatedSignal};
+use super::target::Instance;
 
 /// A call with less time than this before its deadline is not worth running.
 const REMAINING_MIN: Duration = Duration::from_millis(3);
+/// Maximum time for opening a connection to a target with a limit.
+const CONNECT_MAX_LIMITED: Duration = Duration::from_millis(250);
 /// The initial buffer for a request head, in bytes; fits a typical one.
 const HEAD_TYPICAL_BYTES: usize = 512;
 /// Hop-by-hop and message-framing headers, which are not forwarded with an answer.
@@ -89,11 +91,20 @@
             running: load.running,
             waiting: load.waiting,
             limit: load.limit,
+            target_limit: limit_text(node, &end),
         });
     }
     end
 }
 
+/// Describes the limit because of which a call was refused; empty for all others.
+fn limit_text(node: &Node, end: &CallEnd) -> String {
+    if *end != CallEnd::NotRun(NotRun::Limited) {
+        return String::new();
+    }
+    node.target.limit().and_then(|limit| limit.text()).unwrap_or_default()
+}
+
 /// The fingerprint of a call whose connection to the target broke; empty for all others, as
 /// computing it reads the whole body.
 fn broken_fingerprint(call: &Call, end: &CallEnd) -> String {
@@ -127,8 +138,10 @@
         Ok(Ok(slot)) => slot,
         Ok(Err(GateError::Full)) => return NotRun::QueueFull.into(),
         Ok(Err(GateError::Closed)) => return NotRun::Leaving.into(),
+        Ok(Err(GateError::Limited)) => return NotRun::Limited.into(),
         Err(_) => return NotRun::Expired.into(),
     };
+    let entered_at = Instant::now();
     let connection = match node.target.take_idle() {
         Some(connection) => connection,
         None => match Connection::open(node.target.address).await {
@@ -136,6 +149,11 @@
             Err(error) => return connection_failed(node, &instance, &error),
         },
     };
+    // Requests whose connections were slow to open would otherwise reach the target together.
+    if gate.pacer.is_limited() && entered_at.elapsed() > CONNECT_MAX_LIMITED {
+        node.target.keep(connection);
+        return NotRun::Limited.into();
+    }
     // The target may have left during the wait.
     if current_instance(node, &call.service)
         .is_none_or(|now| now.incarnation != instance.incarnation)
@@ -188,9 +206,11 @@
     let running = node.running_requests.register(&call.attempt_id, parent);
     let method = if call.method == "HEAD" { Method::HEAD } else { Method::GET };
     let attempt_id = node.header_names.attempt_id.as_str();
+    let sent_at = Instant::now();
     let accepts = |reply: &Reply| {
-        record_signal(node, instance, reply);
-        reply.header(attempt_id) == Some(&call.attempt_id)
+        let is_mine = reply.header(attempt_id) == Some(&call.attempt_id);
+        apply_signal(node, instance, reply, is_mine.then_some(sent_at));
+        is_mine
     };
     node.metrics.record_target_request(call.is_repeat);
     let exchanged = connection.exchange(&method, &head, &call.body, accepts);
@@ -221,22 +241,25 @@
     result
 }
 
-/// Records what an answer states about the target.
-fn record_signal(node: &Node, instance: &Instance, reply: &Reply) {
+/// Applies what an answer states about the target. `sent_at` is when its request was sent; `None`
+/// for an answer to an earlier request.
+fn apply_signal(node: &Node, instance: &Instance, reply: &Reply, sent_at: Option<Instant>) {
     let Some(incarnation) = answering_incarnation(node, instance, reply) else { return };
     let signal = Signal::read(reply, &node.header_names);
+    let has_left = signal.is_leaving && !node.target.has_left(&incarnation);
     if signal.is_leaving && node.target.mark_left(&incarnation) {
         node.target_changed("answer");
     }
-    let Ok(limit_per_s) = signal.limit_per_s else { return };
-    let stated = StatedSignal { incarnation, limit_per_s, is_leaving: signal.is_leaving };
-    if node.target.record_signal(&stated) {
-        node.log.emit(&LogEvent::TargetSignalled {
-            instance: stated.incarnation.id.clone(),
-            limit_per_s: stated.limit_per_s.map(|limit| limit.to_string()).unwrap_or_default(),
-            leaving: stated.is_leaving,
-            learned_from: "answer",
-        });
+    let has_changed = match signal.limit_per_s {
+        Ok(per_s) => node.target.observe_limit(&incarnation, per_s, sent_at),
+        Err(error) => {
+            let detail = format!("{}: {error}", incarnation.id);
+            node.log.emit(&LogEvent::InputRefused { input: "limit", detail });
+            false
+        }
+    };
+    if has_changed || has_left {
+        node.limit_changed(&incarnation, "answer");
     }
 }
 
--- a/src/mesh/request_log.rs
+++ b/src/mesh/request_log.rs
@@ -33,6 +33,8 @@
     pub team: Rc<str>,
     /// State of the team's quota, if the request exceeded it.
     pub quota: Option<QuotaState>,
+    /// Describes the limit of the last target, if the request was refused because of it.
+    pub target_limit: String,
 }
 
 /// A request that has its final answer.
@@ -94,6 +96,7 @@
             .quarantined
             .map(|fingerprint| fingerprint.to_string())
             .unwrap_or_default(),
+        target_limit: summary.target_limit.clone(),
         took_ms,
     });
 }
--- a/src/mesh/sender.rs
+++ b/src/mesh/sender.rs
@@ -8,9 +8,9 @@
 use bytes::Bytes;
 use tokio::time::{Instant, timeout_at};
 
-use super::directory::{Destination, PickRequest, utilisation_of};
+use super::directory::{Destination, LIMITED_COST, PickRequest, utilisation_of};
 use super::fingerprint::Fingerprint;
-use super::frame::{Call, CallEnd, Doubt, Header, NotRun, TargetAnswer};
+use super::frame::{Call, CallEnd, Doubt, Frame, Header, NotRun, TargetAnswer};
 use super::node::{CountGuard, Node};
 use super::quarantine::Standing;
 use super::receiver;
@@ -106,6 +106,8 @@
     tried: Vec<SocketAddr>,
     /// Whether it was offered to the local target.
     tried_local: bool,
+    /// Whether a target refused it because of its limit.
+    met_limit: bool,
     /// The attempts so far, for the log.
     summary: RequestSummary,
 }
@@ -126,6 +128,7 @@
         request,
         tried: Vec::new(),
         tried_local: false,
+        met_limit: false,
         summary: RequestSummary::default(),
     };
     let outcome = dispatch.run().await;
@@ -147,9 +150,14 @@
         let mut doubt = None;
         // So does a failure reported by a target.
         let mut failure = None;
+        let mut last_limited = None;
         for _ in 0..OFFERS_MAX {
             let Some(destination) = self.pick().or_else(|| self.pick_tried()) else { break };
             last = self.attempt(&destination).await;
+            if last == CallEnd::NotRun(NotRun::Limited) {
+                self.met_limit = true;
+                last_limited = Some(destination);
+            }
             match &last {
                 CallEnd::MayHaveRun(found) => doubt = Some(*found),
                 CallEnd::Answered(answer) => failure = Some(answer.clone()),
@@ -159,6 +167,9 @@
                 break;
             }
         }
+        if let (CallEnd::NotRun(NotRun::Limited), Some(destination)) = (&last, &last_limited) {
+            self.record_unmet(destination);
+        }
         match (last, failure, doubt) {
             (CallEnd::Answered(answer), ..) | (CallEnd::NotRun(_), Some(answer), _) => {
                 Outcome::Answered(answer)
@@ -173,6 +184,24 @@
         }
     }
 
+    /// Reports to the target that refused the request last because of its limit that no other one
+    /// could take it.
+    fn record_unmet(&mut self, destination: &Destination) {
+        let limit = match destination {
+            Destination::Local => {
+                self.node.target.gate.pacer.record_unmet();
+                self.node.target.limit().and_then(|limit| limit.text())
+            }
+            Destination::Peer(peer) => {
+                if let Some(link) = peer.open_link() {
+                    link.send(&Frame::Unmet);
+                }
+                peer.limit.text()
+            }
+        };
+        self.summary.target_limit = limit.unwrap_or_default();
+    }
+
     /// Whether the quarantine lets the request run, as far as this node knows.
     fn standing(&self) -> Standing {
         let quarantine = &self.node.quarantine;
@@ -223,11 +252,20 @@
         let node = self.node;
         let may_use_local = !self.tried_local && node.accepts_calls();
         let current = node.target.current().filter(|known| known.service == self.service);
+        let is_limited = !node.target.gate.pacer.has_token(self.request.rank);
+        let may_use_local = may_use_local && !(self.met_limit && is_limited);
         let local_utilisation = current.filter(|_| may_use_local).map(|known| {
             utilisation_of(node.target.load(), 0, known.is_cold)
                 + node.target.failing.cost(Instant::now())
+                + if is_limited { LIMITED_COST } else { 0.0 }
         });
-        let wanted = PickRequest { service: self.service, local_utilisation, tried: &self.tried };
+        let wanted = PickRequest {
+            service: self.service,
+            local_utilisation,
+            tried: &self.tried,
+            // Offers to one target with a used-up limit after the other would multiply its calls.
+            allows_limited: !self.met_limit,
+        };
         let mut rng = node.rng.borrow_mut();
         node.directory.pick(&wanted, &mut *rng)
     }
@@ -293,6 +331,11 @@
                     peer.avoid();
                 }
                 peer.failing.record(end.counts_as_target_failure());
+                if end == CallEnd::NotRun(NotRun::Limited) {
+                    peer.limit.record_refused(&mut *self.node.rng.borrow_mut());
+                } else if end.has_arrived() {
+                    peer.limit.record_accepted();
+                }
                 end
             }
         }
@@ -332,9 +375,10 @@
         CallEnd::Answered(_)
         | CallEnd::MayHaveRun(Doubt::Timeout | Doubt::TargetBroke | Doubt::Withdrawn) => false,
         CallEnd::MayHaveRun(Doubt::LinkLost) => true,
-        CallEnd::NotRun(reason) => {
-            !matches!(reason, NotRun::Declined | NotRun::Expired | NotRun::Quarantined)
-        }
+        CallEnd::NotRun(reason) => !matches!(
+            reason,
+            NotRun::Declined | NotRun::Expired | NotRun::Quarantined | NotRun::Limited
+        ),
     }
 }
 
@@ -352,7 +396,8 @@
         | NotRun::NoKey
         | NotRun::OverQuota
         | NotRun::Orphaned
-        | NotRun::Quarantined => RETRY_AFTER_BUSY_MS,
+        | NotRun::Quarantined
+        | NotRun::Limited => RETRY_AFTER_BUSY_MS,
     }
 }
 
--- a/src/mesh/target.rs
+++ b/src/mesh/target.rs
@@ -4,6 +4,9 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::Instant;
 
 use super::crash::InterruptedRequests;
 use super::failure_share::FailureShare;
@@ -11,6 +14,7 @@
 use super::gate::Gate;
 use super::http1::Connection;
 use super::incarnation::Incarnation;
+use super::named_limit::{NamedLimit, NamedLimits};
 
 /// Maximum number of remembered incarnations that have left.
 const LEFT_MAX: usize = 64;
@@ -81,19 +85,8 @@
     /// Incarnations that are draining, have left or were replaced, oldest first.
     left: RefCell<Vec<Incarnation>>,
     idle: RefCell<Vec<Connection>>,
-    /// What the last answer stated.
-    last_signal: RefCell<Option<StatedSignal>>,
-}
-
-/// What an incarnation of a target stated in its last answer.
-#[derive(Clone, Debug, PartialEq)]
-pub struct StatedSignal {
-    /// The incarnation.
-    pub incarnation: Incarnation,
-    /// The requests per second that it accepts from all nodes together, if it names a limit.
-    pub limit_per_s: Option<f64>,
-    /// Whether it is about to leave.
-    pub is_leaving: bool,
+    /// The limits that its incarnations have named.
+    limits: NamedLimits,
 }
 
 impl Target {
@@ -108,7 +101,7 @@
             last_heartbeats: RefCell::default(),
             left: RefCell::default(),
             idle: RefCell::default(),
-            last_signal: RefCell::default(),
+            limits: NamedLimits::default(),
         }
     }
 
@@ -217,17 +210,48 @@
         self.left.borrow().clone()
     }
 
-    /// What the last answer stated, if it stated anything.
-    pub fn last_signal(&self) -> Option<StatedSignal> {
-        self.last_signal.borrow().clone()
+    /// The limit that the current incarnation has named, if any.
+    pub fn limit(&self) -> Option<NamedLimit> {
+        self.known_limit().filter(|limit| limit.per_s.is_some())
+    }
+
+    /// What is known of the limit of the current incarnation; `None` before its first answer.
+    pub fn known_limit(&self) -> Option<NamedLimit> {
+        self.limits.of(&self.current()?.incarnation)
+    }
+
+    /// The limit of an incarnation in requests per second, if it has named one.
+    pub fn limit_of(&self, incarnation: &Incarnation) -> Option<f64> {
+        self.limits.of(incarnation)?.per_s
+    }
+
+    /// Applies what an answer of an incarnation states about its limit. `sent_at` is when its
+    /// request was sent, if that is known. Returns whether the limit has changed.
+    pub fn observe_limit(
+        &self,
+        incarnation: &Incarnation,
+        per_s: Option<f64>,
+        sent_at: Option<Instant>,
+    ) -> bool {
+        let has_changed = self.limits.observe(incarnation, per_s, sent_at);
+        if has_changed {
+            self.apply_limit();
+        }
+        has_changed
+    }
+
+    /// Applies a limit that this node had reported to a peer before it was restarted. Returns
+    /// whether the limit has changed.
+    pub fn restore_limit(&self, incarnation: &Incarnation, per_s: f64, age: Duration) -> bool {
+        let has_changed = self.limits.restore(incarnation, per_s, age);
+        if has_changed {
+            self.apply_limit();
+        }
+        has_changed
     }
 
-    /// Records what an answer stated. Returns whether it differs from the answer before.
-    pub fn record_signal(&self, signal: &StatedSignal) -> bool {
-        let stated = signal.limit_per_s.is_some() || signal.is_leaving;
-        let signal = stated.then(|| signal.clone());
-        let before = self.last_signal.replace(signal.clone());
-        before != signal
+    fn apply_limit(&self) {
+        self.gate.pacer.set(self.limit().and_then(|limit| limit.per_s));
     }
 
     /// The load of the target.
@@ -261,11 +285,13 @@
             self.close_idle();
             self.failing.reset();
         }
+        self.apply_limit();
         self.gate.set_slots(slots);
         before.as_ref() != Some(&instance)
     }
 
-    fn has_left(&self, incarnation: &Incarnation) -> bool {
+    /// Whether an incarnation is draining, has left or was replaced.
+    pub fn has_left(&self, incarnation: &Incarnation) -> bool {
         self.left.borrow().iter().any(|left| left.ends(incarnation))
     }
 
