Report the demand on a limit so that entries shed trees before they run

Callers of deep trees saw them fail: a call refused at a limit seven services down wastes all work above it. Cause: entries aim at a utilisation of 1.2, at which one call in twenty was refused at the limit, and a tree makes eight.

A node now reports accepted requests with a weight of 1.25 and those that no target could take with 20, in units of at most the target's slots, and only if that is more than the load of the slots: a limit above what a target can do changes nothing.

Retry-After of such a refusal is that of overload: within the objective, and spread. The new tests play twelve nodes with eight targets: limits of 6.5 at two and 5 and 0 at all are kept, used to 0.9 and more, nothing is refused while six targets have capacity, and shares are back 4 s after a limit ends.

--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -101,6 +101,7 @@
         let load = status.load;
         if self.status.borrow().incarnation != status.incarnation {
             self.failing.reset();
+            self.limit.release();
         }
         *self.status.borrow_mut() = status;
         self.update_load(load);
@@ -333,8 +334,8 @@
         cheapest.map(|(_, destination)| destination)
     }
 
-    /// Aggregated load of each service, including the local target with status `own`, whose load is
-    /// `own_load`. The load of a target with a limit is that of the limit, as its slots are free.
+    /// Aggregated load of each service, including the local target with status `own`, whose demand
+    /// is `own_load`. A target that has named a limit may have free slots and yet no capacity.
     pub fn services(&self, own: &Status, own_load: Load) -> HashMap<String, ServiceView> {
         let mut views = HashMap::new();
         add_to_view(&mut views, own, own_load);
@@ -342,7 +343,8 @@
             if peer.open_link().is_some() {
                 let status = peer.status.borrow();
                 let limit = peer.limit.of(&status.incarnation);
-                add_to_view(&mut views, &status, limit.map_or(status.load, |limit| limit.load));
+                let load = limit.map_or(status.load, |limit| status.load.busier(limit.load));
+                add_to_view(&mut views, &status, load);
             }
         }
         views
--- a/src/mesh/frame.rs
+++ b/src/mesh/frame.rs
@@ -92,7 +92,7 @@
     pub per_s: Option<f64>,
     /// How long ago this limit was first named, in milliseconds.
     pub age_ms: u32,
-    /// Requests per second: accepted, unmet (weighted) and permitted.
+    /// The demand on the target: that on its limit, or on its slots if these are more used.
     pub load: Load,
 }
 
@@ -220,6 +220,18 @@
     pub limit: u32,
 }
 
+impl Load {
+    /// Running and waiting requests as a share of the limit.
+    pub fn utilisation(&self) -> f64 {
+        f64::from(self.running + self.waiting) / f64::from(self.limit.max(1))
+    }
+
+    /// The one of both that is more utilised.
+    pub fn busier(self, other: Self) -> Self {
+        if other.utilisation() > self.utilisation() { other } else { self }
+    }
+}
+
 /// A request for the receiver's target.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Call {
--- a/src/mesh/gate.rs
+++ b/src/mesh/gate.rs
@@ -144,6 +144,12 @@
         }
     }
 
+    /// The load of the slots, or that of the limit that the target has named if it is more used.
+    pub fn demand(&self) -> Load {
+        let load = self.load();
+        self.pacer.load(load.limit).map_or(load, |paced| load.busier(paced))
+    }
+
     /// Current delay of the queue, in milliseconds.
     ///
     /// Iterates over the whole queue.
--- a/src/mesh/ingress.rs
+++ b/src/mesh/ingress.rs
@@ -2,7 +2,6 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
-use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,7 +12,6 @@
 use hyper::body::{Body, Incoming};
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use rand::Rng;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{spawn_local, yield_now};
 use tokio::time::{Instant, sleep_until, timeout_at};
@@ -45,11 +43,6 @@
 /// Minimum `Retry-After` for a caller over its team's quota, in milliseconds.
 const RETRY_AFTER_QUOTA_MIN_MS: u64 = 20;
 
-/// Range of `Retry-After` for shed requests, as a fraction of the route's objective.
-const RETRY_AFTER_FRACTIONS: Range<f64> = 0.3..0.7;
-/// Minimum objective assumed for `Retry-After`, in milliseconds.
-const RETRY_AFTER_OBJECTIVE_MIN_MS: u64 = 300;
-
 /// A response to a caller.
 type Response = http::Response<Full<Bytes>>;
 
@@ -302,7 +295,11 @@
     // The quota counts requests that run, so it is checked only after admission.
     let admitted = node.overload.admit(route, rank, &mut *node.rng.borrow_mut());
     if admitted.is_none() {
-        return Err(Rejection::new(NotRun::Shed, shed_retry_after_ms(node, route), team));
+        return Err(Rejection::new(
+            NotRun::Shed,
+            sender::overload_retry_after_ms(node, route),
+            team,
+        ));
     }
     if let Identity::Team(team) = &holder {
         admission::admit(node, team)
@@ -312,15 +309,6 @@
     Ok(AdmittedRequest { team: Rc::clone(team), rank, _admitted: admitted })
 }
 
-/// `Retry-After` for a shed request, in milliseconds: short enough for the retry to be answered
-/// within the objective, and randomized to spread out the retries of callers that were refused at
-/// the same time.
-fn shed_retry_after_ms(node: &Node, route: &Route) -> u64 {
-    let objective_ms = route.objective_ms.max(RETRY_AFTER_OBJECTIVE_MIN_MS);
-    let share = node.rng.borrow_mut().random_range(RETRY_AFTER_FRACTIONS);
-    (objective_ms as f64 * share) as u64
-}
-
 /// Converts an outcome into a response.
 fn response_to(outcome: &Outcome) -> Response {
     match outcome {
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -299,7 +299,7 @@
     /// The limit of the current incarnation, as sent to peers; `None` if it has not answered yet.
     pub fn limit_report(&self) -> Option<TargetLimit> {
         let limit = self.target.known_limit()?;
-        let load = self.target.gate.pacer.load().unwrap_or_default();
+        let load = self.target.gate.demand();
         let age_ms = limit.age().as_millis() as u32;
         Some(TargetLimit { incarnation: limit.incarnation, per_s: limit.per_s, age_ms, load })
     }
@@ -387,8 +387,7 @@
             admission::return_expired_tokens(self);
         }
         self.send_due_limit(all + 1);
-        let own_load = self.target.gate.pacer.load().unwrap_or(status.load);
-        let services = self.directory.services(&status, own_load);
+        let services = self.directory.services(&status, self.target.gate.demand());
         let entries = self.directory.linked() + 1;
         self.overload.adjust(&services, site.rank_max(), entries);
         if self.admission_logged.get().is_none_or(|last| last.elapsed() >= ADMISSION_LOG_INTERVAL) {
--- a/src/mesh/pacer.rs
+++ b/src/mesh/pacer.rs
@@ -22,9 +22,12 @@
 const UNRESERVED_ONE_IN: u32 = 10;
 /// Time over which accepted and unmet requests are averaged, in seconds.
 const AVERAGED_S: f64 = 1.0;
+/// Weight of an accepted request in the reported load. Entry nodes admit up to a utilisation of
+/// 1.2, which must stay just below the limit: there is no queue that absorbs the rest.
+const ACCEPTED_WEIGHT: f64 = 1.25;
 /// Weight of an unmet request in the reported load. A request that is refused deep in a call tree
-/// wastes the work above it, so entry nodes shed before many are.
-const UNMET_WEIGHT: f64 = 4.0;
+/// wastes the work of the whole tree.
+const UNMET_WEIGHT: f64 = 20.0;
 
 /// Limits the rate of requests to one target.
 #[derive(Debug)]
@@ -100,14 +103,17 @@
         self.unmet.add(1.0);
     }
 
-    /// The demand as a load: requests per second that were accepted (running) and unmet (waiting),
-    /// and the limit. `None` without a limit.
-    pub fn load(&self) -> Option<Load> {
-        let limit = self.per_s.get()?.max(RATE_MIN_PER_S);
+    /// The demand on the limit as a load: requests per second that were accepted (running) and unmet
+    /// (waiting), and the limit. Scaled down to at most `slots`, as the target can run no more.
+    /// `None` without a limit.
+    pub fn load(&self, slots: u32) -> Option<Load> {
+        let rate = self.per_s.get()?.max(RATE_MIN_PER_S);
+        let limit = rate.round().clamp(1.0, f64::from(slots.max(1)));
+        let scaled = |per_s: f64| (per_s * limit / rate).round() as u32;
         Some(Load {
-            running: self.accepted.get().round() as u32,
-            waiting: (self.unmet.get() * UNMET_WEIGHT).round() as u32,
-            limit: limit.round().max(1.0) as u32,
+            running: scaled(self.accepted.get() * ACCEPTED_WEIGHT),
+            waiting: scaled(self.unmet.get() * UNMET_WEIGHT),
+            limit: limit as u32,
         })
     }
 
--- a/src/mesh/peer_limit.rs
+++ b/src/mesh/peer_limit.rs
@@ -41,13 +41,18 @@
     pub fn update(&self, limit: TargetLimit) {
         if limit.per_s.is_none() {
             self.reported.replace(None);
-            self.held_until.set(None);
-            self.hold.set(HOLD_MIN);
+            self.release();
             return;
         }
         self.reported.replace(Some((limit, Instant::now())));
     }
 
+    /// Offers calls again at once.
+    pub fn release(&self) {
+        self.held_until.set(None);
+        self.hold.set(HOLD_MIN);
+    }
+
     /// The limit last reported, with its present age; `None` if no limit is in force.
     pub fn reported(&self) -> Option<TargetLimit> {
         let reported = self.reported.borrow();
--- a/src/mesh/receiver.rs
+++ b/src/mesh/receiver.rs
@@ -149,17 +149,17 @@
             Err(error) => return connection_failed(node, &instance, &error),
         },
     };
-    // Requests whose connections were slow to open would otherwise reach the target together.
-    if gate.pacer.is_limited() && entered_at.elapsed() > CONNECT_MAX_LIMITED {
-        node.target.keep(connection);
-        return NotRun::Limited.into();
-    }
     // The target may have left during the wait.
     if current_instance(node, &call.service)
         .is_none_or(|now| now.incarnation != instance.incarnation)
     {
         return NotRun::Leaving.into();
     }
+    // Requests whose connections were slow to open would otherwise reach the target together.
+    if gate.pacer.is_limited() && entered_at.elapsed() > CONNECT_MAX_LIMITED {
+        node.target.keep(connection);
+        return NotRun::Limited.into();
+    }
     if deadline.saturating_duration_since(Instant::now()) < REMAINING_MIN {
         return NotRun::Expired.into();
     }
--- a/src/mesh/report.rs
+++ b/src/mesh/report.rs
@@ -42,7 +42,7 @@
     pub fn is_due(&self, load: Load, targets: usize, now: Instant) -> bool {
         let Some(reported_at) = self.reported_at else { return true };
         let age = now - reported_at;
-        let (share, reported) = (utilisation(load), utilisation(self.load));
+        let (share, reported) = (load.utilisation(), self.load.utilisation());
         let change = (share - reported).abs();
         if change >= CHANGE_URGENT || load.limit != self.load.limit {
             return age >= INTERVAL_BUSY;
@@ -62,8 +62,3 @@
         *self = Self { load, reported_at: Some(now) };
     }
 }
-
-/// Running and waiting requests as a share of the target's limit.
-fn utilisation(load: Load) -> f64 {
-    f64::from(load.running + load.waiting) / f64::from(load.limit.max(1))
-}
--- a/src/mesh/sender.rs
+++ b/src/mesh/sender.rs
@@ -2,10 +2,12 @@
 //! allowed.
 
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use rand::Rng;
 use tokio::time::{Instant, timeout_at};
 
 use super::directory::{Destination, LIMITED_COST, PickRequest, utilisation_of};
@@ -27,6 +29,11 @@
 /// `Retry-After` when all targets were busy, in milliseconds.
 const RETRY_AFTER_BUSY_MS: u64 = 1_000;
 
+/// Range of `Retry-After` under overload, as a fraction of the route's objective.
+const RETRY_AFTER_FRACTIONS: Range<f64> = 0.3..0.7;
+/// Minimum objective assumed for `Retry-After`, in milliseconds.
+const RETRY_AFTER_OBJECTIVE_MIN_MS: u64 = 300;
+
 /// A request that has been read completely.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -179,7 +186,11 @@
             }
             (CallEnd::NotRun(reason), None, None) => {
                 let quarantine_ms = self.quarantine_left().map(|left| left.as_millis() as u64);
-                Outcome::refused(reason, quarantine_ms.unwrap_or_else(|| retry_after_ms(reason)))
+                let retry_after_ms = quarantine_ms.unwrap_or_else(|| match reason {
+                    NotRun::Limited => overload_retry_after_ms(self.node, self.route),
+                    _ => retry_after_ms(reason),
+                });
+                Outcome::refused(reason, retry_after_ms)
             }
         }
     }
@@ -401,6 +412,15 @@
     }
 }
 
+/// `Retry-After` for a request that was refused because of overload, in milliseconds: short enough
+/// for the retry to be answered within the objective, and randomized to spread out the retries of
+/// callers that were refused at the same time.
+pub fn overload_retry_after_ms(node: &Node, route: &Route) -> u64 {
+    let objective_ms = route.objective_ms.max(RETRY_AFTER_OBJECTIVE_MIN_MS);
+    let share = node.rng.borrow_mut().random_range(RETRY_AFTER_FRACTIONS);
+    (objective_ms as f64 * share) as u64
+}
+
 /// Counts a request of a caller as in flight until the guard is dropped.
 pub fn count_in_flight(node: &Node) -> CountGuard<'_> {
     CountGuard::new(&node.in_flight, 1)
--- a/tests/emulator/mod.rs
+++ b/tests/emulator/mod.rs
@@ -12,7 +12,7 @@
 
 use aspenspring::mesh::directory::utilisation_of;
 use aspenspring::mesh::frame::Load;
-use aspenspring::mesh::gate::Gate;
+use aspenspring::mesh::gate::{Gate, GateError};
 use aspenspring::mesh::overload::{ADJUST_INTERVAL, Overload, Policy, ServiceView};
 use aspenspring::mesh::site::{Route, RouteKind, Share};
 use rand::rngs::SmallRng;
@@ -72,6 +72,8 @@
     pub duration_s: f64,
     /// How often a caller retries after a refusal or failure.
     pub retries: u32,
+    /// Targets that name a limit: their service, and the requests per second of each.
+    pub limit: Option<(usize, f64)>,
 }
 
 /// The outcomes of one kind of request.
@@ -191,6 +193,8 @@
             for speed in &config.speeds {
                 let gate = Rc::new(Gate::default());
                 gate.set_slots(config.slots);
+                let limit = scenario.limit.filter(|(limited, _)| *limited == service);
+                gate.pacer.set(limit.map(|(_, per_s)| per_s));
                 nodes.push(Node {
                     service,
                     speed: *speed,
@@ -243,19 +247,19 @@
         0
     }
 
-    /// The least busy target of a service according to the loads known to node `sender`.
-    fn pick_target(&self, sender: usize, service: usize) -> usize {
+    /// The least busy target of a service that was not tried, according to the loads known to node `sender`.
+    fn pick_target(&self, sender: usize, service: usize, tried: &[usize]) -> Option<usize> {
         let node = &self.nodes[sender];
         let (known_loads, sent_calls) = (node.known_loads.borrow(), node.sent_calls.borrow());
-        let mut best = (f64::INFINITY, 0);
+        let mut best = (f64::INFINITY, None);
         for (index, other) in self.nodes.iter().enumerate() {
-            if other.service != service {
+            if other.service != service || tried.contains(&index) {
                 continue;
             }
             let busy =
                 utilisation_of(known_loads[index], sent_calls[index], false) + self.random() * 0.06;
             if busy < best.0 {
-                best = (busy, index);
+                best = (busy, Some(index));
             }
         }
         best.1
@@ -266,7 +270,7 @@
         let mut views: HashMap<String, ServiceView> = HashMap::new();
         for node in &self.nodes {
             let view = views.entry(service_name(node.service)).or_default();
-            let load = node.gate.load();
+            let load = node.gate.demand();
             view.load.running += load.running;
             view.load.waiting += load.waiting;
             view.load.limit += load.limit;
@@ -406,45 +410,55 @@
 ) -> bool {
     let kind = &simulation.scenario.kinds[index];
     let deadline = deadline.min(Instant::now() + Duration::from_millis(kind.timeout_ms));
-    let target = simulation.pick_target(sender, kind.service);
-    simulation.nodes[sender].sent_calls.borrow_mut()[target] += 1;
-    sleep(HOP_LATENCY).await;
-    let is_served = run_at_target(&simulation, target, index, &tree, deadline).await;
-    sleep(HOP_LATENCY).await;
-    let node = &simulation.nodes[sender];
-    node.known_loads.borrow_mut()[target] = simulation.nodes[target].gate.load();
-    node.sent_calls.borrow_mut()[target] = 0;
-    is_served
+    let mut tried = Vec::new();
+    while let Some(target) = simulation.pick_target(sender, kind.service, &tried) {
+        simulation.nodes[sender].sent_calls.borrow_mut()[target] += 1;
+        sleep(HOP_LATENCY).await;
+        let end = run_at_target(&simulation, target, index, &tree, deadline).await;
+        sleep(HOP_LATENCY).await;
+        let node = &simulation.nodes[sender];
+        node.known_loads.borrow_mut()[target] = simulation.nodes[target].gate.load();
+        node.sent_calls.borrow_mut()[target] = 0;
+        if end != Err(GateError::Limited) {
+            return end == Ok(true);
+        }
+        tried.push(target);
+    }
+    let refused_last = &simulation.nodes[tried[tried.len() - 1]];
+    refused_last.gate.pacer.record_unmet();
+    false
 }
 
-/// Waits for a slot at a target and runs a call in it; returns whether it succeeded.
+/// Waits for a slot at a target and runs a call in it; returns whether it succeeded, or why it was
+/// refused.
 async fn run_at_target(
     simulation: &Rc<Simulation>,
     target: usize,
     index: usize,
     tree: &CallTree,
     deadline: Instant,
-) -> bool {
+) -> Result<bool, GateError> {
     let kind = &simulation.scenario.kinds[index];
     let node = &simulation.nodes[target];
     let start_by = deadline - (node.gate.mean_run() / 2).max(Duration::from_millis(3));
     let rank = simulation.scenario.kinds[tree.root].rank;
-    let Ok(Ok(_slot)) = timeout_at(start_by, node.gate.enter(rank)).await else { return false };
+    let Ok(entered) = timeout_at(start_by, node.gate.enter(rank)).await else { return Ok(false) };
+    let _slot = entered?;
     tree.runs.set(tree.runs.get() + 1);
     let _running = RunningGuard::new(&node.running, tree.root);
     let factor = 0.5 + simulation.random();
     let work = Duration::from_secs_f64(kind.work_ms * factor / node.speed / 1_000.0);
     if timeout_at(deadline, sleep(work)).await.is_err() {
-        return false;
+        return Ok(false);
     }
-    let Some((called, times)) = kind.calls else { return true };
+    let Some((called, times)) = kind.calls else { return Ok(true) };
     for _ in 0..times {
         let call = make_call(Rc::clone(simulation), target, called, tree.clone(), deadline);
         if !timeout_at(deadline, Box::pin(call)).await.unwrap_or(false) {
-            return false;
+            return Ok(false);
         }
     }
-    true
+    Ok(true)
 }
 
 /// Counts a request as running at a target until dropped.
@@ -513,5 +527,5 @@
     let work_s = (6.0 * 8.0 * 0.025 + 2.0 * 4.0 * 0.025 + 1.5 * 0.040) / 9.5;
     let rate = capacity / work_s;
     let load = load.iter().map(|(from_s, share)| (*from_s, share * rate)).collect();
-    Scenario { services, kinds, load, duration_s: 30.0, retries: 2 }
+    Scenario { services, kinds, load, duration_s: 30.0, retries: 2, limit: None }
 }
--- a/tests/mesh/limits.rs
+++ b/tests/mesh/limits.rs
@@ -1,11 +1,17 @@
 //! Targets that name a limit in their answers, or state that they leave.
 
+use std::cell::RefCell;
+use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::time::{Instant, sleep};
+use aspenspring::mesh::named_limit::NamedLimits;
+use aspenspring::mesh::pacer::Pacer;
+use tokio::task::spawn_local;
+use tokio::time::{Instant, interval, sleep};
 
 use super::support::{
-    Reaction, TestNode, ask, header, heartbeat, link_nodes, request, run, start, status,
+    Reaction, TestNode, ask, header, heartbeat, incarnation, link_nodes, request, run, start,
+    status,
 };
 
 /// The most requests that a target may get in four seconds, by the limit that it names.
@@ -66,3 +72,176 @@
         }
     });
 }
+
+/// Four entry nodes and eight targets of `stock`, with callers that send 400 requests per second.
+struct Site {
+    targets: Vec<TestNode>,
+    /// The statuses of the answers.
+    statuses: Rc<RefCell<Vec<u16>>>,
+}
+
+impl Site {
+    async fn start() -> Self {
+        let statuses: Rc<RefCell<Vec<u16>>> = Rc::default();
+        let mut targets = Vec::new();
+        for index in 0..8 {
+            let name = format!("stock-{index}");
+            targets.push(start(&name, "stock", vec![Reaction::Answer(200, 20)]).await);
+        }
+        for index in 0..4 {
+            let entry =
+                start(&format!("page-{index}"), "page", vec![Reaction::Answer(200, 1)]).await;
+            for target in &targets {
+                link_nodes(&entry, target).await;
+            }
+            let statuses = Rc::clone(&statuses);
+            spawn_local(async move {
+                let mut ticks = interval(Duration::from_millis(10));
+                for number in 0.. {
+                    ticks.tick().await;
+                    let route = if number % 2 == 0 { "book" } else { "read" };
+                    let (entry, statuses) = (entry.clone(), Rc::clone(&statuses));
+                    spawn_local(async move {
+                        let answer =
+                            ask(&entry, &request(route, &format!("{index}-{number}"))).await;
+                        statuses.borrow_mut().push(status(&answer));
+                    });
+                }
+            });
+        }
+        Self { targets, statuses }
+    }
+
+    /// Lets the first `count` targets name a limit; empty to end it.
+    fn name_limit(&self, count: usize, limit: &str) {
+        for target in &self.targets[..count] {
+            let line =
+                if limit.is_empty() { String::new() } else { format!("x-limit: {limit}\r\n") };
+            target.target.signals.replace(line);
+        }
+    }
+
+    /// The number of requests that reached a target since `since`.
+    fn arrivals(&self, target: usize, since: Instant) -> usize {
+        let arrived_at = self.targets[target].target.arrived_at.borrow();
+        arrived_at.iter().filter(|at| **at >= since).count()
+    }
+}
+
+/// Plays `count` targets with a limit, then its end.
+async fn play(count: usize, limit_per_s: f64) {
+    let site = Site::start().await;
+    sleep(Duration::from_millis(500)).await;
+    site.name_limit(count, &limit_per_s.to_string());
+    sleep(Duration::from_millis(500)).await;
+    site.statuses.borrow_mut().clear();
+    let began = Instant::now();
+    sleep(Duration::from_secs(4)).await;
+    let mut used = 0;
+    for target in 0..count {
+        let arrivals = site.arrivals(target, began);
+        assert!(arrivals <= allowed(limit_per_s), "{arrivals} at a limit of {limit_per_s}");
+        used += arrivals;
+    }
+    let given = limit_per_s * 4.0 * count as f64;
+    assert!(used as f64 >= 0.9 * given, "{used} of {given}");
+    let refused = site.statuses.borrow().iter().filter(|status| **status != 200).count();
+    assert!(count == 8 || refused == 0, "{refused} refused although six targets have capacity");
+    site.name_limit(count, "");
+    sleep(Duration::from_secs(4)).await;
+    let ended = Instant::now();
+    sleep(Duration::from_secs(1)).await;
+    let arrivals: Vec<usize> = (0..8).map(|target| site.arrivals(target, ended)).collect();
+    let fair = arrivals.iter().sum::<usize>() / 8;
+    assert!(arrivals.iter().all(|arrivals| *arrivals >= fair / 2), "{arrivals:?} after its end");
+}
+
+#[test]
+fn limits_are_used_while_other_targets_take_the_rest() {
+    run(play(2, 6.5));
+}
+
+#[test]
+fn the_limits_of_all_targets_are_used_and_the_rest_is_refused() {
+    run(play(8, 5.0));
+}
+
+#[test]
+fn a_limit_of_zero_ends_once_it_is_no_longer_named() {
+    run(play(8, 0.0));
+}
+
+#[test]
+fn the_least_important_are_refused_first_when_limits_are_used_up() {
+    run(async {
+        let site = Site::start().await;
+        site.name_limit(8, "30");
+        sleep(Duration::from_secs(1)).await;
+        site.statuses.borrow_mut().clear();
+        sleep(Duration::from_secs(4)).await;
+        let count = |route: &str| {
+            let is_of = |request: &&String| request.starts_with(&format!("GET /{route}/"));
+            site.targets
+                .iter()
+                .map(|node| node.target.seen.borrow().iter().filter(is_of).count())
+                .sum::<usize>()
+        };
+        let (book, read) = (count("book"), count("read"));
+        // 240 requests a second are permitted, of 200 of each route.
+        assert!(book > 2 * read, "{book} important ones, {read} others");
+    });
+}
+
+#[test]
+fn answers_out_of_order_do_not_end_a_limit() {
+    let limits = NamedLimits::default();
+    let (one, next) = (incarnation("one", 5), incarnation("one", 6));
+    let earlier = Instant::now();
+    assert!(!limits.observe(&one, None, Some(earlier)));
+    assert!(limits.observe(&one, Some(9.0), Some(earlier)));
+    assert!(!limits.observe(&one, None, Some(earlier)), "of a request sent before");
+    assert!(!limits.observe(&one, None, None), "of an unknown request");
+    assert!(limits.observe(&one, Some(4.0), None), "a lower limit applies at once");
+    assert!(!limits.observe(&one, Some(9.0), Some(earlier)));
+    assert_eq!(limits.of(&next), None, "the next incarnation has named none");
+    assert!(!limits.restore(&one, 2.0, Duration::ZERO), "it has answered since");
+    assert!(limits.observe(&one, None, Some(Instant::now())));
+    assert!(limits.restore(&next, 2.0, Duration::from_secs(1)));
+    assert_eq!(limits.of(&next).unwrap().per_s, Some(2.0));
+}
+
+#[test]
+fn no_four_seconds_exceed_a_limit_after_any_pause() {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    let runtime = builder.enable_time().start_paused(true).build().unwrap();
+    runtime.block_on(async {
+        for limit_per_s in [0.0, 0.3, 1.0, 6.5, 29.2, 300.0] {
+            let pacer = Pacer::default();
+            pacer.set(Some(limit_per_s));
+            assert!(!pacer.try_take(0), "nothing that has queued passes at once");
+            sleep(Duration::from_secs(20)).await;
+            let (mut passed, until) = (0, Instant::now() + Duration::from_secs(4));
+            while Instant::now() < until {
+                passed += usize::from(pacer.try_take(0));
+                sleep(Duration::from_millis(1)).await;
+            }
+            assert!(passed <= allowed(limit_per_s), "{passed} at {limit_per_s}");
+            assert!(passed as f64 >= 0.9 * 4.0 * limit_per_s, "{passed} at {limit_per_s}");
+        }
+    });
+}
+
+#[test]
+fn a_limit_that_is_no_number_changes_nothing() {
+    run(async {
+        let (first, _, stock) = start_site("x-limit: 3\r\n").await;
+        assert_eq!(status(&ask(&first, &request("read", "a1")).await), 200);
+        for invalid in ["many", "-1", "NaN", "inf", "1e9", ""] {
+            sleep(Duration::from_millis(700)).await;
+            stock.target.signals.replace(format!("x-limit: {invalid}\r\n"));
+            assert_eq!(status(&ask(&first, &request("read", "a2")).await), 200, "{invalid:?}");
+            let limit = stock.node.target.limit().and_then(|limit| limit.per_s);
+            assert_eq!(limit, Some(3.0), "{invalid:?}");
+        }
+    });
+}
--- a/tests/mesh/support.rs
+++ b/tests/mesh/support.rs
@@ -26,7 +26,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::{JoinSet, LocalSet, spawn_local};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 /// The time limit of a test.
 pub const TEST_TIMEOUT: Duration = Duration::from_secs(20);
@@ -160,6 +160,8 @@
     pub signals: RefCell<String>,
     /// The requests that reached it, with head and body.
     pub seen: RefCell<Vec<String>>,
+    /// When they reached it.
+    pub arrived_at: RefCell<Vec<Instant>>,
     /// Number of them that the node cancelled before they were answered.
     pub cut_off: Cell<usize>,
     /// Crashes the target; it restarts after `RESTART_DELAY`.
@@ -218,6 +220,7 @@
         reactions: RefCell::new(reactions),
         signals: RefCell::default(),
         seen: RefCell::default(),
+        arrived_at: RefCell::default(),
         cut_off: Cell::default(),
         crash: Notify::new(),
     });
@@ -299,6 +302,7 @@
         let id = header(&request, "x-attempt").unwrap_or_default();
         let crashes = request.lines().next().is_some_and(|line| line.contains(CRASHES));
         target.seen.borrow_mut().push(request);
+        target.arrived_at.borrow_mut().push(Instant::now());
         let name = &target.name;
         let length = name.len();
         let reaction = target.next_reaction();
--- a/tests/overload_model.rs
+++ b/tests/overload_model.rs
@@ -5,13 +5,23 @@
 #[allow(dead_code, reason = "the overload example uses more of it")]
 mod emulator;
 
-use emulator::{Report, deep_chain, simulate};
+use emulator::{Report, Scenario, deep_chain, simulate};
 
 /// Simulates a load of half the bottleneck's capacity, then `peak` times the capacity, then half again.
 fn surge(peak: f64, policy: Policy, seed: u64) -> Report {
     simulate(&deep_chain(4, &[(0.0, 0.5), (5.0, peak), (20.0, 0.5)]), policy, seed)
 }
 
+/// Like [`deep_chain`], with targets of the last service that each name a limit: `share` of the
+/// calls that they get at a load of 1.
+fn deep_chain_with_limit(scale: usize, load: &[(f64, f64)], share: f64) -> Scenario {
+    let mut scenario = deep_chain(scale, load);
+    let whole = deep_chain(scale, &[(0.0, 1.0)]).load[0].1;
+    let calls_per_request = (6.0 * 8.0 + 2.0 * 4.0 + 1.5) / 9.5;
+    scenario.limit = Some((3, whole * calls_per_request * share / scale as f64));
+    scenario
+}
+
 /// The share of requests of a kind that were answered, in time or late.
 fn served(report: &Report, kind: usize) -> f64 {
     let tally = report.tallies[kind];
@@ -57,3 +67,21 @@
     let figures = |seed| surge(2.0, Policy::Windows, seed).windows;
     assert_eq!(figures(7), figures(7));
 }
+
+#[test]
+fn limits_of_the_deepest_service_shed_trees_before_they_run() {
+    for seed in 1..4 {
+        let play =
+            |limit, policy| simulate(&deep_chain_with_limit(4, &[(0.0, 0.8)], limit), policy, seed);
+        for limit in [0.4, 0.1] {
+            let (report, open) = (play(limit, Policy::Windows), play(limit, Policy::Open));
+            let (wasted, wasted_open) = (report.wasted(), open.wasted());
+            assert!(wasted < wasted_open / 2.0, "{limit}: {wasted}, unlimited entry {wasted_open}");
+        }
+        let report = play(0.4, Policy::Windows);
+        let [browse, book, look] = [0, 1, 2].map(|kind| served(&report, kind));
+        assert!(book > 0.95 && look > 0.95 && browse > 0.2, "{browse} {book} {look}");
+        let report = simulate(&deep_chain_with_limit(4, &[(0.0, 0.3)], 0.6), Policy::Windows, seed);
+        assert!(report.earned() > 0.96, "half of the limit refuses {}", report.earned());
+    }
+}
--- a/tests/platform/process.rs
+++ b/tests/platform/process.rs
@@ -420,3 +420,28 @@
     register_target(&node, "i-3", 1);
     wait_for(|| entry.get(CALLERS_PORT, "/look/1").contains(" 200 "));
 }
+
+#[test]
+fn a_restarted_node_keeps_to_the_limit_that_its_target_had_named() {
+    const LIMIT_PER_S: usize = 2;
+    let store = configured_store();
+    let entry = start_ready(&store, "one");
+    let (mut node, arrivals) = start_with_signals(&store, "two", "Server-Limit: 2\r\n");
+    register_target(&node, "i-2", 1);
+    wait_for(|| entry.get(CALLERS_PORT, "/look/1").contains(" 200 "));
+    thread::sleep(Duration::from_millis(500));
+    for sequence in 2..5 {
+        restart(&mut node);
+        register_target(&node, "i-2", sequence);
+        let until = Instant::now() + Duration::from_millis(1_200);
+        while Instant::now() < until {
+            entry.get(CALLERS_PORT, "/look/1");
+        }
+    }
+    let arrivals = arrivals.lock().unwrap();
+    assert!(arrivals.len() > 3, "the node is reached after its restart");
+    for (first, began) in arrivals.iter().enumerate() {
+        let within = arrivals[first..].partition_point(|at| *at < *began + Duration::from_secs(4));
+        assert!(within <= 6 * LIMIT_PER_S + 5, "{within} within 4 s");
+    }
+}
