Let targets of the soak name limits, and leave in their answers

Four periods a seed in which a target names a limit of 0 to 20 per second, and three in which one states that it leaves while its heartbeats stay ready; they overlap the kills, pauses, stops and store faults that were there.

--- a/tests/platform/soak/callers.rs
+++ b/tests/platform/soak/callers.rs
@@ -33,6 +33,8 @@
     status: u16,
     attempt: String,
     signature: String,
+    /// The header lines that state a limit or leaving.
+    signals: String,
     retry_after: Duration,
     closes_connection: bool,
     body: String,
@@ -121,6 +123,7 @@
         200 => Outcome::Served {
             attempt: answer.attempt.clone(),
             signature: answer.signature.clone(),
+            signals: answer.signals.clone(),
             body: answer.body.clone(),
         },
         408 | 421 | 429 | 503 => Outcome::NotRun(answer.status),
@@ -180,6 +183,7 @@
         status,
         attempt: String::new(),
         signature: String::new(),
+        signals: String::new(),
         retry_after: Duration::ZERO,
         closes_connection: false,
         body: String::new(),
@@ -192,6 +196,14 @@
         match name.to_ascii_lowercase().as_str() {
             "attempt-id" => value.clone_into(&mut answer.attempt),
             "response-signature" => value.clone_into(&mut answer.signature),
+            "server-limit" | "server-leaving" => {
+                let name = if name.eq_ignore_ascii_case("server-limit") {
+                    "Server-Limit"
+                } else {
+                    "Server-Leaving"
+                };
+                answer.signals += &format!("{name}: {value}\r\n");
+            }
             "retry-after" => answer.retry_after = Duration::from_secs_f64(value.parse().ok()?),
             "connection" => answer.closes_connection = value.eq_ignore_ascii_case("close"),
             "content-length" => length = value.parse().ok()?,
--- a/tests/platform/soak/faults.rs
+++ b/tests/platform/soak/faults.rs
@@ -10,6 +10,13 @@
 /// The number of additional series of requests that crash their target.
 const CRASH_SERIES_COUNT: usize = 3;
 
+/// The number of additional periods in which a target names a limit, and in which one leaves.
+const SIGNAL_COUNTS: (usize, usize) = (4, 3);
+/// The limits that targets name, in requests per second.
+const LIMITS_PER_S: [f64; 5] = [0.0, 0.7, 2.0, 6.5, 20.0];
+/// Changes the seed of the periods.
+const SIGNALS_SEED: u64 = 0x5197;
+
 /// A fault, or an action of the operator.
 #[derive(Clone, Copy, Debug)]
 pub enum FaultKind {
@@ -29,6 +36,10 @@
     StoreDropsHistory,
     /// New configurations are published in quick succession.
     PublishConfigurations { count: u32, gap_ms: u64 },
+    /// The target of a node names a limit.
+    NameLimit { member: usize, per_s: f64, for_ms: u64 },
+    /// The target of a node states that it leaves; then its next incarnation takes over.
+    Leave { member: usize, for_ms: u64 },
     /// A request that crashes its target is sent `count` times, first to the node `member`, then to the next ones.
     Crash { member: usize, count: usize },
 }
@@ -64,6 +75,18 @@
         let (member, count) = (rng.random_range(0..members), rng.random_range(1..6));
         faults.push(Fault { at, kind: FaultKind::Crash { member, count } });
     }
+    let mut rng = SmallRng::seed_from_u64(seed ^ SIGNALS_SEED);
+    for index in 0..SIGNAL_COUNTS.0 + SIGNAL_COUNTS.1 {
+        let at = within.mul_f64(rng.random());
+        let (member, for_ms) = (rng.random_range(0..members), rng.random_range(1_500..7_000));
+        let per_s = LIMITS_PER_S[rng.random_range(0..LIMITS_PER_S.len())];
+        let kind = if index < SIGNAL_COUNTS.0 {
+            FaultKind::NameLimit { member, per_s, for_ms }
+        } else {
+            FaultKind::Leave { member, for_ms }
+        };
+        faults.push(Fault { at, kind });
+    }
     faults.sort_by_key(|fault| fault.at);
     faults
 }
--- a/tests/platform/soak/findings.rs
+++ b/tests/platform/soak/findings.rs
@@ -59,7 +59,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Outcome {
     /// Successfully.
-    Served { attempt: String, signature: String, body: String },
+    Served { attempt: String, signature: String, signals: String, body: String },
     /// With a status that guarantees that the request has not run and never will.
     NotRun(u16),
     /// With any other status, which guarantees nothing.
@@ -116,7 +116,7 @@
     /// Records a finished request and checks what can be checked at once.
     pub fn record_request(&self, site: &Site, record: Record) {
         let member = &site.members[record.member];
-        if let Outcome::Served { attempt, signature, body } = &record.outcome {
+        if let Outcome::Served { attempt, signature, body, .. } = &record.outcome {
             if *attempt != record.attempt || *body != format!("{signature} {attempt}") {
                 self.add(format!("answer of another request, or incomplete answer: {record:?}"));
             }
@@ -207,6 +207,16 @@
         }
     }
 
+    /// Checks the requests that reached targets against what these had stated in their answers.
+    pub fn check_signals(&self, site: &Site) {
+        let records = self.records.lock().unwrap();
+        for member in &site.members {
+            if let Some(finding) = member.target.check(site, &member.name, &records) {
+                self.add(finding);
+            }
+        }
+    }
+
     /// The result of the seed.
     pub fn report(&self, seed: u64, faults: Vec<String>, recovered: Option<Duration>) -> Report {
         let records = self.records.lock().unwrap();
--- a/tests/platform/soak/mod.rs
+++ b/tests/platform/soak/mod.rs
@@ -12,6 +12,7 @@
 mod faults;
 mod findings;
 mod intervals;
+mod signals;
 mod site;
 mod targets;
 
@@ -127,6 +128,7 @@
         findings.add(format!("not every request was served {RECOVERY_MAX:?} after the last fault"));
     }
     findings.check_runs(&site.runs());
+    findings.check_signals(&site);
     let descriptions = faults.iter().map(Fault::description).collect();
     let report = findings.report(seed, descriptions, recovered_in);
     if !report.is_clean() {
--- /dev/null
+++ b/tests/platform/soak/signals.rs
@@ -0,0 +1,155 @@
+//! What targets state in their answers (limits, leaving), and the checks of what reaches them meanwhile.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use super::findings::{Outcome, Record};
+use super::site::Site;
+
+/// How long after a node has passed such an answer on its requests count against the limit.
+const LIMIT_TOLD: Duration = Duration::from_millis(500);
+/// The window over which requests are compared with the limit.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// How long after a node has passed such an answer on requests may still be sent to a target that leaves.
+const LEAVING_TOLD: Duration = Duration::from_secs(2);
+
+/// What a target states.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Signal {
+    /// The requests per second that it accepts.
+    Limit(f64),
+    /// It is about to leave; its next incarnation is not.
+    Leaving,
+}
+
+impl fmt::Display for Signal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Limit(per_s) => write!(f, "Server-Limit: {per_s}\r\n"),
+            Self::Leaving => f.write_str("Server-Leaving: 1\r\n"),
+        }
+    }
+}
+
+/// A period in which a target states something.
+#[derive(Clone, Copy, Debug)]
+struct Period {
+    signal: Signal,
+    from: Instant,
+    until: Option<Instant>,
+}
+
+/// What a target has stated, and the requests that have reached it.
+#[derive(Debug, Default)]
+pub struct TargetState(Mutex<StateLog>);
+
+#[derive(Debug, Default)]
+struct StateLog {
+    incarnation: u32,
+    periods: Vec<Period>,
+    arrivals: Vec<(Instant, String)>,
+}
+
+impl TargetState {
+    /// Starts to state something. Returns whether it did: a target that leaves states nothing else.
+    pub fn begin(&self, signal: Signal) -> bool {
+        let mut log = self.0.lock().unwrap();
+        if log.periods.iter().any(|period| period.until.is_none()) {
+            return false;
+        }
+        log.periods.push(Period { signal, from: Instant::now(), until: None });
+        true
+    }
+
+    /// Ends what the target states. The next incarnation takes over from one that left.
+    pub fn end(&self) {
+        let mut log = self.0.lock().unwrap();
+        let Some(period) = log.periods.last_mut() else { return };
+        period.until = Some(Instant::now());
+        log.incarnation += u32::from(period.signal == Signal::Leaving);
+    }
+
+    /// The header lines of an answer.
+    pub fn header_lines(&self) -> String {
+        let log = self.0.lock().unwrap();
+        let present = log.periods.iter().find(|period| period.until.is_none());
+        present.map(|period| period.signal.to_string()).unwrap_or_default()
+    }
+
+    /// The number of incarnations that have left.
+    pub fn incarnation(&self) -> u32 {
+        self.0.lock().unwrap().incarnation
+    }
+
+    /// Records that a request has reached the target.
+    pub fn record_arrival(&self, attempt: &str) {
+        self.0.lock().unwrap().arrivals.push((Instant::now(), attempt.to_owned()));
+    }
+
+    /// Checks that the requests of nodes that were told keep to what the target `name` stated. Returns the first
+    /// violation.
+    pub fn check(&self, site: &Site, name: &str, records: &[Record]) -> Option<String> {
+        let log = self.0.lock().unwrap();
+        let by_attempt: HashMap<&str, &Record> =
+            records.iter().map(|record| (record.attempt.as_str(), record)).collect();
+        for period in &log.periods {
+            let until = period.until.unwrap_or_else(Instant::now);
+            let told = told_times(period, until, name, records);
+            let mut counted = Vec::new();
+            for (at, attempt) in &log.arrivals {
+                let Some(record) = by_attempt.get(attempt.as_str()) else { continue };
+                if *at < period.from || *at > until {
+                    continue;
+                }
+                // What counts is when the request arrived for a limit, and when it was sent for leaving.
+                let (since, after) = match period.signal {
+                    Signal::Limit(_) => (*at, LIMIT_TOLD),
+                    Signal::Leaving => (record.sent_at, LEAVING_TOLD),
+                };
+                let member = &site.members[record.member];
+                let was_told = told.iter().any(|(index, told_at)| {
+                    *index == record.member
+                        && *told_at + after < since
+                        && !member.was_restarted_or_paused(*told_at, *at)
+                });
+                if was_told {
+                    counted.push(*at);
+                }
+            }
+            let (allowed, window) = match period.signal {
+                Signal::Limit(per_s) => (1.5 * per_s * 4.0 + 5.0, LIMIT_WINDOW),
+                Signal::Leaving => (0.0, LIMIT_WINDOW),
+            };
+            for (first, from) in counted.iter().enumerate() {
+                let within = counted[first..].partition_point(|at| *at < *from + window);
+                if within as f64 > allowed {
+                    let signal = period.signal;
+                    return Some(format!(
+                        "{within} requests reached {name}, which states {signal:?}"
+                    ));
+                }
+            }
+        }
+        None
+    }
+}
+
+/// When each node passed on answers of the target `name` that contained the signal.
+fn told_times(
+    period: &Period,
+    until: Instant,
+    name: &str,
+    records: &[Record],
+) -> Vec<(usize, Instant)> {
+    let mut told = Vec::new();
+    for record in records {
+        let Outcome::Served { signature, signals, .. } = &record.outcome else { continue };
+        let is_told = *signature == name && *signals == period.signal.to_string();
+        if is_told && record.ended_at >= period.from && record.sent_at <= until {
+            told.push((record.member, record.ended_at));
+        }
+    }
+    told
+}
--- a/tests/platform/soak/site.rs
+++ b/tests/platform/soak/site.rs
@@ -10,6 +10,7 @@
 use super::faults::FaultKind;
 use super::findings::Findings;
 use super::intervals::Intervals;
+use super::signals::{Signal, TargetState};
 use super::targets::{RunRecord, Runs, STEADY_KEY, document, send_heartbeats, serve};
 use crate::node::{self, NodeSpec, Process};
 use crate::store::Store;
@@ -44,6 +45,9 @@
 /// A node with its target.
 pub struct Member {
     pub ip: Ipv4Addr,
+    /// The name of the node, with which its target signs.
+    pub name: String,
+    pub target: Arc<TargetState>,
     process: Mutex<Process>,
     /// The number of restarts of the process.
     incarnation: AtomicU64,
@@ -66,6 +70,11 @@
         !is_late && !self.disruptions.any_overlaps(sent_at, ended_at)
     }
 
+    /// Whether the node was restarted or paused in the given time.
+    pub fn was_restarted_or_paused(&self, from: Instant, until: Instant) -> bool {
+        self.disruptions.any_overlaps(from, until) || self.planned_stops.any_overlaps(from, until)
+    }
+
     /// Whether the node had no faults or stops from [`SETTLE_TIME`] before `sent_at` until `ended_at`.
     pub fn is_settled(&self, sent_at: Instant, ended_at: Instant) -> bool {
         let from = sent_at - SETTLE_TIME;
@@ -122,11 +131,15 @@
             let name = format!("soak-{seed}-{index}");
             let spec = NodeSpec { name: &name, failure_domain, service };
             let mut process = Process::prepare(&store, &spec);
-            serve(process.target_address(), &name, Arc::clone(&runs));
-            send_heartbeats(process.ip, service, name.clone(), Arc::clone(&is_stopped));
+            let target: Arc<TargetState> = Arc::default();
+            serve(process.target_address(), &name, Arc::clone(&target), Arc::clone(&runs));
+            let (state, until) = (Arc::clone(&target), Arc::clone(&is_stopped));
+            send_heartbeats(process.ip, service, name.clone(), state, until);
             process.start();
             members.push(Member {
                 ip: process.ip,
+                name,
+                target,
                 process: Mutex::new(process),
                 incarnation: AtomicU64::default(),
                 was_disrupted: AtomicBool::default(),
@@ -293,6 +306,10 @@
                     thread::sleep(Duration::from_millis(gap_ms));
                 }
             }
+            FaultKind::NameLimit { member, per_s, for_ms } => {
+                self.state_for(member, Signal::Limit(per_s), for_ms)
+            }
+            FaultKind::Leave { member, for_ms } => self.state_for(member, Signal::Leaving, for_ms),
             FaultKind::Crash { member, count } => {
                 self.crash(member, count);
             }
@@ -332,6 +349,15 @@
         self.store_faults.end(index);
     }
 
+    /// Lets the target of a node state something in its answers for a time.
+    fn state_for(&self, member: usize, signal: Signal, for_ms: u64) {
+        let target = &self.members[member].target;
+        if target.begin(signal) {
+            thread::sleep(Duration::from_millis(for_ms));
+            target.end();
+        }
+    }
+
     /// Disrupts a node: calls `action`, then sends `signal`. The disruption lasts until the node runs again.
     fn disrupt(&self, member: &Member, action: impl FnOnce(), signal: libc::c_int) {
         let (index, incarnation) =
--- a/tests/platform/soak/targets.rs
+++ b/tests/platform/soak/targets.rs
@@ -9,6 +9,7 @@
 
 use serde_json::json;
 
+use super::signals::TargetState;
 use super::site::PROBE_TIMEOUT;
 use crate::node::{self, HEARTBEATS_PORT, TARGET_PORT};
 use crate::target::{self, Answer, heartbeat};
@@ -83,7 +84,8 @@
 pub fn send_heartbeats(
     ip: Ipv4Addr,
     service: &'static str,
-    id: String,
+    name: String,
+    target: Arc<TargetState>,
     is_stopped: Arc<AtomicBool>,
 ) {
     thread::spawn(move || {
@@ -96,6 +98,7 @@
             sequence += 1;
             let mut body = heartbeat(service, "ready", sequence);
             body["information"]["slots"] = SLOTS.into();
+            let id = format!("{name}-{}", target.incarnation());
             let text = node::target_report("Heartbeat", &id, &body.to_string());
             // A node that is down gets a later heartbeat.
             drop(node::send_request(SocketAddr::from((ip, HEARTBEATS_PORT)), &text, PROBE_TIMEOUT));
@@ -104,11 +107,12 @@
 }
 
 /// Starts a target that records its runs and answers with its name and the attempt id. It restarts after a crash.
-pub fn serve(address: SocketAddr, name: &str, all_runs: Runs) {
+pub fn serve(address: SocketAddr, name: &str, target: Arc<TargetState>, all_runs: Runs) {
     let signature = name.to_owned();
     target::serve_with_restarts(address, name, Some(DOWNTIME), move |path| {
         let attempt = path.rsplit('/').next().unwrap_or_default();
         let attempt = if attempt == "x" { "probe" } else { attempt }.to_owned();
+        target.record_arrival(&attempt);
         let mut runs = all_runs.lock().unwrap();
         let record = runs.entry(attempt.clone()).or_default();
         record.count += 1;
@@ -116,7 +120,7 @@
         drop(runs);
         thread::sleep(service_time(&attempt));
         let body = format!("{signature} {attempt}");
-        Answer { attempt, body, ..Answer::default() }
+        Answer { attempt, body, signals: target.header_lines() }
     });
 }
 
