Close the listener of a crashing test target before its connections

a_quarantined_request_stays_quarantined_after_all_nodes_restart failed once with no target left. Traced (docs/FAULTS.md): the stand-in closed its connections first and its listener later, on another thread, so a node that looked after 30 ms whether its target still listens could still connect, and counted no crash. A process that ends closes both at once.

The accept loop now drops the listener, then closes the connections. The test itself is unchanged.

--- a/tests/platform/target.rs
+++ b/tests/platform/target.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::io::{BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -54,8 +54,10 @@
     let (name, run) = (name.to_owned(), Arc::new(run));
     thread::spawn(move || {
         loop {
-            serve_incarnation(&listener, &name, &run);
+            let incarnation = serve_incarnation(&listener, &name, &run);
+            // A node that loses its connection checks whether the target still listens.
             drop(listener);
+            incarnation.close_connections();
             let Some(downtime) = downtime else { return };
             thread::sleep(downtime);
             listener = TcpListener::bind(address).unwrap();
@@ -63,8 +65,8 @@
     });
 }
 
-/// Serves one incarnation of a target until its end.
-fn serve_incarnation<R>(listener: &TcpListener, name: &str, run: &Arc<R>)
+/// Serves one incarnation of a target until its end. Its connections are still open then.
+fn serve_incarnation<R>(listener: &TcpListener, name: &str, run: &Arc<R>) -> Arc<Incarnation>
 where
     R: Fn(&str) -> Answer + Send + Sync + 'static,
 {
@@ -72,7 +74,7 @@
     let address = listener.local_addr().unwrap();
     for stream in listener.incoming() {
         let stream = stream.unwrap();
-        let Some(number) = incarnation.add(&stream) else { return };
+        let Some(number) = incarnation.add(&stream) else { break };
         let (name, run, incarnation) = (name.to_owned(), Arc::clone(run), Arc::clone(&incarnation));
         thread::spawn(move || {
             let mut writer = stream.try_clone().unwrap();
@@ -87,40 +89,44 @@
             incarnation.remove(number);
         });
     }
+    incarnation
 }
 
-/// The open connections of one incarnation of a target, by number; none after its end.
-struct Incarnation(Mutex<Option<HashMap<usize, TcpStream>>>);
-
-impl Default for Incarnation {
-    fn default() -> Self {
-        Self(Mutex::new(Some(HashMap::new())))
-    }
+/// The open connections of one incarnation of a target, by number.
+#[derive(Default)]
+struct Incarnation {
+    connections: Mutex<HashMap<usize, TcpStream>>,
+    has_ended: AtomicBool,
 }
 
 impl Incarnation {
     /// Adds a connection and returns its number; none if the target has ended.
     fn add(&self, stream: &TcpStream) -> Option<usize> {
         static NEXT: AtomicUsize = AtomicUsize::new(0);
-        let mut connections = self.0.lock().unwrap();
+        if self.has_ended.load(Ordering::SeqCst) {
+            return None;
+        }
         let number = NEXT.fetch_add(1, Ordering::Relaxed);
-        connections.as_mut()?.insert(number, stream.try_clone().unwrap());
+        self.connections.lock().unwrap().insert(number, stream.try_clone().unwrap());
         Some(number)
     }
 
     /// Removes a connection that the peer has closed.
     fn remove(&self, number: usize) {
-        if let Some(connections) = self.0.lock().unwrap().as_mut() {
-            connections.remove(&number);
-        }
+        self.connections.lock().unwrap().remove(&number);
     }
 
-    /// Ends the target and closes its connections.
+    /// Ends the target. Its listener closes first, then its connections.
     fn end(&self, address: SocketAddr) {
-        let Some(connections) = self.0.lock().unwrap().take() else { return };
-        // Unblocks the accept loop, which then closes the listener.
-        drop(TcpStream::connect(address));
-        for connection in connections.into_values() {
+        if !self.has_ended.swap(true, Ordering::SeqCst) {
+            // Unblocks the accept loop.
+            drop(TcpStream::connect(address));
+        }
+    }
+
+    /// Closes all connections.
+    fn close_connections(&self) {
+        for connection in self.connections.lock().unwrap().values() {
             drop(connection.shutdown(Shutdown::Both));
         }
     }
