Avoid a target whose limit is used up for 1.5 s at most

Callers saw one target of eight get a quarter of its share 4 s after it had ceased to name a limit of 0: limits::a_limit_of_zero_ends_once_it_is_no_longer_named failed in the second run of all checks (12 requests in a second, 48 on average) at a load average of 9 to 11. Cause: a sender avoided such a target for up to 6 s after repeated refusals. Once the other targets had capacity again, no sender offered it a call, so no answer could tell that its limit had ended.

The time is now 1 s, spread to 1.5 s at most. A limit of 0 lets a request through every 2 s, so its end is learned within 4 s of the last answer that named it. Many senders that share a low limit are refused more often for it: some 200 a second with 200 of them (worked out).

--- a/src/mesh/peer_limit.rs
+++ b/src/mesh/peer_limit.rs
@@ -13,8 +13,9 @@
 /// Minimum time for which no call is offered after one was refused because of the limit. Several
 /// senders that return this often use up the limit.
 const HOLD_MIN: Duration = Duration::from_millis(300);
-/// Maximum time for which no call is offered, reached by many senders that share a low limit.
-const HOLD_MAX: Duration = Duration::from_secs(4);
+/// Maximum time for which no call is offered. The end of a limit is learned only from answers, so it
+/// must not be long.
+const HOLD_MAX: Duration = Duration::from_secs(1);
 /// Factor on the hold for a call that was refused, and divisor for one that was accepted.
 const HOLD_FACTOR: u32 = 2;
 
--- a/tests/mesh/limits.rs
+++ b/tests/mesh/limits.rs
@@ -6,6 +6,9 @@
 
 use aspenspring::mesh::named_limit::NamedLimits;
 use aspenspring::mesh::pacer::Pacer;
+use aspenspring::mesh::peer_limit::PeerLimit;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, interval, sleep};
 
@@ -245,3 +248,20 @@
         }
     });
 }
+
+#[test]
+fn a_hold_ends_in_time_to_learn_that_a_limit_has_ended() {
+    // Within 4 s of the last answer, of which a limit of 0 takes 2 s until the next request.
+    const HELD_MAX: Duration = Duration::from_secs(2);
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    let runtime = builder.enable_time().start_paused(true).build().unwrap();
+    runtime.block_on(async {
+        let limit = PeerLimit::default();
+        let mut rng = SmallRng::seed_from_u64(1);
+        for _ in 0..200 {
+            limit.record_refused(&mut rng);
+            sleep(HELD_MAX).await;
+            assert!(!limit.is_held(Instant::now()));
+        }
+    });
+}
