Describe, report and charge limits in one place each

Read once more as a newcomer; behaviour is unchanged.

- TargetLimit::text describes a limit; NamedLimit, PeerLimit and a Display type each had a part of that.
- Target::limit is what is known of the limit; the second getter only filtered what all its callers filter again.
- retry_after_ms decides for all reasons; overload had a function of its own, and an arm for it that was never reached.
- Dispatch keeps the target that refused a call for its limit; the flag beside it could be derived.
- Pacer::set only refills and sets: a bucket without a limit is empty anyway.
- Load::utilisation serves windows, levels and the model, which divided by hand.

--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -342,8 +342,8 @@
         for peer in self.peers.borrow().values() {
             if peer.open_link().is_some() {
                 let status = peer.status.borrow();
-                let limit = peer.limit.of(&status.incarnation);
-                let load = limit.map_or(status.load, |limit| status.load.busier(limit.load));
+                let demand = peer.limit.demand_on(&status.incarnation);
+                let load = demand.map_or(status.load, |demand| status.load.busier(demand));
                 add_to_view(&mut views, &status, load);
             }
         }
--- a/src/mesh/frame.rs
+++ b/src/mesh/frame.rs
@@ -96,6 +96,14 @@
     pub load: Load,
 }
 
+impl TargetLimit {
+    /// Describes the limit for the log; `None` if there is none.
+    pub fn text(&self) -> Option<String> {
+        let (per_s, id, age_ms) = (self.per_s?, &self.incarnation.id, self.age_ms);
+        Some(format!("{per_s} per second, named by {id} {age_ms} ms ago"))
+    }
+}
+
 /// Tokens granted by the owner of a quota.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QuotaGrant {
--- a/src/mesh/ingress.rs
+++ b/src/mesh/ingress.rs
@@ -297,7 +297,7 @@
     if admitted.is_none() {
         return Err(Rejection::new(
             NotRun::Shed,
-            sender::overload_retry_after_ms(node, route),
+            sender::retry_after_ms(node, route, NotRun::Shed),
             team,
         ));
     }
--- a/src/mesh/levels.rs
+++ b/src/mesh/levels.rs
@@ -124,8 +124,7 @@
     if load.limit == 0 {
         return 0.0;
     }
-    let work = f64::from(load.running + load.waiting) / f64::from(load.limit);
-    let excess = work - DESIRED_WORK;
+    let excess = load.utilisation() - DESIRED_WORK;
     if excess > 0.0 {
         -(excess * FALL_RATE).min(FALL_MAX)
     } else {
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -22,6 +22,7 @@
 pub mod ingress;
 pub mod launch;
 pub mod levels;
+pub mod limit_reports;
 pub mod linger;
 pub mod link;
 pub mod metrics;
--- a/src/mesh/named_limit.rs
+++ b/src/mesh/named_limit.rs
@@ -5,7 +5,6 @@
 //! had last been named.
 
 use std::cell::RefCell;
-use std::fmt;
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -34,12 +33,6 @@
     pub fn age(&self) -> Duration {
         self.since.elapsed()
     }
-
-    /// Describes the limit for the log; `None` if there is none.
-    pub fn text(&self) -> Option<String> {
-        let (incarnation, age) = (&self.incarnation, self.age());
-        Some(LimitText { per_s: self.per_s?, incarnation, age }.to_string())
-    }
 }
 
 /// The limits of the incarnations that answered last, oldest first.
@@ -58,7 +51,8 @@
         let now = Instant::now();
         let mut limits = self.0.borrow_mut();
         let Some(known) = limits.iter_mut().find(|known| known.incarnation == *incarnation) else {
-            insert(&mut limits, incarnation, per_s, now);
+            let incarnation = incarnation.clone();
+            insert(&mut limits, NamedLimit { incarnation, per_s, since: now, last_named_at: now });
             return per_s.is_some();
         };
         let is_newer = sent_at.is_some_and(|sent_at| sent_at >= known.last_named_at);
@@ -87,12 +81,13 @@
             return false;
         }
         let now = Instant::now();
-        let since = now.checked_sub(age).unwrap_or(now);
-        let mut limits = self.0.borrow_mut();
-        insert(&mut limits, incarnation, Some(per_s), now);
-        if let Some(restored) = limits.last_mut() {
-            restored.since = since;
-        }
+        let restored = NamedLimit {
+            incarnation: incarnation.clone(),
+            per_s: Some(per_s),
+            since: now.checked_sub(age).unwrap_or(now),
+            last_named_at: now,
+        };
+        insert(&mut self.0.borrow_mut(), restored);
         true
     }
 
@@ -102,32 +97,9 @@
     }
 }
 
-fn insert(
-    limits: &mut Vec<NamedLimit>,
-    incarnation: &Incarnation,
-    per_s: Option<f64>,
-    now: Instant,
-) {
+fn insert(limits: &mut Vec<NamedLimit>, limit: NamedLimit) {
     if limits.len() >= KEPT_MAX {
         limits.remove(0);
     }
-    let incarnation = incarnation.clone();
-    limits.push(NamedLimit { incarnation, per_s, since: now, last_named_at: now });
-}
-
-/// Describes a limit for the log: its value, the target that named it and its age.
-pub struct LimitText<'a> {
-    /// The requests per second.
-    pub per_s: f64,
-    /// The incarnation that named it.
-    pub incarnation: &'a Incarnation,
-    /// How long ago it was first named.
-    pub age: Duration,
-}
-
-impl fmt::Display for LimitText<'_> {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { per_s, incarnation, age } = self;
-        write!(f, "{per_s} per second, named by {} {} ms ago", incarnation.id, age.as_millis())
-    }
+    limits.push(limit);
 }
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -16,10 +16,11 @@
 use super::budget::RetryBudgets;
 use super::directory::Directory;
 use super::follower::StoreWatch;
-use super::frame::{Frame, Hello, RootWork, Status, TargetLimit};
+use super::frame::{Frame, Hello, RootWork, Status};
 use super::header_names::HeaderNames;
 use super::inbound::InboundLinks;
 use super::incarnation::Incarnation;
+use super::limit_reports;
 use super::link::Link;
 use super::metrics::MeshMetrics;
 use super::overload::{Overload, ServiceView};
@@ -281,41 +282,6 @@
         self.broadcast_status();
     }
 
-    /// Logs that the limit of an incarnation of the target has changed, and reports that of the
-    /// current one to the peers.
-    pub fn limit_changed(&self, incarnation: &Incarnation, learned_from: &'static str) {
-        let limit = self.target.limit_of(incarnation);
-        self.log.emit(&LogEvent::TargetSignalled {
-            instance: incarnation.id.clone(),
-            limit_per_s: limit.map(|per_s| per_s.to_string()).unwrap_or_default(),
-            leaving: self.target.has_left(incarnation),
-            learned_from,
-        });
-        if let Some(limit) = self.limit_report() {
-            self.inbound.report_limit(limit);
-        }
-    }
-
-    /// The limit of the current incarnation, as sent to peers; `None` if it has not answered yet.
-    pub fn limit_report(&self) -> Option<TargetLimit> {
-        let limit = self.target.known_limit()?;
-        let load = self.target.gate.demand();
-        let age_ms = limit.age().as_millis() as u32;
-        Some(TargetLimit { incarnation: limit.incarnation, per_s: limit.per_s, age_ms, load })
-    }
-
-    /// Reports the demand on the limit of the local target to the peers, if a report is due.
-    /// `targets` is the number of targets of the service.
-    fn send_due_limit(&self, targets: usize) {
-        if !self.target.gate.pacer.is_limited() {
-            return;
-        }
-        let Some(limit) = self.limit_report() else { return };
-        if self.inbound.is_limit_due(limit.load, targets) {
-            self.inbound.report_limit(limit);
-        }
-    }
-
     /// The status of the node, as sent to peers.
     pub fn status(&self) -> Status {
         let current = self.target.current();
@@ -386,7 +352,7 @@
             self.quotas.set_fleet(fleet, Instant::now());
             admission::return_expired_tokens(self);
         }
-        self.send_due_limit(all + 1);
+        limit_reports::send_due(self, all + 1);
         let services = self.directory.services(&status, self.target.gate.demand());
         let entries = self.directory.linked() + 1;
         self.overload.adjust(&services, site.rank_max(), entries);
--- a/src/mesh/overload.rs
+++ b/src/mesh/overload.rs
@@ -148,12 +148,10 @@
             if view.load.limit == 0 {
                 continue;
             }
-            let requests = f64::from(view.load.running + view.load.waiting);
-            let utilisation = requests / f64::from(view.load.limit);
             let in_flight = self.in_flight_through(view.roots.keys());
             if let Some(window) = windows.get_mut(service) {
                 let fair = f64::from(view.load.limit) / entries.max(1) as f64 * FAIR_SHARE_FACTOR;
-                window.adjust(utilisation, in_flight, top, fair);
+                window.adjust(view.load.utilisation(), in_flight, top, fair);
                 window.set_roots(view.roots.keys());
                 continue;
             }
--- a/src/mesh/pacer.rs
+++ b/src/mesh/pacer.rs
@@ -60,11 +60,7 @@
     /// was no limit before.
     pub fn set(&self, per_s: Option<f64>) {
         self.refill();
-        if self.per_s.replace(per_s).is_none() {
-            self.tokens.set(0.0);
-        }
-        let kept = self.tokens.get().min(self.capacity());
-        self.tokens.set(kept);
+        self.per_s.set(per_s);
     }
 
     /// Whether there is a limit.
@@ -107,7 +103,7 @@
     /// (waiting), and the limit. Scaled down to at most `slots`, as the target can run no more.
     /// `None` without a limit.
     pub fn load(&self, slots: u32) -> Option<Load> {
-        let rate = self.per_s.get()?.max(RATE_MIN_PER_S);
+        let rate = self.rate()?;
         let limit = rate.round().clamp(1.0, f64::from(slots.max(1)));
         let scaled = |per_s: f64| (per_s * limit / rate).round() as u32;
         Some(Load {
@@ -117,21 +113,20 @@
         })
     }
 
-    fn rate(&self) -> f64 {
-        self.per_s.get().map_or(0.0, |per_s| per_s.max(RATE_MIN_PER_S))
+    /// The rate at which tokens are added, per second; `None` without a limit.
+    fn rate(&self) -> Option<f64> {
+        self.per_s.get().map(|per_s| per_s.max(RATE_MIN_PER_S))
     }
 
+    /// The size of the bucket; 0 without a limit.
     fn capacity(&self) -> f64 {
-        match self.per_s.get() {
-            Some(per_s) => 1.0 + per_s * BURST_PERIOD.as_secs_f64(),
-            None => 0.0,
-        }
+        self.per_s.get().map_or(0.0, |per_s| 1.0 + per_s * BURST_PERIOD.as_secs_f64())
     }
 
     fn refill(&self) {
         let now = Instant::now();
         let elapsed_s = (now - self.updated_at.replace(now)).as_secs_f64();
-        let tokens = self.tokens.get() + self.rate() * elapsed_s;
+        let tokens = self.tokens.get() + self.rate().unwrap_or(0.0) * elapsed_s;
         self.tokens.set(tokens.min(self.capacity()));
     }
 }
--- a/src/mesh/peer_limit.rs
+++ b/src/mesh/peer_limit.rs
@@ -6,9 +6,8 @@
 use rand::Rng;
 use tokio::time::Instant;
 
-use super::frame::TargetLimit;
+use super::frame::{Load, TargetLimit};
 use super::incarnation::Incarnation;
-use super::named_limit::LimitText;
 
 /// Minimum time for which no call is offered after one was refused because of the limit. Several
 /// senders that return this often use up the limit.
@@ -62,22 +61,11 @@
         Some(TargetLimit { age_ms, ..limit.clone() })
     }
 
-    /// Like `reported`, but only if it was named by `incarnation`.
-    pub fn of(&self, incarnation: &Incarnation) -> Option<TargetLimit> {
-        let is_of = self
-            .reported
-            .borrow()
-            .as_ref()
-            .is_some_and(|(limit, _)| limit.incarnation == *incarnation);
-        if is_of { self.reported() } else { None }
-    }
-
-    /// Describes the limit for the log; `None` if no limit is in force.
-    pub fn text(&self) -> Option<String> {
-        let limit = self.reported()?;
-        let age = Duration::from_millis(limit.age_ms.into());
-        let text = LimitText { per_s: limit.per_s?, incarnation: &limit.incarnation, age };
-        Some(text.to_string())
+    /// The demand on the target, if `incarnation` has named the limit last reported.
+    pub fn demand_on(&self, incarnation: &Incarnation) -> Option<Load> {
+        let reported = self.reported.borrow();
+        let (limit, _) = reported.as_ref()?;
+        (limit.incarnation == *incarnation).then_some(limit.load)
     }
 
     /// Records that a call was accepted.
--- a/src/mesh/peers.rs
+++ b/src/mesh/peers.rs
@@ -15,7 +15,8 @@
 
 use super::crash_reports;
 use super::directory::Peer;
-use super::frame::{Call, Frame, TargetLimit};
+use super::frame::{Call, Frame};
+use super::limit_reports;
 use super::link::Link;
 use super::node::Node;
 use super::receiver;
@@ -205,7 +206,8 @@
             }
             node.inbound.add(&link, &hello.failure_domain);
             link.send(&Frame::Hello(node.hello(Vec::new())));
-            if let Some(limit) = node.limit_report().filter(|limit| limit.per_s.is_some()) {
+            if let Some(limit) = limit_reports::current(&node).filter(|limit| limit.per_s.is_some())
+            {
                 link.send(&Frame::Limit(limit));
             }
             let suspicions = node.quarantine.suspicions();
@@ -224,7 +226,7 @@
                 call.abort();
             }
         }
-        Frame::Limit(limit) => restore_limit(&node, &link, &limit),
+        Frame::Limit(limit) => limit_reports::restore(&node, &link, &limit),
         Frame::Unmet => node.target.gate.pacer.record_unmet(),
         Frame::Ping => link.send(&node.inbound.load_frame(&node.status())),
         Frame::NeighboursWanted => link.send(&Frame::Neighbours(node.directory.neighbours())),
@@ -257,18 +259,6 @@
     node.inbound.remove(&link);
 }
 
-/// Applies a limit that a peer was told before it lost its link to this node, or corrects the peer
-/// if it is outdated.
-fn restore_limit(node: &Node, link: &Link, limit: &TargetLimit) {
-    let Some(per_s) = limit.per_s else { return };
-    let age = Duration::from_millis(limit.age_ms.into());
-    if node.target.restore_limit(&limit.incarnation, per_s, age) {
-        node.limit_changed(&limit.incarnation, "peer");
-    } else if let Some(current) = node.limit_report() {
-        link.send(&Frame::Limit(current));
-    }
-}
-
 /// Runs one call and sends its answer.
 async fn serve_call(
     node: Rc<Node>,
--- a/src/mesh/receiver.rs
+++ b/src/mesh/receiver.rs
@@ -4,6 +4,7 @@
 //! draining incarnation gets no request, no more requests run than it has slots, and "not run" is
 //! reported only for a request that the target has not run.
 
+use std::borrow::Cow;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -22,6 +23,7 @@
 use super::gate::GateError;
 use super::http1::{Connection, ExchangeError, Reply};
 use super::incarnation::Incarnation;
+use super::limit_reports;
 use super::node::{CountGuard, Node};
 use super::running_requests::ParentRequest;
 use super::signal::Signal;
@@ -102,7 +104,7 @@
     if *end != CallEnd::NotRun(NotRun::Limited) {
         return String::new();
     }
-    node.target.limit().and_then(|limit| limit.text()).unwrap_or_default()
+    limit_reports::current(node).and_then(|limit| limit.text()).unwrap_or_default()
 }
 
 /// The fingerprint of a call whose connection to the target broke; empty for all others, as
@@ -246,7 +248,7 @@
 fn apply_signal(node: &Node, instance: &Instance, reply: &Reply, sent_at: Option<Instant>) {
     let Some(incarnation) = answering_incarnation(node, instance, reply) else { return };
     let signal = Signal::read(reply, &node.header_names);
-    let has_left = signal.is_leaving && !node.target.has_left(&incarnation);
+    let begins_to_leave = signal.is_leaving && !node.target.has_left(&incarnation);
     if signal.is_leaving && node.target.mark_left(&incarnation) {
         node.target_changed("answer");
     }
@@ -258,19 +260,23 @@
             false
         }
     };
-    if has_changed || has_left {
-        node.limit_changed(&incarnation, "answer");
+    if has_changed || begins_to_leave {
+        limit_reports::signal_changed(node, &incarnation, "answer");
     }
 }
 
 /// The incarnation that sent an answer to a request for `expected`; `None` if it is another one and
 /// does not state its id.
-fn answering_incarnation(node: &Node, expected: &Instance, reply: &Reply) -> Option<Incarnation> {
+fn answering_incarnation<'a>(
+    node: &Node,
+    expected: &'a Instance,
+    reply: &Reply,
+) -> Option<Cow<'a, Incarnation>> {
     if reply.status != http::StatusCode::MISDIRECTED_REQUEST.as_u16() {
-        return Some(expected.incarnation.clone());
+        return Some(Cow::Borrowed(&expected.incarnation));
     }
     let id = reply.header(node.header_names.instance_id.as_str())?;
-    Some(node.target.incarnation(id))
+    Some(Cow::Owned(node.target.incarnation(id)))
 }
 
 /// Whether the sender may retry a call that may have run.
--- a/src/mesh/sender.rs
+++ b/src/mesh/sender.rs
@@ -13,6 +13,7 @@
 use super::directory::{Destination, LIMITED_COST, PickRequest, utilisation_of};
 use super::fingerprint::Fingerprint;
 use super::frame::{Call, CallEnd, Doubt, Frame, Header, NotRun, TargetAnswer};
+use super::limit_reports;
 use super::node::{CountGuard, Node};
 use super::quarantine::Standing;
 use super::receiver;
@@ -113,8 +114,8 @@
     tried: Vec<SocketAddr>,
     /// Whether it was offered to the local target.
     tried_local: bool,
-    /// Whether a target refused it because of its limit.
-    met_limit: bool,
+    /// The target that refused it last because of its limit.
+    limited_by: Option<Destination>,
     /// The attempts so far, for the log.
     summary: RequestSummary,
 }
@@ -135,7 +136,7 @@
         request,
         tried: Vec::new(),
         tried_local: false,
-        met_limit: false,
+        limited_by: None,
         summary: RequestSummary::default(),
     };
     let outcome = dispatch.run().await;
@@ -157,13 +158,11 @@
         let mut doubt = None;
         // So does a failure reported by a target.
         let mut failure = None;
-        let mut last_limited = None;
         for _ in 0..OFFERS_MAX {
             let Some(destination) = self.pick().or_else(|| self.pick_tried()) else { break };
             last = self.attempt(&destination).await;
             if last == CallEnd::NotRun(NotRun::Limited) {
-                self.met_limit = true;
-                last_limited = Some(destination);
+                self.limited_by = Some(destination);
             }
             match &last {
                 CallEnd::MayHaveRun(found) => doubt = Some(*found),
@@ -174,8 +173,8 @@
                 break;
             }
         }
-        if let (CallEnd::NotRun(NotRun::Limited), Some(destination)) = (&last, &last_limited) {
-            self.record_unmet(destination);
+        if last == CallEnd::NotRun(NotRun::Limited) {
+            self.record_unmet();
         }
         match (last, failure, doubt) {
             (CallEnd::Answered(answer), ..) | (CallEnd::NotRun(_), Some(answer), _) => {
@@ -186,10 +185,8 @@
             }
             (CallEnd::NotRun(reason), None, None) => {
                 let quarantine_ms = self.quarantine_left().map(|left| left.as_millis() as u64);
-                let retry_after_ms = quarantine_ms.unwrap_or_else(|| match reason {
-                    NotRun::Limited => overload_retry_after_ms(self.node, self.route),
-                    _ => retry_after_ms(reason),
-                });
+                let retry_after_ms =
+                    quarantine_ms.unwrap_or_else(|| retry_after_ms(self.node, self.route, reason));
                 Outcome::refused(reason, retry_after_ms)
             }
         }
@@ -197,20 +194,21 @@
 
     /// Reports to the target that refused the request last because of its limit that no other one
     /// could take it.
-    fn record_unmet(&mut self, destination: &Destination) {
-        let limit = match destination {
-            Destination::Local => {
+    fn record_unmet(&mut self) {
+        let limit = match &self.limited_by {
+            Some(Destination::Local) => {
                 self.node.target.gate.pacer.record_unmet();
-                self.node.target.limit().and_then(|limit| limit.text())
+                limit_reports::current(self.node)
             }
-            Destination::Peer(peer) => {
+            Some(Destination::Peer(peer)) => {
                 if let Some(link) = peer.open_link() {
                     link.send(&Frame::Unmet);
                 }
-                peer.limit.text()
+                peer.limit.reported()
             }
+            None => None,
         };
-        self.summary.target_limit = limit.unwrap_or_default();
+        self.summary.target_limit = limit.and_then(|limit| limit.text()).unwrap_or_default();
     }
 
     /// Whether the quarantine lets the request run, as far as this node knows.
@@ -261,10 +259,11 @@
     /// The next target, if any.
     fn pick(&self) -> Option<Destination> {
         let node = self.node;
-        let may_use_local = !self.tried_local && node.accepts_calls();
-        let current = node.target.current().filter(|known| known.service == self.service);
+        let allows_limited = self.limited_by.is_none();
         let is_limited = !node.target.gate.pacer.has_token(self.request.rank);
-        let may_use_local = may_use_local && !(self.met_limit && is_limited);
+        let may_use_local =
+            !self.tried_local && node.accepts_calls() && (allows_limited || !is_limited);
+        let current = node.target.current().filter(|known| known.service == self.service);
         let local_utilisation = current.filter(|_| may_use_local).map(|known| {
             utilisation_of(node.target.load(), 0, known.is_cold)
                 + node.target.failing.cost(Instant::now())
@@ -275,7 +274,7 @@
             local_utilisation,
             tried: &self.tried,
             // Offers to one target with a used-up limit after the other would multiply its calls.
-            allows_limited: !self.met_limit,
+            allows_limited,
         };
         let mut rng = node.rng.borrow_mut();
         node.directory.pick(&wanted, &mut *rng)
@@ -394,33 +393,30 @@
 }
 
 /// `Retry-After` for a refusal, in milliseconds.
-fn retry_after_ms(reason: NotRun) -> u64 {
+///
+/// Under overload, it is short enough for the retry to be answered within the objective, and
+/// randomized to spread out the retries of callers that were refused at the same time.
+pub fn retry_after_ms(node: &Node, route: &Route, reason: NotRun) -> u64 {
     match reason {
+        NotRun::Shed | NotRun::Limited => {
+            let objective_ms = route.objective_ms.max(RETRY_AFTER_OBJECTIVE_MIN_MS);
+            let share = node.rng.borrow_mut().random_range(RETRY_AFTER_FRACTIONS);
+            (objective_ms as f64 * share) as u64
+        }
         NotRun::NoTarget | NotRun::Leaving | NotRun::Unreachable | NotRun::Unsent => {
             RETRY_AFTER_NO_TARGET_MS
         }
-        NotRun::Shed
-        | NotRun::Closing
+        NotRun::Closing
         | NotRun::QueueFull
         | NotRun::Expired
         | NotRun::Declined
         | NotRun::NoKey
         | NotRun::OverQuota
         | NotRun::Orphaned
-        | NotRun::Quarantined
-        | NotRun::Limited => RETRY_AFTER_BUSY_MS,
+        | NotRun::Quarantined => RETRY_AFTER_BUSY_MS,
     }
 }
 
-/// `Retry-After` for a request that was refused because of overload, in milliseconds: short enough
-/// for the retry to be answered within the objective, and randomized to spread out the retries of
-/// callers that were refused at the same time.
-pub fn overload_retry_after_ms(node: &Node, route: &Route) -> u64 {
-    let objective_ms = route.objective_ms.max(RETRY_AFTER_OBJECTIVE_MIN_MS);
-    let share = node.rng.borrow_mut().random_range(RETRY_AFTER_FRACTIONS);
-    (objective_ms as f64 * share) as u64
-}
-
 /// Counts a request of a caller as in flight until the guard is dropped.
 pub fn count_in_flight(node: &Node) -> CountGuard<'_> {
     CountGuard::new(&node.in_flight, 1)
--- a/src/mesh/target.rs
+++ b/src/mesh/target.rs
@@ -210,13 +210,8 @@
         self.left.borrow().clone()
     }
 
-    /// The limit that the current incarnation has named, if any.
-    pub fn limit(&self) -> Option<NamedLimit> {
-        self.known_limit().filter(|limit| limit.per_s.is_some())
-    }
-
     /// What is known of the limit of the current incarnation; `None` before its first answer.
-    pub fn known_limit(&self) -> Option<NamedLimit> {
+    pub fn limit(&self) -> Option<NamedLimit> {
         self.limits.of(&self.current()?.incarnation)
     }
 
--- a/tests/emulator/mod.rs
+++ b/tests/emulator/mod.rs
@@ -333,8 +333,7 @@
         sleep(ADJUST_INTERVAL).await;
         let mut busiest: f64 = 0.0;
         for view in simulation.views().values() {
-            let work = f64::from(view.load.running + view.load.waiting);
-            busiest = busiest.max(work / f64::from(view.load.limit));
+            busiest = busiest.max(view.load.utilisation());
         }
         simulation.report.borrow_mut().work.push(busiest);
         let published_views = simulation.published_views.borrow().clone();
