Use one paused clock and plain header lines in the tests

paused moves to the support of the mesh tests; decisions and properties had one each, limits built two. The soak compares header lines in lower case instead of building them anew, and computes its bound from its window. In limits, a cleared list that nothing reads and a parameter with one value go.

--- a/tests/mesh/decisions.rs
+++ b/tests/mesh/decisions.rs
@@ -10,10 +10,10 @@
 use aspenspring::mesh::site::{Limits, Route, RouteKind, Site};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::spawn_local;
 use tokio::time::sleep;
 
-use super::support::route;
+use super::support::{paused, route};
 
 #[test]
 fn a_request_takes_the_route_of_its_host_with_the_longest_prefix() {
@@ -32,13 +32,6 @@
     assert_eq!(name("other.test", "/a/b/x").as_deref(), None);
 }
 
-/// Runs a test of the queue on a paused clock.
-fn paused(test: impl Future<Output = ()>) {
-    let mut builder = tokio::runtime::Builder::new_current_thread();
-    let runtime = builder.enable_all().start_paused(true).build().unwrap();
-    LocalSet::new().block_on(&runtime, test);
-}
-
 #[test]
 fn the_queue_prefers_rank_without_starvation() {
     paused(async {
--- a/tests/mesh/limits.rs
+++ b/tests/mesh/limits.rs
@@ -13,8 +13,8 @@
 use tokio::time::{Instant, interval, sleep};
 
 use super::support::{
-    Reaction, TestNode, ask, header, heartbeat, incarnation, link_nodes, request, run, start,
-    status,
+    Reaction, TestNode, ask, header, heartbeat, incarnation, link_nodes, paused, request, run,
+    start, status,
 };
 
 /// The most requests that a target may get in four seconds, by the limit that it names.
@@ -33,12 +33,12 @@
     (first, second, stock)
 }
 
-/// Sends requests to both entry nodes for `period`. Returns the statuses of the answers.
-async fn send_for(period: Duration, entries: [&TestNode; 2], route: &str) -> Vec<u16> {
+/// Sends reads to both entry nodes for `period`. Returns the statuses of the answers.
+async fn send_for(period: Duration, entries: [&TestNode; 2]) -> Vec<u16> {
     let (until, mut statuses) = (Instant::now() + period, Vec::new());
     while Instant::now() < until {
         for entry in entries {
-            let answer = ask(entry, &request(route, &format!("a{}", statuses.len()))).await;
+            let answer = ask(entry, &request("read", &format!("a{}", statuses.len()))).await;
             statuses.push(status(&answer));
         }
         sleep(Duration::from_millis(2)).await;
@@ -50,7 +50,7 @@
 fn a_target_gets_no_more_than_the_limit_that_it_names() {
     run(async {
         let (first, second, stock) = start_site("x-limit: 4\r\n").await;
-        let statuses = send_for(Duration::from_millis(3_500), [&first, &second], "read").await;
+        let statuses = send_for(Duration::from_millis(3_500), [&first, &second]).await;
         let arrivals = stock.target.arrivals();
         assert!(arrivals <= allowed(4.0), "{arrivals} of {} arrived", statuses.len());
     });
@@ -179,9 +179,7 @@
     run(async {
         let site = Site::start().await;
         site.name_limit(8, "30");
-        sleep(Duration::from_secs(1)).await;
-        site.statuses.borrow_mut().clear();
-        sleep(Duration::from_secs(4)).await;
+        sleep(Duration::from_secs(5)).await;
         let count = |route: &str| {
             let is_of = |request: &&String| request.starts_with(&format!("GET /{route}/"));
             site.targets
@@ -215,9 +213,7 @@
 
 #[test]
 fn no_four_seconds_exceed_a_limit_after_any_pause() {
-    let mut builder = tokio::runtime::Builder::new_current_thread();
-    let runtime = builder.enable_time().start_paused(true).build().unwrap();
-    runtime.block_on(async {
+    paused(async {
         for limit_per_s in [0.0, 0.3, 1.0, 6.5, 29.2, 300.0] {
             let pacer = Pacer::default();
             pacer.set(Some(limit_per_s));
@@ -253,9 +249,7 @@
 fn a_hold_ends_in_time_to_learn_that_a_limit_has_ended() {
     // Within 4 s of the last answer, of which a limit of 0 takes 2 s until the next request.
     const HELD_MAX: Duration = Duration::from_secs(2);
-    let mut builder = tokio::runtime::Builder::new_current_thread();
-    let runtime = builder.enable_time().start_paused(true).build().unwrap();
-    runtime.block_on(async {
+    paused(async {
         let limit = PeerLimit::default();
         let mut rng = SmallRng::seed_from_u64(1);
         for _ in 0..200 {
--- a/tests/mesh/properties.rs
+++ b/tests/mesh/properties.rs
@@ -18,7 +18,7 @@
 use rand::{Rng, SeedableRng};
 use tokio::time::advance;
 
-use super::support::route;
+use super::support::{paused, route};
 
 /// Headers, some of which occur often and others rarely.
 fn headers() -> impl Strategy<Value = Vec<Header>> {
@@ -202,7 +202,7 @@
         skew in 0.0..4.0_f64,
         seed in any::<u64>(),
     ) {
-        let sent = run_paused(simulate_retries(nodes, &rates, &failing, skew, seed));
+        let sent = paused(simulate_retries(nodes, &rates, &failing, skew, seed));
         for begin in 0..sent.len().saturating_sub(SPAN_STEPS) {
             let retries: u32 = sent[begin..begin + SPAN_STEPS].iter().map(|step| step.retries).sum();
             let begins = [begin, begin.saturating_sub(SPAN_STEPS), begin.saturating_sub(SPAN_STEPS / 2)];
@@ -222,7 +222,7 @@
     /// moment, which still stays within the slack.
     #[test]
     fn an_unspent_budget_stays_within_the_slack(nodes in 1_usize..400, seed in any::<u64>()) {
-        let taken = run_paused(async move {
+        let taken = paused(async move {
             let mut rng = SmallRng::seed_from_u64(seed);
             let budgets: Vec<_> = (0..nodes)
                 .map(|_| RetryBudgets::new(&RetrySection { share: SHARE, slack: SLACK }))
@@ -263,12 +263,6 @@
     retries: u32,
 }
 
-/// Runs a test on a paused clock, which the test advances.
-fn run_paused<T>(test: impl Future<Output = T>) -> T {
-    let mut builder = tokio::runtime::Builder::new_current_thread();
-    builder.enable_time().start_paused(true).build().unwrap().block_on(test)
-}
-
 /// Simulates nodes that send requests to a service in phases. Each phase has a mean rate, in
 /// requests per second and node, and a share of failures. `skew` gives nodes with smaller numbers
 /// more of the requests.
--- a/tests/mesh/support.rs
+++ b/tests/mesh/support.rs
@@ -43,6 +43,13 @@
     });
 }
 
+/// Runs a test in one thread on a paused clock.
+pub fn paused<T>(test: impl Future<Output = T>) -> T {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    let runtime = builder.enable_all().start_paused(true).build().unwrap();
+    LocalSet::new().block_on(&runtime, test)
+}
+
 /// A loopback address that no other node or test process uses, so that ports can be fixed.
 fn next_address() -> Ipv4Addr {
     static NEXT: AtomicU8 = AtomicU8::new(1);
--- a/tests/platform/soak/callers.rs
+++ b/tests/platform/soak/callers.rs
@@ -196,14 +196,7 @@
         match name.to_ascii_lowercase().as_str() {
             "attempt-id" => value.clone_into(&mut answer.attempt),
             "response-signature" => value.clone_into(&mut answer.signature),
-            "server-limit" | "server-leaving" => {
-                let name = if name.eq_ignore_ascii_case("server-limit") {
-                    "Server-Limit"
-                } else {
-                    "Server-Leaving"
-                };
-                answer.signals += &format!("{name}: {value}\r\n");
-            }
+            "server-limit" | "server-leaving" => answer.signals += &line.to_ascii_lowercase(),
             "retry-after" => answer.retry_after = Duration::from_secs_f64(value.parse().ok()?),
             "connection" => answer.closes_connection = value.eq_ignore_ascii_case("close"),
             "content-length" => length = value.parse().ok()?,
--- a/tests/platform/soak/signals.rs
+++ b/tests/platform/soak/signals.rs
@@ -27,8 +27,8 @@
 impl fmt::Display for Signal {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Limit(per_s) => write!(f, "Server-Limit: {per_s}\r\n"),
-            Self::Leaving => f.write_str("Server-Leaving: 1\r\n"),
+            Self::Limit(per_s) => write!(f, "server-limit: {per_s}\r\n"),
+            Self::Leaving => f.write_str("server-leaving: 1\r\n"),
         }
     }
 }
@@ -118,12 +118,12 @@
                     counted.push(*at);
                 }
             }
-            let (allowed, window) = match period.signal {
-                Signal::Limit(per_s) => (1.5 * per_s * 4.0 + 5.0, LIMIT_WINDOW),
-                Signal::Leaving => (0.0, LIMIT_WINDOW),
+            let allowed = match period.signal {
+                Signal::Limit(per_s) => 1.5 * per_s * LIMIT_WINDOW.as_secs_f64() + 5.0,
+                Signal::Leaving => 0.0,
             };
             for (first, from) in counted.iter().enumerate() {
-                let within = counted[first..].partition_point(|at| *at < *from + window);
+                let within = counted[first..].partition_point(|at| *at < *from + LIMIT_WINDOW);
                 if within as f64 > allowed {
                     let signal = period.signal;
                     return Some(format!(
