Test limits named by failures, refusals and another incarnation

No test had a limit in anything but a successful answer, and none replaced an incarnation that had named one. The test plays a 500, a declined run and a 421 on whole nodes, each by a new incarnation, which starts without a limit.

--- a/tests/mesh/limits.rs
+++ b/tests/mesh/limits.rs
@@ -259,3 +259,24 @@
         }
     });
 }
+
+#[test]
+fn failures_refusals_and_other_incarnations_name_limits_too() {
+    run(async {
+        let (first, _, stock) = start_site("x-limit: 3\r\n").await;
+        let limit = || stock.node.target.limit().and_then(|limit| limit.per_s);
+        let reactions =
+            [Reaction::Answer(500, 1), Reaction::Decline, Reaction::Misdirect("other".to_owned())];
+        for (life, reaction) in reactions.into_iter().enumerate() {
+            stock.node.target.apply_heartbeat(&heartbeat("other", "stock", 1 + life as u64));
+            let id = format!("life-{life}");
+            stock.node.target.apply_heartbeat(&heartbeat(&id, "stock", 1));
+            assert_eq!(limit(), None, "no incarnation inherits a limit: {reaction:?}");
+            stock.target.reactions.replace(vec![reaction.clone()]);
+            ask(&first, &request("book", &id)).await;
+            assert_eq!(limit(), Some(3.0), "{reaction:?}");
+        }
+        let current = stock.node.target.current().unwrap();
+        assert_eq!(current.incarnation.id, "other", "the one that answered instead");
+    });
+}
