Exchange the condition of targets that send the extended load report

Targets may state in a fourth figure of their load report how slow their machine is now; until now the report was discarded. The node of such a target tracks the slowness, the run time and the share of offers that the target rejects, and sends them to nodes that announce in their hello that they read them. No decision depends on them yet.

--- a/src/mesh/codec.rs
+++ b/src/mesh/codec.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use super::frame::{Call, CallEnd, Frame, Header, Load, TargetAnswer};
+use super::frame::{Call, CallEnd, Frame, Header, Hello, Load, TargetAnswer};
 use super::words::{DecoderTable, EncoderTable, Word};
 
 /// Size of the length prefix.
@@ -96,6 +96,7 @@
             Frame::Answer { id, end: CallEnd::Answered(answer), load } => {
                 write(&PackedFrame::Answer(self.pack_answer(*id, *load, answer)), out)
             }
+            Frame::Hello(hello) => write(&(OTHER_VARIANT, frame, hello.features), out),
             // Writes the index of `Other` itself, so that the frame need not be cloned.
             frame => write(&(OTHER_VARIANT, frame), out),
         };
@@ -176,11 +177,14 @@
             buffer.reserve(LENGTH_PREFIX_BYTES + length - buffer.len());
             return Ok(None);
         }
-        let packed =
-            postcard::from_bytes(&buffer[LENGTH_PREFIX_BYTES..LENGTH_PREFIX_BYTES + length])?;
+        let (packed, rest) =
+            postcard::take_from_bytes(&buffer[LENGTH_PREFIX_BYTES..LENGTH_PREFIX_BYTES + length])?;
         let frame = match packed {
             PackedFrame::Call(call) => Frame::Call(self.unpack_call(&call)?),
             PackedFrame::Answer(answer) => self.unpack_answer(&answer)?,
+            PackedFrame::Other(Frame::Hello(hello)) => {
+                Frame::Hello(Hello { features: postcard::from_bytes(rest).unwrap_or(0), ..hello })
+            }
             PackedFrame::Other(frame) => frame,
         };
         buffer.advance(LENGTH_PREFIX_BYTES + length);
--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -11,12 +11,14 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use super::condition::PeerCondition;
 use super::failure_share::{FailureShare, capacity_weight};
 use super::frame::{Hello, Load, Neighbour, Status};
 use super::link::Link;
 use super::overload::ServiceView;
 use super::peer_limit::PeerLimit;
 use super::teams::quota::Fleet;
+use super::teams::use_report::PeerTeamUse;
 
 /// Utilisation up to which a target in the same failure domain is preferred. Traffic between
 /// failure domains is expensive, but queueing costs more.
@@ -61,6 +63,10 @@
     pub failing: FailureShare,
     /// The limit that its target has named.
     pub limit: PeerLimit,
+    /// The condition of its target.
+    pub condition: PeerCondition,
+    /// How the teams use its target.
+    pub team_use: PeerTeamUse,
     /// Whether it was ever linked with this node.
     pub was_linked: Cell<bool>,
     /// When this node first learned of it.
@@ -80,6 +86,8 @@
             hello_received: Notify::new(),
             failing: FailureShare::default(),
             limit: PeerLimit::default(),
+            condition: PeerCondition::default(),
+            team_use: PeerTeamUse::default(),
             was_linked: Cell::default(),
             discovered_at: Instant::now(),
         }
@@ -102,6 +110,7 @@
         if self.status.borrow().incarnation != status.incarnation {
             self.failing.reset();
             self.limit.release();
+            self.condition.clear();
         }
         *self.status.borrow_mut() = status;
         self.update_load(load);
--- a/src/mesh/frame.rs
+++ b/src/mesh/frame.rs
@@ -80,6 +80,78 @@
     /// A call that the receiver refused because of the limit of its target, and that no other
     /// target could take.
     Unmet,
+    /// The condition of the sender's target. Like all variants below, it is sent only to nodes that
+    /// have announced `FEATURE_CONDITION`.
+    Condition(Condition),
+    /// The calls that were made for the call `id`; sent before its answer.
+    TreeCalls {
+        /// Id of the call.
+        id: u64,
+        /// The calls by service.
+        calls: Vec<ServiceCalls>,
+    },
+    /// How the teams use the sender's target.
+    TeamUse(TeamUse),
+}
+
+/// Feature bit of a node that reads `Condition`, `TreeCalls` and `TeamUse`.
+pub const FEATURE_CONDITION: u32 = 1;
+
+/// The condition of a target that sends the extended load report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Condition {
+    /// Share of recent offers that the target rejected, in percent. Failures don't count.
+    pub rejected_percent: u8,
+    /// How long work takes on its machine now, in percent of the usual time.
+    pub slowness_percent: u16,
+    /// Moving average of the run time at the usual slowness, in microseconds; 0 if unknown.
+    pub run_us: u32,
+}
+
+/// Calls to one service that were made for a request, at any depth.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceCalls {
+    /// The service.
+    pub service: String,
+    /// Number of calls, each counted once.
+    pub requests: u32,
+    /// Number of further offers that reached a target.
+    pub repeats: u32,
+    /// Number of offers that a target rejected.
+    pub rejected: u32,
+}
+
+/// How the teams use a target.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TeamUse {
+    /// The teams with the highest use by weight.
+    pub teams: Vec<TeamRankUse>,
+    /// The sum of all other teams, by rank.
+    pub others: Vec<OtherUse>,
+    /// Maximum number of running requests.
+    pub limit: u32,
+}
+
+/// The use of a target by the requests of one rank of a team.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TeamRankUse {
+    /// The team; empty for requests without one.
+    pub team: String,
+    /// The rank.
+    pub rank: u8,
+    /// Mean number of running requests, in thousandths.
+    pub running_milli: u32,
+}
+
+/// The use of a target by the requests of one rank of all teams that are not listed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OtherUse {
+    /// The rank.
+    pub rank: u8,
+    /// Number of teams.
+    pub teams: u32,
+    /// Mean number of running requests, in thousandths.
+    pub running_milli: u32,
 }
 
 /// The limit of a target.
@@ -129,6 +201,10 @@
     /// Incarnations of the receiver's target that the receiver reported as gone before it was
     /// restarted.
     pub left_incarnations: Vec<Incarnation>,
+    /// The optional frames that the sender reads, as a bit set. Encoded behind the frame, where nodes
+    /// of versions without it ignore it.
+    #[serde(skip)]
+    pub features: u32,
 }
 
 /// Crash of a target, with the requests that may have caused it.
@@ -419,6 +495,12 @@
     Orphaned,
     /// The target has named a limit, and the limit is used up.
     Limited,
+    /// The entry node shed the request because its tree would most likely not finish.
+    Unlikely,
+    /// The entry node shed the request because its team uses more than its share.
+    OverShare,
+    /// The target's machine has become slow, and another target can take the call.
+    Busy,
 }
 
 impl NotRun {
@@ -444,6 +526,9 @@
             Self::OverQuota => "over-quota",
             Self::Orphaned => "orphaned",
             Self::Limited => "target-limited",
+            Self::Unlikely => "unlikely-to-finish",
+            Self::OverShare => "over-share",
+            Self::Busy => "target-slow",
         }
     }
 }
--- a/src/mesh/inbound.rs
+++ b/src/mesh/inbound.rs
@@ -7,10 +7,10 @@
 
 use tokio::time::Instant;
 
-use super::frame::{Frame, Load, Status, TargetLimit};
+use super::frame::{Condition, Frame, Load, Status, TargetLimit};
 use super::link::Link;
 use super::overload::Policy;
-use super::report::{INTERVAL_BUSY, LoadReport};
+use super::report::{INTERVAL_BUSY, LoadReport, TARGETS_AT_FULL_RATE};
 
 /// Minimum interval between two full status updates, unless the target appears or disappears.
 const STATUS_PAUSE: Duration = INTERVAL_BUSY;
@@ -39,6 +39,8 @@
     other_domain_report: Cell<LoadReport>,
     /// The last demand on the limit of the target sent to all nodes.
     limit_report: Cell<LoadReport>,
+    /// When the condition of the target was last sent to all nodes.
+    condition_sent_at: Cell<Option<Instant>>,
 }
 
 impl InboundLinks {
@@ -53,6 +55,7 @@
             same_domain_report: Cell::default(),
             other_domain_report: Cell::default(),
             limit_report: Cell::default(),
+            condition_sent_at: Cell::default(),
         }
     }
 
@@ -119,6 +122,29 @@
         }
     }
 
+    /// Sends the condition of the target to the nodes that read it, if it has changed and the last
+    /// report to all is long enough ago. `targets` is the number of targets of the service.
+    pub fn send_due_condition(&self, condition: Condition, targets: usize) {
+        let now = Instant::now();
+        let interval = INTERVAL_BUSY.mul_f64((targets as f64 / TARGETS_AT_FULL_RATE).max(1.0));
+        if self.condition_sent_at.get().is_some_and(|sent_at| now - sent_at < interval) {
+            return;
+        }
+        self.condition_sent_at.set(Some(now));
+        for inbound in self.links.borrow().iter() {
+            inbound.link.send_condition(Some(condition));
+        }
+    }
+
+    /// Sends a frame to the nodes that read conditions.
+    pub fn broadcast_to_condition_readers(&self, frame: &Frame) {
+        for inbound in self.links.borrow().iter() {
+            if inbound.link.peer_reads_conditions() {
+                inbound.link.send(frame);
+            }
+        }
+    }
+
     /// Whether the demand on the limit of the target should be reported now. `targets` is the
     /// number of targets of the service.
     pub fn is_limit_due(&self, demand: Load, targets: usize) -> bool {
--- a/src/mesh/link.rs
+++ b/src/mesh/link.rs
@@ -14,7 +14,10 @@
 use tokio::time::Instant;
 
 use super::codec::{Decoder, Encoder};
-use super::frame::{Call, CallEnd, Doubt, Frame, NotRun};
+use super::condition;
+use super::frame::{
+    Call, CallEnd, Condition, Doubt, FEATURE_CONDITION, Frame, NotRun, ServiceCalls,
+};
 
 /// Size of a read on a busy link, in bytes.
 const READ_BYTES: usize = 64 * 1024;
@@ -32,6 +35,12 @@
     write_buffer: RefCell<BytesMut>,
     has_frames: Notify,
     pending: RefCell<HashMap<u64, oneshot::Sender<CallEnd>>>,
+    /// The calls made for pending calls whose answers are about to arrive.
+    tree_calls: RefCell<HashMap<u64, Vec<ServiceCalls>>>,
+    /// The optional frames that the other node reads.
+    peer_features: Cell<u32>,
+    /// The condition last sent.
+    sent_condition: Cell<Option<Condition>>,
     next_id: Cell<u64>,
     last_received: Cell<Instant>,
     has_received: Cell<bool>,
@@ -50,6 +59,11 @@
 }
 
 impl PendingCall {
+    /// The calls that were made for this call, once it has ended.
+    pub fn take_tree_calls(&self) -> Vec<ServiceCalls> {
+        self.link.tree_calls.borrow_mut().remove(&self.id).unwrap_or_default()
+    }
+
     /// Waits for the result of the call.
     pub async fn end(&mut self) -> CallEnd {
         let end = (&mut self.end).await;
@@ -60,6 +74,7 @@
 
 impl Drop for PendingCall {
     fn drop(&mut self) {
+        self.link.tree_calls.borrow_mut().remove(&self.id);
         if self.is_done {
             return;
         }
@@ -79,6 +94,9 @@
             write_buffer: RefCell::default(),
             has_frames: Notify::new(),
             pending: RefCell::default(),
+            tree_calls: RefCell::default(),
+            peer_features: Cell::default(),
+            sent_condition: Cell::default(),
             next_id: Cell::new(1),
             last_received: Cell::new(Instant::now()),
             has_received: Cell::default(),
@@ -139,6 +157,32 @@
         Ok(PendingCall { link: Rc::clone(self), id, end, is_done: false })
     }
 
+    /// Records the optional frames that the other node reads.
+    pub fn set_peer_features(&self, features: u32) {
+        self.peer_features.set(features);
+    }
+
+    /// Whether the other node reads conditions and the reports that depend on them.
+    pub fn peer_reads_conditions(&self) -> bool {
+        self.peer_features.get() & FEATURE_CONDITION != 0
+    }
+
+    /// Sends the condition of the local target if the other node reads it and it has changed.
+    pub fn send_condition(&self, condition: Option<Condition>) {
+        let Some(condition) = condition.filter(|_| self.peer_reads_conditions()) else { return };
+        if condition::is_changed(self.sent_condition.get(), condition) {
+            self.sent_condition.set(Some(condition));
+            self.send(&Frame::Condition(condition));
+        }
+    }
+
+    /// Keeps the calls made for a pending call until its answer arrives.
+    pub fn keep_tree_calls(&self, id: u64, calls: Vec<ServiceCalls>) {
+        if self.pending.borrow().contains_key(&id) {
+            self.tree_calls.borrow_mut().insert(id, calls);
+        }
+    }
+
     /// Completes a pending call; does nothing if it was cancelled.
     pub fn end_call(&self, id: u64, end: CallEnd) {
         if let Some(pending) = self.pending.borrow_mut().remove(&id) {
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -6,10 +6,10 @@
 
 pub mod budget;
 pub mod codec;
+pub mod condition;
 pub mod crash;
 pub mod crash_reports;
 pub mod directory;
-
 pub mod failure_share;
 pub mod fingerprint;
 pub mod follower;
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -16,7 +16,7 @@
 use super::budget::RetryBudgets;
 use super::directory::Directory;
 use super::follower::StoreWatch;
-use super::frame::{Frame, Hello, RootWork, Status};
+use super::frame::{FEATURE_CONDITION, Frame, Hello, RootWork, Status};
 use super::header_names::HeaderNames;
 use super::inbound::InboundLinks;
 use super::incarnation::Incarnation;
@@ -353,6 +353,9 @@
             admission::return_expired_tokens(self);
         }
         limit_reports::send_due(self, all + 1);
+        if let Some(condition) = self.target.condition() {
+            self.inbound.send_due_condition(condition, all + 1);
+        }
         let services = self.directory.services(&status, self.target.gate.demand());
         let entries = self.directory.linked() + 1;
         self.overload.adjust(&services, site.rank_max(), entries);
@@ -441,6 +444,7 @@
             failure_domain: self.settings.node.failure_domain.clone(),
             status: self.status(),
             left_incarnations,
+            features: FEATURE_CONDITION,
         }
     }
 
--- a/src/mesh/overload.rs
+++ b/src/mesh/overload.rs
@@ -83,6 +83,21 @@
     /// request, which depends on its team and its route.
     pub fn admit(&self, route: &Route, rank: u8, rng: &mut impl Rng) -> Option<Admitted> {
         let probability = self.admission_probability_at(route, rank);
+        self.admit_with(probability, route, rng)
+    }
+
+    /// Like `admit`, for a request that is entitled to capacity: its rank counts for nothing, and it
+    /// is shed only beyond the bound on requests in flight.
+    pub fn admit_protected(&self, route: &Route, rng: &mut impl Rng) -> Option<Admitted> {
+        let probability = match self.policy {
+            Policy::Open => 1.0,
+            Policy::Levels => self.levels.admission_probability(route, 0),
+            Policy::Windows => self.protected_probability(route),
+        };
+        self.admit_with(probability, route, rng)
+    }
+
+    fn admit_with(&self, probability: f64, route: &Route, rng: &mut impl Rng) -> Option<Admitted> {
         let is_admitted =
             probability >= 1.0 || (probability > 0.0 && rng.random::<f64>() < probability);
         if !is_admitted {
@@ -159,6 +174,21 @@
         }
     }
 
+    /// The probability that a request of `route` is admitted up to the bound of each service that it
+    /// reaches, whatever the level of ranks.
+    fn protected_probability(&self, route: &Route) -> f64 {
+        let windows = self.windows.borrow();
+        let mut probability: f64 = 1.0;
+        for window in windows.values() {
+            if !window.is_reached_by(&route.name) {
+                continue;
+            }
+            let left = window.bound(0) - self.in_flight_through(window.roots());
+            probability = probability.min(left.clamp(0.0, 1.0));
+        }
+        probability
+    }
+
     /// Records the refusal of a request of `route` at the services it would have reached.
     fn record_refusal(&self, route: &Route) {
         for window in self.windows.borrow().values() {
--- a/src/mesh/peers.rs
+++ b/src/mesh/peers.rs
@@ -87,6 +87,7 @@
     node.add_dialled(&link);
     let on_frame = |frame| match frame {
         Frame::Hello(hello) => {
+            link.set_peer_features(hello.features);
             node.directory.update_from_hello(&hello);
             peer.link.replace(Some(Rc::clone(&link)));
             peer.was_linked.set(true);
@@ -115,6 +116,9 @@
         }
         Frame::Load(load) => peer.update_load(load),
         Frame::Limit(limit) => peer.limit.update(limit),
+        Frame::Condition(condition) => peer.condition.update(condition),
+        Frame::TreeCalls { id, calls } => link.keep_tree_calls(id, calls),
+        Frame::TeamUse(report) => peer.team_use.update(report),
         Frame::Crash(crash) => crash_reports::receive_crash(node, &crash),
         Frame::Cleared(fingerprint) => {
             node.quarantine.clear(fingerprint);
@@ -197,6 +201,7 @@
     let running: Rc<RefCell<HashMap<u64, AbortHandle>>> = Rc::default();
     let on_frame = |frame| match frame {
         Frame::Hello(hello) => {
+            link.set_peer_features(hello.features);
             add_peer(&node, hello.address, &hello.failure_domain);
             if let Some(peer) = node.directory.get(hello.address) {
                 peer.hello_received.notify_waiters();
@@ -249,6 +254,9 @@
         | Frame::Cleared(_)
         | Frame::Suspicions(_)
         | Frame::Neighbours(_)
+        | Frame::Condition(_)
+        | Frame::TreeCalls { .. }
+        | Frame::TeamUse(_)
         | Frame::Site { .. } => {}
     };
     link.read_all(reader, on_frame).await;
@@ -269,5 +277,6 @@
     let deadline = Instant::now() + Duration::from_millis(call.remaining_ms.into());
     let end = receiver::serve(&node, &call, deadline).await;
     running.borrow_mut().remove(&call.id);
+    link.send_condition(node.target.condition());
     link.send(&Frame::Answer { id: call.id, end, load: node.target.load() });
 }
--- a/src/mesh/receiver.rs
+++ b/src/mesh/receiver.rs
@@ -235,6 +235,10 @@
         node.target.keep(connection);
     }
     let result = classify_reply(node, reply, has_failed_below.get());
+    node.target.conditions.record_offer(result.end == CallEnd::NotRun(NotRun::Declined));
+    if result.end.went_well() {
+        node.target.conditions.record_run(sent_at.elapsed());
+    }
     // Only a success clears the request: one that crashes targets may also be declined, or fail
     // because of an inner call, before it reaches the point where it crashes.
     if result.end.went_well() && !node.quarantine.is_empty() {
@@ -248,6 +252,16 @@
 fn apply_signal(node: &Node, instance: &Instance, reply: &Reply, sent_at: Option<Instant>) {
     let Some(incarnation) = answering_incarnation(node, instance, reply) else { return };
     let signal = Signal::read(reply, &node.header_names);
+    match signal.slowness_percent {
+        Ok(Some(percent)) if incarnation.id == instance.incarnation.id => {
+            node.target.conditions.record_slowness(percent);
+        }
+        Ok(_) => {}
+        Err(error) => {
+            let detail = format!("{}: {error}", incarnation.id);
+            node.log.emit(&LogEvent::InputRefused { input: "load report", detail });
+        }
+    }
     let begins_to_leave = signal.is_leaving && !node.target.has_left(&incarnation);
     if signal.is_leaving && node.target.mark_left(&incarnation) {
         node.target_changed("answer");
--- a/src/mesh/report.rs
+++ b/src/mesh/report.rs
@@ -27,7 +27,7 @@
 const CHANGE_URGENT: f64 = 0.5;
 /// Maximum number of targets that each report at the full rate. Together they send each node at
 /// most 44 reports a second (8 targets, 180 ms); more targets share this rate.
-const TARGETS_AT_FULL_RATE: f64 = 8.0;
+pub const TARGETS_AT_FULL_RATE: f64 = 8.0;
 
 /// The load last reported to a group of nodes, and the time of the report.
 #[derive(Clone, Copy, Debug, Default)]
--- a/src/mesh/sender.rs
+++ b/src/mesh/sender.rs
@@ -387,7 +387,11 @@
         CallEnd::MayHaveRun(Doubt::LinkLost) => true,
         CallEnd::NotRun(reason) => !matches!(
             reason,
-            NotRun::Declined | NotRun::Expired | NotRun::Quarantined | NotRun::Limited
+            NotRun::Declined
+                | NotRun::Expired
+                | NotRun::Quarantined
+                | NotRun::Limited
+                | NotRun::Busy
         ),
     }
 }
@@ -398,7 +402,7 @@
 /// randomized to spread out the retries of callers that were refused at the same time.
 pub fn retry_after_ms(node: &Node, route: &Route, reason: NotRun) -> u64 {
     match reason {
-        NotRun::Shed | NotRun::Limited => {
+        NotRun::Shed | NotRun::Limited | NotRun::Unlikely | NotRun::OverShare => {
             let objective_ms = route.objective_ms.max(RETRY_AFTER_OBJECTIVE_MIN_MS);
             let share = node.rng.borrow_mut().random_range(RETRY_AFTER_FRACTIONS);
             (objective_ms as f64 * share) as u64
@@ -413,7 +417,8 @@
         | NotRun::NoKey
         | NotRun::OverQuota
         | NotRun::Orphaned
-        | NotRun::Quarantined => RETRY_AFTER_BUSY_MS,
+        | NotRun::Quarantined
+        | NotRun::Busy => RETRY_AFTER_BUSY_MS,
     }
 }
 
--- a/src/mesh/signal.rs
+++ b/src/mesh/signal.rs
@@ -2,6 +2,7 @@
 
 use thiserror::Error;
 
+use super::condition::{self, InvalidLoadReport};
 use super::header_names::HeaderNames;
 use super::http1::Reply;
 
@@ -21,16 +22,20 @@
     pub limit_per_s: Result<Option<f64>, InvalidLimit>,
     /// Whether the target is about to leave.
     pub is_leaving: bool,
+    /// The slowness in its load report, in percent; `None` without an extended report.
+    pub slowness_percent: Result<Option<u16>, InvalidLoadReport>,
 }
 
 impl Signal {
     /// Reads the headers of an answer, whatever its status.
     pub fn read(reply: &Reply, header_names: &HeaderNames) -> Self {
         let limit = reply.header(header_names.limit.as_str());
+        let load = reply.header(header_names.load.as_str());
         let leaving = reply.header(header_names.leaving.as_str());
         Self {
             limit_per_s: limit.map(read_limit).transpose(),
             is_leaving: leaving.is_some_and(|value| value.trim() == LEAVING),
+            slowness_percent: load.map_or(Ok(None), condition::read_slowness),
         }
     }
 }
--- a/src/mesh/target.rs
+++ b/src/mesh/target.rs
@@ -8,9 +8,10 @@
 
 use tokio::time::Instant;
 
+use super::condition::ConditionTracker;
 use super::crash::InterruptedRequests;
 use super::failure_share::FailureShare;
-use super::frame::Load;
+use super::frame::{Condition, Load};
 use super::gate::Gate;
 use super::http1::Connection;
 use super::incarnation::Incarnation;
@@ -77,6 +78,8 @@
     pub gate: Rc<Gate>,
     /// The share of its recent answers that were failures.
     pub failing: FailureShare,
+    /// Its condition, if it sends the extended load report.
+    pub conditions: ConditionTracker,
     /// The requests whose connection to the target broke recently.
     pub interrupted: InterruptedRequests,
     current: RefCell<Option<Rc<Instance>>>,
@@ -96,6 +99,7 @@
             address,
             gate: Rc::default(),
             failing: FailureShare::default(),
+            conditions: ConditionTracker::default(),
             interrupted: InterruptedRequests::default(),
             current: RefCell::default(),
             last_heartbeats: RefCell::default(),
@@ -249,6 +253,12 @@
         self.gate.pacer.set(self.limit().and_then(|limit| limit.per_s));
     }
 
+    /// The condition of the current incarnation; `None` unless it sends the extended load report.
+    pub fn condition(&self) -> Option<Condition> {
+        self.current()?;
+        self.conditions.current()
+    }
+
     /// The load of the target.
     pub fn load(&self) -> Load {
         self.gate.load()
@@ -279,6 +289,7 @@
         if before.as_ref().is_some_and(|before| before.incarnation != instance.incarnation) {
             self.close_idle();
             self.failing.reset();
+            self.conditions.reset();
         }
         self.apply_limit();
         self.gate.set_slots(slots);
--- a/src/mesh/teams/mod.rs
+++ b/src/mesh/teams/mod.rs
@@ -11,3 +11,4 @@
 pub mod owner;
 pub mod quota;
 pub mod roster;
+pub mod use_report;
--- a/src/mesh/window.rs
+++ b/src/mesh/window.rs
@@ -138,7 +138,7 @@
     }
 
     /// Number of requests in flight up to which requests of `rank` are admitted.
-    fn bound(&self, rank: u8) -> f64 {
+    pub fn bound(&self, rank: u8) -> f64 {
         // The correction applies to the fair share too: after a restart of all nodes under load,
         // there are no samples while queues grow, and an uncorrected fair share would keep the
         // queues full.
--- a/tests/mesh/links.rs
+++ b/tests/mesh/links.rs
@@ -167,6 +167,7 @@
                 failure_domain: "a".to_owned(),
                 status: state.clone(),
                 left_incarnations: Vec::new(),
+                features: 0,
             };
             let mut bytes = BytesMut::new();
             Encoder::default().encode(&Frame::Hello(hello), &mut bytes);
