--- a/src/mesh/condition.rs
+++ b/src/mesh/condition.rs
@@ -1,8 +1,8 @@
 //! The condition of a target: how slow its machine is now, how long its runs take, and which share
 //! of the offers it rejects.
 //!
-//! It is known only for targets that send the extended load report, which has a fourth figure. All
-//! decisions that depend on it are off for other targets.
+//! Slowness and run time are known only for targets that send the extended load report, which has a
+//! fourth figure. The rejected share is tracked for every target.
 
 use std::cell::{Cell, RefCell};
 use std::time::Duration;
@@ -96,21 +96,28 @@
         current.map_or(USUAL_SLOWNESS_PERCENT, |(percent, _)| percent)
     }
 
-    /// The condition; `None` unless the target sends the extended load report.
-    pub fn current(&self) -> Option<Condition> {
-        self.slowness.get()?;
+    /// Whether the target sends the extended load report.
+    pub fn is_extended(&self) -> bool {
+        self.slowness.get().is_some()
+    }
+
+    /// The condition.
+    pub fn current(&self) -> Condition {
         let percent = (self.rejected.share(Instant::now()) * 100.0).round() as u8;
-        Some(Condition {
-            rejected_percent: percent / REJECTED_STEP_PERCENT * REJECTED_STEP_PERCENT,
+        let rejected_percent = percent / REJECTED_STEP_PERCENT * REJECTED_STEP_PERCENT;
+        if !self.is_extended() {
+            return Condition { rejected_percent, ..Condition::default() };
+        }
+        Condition {
+            rejected_percent,
             slowness_percent: self.slowness_percent(),
             run_us: self.run_us.get() as u32,
-        })
+        }
     }
 }
 
 /// Whether `current` differs enough from `sent` to be reported.
-pub fn is_changed(sent: Option<Condition>, current: Condition) -> bool {
-    let Some(sent) = sent else { return true };
+pub fn is_changed(sent: Condition, current: Condition) -> bool {
     let differs =
         |sent: f64, current: f64| (current - sent).abs() > CHANGE_REPORTED * sent.max(1.0);
     sent.rejected_percent != current.rejected_percent
@@ -128,11 +135,12 @@
     /// Records a reported condition. Figures out of range are clamped.
     pub fn update(&self, condition: Condition) {
         let (slowness_min, slowness_max) = SLOWNESS_RANGE_PERCENT;
-        let condition = Condition {
-            rejected_percent: condition.rejected_percent.min(100),
-            slowness_percent: condition.slowness_percent.clamp(slowness_min, slowness_max),
-            ..condition
-        };
+        let mut condition =
+            Condition { rejected_percent: condition.rejected_percent.min(100), ..condition };
+        if condition.is_extended() {
+            let percent = condition.slowness_percent;
+            condition.slowness_percent = percent.clamp(slowness_min, slowness_max);
+        }
         self.reported.replace(Some((condition, Instant::now())));
     }
 
@@ -145,7 +153,7 @@
     pub fn current(&self) -> Option<(Condition, Duration)> {
         let (mut condition, at) = (*self.reported.borrow())?;
         let age = at.elapsed();
-        if age >= SLOWNESS_TTL {
+        if age >= SLOWNESS_TTL && condition.is_extended() {
             condition.slowness_percent = USUAL_SLOWNESS_PERCENT;
         }
         Some((condition, age))
--- a/src/mesh/frame.rs
+++ b/src/mesh/frame.rs
@@ -97,17 +97,25 @@
 /// Feature bit of a node that reads `Condition`, `TreeCalls` and `TeamUse`.
 pub const FEATURE_CONDITION: u32 = 1;
 
-/// The condition of a target that sends the extended load report.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// The condition of a target.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Condition {
     /// Share of recent offers that the target rejected, in percent. Failures don't count.
     pub rejected_percent: u8,
-    /// How long work takes on its machine now, in percent of the usual time.
+    /// How long work takes on its machine now, in percent of the usual time; 0 if the target does
+    /// not send the extended load report.
     pub slowness_percent: u16,
     /// Moving average of the run time at the usual slowness, in microseconds; 0 if unknown.
     pub run_us: u32,
 }
 
+impl Condition {
+    /// Whether the target sends the extended load report.
+    pub fn is_extended(&self) -> bool {
+        self.slowness_percent > 0
+    }
+}
+
 /// Calls to one service that were made for a request, at any depth.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceCalls {
--- a/src/mesh/link.rs
+++ b/src/mesh/link.rs
@@ -40,7 +40,7 @@
     /// The optional frames that the other node reads.
     peer_features: Cell<u32>,
     /// The condition last sent.
-    sent_condition: Cell<Option<Condition>>,
+    sent_condition: Cell<Condition>,
     next_id: Cell<u64>,
     last_received: Cell<Instant>,
     has_received: Cell<bool>,
@@ -171,7 +171,7 @@
     pub fn send_condition(&self, condition: Option<Condition>) {
         let Some(condition) = condition.filter(|_| self.peer_reads_conditions()) else { return };
         if condition::is_changed(self.sent_condition.get(), condition) {
-            self.sent_condition.set(Some(condition));
+            self.sent_condition.set(condition);
             self.send(&Frame::Condition(condition));
         }
     }
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -16,7 +16,7 @@
 use super::budget::RetryBudgets;
 use super::directory::Directory;
 use super::follower::StoreWatch;
-use super::frame::{FEATURE_CONDITION, Frame, Hello, RootWork, Status};
+use super::frame::{Condition, FEATURE_CONDITION, Frame, Hello, RootWork, Status};
 use super::header_names::HeaderNames;
 use super::inbound::InboundLinks;
 use super::incarnation::Incarnation;
@@ -353,7 +353,7 @@
             admission::return_expired_tokens(self);
         }
         limit_reports::send_due(self, all + 1);
-        if let Some(condition) = self.target.condition() {
+        if let Some(condition) = self.reported_condition() {
             self.inbound.send_due_condition(condition, all + 1);
         }
         let services = self.directory.services(&status, self.target.gate.demand());
@@ -365,6 +365,13 @@
         }
     }
 
+    /// The condition of the target as reported to peers, if it is.
+    pub fn reported_condition(&self) -> Option<Condition> {
+        let rejected =
+            || self.settings.overload.completion.then(|| self.target.conditions.current());
+        self.target.condition().or_else(rejected)
+    }
+
     /// Requests the configuration from a peer that has a newer one.
     pub fn request_newer_site(&self, status: &Status, link: &Link) {
         if status.site_version > self.site_version() {
--- a/src/mesh/peers.rs
+++ b/src/mesh/peers.rs
@@ -277,6 +277,6 @@
     let deadline = Instant::now() + Duration::from_millis(call.remaining_ms.into());
     let end = receiver::serve(&node, &call, deadline).await;
     running.borrow_mut().remove(&call.id);
-    link.send_condition(node.target.condition());
+    link.send_condition(node.reported_condition());
     link.send(&Frame::Answer { id: call.id, end, load: node.target.load() });
 }
--- a/src/mesh/settings.rs
+++ b/src/mesh/settings.rs
@@ -84,6 +84,13 @@
 pub struct OverloadSection {
     /// The admission policy.
     pub policy: Policy,
+    /// Whether admission takes into account how likely a request's call tree is to finish, and
+    /// offers that targets reject are retried within the whole budget.
+    #[serde(default)]
+    pub completion: bool,
+    /// Whether the times named in refusals have capacity reserved.
+    #[serde(default)]
+    pub returns: bool,
 }
 
 /// Enforcement of the quotas of teams.
--- a/src/mesh/target.rs
+++ b/src/mesh/target.rs
@@ -256,7 +256,7 @@
     /// The condition of the current incarnation; `None` unless it sends the extended load report.
     pub fn condition(&self) -> Option<Condition> {
         self.current()?;
-        self.conditions.current()
+        self.conditions.is_extended().then(|| self.conditions.current())
     }
 
     /// The load of the target.
