Let targets of the soak reject requests and report slow machines

The soak had neither targets that turn requests away unrun nor extended load reports, on which new decisions depend.

--- a/tests/platform/process.rs
+++ b/tests/platform/process.rs
@@ -27,7 +27,7 @@
 }
 
 fn answer_with(body: String) -> Answer {
-    Answer { attempt: "a1".to_owned(), body, signals: String::new() }
+    Answer { attempt: "a1".to_owned(), body, ..Answer::default() }
 }
 
 /// Starts a node as [`start`] does, and waits until it is ready.
--- a/tests/platform/soak/faults.rs
+++ b/tests/platform/soak/faults.rs
@@ -16,6 +16,10 @@
 const LIMITS_PER_S: [f64; 5] = [0.0, 0.7, 2.0, 6.5, 20.0];
 /// Changes the seed of the periods.
 const SIGNALS_SEED: u64 = 0x5197;
+/// The number of additional periods in which a service rejects requests, and in which a machine is slow.
+const CONDITION_COUNTS: (usize, usize) = (2, 4);
+/// Changes the seed of these periods.
+const CONDITIONS_SEED: u64 = 0xc0d1;
 
 /// A fault, or an action of the operator.
 #[derive(Clone, Copy, Debug)]
@@ -40,6 +44,10 @@
     NameLimit { member: usize, per_s: f64, for_ms: u64 },
     /// The target of a node states that it leaves; then its next incarnation takes over.
     Leave { member: usize, for_ms: u64 },
+    /// All targets of a service reject a share of the requests without running them.
+    Reject { service: &'static str, percent: u64, for_ms: u64 },
+    /// The machine of a node's target takes `percent` of the usual time for its work.
+    SlowDown { member: usize, percent: u64, for_ms: u64 },
     /// A request that crashes its target is sent `count` times, first to the node `member`, then to the next ones.
     Crash { member: usize, count: usize },
 }
@@ -87,6 +95,18 @@
         };
         faults.push(Fault { at, kind });
     }
+    let mut rng = SmallRng::seed_from_u64(seed ^ CONDITIONS_SEED);
+    for index in 0..CONDITION_COUNTS.0 + CONDITION_COUNTS.1 {
+        let at = within.mul_f64(rng.random());
+        let (member, for_ms) = (rng.random_range(0..members), rng.random_range(500..5_000));
+        let kind = if index < CONDITION_COUNTS.0 {
+            let service = if member % 2 == 0 { "stock" } else { "orders" };
+            FaultKind::Reject { service, percent: rng.random_range(20..101), for_ms }
+        } else {
+            FaultKind::SlowDown { member, percent: rng.random_range(150..400), for_ms }
+        };
+        faults.push(Fault { at, kind });
+    }
     faults.sort_by_key(|fault| fault.at);
     faults
 }
--- a/tests/platform/soak/signals.rs
+++ b/tests/platform/soak/signals.rs
@@ -7,6 +7,7 @@
 
 use super::findings::{Outcome, Record};
 use super::site::Site;
+use super::targets::SLOTS;
 
 /// How long after a node has passed such an answer on its requests count against the limit.
 const LIMIT_TOLD: Duration = Duration::from_millis(500);
@@ -47,6 +48,10 @@
 
 #[derive(Debug, Default)]
 struct StateLog {
+    /// The share of requests that the target rejects, in percent.
+    rejected_percent: u64,
+    /// How long its work takes, in percent of the usual time; 0 stands for the usual time.
+    slowness_percent: u64,
     incarnation: u32,
     periods: Vec<Period>,
     arrivals: Vec<(Instant, String)>,
@@ -71,21 +76,52 @@
         log.incarnation += u32::from(period.signal == Signal::Leaving);
     }
 
-    /// The header lines of an answer.
+    /// The header lines of an answer that count as signals.
     pub fn header_lines(&self) -> String {
         let log = self.0.lock().unwrap();
         let present = log.periods.iter().find(|period| period.until.is_none());
         present.map(|period| period.signal.to_string()).unwrap_or_default()
     }
 
+    /// The extended load report of an answer.
+    pub fn load_line(&self) -> String {
+        format!("Instance-Load: 1,0,{SLOTS},{}\r\n", self.slowness_percent())
+    }
+
+    /// How long the target's work takes, in percent of the usual time.
+    pub fn slowness_percent(&self) -> u64 {
+        match self.0.lock().unwrap().slowness_percent {
+            0 => 100,
+            percent => percent,
+        }
+    }
+
+    /// Sets how long the target's work takes.
+    pub fn set_slowness(&self, percent: u64) {
+        self.0.lock().unwrap().slowness_percent = percent;
+    }
+
+    /// Sets the share of requests that the target rejects.
+    pub fn set_rejected(&self, percent: u64) {
+        self.0.lock().unwrap().rejected_percent = percent;
+    }
+
+    /// Whether the target rejects its request number `number`.
+    pub fn rejects(&self, number: usize) -> bool {
+        // 37 and 100 have no common divisor, so each remainder comes once in a hundred requests.
+        (number as u64 * 37 % 100) < self.0.lock().unwrap().rejected_percent
+    }
+
     /// The number of incarnations that have left.
     pub fn incarnation(&self) -> u32 {
         self.0.lock().unwrap().incarnation
     }
 
-    /// Records that a request has reached the target.
-    pub fn record_arrival(&self, attempt: &str) {
-        self.0.lock().unwrap().arrivals.push((Instant::now(), attempt.to_owned()));
+    /// Records that a request has reached the target. Returns the number of requests before it.
+    pub fn record_arrival(&self, attempt: &str) -> usize {
+        let arrivals = &mut self.0.lock().unwrap().arrivals;
+        arrivals.push((Instant::now(), attempt.to_owned()));
+        arrivals.len() - 1
     }
 
     /// Checks that the requests of nodes that were told keep to what the target `name` stated. Returns the first
--- a/tests/platform/soak/site.rs
+++ b/tests/platform/soak/site.rs
@@ -310,6 +310,24 @@
                 self.state_for(member, Signal::Limit(per_s), for_ms)
             }
             FaultKind::Leave { member, for_ms } => self.state_for(member, Signal::Leaving, for_ms),
+            FaultKind::Reject { service, percent, for_ms } => {
+                let set_rejected = |percent| {
+                    for (member, (_, other)) in self.members.iter().zip(NODES) {
+                        if other == service {
+                            member.target.set_rejected(percent);
+                        }
+                    }
+                };
+                set_rejected(percent);
+                thread::sleep(Duration::from_millis(for_ms));
+                set_rejected(0);
+            }
+            FaultKind::SlowDown { member, percent, for_ms } => {
+                let target = &self.members[member].target;
+                target.set_slowness(percent);
+                thread::sleep(Duration::from_millis(for_ms));
+                target.set_slowness(100);
+            }
             FaultKind::Crash { member, count } => {
                 self.crash(member, count);
             }
--- a/tests/platform/soak/targets.rs
+++ b/tests/platform/soak/targets.rs
@@ -12,13 +12,13 @@
 use super::signals::TargetState;
 use super::site::PROBE_TIMEOUT;
 use crate::node::{self, HEARTBEATS_PORT, TARGET_PORT};
-use crate::target::{self, Answer, heartbeat};
+use crate::target::{self, Answer, CRASH_PATH, heartbeat};
 
 /// The interval between heartbeats of a target.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
 
 /// The number of requests that a target may run at once.
-const SLOTS: u32 = 16;
+pub const SLOTS: u32 = 16;
 
 /// The pause before a crashed target restarts.
 const DOWNTIME: Duration = Duration::from_millis(800);
@@ -112,18 +112,28 @@
     target::serve_with_restarts(address, name, Some(DOWNTIME), move |path| {
         let attempt = path.rsplit('/').next().unwrap_or_default();
         let attempt = if attempt == "x" { "probe" } else { attempt }.to_owned();
-        target.record_arrival(&attempt);
+        let number = target.record_arrival(&attempt);
+        if !is_exempt(&attempt) && target.rejects(number) {
+            let signals = target.header_lines() + &target.load_line();
+            return Answer { attempt, signals, is_rejected: true, ..Answer::default() };
+        }
         let mut runs = all_runs.lock().unwrap();
         let record = runs.entry(attempt.clone()).or_default();
         record.count += 1;
         record.last_started_at = Some(Instant::now());
         drop(runs);
-        thread::sleep(service_time(&attempt));
+        thread::sleep(service_time(&attempt) * target.slowness_percent() as u32 / 100);
         let body = format!("{signature} {attempt}");
-        Answer { attempt, body, signals: target.header_lines() }
+        let signals = target.header_lines() + &target.load_line();
+        Answer { attempt, body, signals, is_rejected: false }
     });
 }
 
+/// Whether an attempt is never rejected: the probes and the requests that crash their target have to reach it.
+fn is_exempt(attempt: &str) -> bool {
+    attempt == "probe" || attempt == CRASH_PATH
+}
+
 /// The first letter of the ids of attempts that run long.
 pub const SLOW_PREFIX: char = 'l';
 
--- a/tests/platform/target.rs
+++ b/tests/platform/target.rs
@@ -30,6 +30,8 @@
     pub body: String,
     /// Additional header lines.
     pub signals: String,
+    /// Whether the target rejects the request without running it.
+    pub is_rejected: bool,
 }
 
 /// Serves requests at `address`, one at a time on each connection, and signs the answers with `name`. `run` gets
@@ -134,7 +136,13 @@
 
 /// The complete answer of a target.
 fn response_text(answer: &Answer, name: &str) -> String {
-    let Answer { attempt, body, signals } = answer;
+    let Answer { attempt, body, signals, is_rejected } = answer;
+    if *is_rejected {
+        return format!(
+            "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: {attempt}\r\nNot-Executed: 1\r\n{signals}\
+             Content-Length: 0\r\n\r\n"
+        );
+    }
     format!(
         "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Signature: {name}\r\n{signals}\
          Content-Length: {}\r\n\r\n{body}",
