Admit requests whose trees the retry budget can complete

Cause: while the targets of a deep service reject a share of their offers, trees with many calls there are admitted and fail, as the service's slots look free.

Change: each entry learns the calls of its trees, derives pass rates from conditions, and admits each route with the probability at which its part of the retry budget covers the expected retries, by rank and then by cost. Refusals end as unlikely-to-finish, before the first run. Nothing is decided unless a target sends the extended load report. RequestSummary::calls is not filled yet, so the nodes learn nothing until the calls of trees are reported.

The other tests of the mesh were not run yet.

--- a/src/event.rs
+++ b/src/event.rs
@@ -484,6 +484,26 @@
         /// Maximum number of requests running on them concurrently.
         limit: u32,
     }
+    /// Requests of a route began to be refused because too few of their trees would complete, or no
+    /// longer are.
+    1031 Info CompletionChanged {
+        /// The route.
+        root: String,
+        /// The service whose retries limit the route; empty if none does.
+        limited_by: String,
+        /// The probability of admission, in percent.
+        admitted_percent: u32,
+        /// The share of offers that the targets of that service accept, in percent.
+        pass_percent: u32,
+        /// The age of the latest report that this is based on, in milliseconds.
+        age_ms: u64,
+        /// Calls of 100 trees to that service.
+        calls_percent: u32,
+        /// Retries that the budget of this node permits, in a thousand seconds.
+        retries_per_1000_s: u32,
+        /// Requests of the route that were asked for, in a thousand seconds.
+        asked_per_1000_s: u32,
+    }
     /// A request received its final answer. Logged if the request was refused, failed, retried or
     /// late, and for a small sample of the others.
     1040 Info RequestEnded {
--- a/src/explain/cause.rs
+++ b/src/explain/cause.rs
@@ -52,6 +52,15 @@
         /// Percentage of the route's requests that were admitted at the time.
         admitted_percent: u64,
     },
+    /// The entry node shed the request because its tree would most likely not have completed.
+    Unlikely {
+        /// The entry node.
+        node: String,
+        /// The service whose targets reject calls; empty if the log line does not name it.
+        service: String,
+        /// Percentage of the route's requests that were admitted at the time.
+        admitted_percent: u64,
+    },
     /// The deadline passed in the queue of a busy target, or the queue was full.
     Busy {
         /// The node of the target.
@@ -183,6 +192,15 @@
                      {admitted_percent}% of the requests of its route were admitted"
                 )
             }
+            Self::Unlikely { node, service, admitted_percent } => {
+                let service = if service.is_empty() { "a downstream service" } else { service };
+                write!(
+                    f,
+                    "refused by {node} before anything ran: the targets of {service} rejected so \
+                     many calls that the retry budget sufficed for {admitted_percent}% of the \
+                     requests of its route"
+                )
+            }
             Self::Busy { node, service, reason, running, waiting, limit, has_just_started } => {
                 let how = if reason == "expired" {
                     "the deadline passed in its queue"
@@ -323,7 +341,7 @@
 
 /// Events of `node` and of the step's own node that were logged around the end of the step.
 fn context(step: &Step, node: &str, lines: &[Line]) -> Vec<Line> {
-    const NODE_EVENTS: [&str; 13] = [
+    const NODE_EVENTS: [&str; 14] = [
         "MeshStarted",
         "LeavingStarted",
         "LeavingFinished",
@@ -332,6 +350,7 @@
         "TargetSignalled",
         "RequestHeld",
         "AdmissionChanged",
+        "CompletionChanged",
         "LinkLost",
         "FollowerChanged",
         "StoreAway",
@@ -346,7 +365,8 @@
         }
         let is_relevant_link = line.name != "LinkLost"
             || super::step::node_name(line.text("peer"), &line.node, lines) == node;
-        let is_relevant_route = line.name != "AdmissionChanged" || line.text("root") == step.root;
+        let names_route = matches!(line.name.as_str(), "AdmissionChanged" | "CompletionChanged");
+        let is_relevant_route = !names_route || line.text("root") == step.root;
         if (line.node == node || line.node == step.node) && is_relevant_link && is_relevant_route {
             context.push(line.clone());
         }
@@ -372,6 +392,11 @@
             service: step.line.text("limited_by").to_owned(),
             admitted_percent: step.line.number("admitted_percent"),
         },
+        "unlikely-to-finish" => Cause::Unlikely {
+            node: step.node.clone(),
+            service: step.line.text("limited_by").to_owned(),
+            admitted_percent: step.line.number("admitted_percent"),
+        },
         "expired" if step.took_ms < NOT_QUEUED_MAX_MS && step.line.number("waiting") == 0 => {
             Cause::TimeUsedUp {
                 node,
--- a/src/mesh/budget.rs
+++ b/src/mesh/budget.rs
@@ -126,11 +126,10 @@
     /// With many nodes, each one's part of the slack is less than one retry. If no whole retry is
     /// left, the node draws one with that probability, and is charged that part either way.
     pub fn try_take(&self, service: &str, rank: u8, nodes: usize, rng: &mut impl Rng) -> bool {
-        let rank_fraction = (1.0 - RESERVED_PER_RANK * f64::from(rank)).max(RANK_FRACTION_MIN);
         let slack = self.slack / nodes.max(1) as f64;
         self.with_window(service, |window| {
             let (requests, spent) = window.sums();
-            let remaining = (requests * self.share + slack) * rank_fraction - spent;
+            let remaining = (requests * self.share + slack) * rank_fraction(rank) - spent;
             let charge = if remaining >= 1.0 { 1.0 } else { slack.min(1.0) };
             if remaining < charge {
                 return false;
@@ -152,3 +151,8 @@
         take(windows.entry(service.to_owned()).or_insert_with(|| RetryWindow::new(number)))
     }
 }
+
+/// Fraction of the budget that is available to requests of `rank`.
+pub fn rank_fraction(rank: u8) -> f64 {
+    (1.0 - RESERVED_PER_RANK * f64::from(rank)).max(RANK_FRACTION_MIN)
+}
--- /dev/null
+++ b/src/mesh/completion.rs
@@ -0,0 +1,613 @@
+//! Admission by the probability that a call tree completes.
+//!
+//! Where the targets of a service reject a share of all offers, a tree with many calls there
+//! completes only with retries, and their number is limited by the retry budget. Trees that run out
+//! of it have wasted all their runs. So each entry node admits only as many requests of a route as
+//! its own part of the budget can complete, the most important and then the cheapest ones first.
+//!
+//! It decides by what it knows anyway: the conditions of the targets, and the calls that its own
+//! trees have made. Without targets that send the extended load report, all of this is off.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::Rng;
+use tokio::time::Instant;
+
+use super::budget::rank_fraction;
+use super::frame::{Condition, Load, ServiceCalls};
+use super::overload::ADJUST_INTERVAL;
+use super::settings::RetrySection;
+use super::site::Route;
+
+/// Fraction of the permitted retry share that admission plans with. Senders use 0.75 of it; a fifth
+/// of that is held back, as retries are spread unevenly over the senders of the next level.
+const SHARE_FRACTION: f64 = 0.6;
+/// Probability of completing without retries from which a route is not restricted.
+const COMPLETES_MIN: f64 = 0.9;
+/// Minimum admission probability of the cheapest route that reaches a service, so that its targets
+/// get offers and its recovery is noticed.
+const PROBE_PROBABILITY: f64 = 0.02;
+/// Least pass rate that is assumed, which bounds the retries that a call is expected to need.
+const PASS_MIN: f64 = 0.02;
+/// Weight of the latest pass rate if it is lower than the average: a rejected share of 0.55 is known
+/// to four fifths after 0.3 s, and one that is due to chance is averaged out.
+const FALL_WEIGHT: f64 = 0.5;
+/// Weight of the latest pass rate if it is higher, so that capacity is used again soon after a fault.
+const RISE_WEIGHT: f64 = 0.7;
+/// Time after which a condition without a new report no longer restricts anything.
+const CONDITION_TTL: Duration = Duration::from_secs(3);
+/// Share of the senders' offers that a target still gets for each unit of rejected share above that
+/// of the best target, as an exponent: senders all but avoid one that rejects half of its offers.
+const AVOIDANCE: f64 = 5.0;
+/// Half of the step to which rejected shares are rounded down in reports.
+const REJECTED_HALF_STEP: f64 = 0.025;
+/// Weight of the requests asked in the last interval in the average demand: about a second.
+const DEMAND_WEIGHT: f64 = 0.1;
+/// Least weight of one tree in the mean number of calls.
+const CALLS_WEIGHT_MIN: f64 = 0.05;
+/// Maximum number of calls to one service that are learned from one tree. Reports come from other
+/// nodes and may be wrong.
+const CALLS_MAX: u32 = 1_000;
+/// Maximum number of services learned for a route.
+const SERVICES_MAX: usize = 64;
+/// Maximum number of routes, and of services with a budget. Reports may name any number of them.
+const TRACKED_MAX: usize = 1_024;
+/// Demand below which a rank is no longer tracked, in requests per second.
+const DEMAND_MIN_PER_S: f64 = 0.001;
+
+/// Length of a bucket of the budget window.
+const BUCKET: Duration = Duration::from_millis(500);
+/// Number of buckets in the budget window of ten seconds.
+const WINDOW_BUCKETS: usize = 20;
+/// Number of buckets kept: the budget is earned by the best of the current window, the previous one
+/// and the one half a window earlier.
+const KEPT_BUCKETS: usize = 2 * WINDOW_BUCKETS;
+/// Shortest time in which the remaining budget is spent, in buckets. The calls of a tree take about
+/// a second.
+const SPEND_BUCKETS_MIN: usize = 2;
+
+/// What a node knows of one ready target of a service.
+#[derive(Clone, Copy, Debug)]
+pub struct TargetOffers {
+    /// Its load.
+    pub load: Load,
+    /// Its condition and the age of the report; `None` if it does not send the extended load report.
+    pub reported: Option<(Condition, Duration)>,
+}
+
+/// The share of offers to a service that its targets accept.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PassRate {
+    /// The share, from 0 to 1.
+    pub share: f64,
+    /// The age of the latest report that it is based on.
+    pub age: Duration,
+}
+
+impl PassRate {
+    /// The pass rate of a service; `None` unless one of its targets sends the extended load report.
+    ///
+    /// Each target is weighted by the offers that it gets from senders: these avoid targets that
+    /// reject more than others, as long as the others have capacity. Targets without a report, or
+    /// with an outdated one, count as accepting all offers.
+    pub fn of(targets: &[TargetOffers]) -> Option<Self> {
+        let age = targets.iter().filter_map(|target| Some(target.reported?.1)).min()?;
+        let rejected = |target: &TargetOffers| {
+            let current = target.reported.filter(|(_, age)| *age < CONDITION_TTL);
+            let percent = current.map_or(0, |(condition, _)| condition.rejected_percent.min(100));
+            let share = f64::from(percent) / 100.0;
+            if percent == 0 { 0.0 } else { (share + REJECTED_HALF_STEP).min(1.0) }
+        };
+        let best = targets.iter().map(rejected).fold(1.0, f64::min);
+        let attraction = |target: &TargetOffers| (-(rejected(target) - best) * AVOIDANCE).exp();
+        let (mut demand, mut capacity, mut preferred) = (0.0, 0.0, 0.0);
+        for target in targets {
+            let limit = f64::from(target.load.limit.max(1));
+            demand += f64::from(target.load.running) + f64::from(target.load.waiting);
+            capacity += limit;
+            preferred += limit * attraction(target);
+        }
+        // What the preferred targets can't take goes to all.
+        let excess = (demand - preferred) / (capacity - preferred).max(f64::EPSILON);
+        let excess = excess.clamp(0.0, 1.0);
+        let (mut offers, mut passed) = (0.0, 0.0);
+        for target in targets {
+            let attraction = attraction(target);
+            let weight =
+                f64::from(target.load.limit.max(1)) * (attraction + (1.0 - attraction) * excess);
+            offers += weight;
+            passed += weight * (1.0 - rejected(target));
+        }
+        Some(Self { share: passed / offers, age })
+    }
+
+    /// The average of this pass rate and a later one.
+    fn averaged(self, latest: Self) -> Self {
+        let weight = if latest.share < self.share { FALL_WEIGHT } else { RISE_WEIGHT };
+        Self { share: self.share + weight * (latest.share - self.share), ..latest }
+    }
+
+    /// The retries that one call is expected to need.
+    fn retries_per_call(self) -> f64 {
+        let share = self.share.max(PASS_MIN);
+        (1.0 - share) / share
+    }
+}
+
+/// Calls of this node's trees to a service in one bucket of the window.
+#[derive(Clone, Copy, Debug, Default)]
+struct Bucket {
+    requests: u32,
+    repeats: u32,
+}
+
+/// This node's part of the retry budget of a service: what its own trees have earned and spent.
+#[derive(Debug)]
+struct TreeBudget {
+    /// The kept buckets and the current one, as a ring.
+    buckets: [Bucket; KEPT_BUCKETS + 1],
+    /// Number of the current bucket, counted from the start of the node.
+    newest: u64,
+}
+
+impl TreeBudget {
+    fn new(newest: u64) -> Self {
+        Self { buckets: [Bucket::default(); KEPT_BUCKETS + 1], newest }
+    }
+
+    /// Advances to the bucket of the given number.
+    fn advance(&mut self, number: u64) {
+        let elapsed = number.saturating_sub(self.newest).min(self.buckets.len() as u64);
+        for back in 0..elapsed {
+            let index = (number - back) as usize % self.buckets.len();
+            self.buckets[index] = Bucket::default();
+        }
+        self.newest = self.newest.max(number);
+    }
+
+    /// The bucket that is `back` buckets older than the current one.
+    fn bucket(&self, back: usize) -> Bucket {
+        let length = self.buckets.len();
+        self.buckets[(self.newest as usize % length + length - back) % length]
+    }
+
+    fn record(&mut self, calls: &ServiceCalls) {
+        let index = self.newest as usize % self.buckets.len();
+        let bucket = &mut self.buckets[index];
+        bucket.requests = bucket.requests.saturating_add(calls.requests);
+        bucket.repeats = bucket.repeats.saturating_add(calls.repeats);
+    }
+
+    /// Calls in the best of the three windows.
+    fn requests(&self) -> f64 {
+        let mut best: u64 = 0;
+        for back in [0, WINDOW_BUCKETS / 2, WINDOW_BUCKETS] {
+            let window = (back..back + WINDOW_BUCKETS).map(|back| self.bucket(back).requests);
+            best = best.max(window.map(u64::from).sum());
+        }
+        best as f64
+    }
+
+    /// Retries that requests of `rank` may still spend in the window, of `budget` for all ranks.
+    /// `pending` are the retries that trees in flight are expected to need, by rank.
+    ///
+    /// Senders leave a part of the budget to more important ranks. So trees of less important ranks
+    /// that were in flight when a fault began can't use up more than their own part.
+    fn remaining(&self, budget: f64, rank: u8, pending: &BTreeMap<u8, f64>) -> f64 {
+        let repeats = (0..=WINDOW_BUCKETS).map(|back| f64::from(self.bucket(back).repeats));
+        let mut spent: f64 = repeats.sum();
+        for (other, retries) in pending.iter().rev() {
+            let bound = if *other < rank { f64::INFINITY } else { budget * rank_fraction(*other) };
+            spent = spent.max((spent + retries).min(bound));
+        }
+        budget * rank_fraction(rank) - spent
+    }
+
+    /// The highest constant rate at which the `remaining` retries can be spent without ever
+    /// exceeding the budget, in retries per second. Retries that leave the window on the way become
+    /// available again.
+    fn constant_rate(&self, remaining: f64) -> f64 {
+        let mut left = remaining;
+        let mut rate = f64::INFINITY;
+        for ahead in 1..=WINDOW_BUCKETS {
+            left += f64::from(self.bucket(WINDOW_BUCKETS + 1 - ahead).repeats);
+            if ahead >= SPEND_BUCKETS_MIN {
+                rate = rate.min(left / (BUCKET.as_secs_f64() * ahead as f64));
+            }
+        }
+        rate.max(0.0)
+    }
+
+    /// The rate at which requests of `rank` may spend the budget, in retries per second. The most
+    /// important rank may use up the whole budget at once.
+    fn rate(&self, share: f64, rank: u8, pending: &BTreeMap<u8, f64>) -> f64 {
+        let remaining = self.remaining(self.requests() * share, rank, pending);
+        if rank > 0 {
+            return self.constant_rate(remaining);
+        }
+        let spend_s = BUCKET.as_secs_f64() * SPEND_BUCKETS_MIN as f64;
+        (remaining / spend_s).max(0.0)
+    }
+}
+
+/// State of one service.
+#[derive(Debug)]
+struct ServiceState {
+    /// The averaged pass rate; `None` if no target sends the extended load report.
+    pass: Option<PassRate>,
+    budget: TreeBudget,
+    /// Retries that trees in flight are expected to need, by rank.
+    pending: BTreeMap<u8, f64>,
+    /// Retries per second expected of the requests admitted so far, while decisions are made.
+    planned_per_s: f64,
+}
+
+impl ServiceState {
+    fn new(bucket: u64) -> Self {
+        let budget = TreeBudget::new(bucket);
+        Self { pass: None, budget, pending: BTreeMap::new(), planned_per_s: 0.0 }
+    }
+}
+
+/// Demand of one rank of a route, and the decision for it.
+#[derive(Clone, Debug)]
+struct Demand {
+    /// Requests since the last decision.
+    asked: u32,
+    /// Average demand, in requests per second.
+    per_s: f64,
+    probability: f64,
+    /// The service that limits the probability; empty if none does.
+    limited_by: String,
+    /// Admitted requests in flight.
+    in_flight: Rc<Cell<u32>>,
+}
+
+impl Default for Demand {
+    fn default() -> Self {
+        Self {
+            asked: 0,
+            per_s: 0.0,
+            probability: 1.0,
+            limited_by: String::new(),
+            in_flight: Rc::default(),
+        }
+    }
+}
+
+/// State of one root route.
+#[derive(Debug, Default)]
+struct RootState {
+    /// Mean number of calls of a successful tree, by service.
+    calls: HashMap<String, f64>,
+    /// Number of successful trees.
+    trees: u32,
+    /// Demand by rank.
+    demand: BTreeMap<u8, Demand>,
+}
+
+impl RootState {
+    /// Learns the calls of a successful tree.
+    fn learn(&mut self, calls: &[ServiceCalls]) {
+        self.trees = self.trees.saturating_add(1);
+        let weight = (1.0 / f64::from(self.trees)).max(CALLS_WEIGHT_MIN);
+        for (service, mean) in &mut self.calls {
+            if !calls.iter().any(|known| known.service == *service) {
+                *mean -= weight * *mean;
+            }
+        }
+        for known in calls {
+            let requests = f64::from(known.requests.min(CALLS_MAX));
+            if let Some(mean) = self.calls.get_mut(&known.service) {
+                *mean += weight * (requests - *mean);
+            } else if self.calls.len() < SERVICES_MAX {
+                self.calls.insert(known.service.clone(), weight * requests);
+            }
+        }
+    }
+
+    /// The probability that a tree completes without retries.
+    fn completes(&self, services: &HashMap<String, ServiceState>) -> f64 {
+        let passes = |(service, calls): (&String, &f64)| {
+            let pass = services.get(service).and_then(|state| state.pass);
+            pass.map_or(1.0, |pass| pass.share.max(0.0).powf(*calls))
+        };
+        self.calls.iter().map(passes).product()
+    }
+
+    /// The retries that a tree is expected to need at each service.
+    fn retries<'a>(&'a self, services: &HashMap<String, ServiceState>) -> Vec<(&'a str, f64)> {
+        let mut retries = Vec::new();
+        for (service, calls) in &self.calls {
+            let Some(pass) = services.get(service).and_then(|state| state.pass) else { continue };
+            let needed = calls * pass.retries_per_call();
+            if needed > 0.0 {
+                retries.push((service.as_str(), needed));
+            }
+        }
+        retries
+    }
+
+    /// The demand with the lowest probability of admission.
+    fn most_restricted(&self) -> Option<&Demand> {
+        self.demand.values().min_by(|one, other| one.probability.total_cmp(&other.probability))
+    }
+}
+
+/// Counts an admitted request as in flight until dropped. Its expected retries are charged for as
+/// long, as the actual ones are known only when its tree ends.
+#[derive(Debug)]
+pub struct TreeInFlight(Rc<Cell<u32>>);
+
+impl Drop for TreeInFlight {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
+
+/// The inputs of the decision about a route.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Restriction {
+    /// The service that limits the route; empty if it is not restricted.
+    pub service: String,
+    /// The pass rate of that service.
+    pub pass: Option<PassRate>,
+    /// Mean number of calls of a tree to that service.
+    pub calls: f64,
+    /// Retries per second that the budget permits to the requests of the rank.
+    pub retries_per_s: f64,
+    /// Demand, in requests per second.
+    pub asked_per_s: f64,
+}
+
+/// Admission of requests by the probability that their trees complete, at one entry node.
+#[derive(Debug)]
+pub struct Completion {
+    /// Retries permitted per call of this node's trees.
+    share: f64,
+    started: Instant,
+    /// Whether any target sends the extended load report.
+    is_on: Cell<bool>,
+    services: RefCell<HashMap<String, ServiceState>>,
+    roots: RefCell<HashMap<Rc<str>, RootState>>,
+}
+
+impl Completion {
+    /// Creates the state for the given limits on retries.
+    pub fn new(settings: &RetrySection) -> Self {
+        Self {
+            share: settings.share * SHARE_FRACTION,
+            started: Instant::now(),
+            is_on: Cell::default(),
+            services: RefCell::default(),
+            roots: RefCell::default(),
+        }
+    }
+
+    /// Whether a caller's request is admitted. Counts it as demand.
+    pub fn admits(&self, route: &Route, rank: u8, rng: &mut impl Rng) -> bool {
+        if !self.is_on.get() {
+            return true;
+        }
+        let is_admitted = |root: &mut RootState, rng: &mut _| {
+            let demand = root.demand.entry(rank).or_default();
+            demand.asked += 1;
+            demand.probability >= 1.0 || Rng::random::<f64>(rng) < demand.probability
+        };
+        self.with_root(&route.name, |root| is_admitted(root, rng)).unwrap_or(true)
+    }
+
+    /// Counts an admitted request as in flight; `None` if nothing needs to be counted.
+    pub fn begin_tree(&self, root: &Rc<str>, rank: u8) -> Option<TreeInFlight> {
+        if !self.is_on.get() {
+            return None;
+        }
+        self.with_root(root, |root| {
+            let in_flight = &root.demand.entry(rank).or_default().in_flight;
+            in_flight.set(in_flight.get() + 1);
+            TreeInFlight(Rc::clone(in_flight))
+        })
+    }
+
+    /// Records the calls of a caller's request that has its outcome. Failed trees count for the
+    /// budget only, as they lack the calls that they did not come to.
+    pub fn record_tree(&self, root: &Rc<str>, calls: &[ServiceCalls], has_succeeded: bool) {
+        if calls.is_empty() {
+            return;
+        }
+        let bucket = self.bucket();
+        let mut services = self.services.borrow_mut();
+        for known in calls {
+            if !services.contains_key(&known.service) {
+                if services.len() >= TRACKED_MAX {
+                    continue;
+                }
+                services.insert(known.service.clone(), ServiceState::new(bucket));
+            }
+            let Some(state) = services.get_mut(&known.service) else { continue };
+            state.budget.advance(bucket);
+            state.budget.record(known);
+        }
+        if has_succeeded {
+            self.with_root(root, |root| root.learn(calls));
+        }
+    }
+
+    /// Decides the probabilities of admission for the next interval, by the ready targets of each
+    /// service that has a target with a condition.
+    pub fn adjust(&self, targets: &HashMap<String, Vec<TargetOffers>>) {
+        let mut services = self.services.borrow_mut();
+        let bucket = self.bucket();
+        for (service, offers) in targets {
+            if !services.contains_key(service) {
+                services.insert(service.clone(), ServiceState::new(bucket));
+            }
+            let Some(state) = services.get_mut(service) else { continue };
+            let latest = PassRate::of(offers);
+            let average =
+                |latest: PassRate| state.pass.map_or(latest, |pass| pass.averaged(latest));
+            state.pass = latest.map(average);
+        }
+        for (service, state) in services.iter_mut() {
+            state.budget.advance(bucket);
+            state.pending.clear();
+            state.planned_per_s = 0.0;
+            if !targets.contains_key(service) {
+                state.pass = None;
+            }
+        }
+        services.retain(|_, state| state.pass.is_some() || state.budget.requests() > 0.0);
+        self.is_on.set(services.values().any(|state| state.pass.is_some()));
+        let mut roots = self.roots.borrow_mut();
+        if !self.is_on.get() {
+            for root in roots.values_mut() {
+                root.demand.clear();
+            }
+            return;
+        }
+        for root in roots.values_mut() {
+            update_demand(&mut root.demand);
+            for (service, retries) in root.retries(&services) {
+                let Some(state) = services.get_mut(service) else { continue };
+                for (rank, demand) in &root.demand {
+                    let pending = state.pending.entry(*rank).or_default();
+                    *pending += f64::from(demand.in_flight.get()) * retries;
+                }
+            }
+        }
+        decide(&mut roots, &mut services, self.share);
+    }
+
+    /// The probability that a request of the route is admitted, averaged over its ranks.
+    pub fn admission_probability(&self, route: &str) -> f64 {
+        let roots = self.roots.borrow();
+        let Some(root) = roots.get(route) else { return 1.0 };
+        let (mut asked, mut admitted) = (0.0, 0.0);
+        for demand in root.demand.values() {
+            asked += demand.per_s;
+            admitted += demand.per_s * demand.probability;
+        }
+        if asked > 0.0 { admitted / asked } else { 1.0 }
+    }
+
+    /// The inputs of the latest decision about the route.
+    pub fn restriction(&self, route: &str) -> Restriction {
+        let (roots, services) = (self.roots.borrow(), self.services.borrow());
+        let Some(root) = roots.get(route) else { return Restriction::default() };
+        let Some(demand) = root.most_restricted() else { return Restriction::default() };
+        let state = services.get(&demand.limited_by);
+        let is_most_restricted = |(rank, other): (&u8, &Demand)| {
+            (other.probability == demand.probability).then_some(*rank)
+        };
+        let rank = root.demand.iter().find_map(is_most_restricted).unwrap_or(0);
+        Restriction {
+            service: demand.limited_by.clone(),
+            pass: state.and_then(|state| state.pass),
+            calls: root.calls.get(&demand.limited_by).copied().unwrap_or(0.0),
+            retries_per_s: state
+                .map_or(0.0, |state| state.budget.rate(self.share, rank, &state.pending)),
+            asked_per_s: root.demand.values().map(|demand| demand.per_s).sum(),
+        }
+    }
+
+    /// The pass rates of all services that have one.
+    pub fn pass_rates(&self) -> Vec<(String, PassRate)> {
+        let services = self.services.borrow();
+        let known = services.iter().filter_map(|(name, state)| Some((name.clone(), state.pass?)));
+        known.collect()
+    }
+
+    /// Number of the current bucket.
+    fn bucket(&self) -> u64 {
+        (self.started.elapsed().as_millis() / BUCKET.as_millis()) as u64
+    }
+
+    /// Calls `take` with the state of a route; `None` if there are too many routes.
+    fn with_root<T>(&self, name: &Rc<str>, take: impl FnOnce(&mut RootState) -> T) -> Option<T> {
+        let mut roots = self.roots.borrow_mut();
+        if let Some(root) = roots.get_mut(name) {
+            return Some(take(root));
+        }
+        if roots.len() >= TRACKED_MAX {
+            return None;
+        }
+        Some(take(roots.entry(Rc::clone(name)).or_default()))
+    }
+}
+
+/// Updates the average demand, and forgets the ranks that have none.
+fn update_demand(by_rank: &mut BTreeMap<u8, Demand>) {
+    by_rank.retain(|_, demand| {
+        let latest = f64::from(demand.asked) / ADJUST_INTERVAL.as_secs_f64();
+        demand.asked = 0;
+        demand.per_s += DEMAND_WEIGHT * (latest - demand.per_s);
+        demand.per_s > DEMAND_MIN_PER_S || demand.in_flight.get() > 0
+    });
+}
+
+/// Divides the budgets among the routes, in order of rank and then of the retries that a tree needs.
+fn decide(
+    roots: &mut HashMap<Rc<str>, RootState>,
+    services: &mut HashMap<String, ServiceState>,
+    share: f64,
+) {
+    let mut order: Vec<(u8, f64, Rc<str>)> = Vec::new();
+    for (name, root) in roots.iter() {
+        let retries = root.retries(services).iter().map(|(_, retries)| retries).sum();
+        order.extend(root.demand.keys().map(|rank| (*rank, retries, Rc::clone(name))));
+    }
+    order.sort_by(|one, other| {
+        one.0.cmp(&other.0).then(one.1.total_cmp(&other.1)).then_with(|| one.2.cmp(&other.2))
+    });
+    for (rank, _, name) in &order {
+        let Some(root) = roots.get_mut(name) else { continue };
+        let per_s = root.demand.get(rank).map_or(0.0, |demand| demand.per_s);
+        let (mut probability, mut limited_by) = (1.0, "");
+        let retries = root.retries(services);
+        if root.completes(services) < COMPLETES_MIN {
+            for (service, retries) in &retries {
+                let Some(state) = services.get(*service) else { continue };
+                let permitted =
+                    state.budget.rate(share, *rank, &state.pending) - state.planned_per_s;
+                let covered = permitted.max(0.0) / (retries * per_s);
+                if covered < probability {
+                    (probability, limited_by) = (covered, service);
+                }
+            }
+        }
+        for (service, retries) in &retries {
+            if let Some(state) = services.get_mut(*service) {
+                state.planned_per_s += probability * per_s * retries;
+            }
+        }
+        let limited_by = limited_by.to_owned();
+        let Some(demand) = root.demand.get_mut(rank) else { continue };
+        demand.probability = probability;
+        demand.limited_by = limited_by;
+    }
+    probe(roots, services);
+}
+
+/// Keeps a small probability of admission for the cheapest route that reaches each service.
+fn probe(roots: &mut HashMap<Rc<str>, RootState>, services: &HashMap<String, ServiceState>) {
+    for service in services.keys() {
+        let mut cheapest: Option<(f64, &mut RootState)> = None;
+        for root in roots.values_mut() {
+            let retries = root.retries(services);
+            if root.demand.is_empty() || !retries.iter().any(|(reached, _)| reached == service) {
+                continue;
+            }
+            let retries: f64 = retries.iter().map(|(_, retries)| retries).sum();
+            if cheapest.as_ref().is_none_or(|(least, _)| retries < *least) {
+                cheapest = Some((retries, root));
+            }
+        }
+        let Some((_, root)) = cheapest else { continue };
+        for demand in root.demand.values_mut() {
+            demand.probability = demand.probability.max(PROBE_PROBABILITY);
+        }
+    }
+}
--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -11,6 +11,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use super::completion::TargetOffers;
 use super::condition::PeerCondition;
 use super::failure_share::{FailureShare, capacity_weight};
 use super::frame::{Hello, Load, Neighbour, Status};
@@ -343,6 +344,28 @@
         cheapest.map(|(_, destination)| destination)
     }
 
+    /// The ready targets of other nodes by service; none unless one has a condition or
+    /// `own_has_condition`.
+    pub fn target_offers(&self, own_has_condition: bool) -> HashMap<String, Vec<TargetOffers>> {
+        let mut offers: HashMap<String, Vec<TargetOffers>> = HashMap::new();
+        let peers = self.peers.borrow();
+        if !own_has_condition && peers.values().all(|peer| peer.condition.current().is_none()) {
+            return offers;
+        }
+        for peer in peers.values() {
+            let status = peer.status.borrow();
+            if !status.ready || peer.open_link().is_none() {
+                continue;
+            }
+            let target = TargetOffers { load: status.load, reported: peer.condition.current() };
+            match offers.get_mut(&status.service) {
+                Some(targets) => targets.push(target),
+                None => _ = offers.insert(status.service.clone(), vec![target]),
+            }
+        }
+        offers
+    }
+
     /// Aggregated load of each service, including the local target with status `own`, whose demand
     /// is `own_load`. A target that has named a limit may have free slots and yet no capacity.
     pub fn services(&self, own: &Status, own_load: Load) -> HashMap<String, ServiceView> {
--- a/src/mesh/ingress.rs
+++ b/src/mesh/ingress.rs
@@ -16,6 +16,7 @@
 use tokio::task::{spawn_local, yield_now};
 use tokio::time::{Instant, sleep_until, timeout_at};
 
+use super::completion::TreeInFlight;
 use super::frame::{Doubt, Header, NotRun, TargetAnswer};
 use super::linger::{LingeringStream, PeerWatch};
 use super::node::{CountGuard, Node};
@@ -191,6 +192,9 @@
     };
     let (outcome, mut summary) = send(node, &route, &request, parent.as_ref()).await;
     summary.team = Rc::clone(&request.team);
+    if parent.is_none() {
+        node.completion.record_tree(&request.root, &summary.calls, outcome.went_well());
+    }
     if parent.is_none() && matches!(outcome, Outcome::NotRun { .. }) {
         admission::refund_token(node, &request.team);
     }
@@ -234,12 +238,14 @@
     rank: u8,
     /// Its slot among the requests in flight; `None` for calls of the target.
     _admitted: Option<Admitted>,
+    /// Its tree, for which retries are charged; `None` if none are.
+    _tree: Option<TreeInFlight>,
 }
 
 impl AdmittedRequest {
     /// A call of the target, which inherits team and rank from its parent request.
     fn inherit(parent: &ParentRequest) -> Self {
-        Self { team: Rc::clone(&parent.team), rank: parent.rank, _admitted: None }
+        Self { team: Rc::clone(&parent.team), rank: parent.rank, _admitted: None, _tree: None }
     }
 }
 
@@ -292,6 +298,13 @@
     if node.is_closing() {
         return Err(Rejection::new(NotRun::Closing, RETRY_AFTER_CLOSING_MS, team));
     }
+    if !node.completion.admits(route, rank, &mut *node.rng.borrow_mut()) {
+        return Err(Rejection::new(
+            NotRun::Unlikely,
+            sender::retry_after_ms(node, route, NotRun::Unlikely),
+            team,
+        ));
+    }
     // The quota counts requests that run, so it is checked only after admission.
     let admitted = node.overload.admit(route, rank, &mut *node.rng.borrow_mut());
     if admitted.is_none() {
@@ -306,7 +319,8 @@
             .await
             .map_err(|over| Rejection::over_quota(over, &team.name))?;
     }
-    Ok(AdmittedRequest { team: Rc::clone(team), rank, _admitted: admitted })
+    let tree = node.completion.begin_tree(&route.name, rank);
+    Ok(AdmittedRequest { team: Rc::clone(team), rank, _admitted: admitted, _tree: tree })
 }
 
 /// Converts an outcome into a response.
--- a/src/mesh/metrics.rs
+++ b/src/mesh/metrics.rs
@@ -24,6 +24,11 @@
 /// Requests whose caller disconnected before the answer, by when this was noticed.
 const CALLERS_LEFT: &str = "aspenspring_mesh_callers_left_total";
 
+/// The share of offers to a service that its targets accept.
+const PASS_RATES: &str = "aspenspring_mesh_pass_rate";
+/// The probability of admission by the probability that trees complete, by root route.
+const COMPLETION_SHARES: &str = "aspenspring_mesh_completion_admitted_share";
+
 /// Requests of callers by outcome and by the team whose key admitted them.
 const TEAM_REQUESTS: &str = "aspenspring_mesh_team_requests_total";
 /// How many teams have a series of their own. All others share one, which bounds the number of
@@ -41,6 +46,8 @@
     calls: RefCell<HashMap<&'static str, Counter>>,
     target_requests: RefCell<HashMap<bool, Counter>>,
     callers_left: RefCell<HashMap<&'static str, Counter>>,
+    /// The pass rates of services that had one at the last scrape.
+    pass_rates: RefCell<HashMap<String, Gauge>>,
     /// Requests per team and outcome since the last scrape.
     team_requests: RefCell<HashMap<Rc<str>, HashMap<&'static str, u64>>>,
 }
@@ -61,6 +68,7 @@
             calls: RefCell::default(),
             target_requests: RefCell::default(),
             callers_left: RefCell::default(),
+            pass_rates: RefCell::default(),
             team_requests: RefCell::default(),
         }
     }
@@ -140,6 +148,36 @@
         }
     }
 
+    /// Publishes the pass rates of services, and the probabilities of admission that result. There
+    /// are no such series unless targets send the extended load report.
+    fn publish_completion(&self, node: &Node, site: &Site) {
+        let current = node.completion.pass_rates();
+        let mut gauges = self.pass_rates.borrow_mut();
+        if current.is_empty() && gauges.is_empty() {
+            return;
+        }
+        for (service, pass) in &current {
+            let gauge = gauges.entry(service.clone()).or_insert_with(|| {
+                let name = service.clone();
+                with_local_recorder(&self.recorder, || gauge!(PASS_RATES, "service" => name))
+            });
+            gauge.set(pass.share);
+        }
+        gauges.retain(|service, gauge| {
+            let is_current = current.iter().any(|(name, _)| name == service);
+            if !is_current {
+                gauge.set(1.0);
+            }
+            is_current
+        });
+        for route in site.routes() {
+            let name = route.name.to_string();
+            let admitted =
+                with_local_recorder(&self.recorder, || gauge!(COMPLETION_SHARES, "root" => name));
+            admitted.set(node.completion.admission_probability(&route.name));
+        }
+    }
+
     /// Renders the metrics for a scraper, with the current state of the node.
     pub fn render(&self, node: &Node) -> String {
         let load = node.target.load();
@@ -164,6 +202,7 @@
         }
         if let Some(site) = node.site() {
             self.publish_teams(&site);
+            self.publish_completion(node, &site);
             for route in site.routes() {
                 let name = route.name.to_string();
                 let admitted = with_local_recorder(
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod budget;
 pub mod codec;
+pub mod completion;
 pub mod condition;
 pub mod crash;
 pub mod crash_reports;
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -14,6 +14,7 @@
 use crate::event::{EventLog, LogEvent};
 
 use super::budget::RetryBudgets;
+use super::completion::{Completion, TargetOffers};
 use super::directory::Directory;
 use super::follower::StoreWatch;
 use super::frame::{FEATURE_CONDITION, Frame, Hello, RootWork, Status};
@@ -74,6 +75,8 @@
     pub target: Target,
     /// Admission of callers' requests.
     pub overload: Overload,
+    /// Admission by the probability that call trees complete.
+    pub completion: Completion,
     /// The requests that the target is running.
     pub running_requests: RunningRequests,
     /// The quotas of teams.
@@ -91,6 +94,8 @@
     admission_logged: Cell<Option<Instant>>,
     /// The routes last logged as being shed.
     shed_routes: RefCell<HashSet<Rc<str>>>,
+    /// The routes last logged as being restricted to the trees that complete.
+    unlikely_routes: RefCell<HashSet<Rc<str>>>,
     /// Distributes the requests of split routes among services.
     pub splitter: Splitter,
     /// The retry budgets.
@@ -136,6 +141,7 @@
             directory: Directory::new(settings.listen.peers, &settings.node.failure_domain),
             target: Target::new(settings.target.address),
             overload: Overload::new(settings.overload.policy),
+            completion: Completion::new(&settings.retry),
             running_requests: RunningRequests::default(),
             quotas: Quotas::new(
                 settings.listen.peers,
@@ -148,6 +154,7 @@
             neighbour_requests: Cell::default(),
             admission_logged: Cell::default(),
             shed_routes: RefCell::default(),
+            unlikely_routes: RefCell::default(),
             splitter: Splitter::default(),
             budgets: RetryBudgets::new(&settings.retry),
             rng: RefCell::new(SmallRng::from_os_rng()),
@@ -359,9 +366,11 @@
         let services = self.directory.services(&status, self.target.gate.demand());
         let entries = self.directory.linked() + 1;
         self.overload.adjust(&services, site.rank_max(), entries);
+        self.completion.adjust(&self.target_offers());
         if self.admission_logged.get().is_none_or(|last| last.elapsed() >= ADMISSION_LOG_INTERVAL) {
             self.admission_logged.set(Some(Instant::now()));
             self.log_admission(&site, &services);
+            self.log_completion(&site);
         }
     }
 
@@ -434,6 +443,48 @@
         }
     }
 
+    /// The ready targets of each service that has one with a condition.
+    fn target_offers(&self) -> HashMap<String, Vec<TargetOffers>> {
+        let own = self.target.current().filter(|_| self.accepts_calls());
+        let own_condition = own.as_ref().and_then(|_| self.target.condition());
+        let mut offers = self.directory.target_offers(own_condition.is_some());
+        if let Some(own) = own {
+            let reported = own_condition.map(|condition| (condition, Duration::ZERO));
+            let target = TargetOffers { load: self.target.load(), reported };
+            offers.entry(own.service.clone()).or_default().push(target);
+        }
+        offers.retain(|_, targets| targets.iter().any(|target| target.reported.is_some()));
+        offers
+    }
+
+    /// Logs the routes that have begun or ceased to be restricted to the trees that complete.
+    fn log_completion(&self, site: &Site) {
+        let mut unlikely = self.unlikely_routes.borrow_mut();
+        for route in site.routes() {
+            let probability = self.completion.admission_probability(&route.name);
+            let is_restricted = probability < 1.0;
+            if unlikely.contains(&route.name) == is_restricted {
+                continue;
+            }
+            if is_restricted {
+                unlikely.insert(Rc::clone(&route.name));
+            } else {
+                unlikely.remove(&route.name);
+            }
+            let inputs = self.completion.restriction(&route.name);
+            self.log.emit(&LogEvent::CompletionChanged {
+                root: route.name.to_string(),
+                limited_by: inputs.service,
+                admitted_percent: (probability * 100.0) as u32,
+                pass_percent: inputs.pass.map_or(100, |pass| (pass.share * 100.0) as u32),
+                age_ms: inputs.pass.map_or(0, |pass| pass.age.as_millis() as u64),
+                calls_percent: (inputs.calls * 100.0) as u32,
+                retries_per_1000_s: (inputs.retries_per_s * 1_000.0) as u32,
+                asked_per_1000_s: (inputs.asked_per_s * 1_000.0) as u32,
+            });
+        }
+    }
+
     /// The first frame on a new link.
     ///
     /// `left_incarnations` are the incarnations of the peer's target that the peer had reported as
--- a/src/mesh/request_log.rs
+++ b/src/mesh/request_log.rs
@@ -12,6 +12,7 @@
 use crate::event::LogEvent;
 
 use super::fingerprint::Fingerprint;
+use super::frame::{NotRun, ServiceCalls};
 use super::linger::PeerWatch;
 use super::node::Node;
 use super::sender::Outcome;
@@ -35,6 +36,8 @@
     pub quota: Option<QuotaState>,
     /// Describes the limit of the last target, if the request was refused because of it.
     pub target_limit: String,
+    /// For a caller's request, all calls of its tree by service; empty where conditions are off.
+    pub calls: Vec<ServiceCalls>,
 }
 
 /// A request that has its final answer.
@@ -76,6 +79,13 @@
     for peer in &summary.offered {
         offered.push(peer.map_or_else(|| "own".to_owned(), |address| address.to_string()));
     }
+    let (probability, limited_by) = if reason == NotRun::Unlikely.name() {
+        let restriction = node.completion.restriction(&ended.route.name);
+        (node.completion.admission_probability(&ended.route.name), restriction.service)
+    } else {
+        let limited_by = node.overload.limited_by(ended.route).unwrap_or_default();
+        (node.overload.admission_probability(ended.route), limited_by)
+    };
     node.log.emit(&LogEvent::RequestEnded {
         attempt: ended.attempt_id.to_owned(),
         root: ended.root.to_string(),
@@ -86,8 +96,8 @@
         offered: offered.join(" "),
         arrivals: summary.arrivals,
         heard_ms: silent_ms(node, summary),
-        admitted_percent: (node.overload.admission_probability(ended.route) * 100.0) as u32,
-        limited_by: node.overload.limited_by(ended.route).unwrap_or_default(),
+        admitted_percent: (probability * 100.0) as u32,
+        limited_by,
         repeats_percent: (node.budgets.remaining(&summary.service) * 100.0) as u32,
         config_version: node.site_version(),
         team: summary.team.to_string(),
--- /dev/null
+++ b/tests/mesh/completion.rs
@@ -0,0 +1,251 @@
+//! Admission by the probability that call trees complete.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use aspenspring::mesh::completion::{Completion, PassRate, TargetOffers};
+use aspenspring::mesh::frame::{Condition, Load, ServiceCalls};
+use aspenspring::mesh::overload::ADJUST_INTERVAL;
+use aspenspring::mesh::settings::RetrySection;
+use aspenspring::mesh::site::{Route, RouteKind};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use tokio::time::{sleep, timeout};
+
+use super::support::{self, Reaction, paused, route};
+
+fn target(running: u32, rejected_percent: u8, age: Duration) -> TargetOffers {
+    let condition = Condition { rejected_percent, slowness_percent: 100, run_us: 20_000 };
+    let load = Load { running, limit: 40, ..Load::default() };
+    TargetOffers { load, reported: Some((condition, age)) }
+}
+
+fn pass_percent(targets: &[TargetOffers]) -> Option<u32> {
+    PassRate::of(targets).map(|pass| (pass.share * 100.0).round() as u32)
+}
+
+fn calls(service: &str, requests: u32, repeats: u32) -> Vec<ServiceCalls> {
+    vec![ServiceCalls { service: service.to_owned(), requests, repeats, rejected: repeats }]
+}
+
+/// An entry node that is asked for requests of routes, each with a number of calls to `deep`.
+struct Entry {
+    completion: Completion,
+    rng: SmallRng,
+    rejected: f64,
+    /// Requests per second, calls of a tree and route.
+    load: Vec<(f64, u32, Route)>,
+    /// Retries since the last reset.
+    repeats: u32,
+}
+
+impl Entry {
+    fn new(load: Vec<(f64, u32, Route)>, seed: u64) -> Self {
+        Self {
+            completion: Completion::new(&RetrySection { share: 0.2, slack: 0 }),
+            rng: SmallRng::seed_from_u64(seed),
+            rejected: 0.0,
+            load,
+            repeats: 0,
+        }
+    }
+
+    fn adjust(&self) {
+        let percent = (self.rejected * 100.0) as u8;
+        let targets = vec![target(20, percent, Duration::ZERO); 3];
+        self.completion.adjust(&HashMap::from([("deep".to_owned(), targets)]));
+    }
+
+    /// Runs for a time. Each call is repeated until it is not rejected.
+    async fn run(&mut self, seconds: f64) {
+        for _ in 0..(seconds / ADJUST_INTERVAL.as_secs_f64()).round() as u32 {
+            sleep(ADJUST_INTERVAL).await;
+            self.adjust();
+            for (per_s, count, route) in &self.load {
+                let is_asked = self.rng.random::<f64>() < per_s * ADJUST_INTERVAL.as_secs_f64();
+                if !is_asked || !self.completion.admits(route, route.rank, &mut self.rng) {
+                    continue;
+                }
+                let mut repeats = 0;
+                for _ in 0..*count {
+                    while self.rng.random::<f64>() < self.rejected {
+                        repeats += 1;
+                    }
+                }
+                self.repeats += repeats;
+                self.completion.record_tree(&route.name, &calls("deep", *count, repeats), true);
+            }
+        }
+    }
+
+    fn probability(&self, route: &str) -> f64 {
+        self.completion.admission_probability(route)
+    }
+}
+
+/// Routes with 8, 4 and no calls to the service that is about to fail.
+fn three_routes() -> Vec<(f64, u32, Route)> {
+    let route = |name, rank| route(name, "front", RouteKind::Idempotent, rank);
+    vec![(7.0, 8, route("pages", 2)), (1.0, 4, route("book", 0)), (8.0, 0, route("other", 2))]
+}
+
+#[test]
+fn neither_a_bad_target_nor_an_old_report_stands_for_a_service() {
+    let now = Duration::ZERO;
+    let failing = pass_percent(&[target(0, 55, now); 3]);
+    assert!((Some(42)..Some(44)).contains(&failing), "{failing:?}");
+    let with_bad = |running| [target(running, 0, now), target(running, 0, now), target(0, 55, now)];
+    assert!(pass_percent(&with_bad(20)) >= Some(97), "senders avoid the bad target");
+    let saturated = pass_percent(&with_bad(60));
+    assert!((Some(75)..Some(90)).contains(&saturated), "the others are full: {saturated:?}");
+    assert_eq!(pass_percent(&[target(0, 55, Duration::from_secs(3)); 3]), Some(100));
+    assert_eq!(pass_percent(&[target(0, 255, now); 2]), Some(0));
+    let silent = TargetOffers { reported: None, ..target(0, 0, now) };
+    assert_eq!(pass_percent(&[silent; 3]), None);
+    assert!(pass_percent(&[silent, silent, target(0, 100, now)]) >= Some(97));
+}
+
+#[test]
+fn without_extended_reports_nothing_is_decided_or_drawn() {
+    paused(async {
+        let mut entry = Entry::new(three_routes(), 1);
+        entry.run(15.0).await;
+        entry.rejected = 0.55;
+        entry.run(1.0).await;
+        assert!(entry.probability("pages") < 0.5);
+        entry.completion.adjust(&HashMap::new());
+        let (mut rng, mut same) = (SmallRng::seed_from_u64(3), SmallRng::seed_from_u64(3));
+        for (_, _, route) in &entry.load {
+            assert!(entry.completion.admits(route, route.rank, &mut rng));
+            assert!(entry.completion.begin_tree(&route.name, route.rank).is_none());
+            assert_eq!(entry.probability(&route.name), 1.0);
+        }
+        assert_eq!(rng.random::<u64>(), same.random::<u64>());
+    });
+}
+
+#[test]
+fn a_fault_restricts_expensive_trees_at_once_and_its_end_frees_them_within_a_second() {
+    for seed in 1..6 {
+        paused(async {
+            let mut entry = Entry::new(three_routes(), seed);
+            entry.run(20.0).await;
+            assert_eq!(entry.probability("pages"), 1.0);
+            entry.rejected = 0.55;
+            entry.repeats = 0;
+            entry.run(0.3).await;
+            let [pages, book, other] =
+                ["pages", "book", "other"].map(|name| entry.probability(name));
+            assert!(pages < 0.35, "the expensive route after 0.3 s: {pages}");
+            assert!(book > 0.7 && other == 1.0, "rank 0: {book}, route without calls: {other}");
+            entry.run(8.2).await;
+            // 60 calls a second, of which share 0.2 may be repeated within ten seconds.
+            assert!(entry.repeats < 120, "repeats: {}", entry.repeats);
+            entry.rejected = 0.0;
+            entry.run(1.0).await;
+            assert_eq!(entry.probability("pages"), 1.0, "a second after the fault");
+        });
+    }
+}
+
+#[test]
+fn the_budget_lasts_as_long_as_the_fault() {
+    let mut spent = [0; 4];
+    for seed in 1..21 {
+        paused(async {
+            let load = vec![(9.0, 8, route("pages", "front", RouteKind::Idempotent, 1))];
+            let mut entry = Entry::new(load, seed);
+            entry.run(20.0).await;
+            entry.rejected = 0.55;
+            for spent in &mut spent {
+                entry.repeats = 0;
+                entry.run(2.0).await;
+                *spent += entry.repeats;
+            }
+            assert!(entry.probability("pages") >= 0.02, "the cheapest route is shut entirely");
+        });
+    }
+    // Of 72 calls a second, 0.12 are planned, and rank 1 has three quarters of it: 13 in 2 s. The
+    // requests admitted before the fault is known take more at first, which is missing later.
+    let mean = spent.map(|spent| spent / 20);
+    assert!(mean.iter().all(|mean| (5..=35).contains(mean)), "spent in 2 s each: {mean:?}");
+    assert!(mean.iter().sum::<u32>() <= 65, "more was spent than planned in 10 s: {mean:?}");
+}
+
+#[test]
+fn trees_in_flight_are_charged_until_they_end_within_the_part_of_their_rank() {
+    paused(async {
+        let mut entry = Entry::new(three_routes(), 1);
+        entry.run(20.0).await;
+        entry.rejected = 0.55;
+        entry.run(0.5).await;
+        let begin = |name: &str, rank| -> Vec<_> {
+            (0..20).map(|_| entry.completion.begin_tree(&name.into(), rank)).collect()
+        };
+        let unimportant = begin("pages", 2);
+        entry.adjust();
+        let before = entry.probability("book");
+        assert!(before > 0.9, "trees of rank 2 use up the budget of rank 0: {before}");
+        let trees = begin("book", 0);
+        entry.adjust();
+        let charged = entry.probability("book");
+        assert!(charged < before / 2.0, "{before}, with 20 trees in flight {charged}");
+        drop((trees, unimportant));
+        entry.adjust();
+        assert!(entry.probability("book") > 0.9, "the charge outlived the trees");
+    });
+}
+
+#[test]
+fn a_new_entry_and_an_unknown_route_are_not_restricted() {
+    paused(async {
+        let mut entry = Entry::new(three_routes(), 1);
+        entry.rejected = 0.55;
+        entry.adjust();
+        for (_, _, route) in &entry.load {
+            assert!(entry.completion.admits(route, route.rank, &mut entry.rng));
+        }
+        // Only failed trees are known; they lack the calls that they did not come to.
+        let name: Rc<str> = "pages".into();
+        entry.completion.record_tree(&name, &calls("deep", u32::MAX, u32::MAX), false);
+        entry.completion.record_tree(&name, &calls("deep", u32::MAX, u32::MAX), false);
+        entry.adjust();
+        assert_eq!(entry.probability("pages"), 1.0);
+        assert_eq!(entry.probability("never seen"), 1.0);
+    });
+}
+
+#[test]
+fn an_entry_refuses_before_the_first_run_and_recovers() {
+    support::run(async {
+        let entry = support::start("one", "stock", vec![Reaction::Decline]).await;
+        *entry.target.signals.borrow_mut() = "x-load: 1,0,20,100\r\n".to_owned();
+        let completion = &entry.node.completion;
+        for name in ["read", "book"] {
+            completion.record_tree(&name.into(), &calls("stock", 8, 0), true);
+        }
+        let ask = async |count: u32| {
+            for number in 0..count {
+                support::ask(&entry, &support::request("read", &format!("a{number}"))).await;
+            }
+        };
+        let until = async |is_met: &dyn Fn(f64) -> bool| {
+            let met = async {
+                while !is_met(completion.admission_probability("read")) {
+                    ask(4).await;
+                    sleep(Duration::from_millis(10)).await;
+                }
+            };
+            timeout(Duration::from_secs(5), met).await.expect("the probability does not change");
+        };
+        until(&|probability| probability < 0.1).await;
+        let arrivals = entry.target.arrivals();
+        ask(20).await;
+        assert!(entry.target.arrivals() - arrivals < 20, "refused requests reached the target");
+        let metrics = entry.node.metrics.render(&entry.node);
+        assert!(metrics.contains("end=\"unlikely-to-finish\""), "{metrics}");
+        *entry.target.reactions.borrow_mut() = vec![Reaction::Answer(200, 0)];
+        until(&|probability| probability >= 1.0).await;
+    });
+}
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -1,6 +1,7 @@
 //! The call path: single components, and whole nodes on loopback with simulated targets.
 
 mod callers;
+mod completion;
 mod conditions;
 mod crashes;
 mod decisions;
