--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -366,7 +366,9 @@
         let services = self.directory.services(&status, self.target.gate.demand());
         let entries = self.directory.linked() + 1;
         self.overload.adjust(&services, site.rank_max(), entries);
-        self.completion.adjust(&self.target_offers());
+        if self.settings.overload.completion {
+            self.completion.adjust(&self.target_offers());
+        }
         if self.admission_logged.get().is_none_or(|last| last.elapsed() >= ADMISSION_LOG_INTERVAL) {
             self.admission_logged.set(Some(Instant::now()));
             self.log_admission(&site, &services);
@@ -453,7 +455,7 @@
     /// The ready targets of each service that has one with a condition.
     fn target_offers(&self) -> HashMap<String, Vec<TargetOffers>> {
         let own = self.target.current().filter(|_| self.accepts_calls());
-        let own_condition = own.as_ref().and_then(|_| self.target.condition());
+        let own_condition = own.as_ref().and_then(|_| self.reported_condition());
         let mut offers = self.directory.target_offers(own_condition.is_some());
         if let Some(own) = own {
             let reported = own_condition.map(|condition| (condition, Duration::ZERO));
