Choose targets by the expected completion time of a call

Cause: targets were compared by their utilisation alone, so that slow machines got as many calls as their free slots suggest.

Change: for services with conditions, the cost of a target depends on its run time relative to the median of the service. Admission weights running requests and slots by the speed. A counter and a field of RequestEnded tell when calls go to slow targets.

--- a/src/event.rs
+++ b/src/event.rs
@@ -525,6 +525,8 @@
         /// If it was refused because of the limits that targets name: the limit of the last one, who
         /// named it and how long ago.
         target_limit: String,
+        /// What was known of the last target when it was chosen, if it sends the extended load report.
+        target_condition: String,
         /// How long it took, in milliseconds.
         took_ms: u64,
     }
--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -13,10 +13,11 @@
 
 use super::condition::PeerCondition;
 use super::failure_share::{FailureShare, capacity_weight};
-use super::frame::{Hello, Load, Neighbour, Status};
+use super::frame::{Condition, Hello, Load, Neighbour, Status};
 use super::link::Link;
 use super::overload::ServiceView;
 use super::peer_limit::PeerLimit;
+use super::placing::{self, Choice, RunTimes};
 use super::teams::quota::Fleet;
 use super::teams::use_report::PeerTeamUse;
 
@@ -121,12 +122,20 @@
         self.avoided_until.set(Some(Instant::now() + AVOID_AFTER_FAILURE));
     }
 
-    /// Cost of sending it a call: the utilisation of its target, with penalties for failures and
-    /// silence.
-    fn cost(&self, now: Instant) -> f64 {
+    /// The run time of its target relative to `median_us`.
+    fn slowdown(&self, median_us: Option<f64>) -> f64 {
+        placing::slowdown(self.condition.current().map(|(condition, _)| condition), median_us)
+    }
+
+    /// Cost of sending it a call: the utilisation of its target, weighted by its run time relative
+    /// to `median_us`, with penalties for failures and silence.
+    fn cost(&self, now: Instant, median_us: Option<f64>) -> f64 {
         let status = self.status.borrow();
         let sent_since = self.in_flight.get().saturating_sub(self.in_flight_at_update.get());
         let mut utilisation = utilisation_of(status.load, sent_since, status.cold);
+        if median_us.is_some() {
+            utilisation = placing::cost(utilisation, self.slowdown(median_us));
+        }
         if self.avoided_until.get().is_some_and(|until| now < until) {
             utilisation += SUSPECT_COST;
         }
@@ -177,6 +186,10 @@
     own_address: SocketAddr,
     own_failure_domain: String,
     peers: RefCell<HashMap<SocketAddr, Rc<Peer>>>,
+    /// The run times with which those of single targets are compared.
+    run_times: RunTimes,
+    /// The condition of the local target at the last update of the run times.
+    own_condition: Cell<Option<Condition>>,
 }
 
 impl Directory {
@@ -186,6 +199,8 @@
             own_address,
             own_failure_domain: own_failure_domain.to_owned(),
             peers: RefCell::default(),
+            run_times: RunTimes::default(),
+            own_condition: Cell::default(),
         }
     }
 
@@ -309,10 +324,48 @@
         peer.update_status(hello.status.clone());
     }
 
-    /// Picks the least utilized target, preferring the same failure domain. Skips nodes that were
-    /// already tried.
+    /// Updates the run times with which those of single targets are compared. `own` is the condition
+    /// of the local target, which belongs to `own_service`.
+    pub fn update_run_times(&self, own_service: &str, own: Option<Condition>) {
+        self.own_condition.set(own);
+        let mut run_times: HashMap<String, Vec<f64>> = HashMap::new();
+        let mut add = |service: &str, condition: Option<Condition>| {
+            let Some(run_time) = condition.and_then(placing::run_time) else { return };
+            if let Some(run_times) = run_times.get_mut(service) {
+                run_times.push(run_time);
+                return;
+            }
+            run_times.insert(service.to_owned(), vec![run_time]);
+        };
+        add(own_service, own);
+        for peer in self.peers.borrow().values() {
+            let Some((condition, _)) = peer.condition.current() else { continue };
+            let status = peer.status.borrow();
+            if status.ready && peer.open_link().is_some() {
+                add(&status.service, Some(condition));
+            }
+        }
+        self.run_times.set(run_times);
+    }
+
+    /// The run time of a target of `service` relative to the median of the service; 1 if it is
+    /// unknown.
+    pub fn slowdown(&self, service: &str, condition: Option<Condition>) -> f64 {
+        placing::slowdown(condition, self.run_times.median(service))
+    }
+
+    /// What is known of a target of `service` with the given condition and its age; `None` unless it
+    /// sends the extended load report.
+    pub fn choice(&self, service: &str, known: Option<(Condition, Duration)>) -> Option<Choice> {
+        let (condition, age) = known?;
+        Some(Choice { condition, age, slowdown: self.slowdown(service, Some(condition)) })
+    }
+
+    /// Picks the target with the lowest cost, preferring the same failure domain. Skips nodes that
+    /// were already tried.
     pub fn pick(&self, wanted: &PickRequest<'_>, rng: &mut impl Rng) -> Option<Destination> {
         let now = Instant::now();
+        let median_us = self.run_times.median(wanted.service);
         let mut cheapest: Option<(f64, Destination)> = None;
         if let Some(utilisation) = wanted.local_utilisation {
             cheapest = Some((utilisation, Destination::Local));
@@ -330,7 +383,7 @@
             if !wanted.allows_limited && peer.limit.is_held(now) {
                 continue;
             }
-            let mut cost = peer.cost(now);
+            let mut cost = peer.cost(now, median_us);
             if !self.is_same_domain(peer) {
                 cost =
                     cost.max(SAME_DOMAIN_UTILISATION_MAX - CROSS_DOMAIN_COST) + CROSS_DOMAIN_COST;
@@ -347,24 +400,32 @@
     /// is `own_load`. A target that has named a limit may have free slots and yet no capacity.
     pub fn services(&self, own: &Status, own_load: Load) -> HashMap<String, ServiceView> {
         let mut views = HashMap::new();
-        add_to_view(&mut views, own, own_load);
+        let own_slowdown = self.slowdown(&own.service, self.own_condition.get());
+        add_to_view(&mut views, own, own_load, own_slowdown);
         for peer in self.peers.borrow().values() {
             if peer.open_link().is_some() {
                 let status = peer.status.borrow();
                 let demand = peer.limit.demand_on(&status.incarnation);
                 let load = demand.map_or(status.load, |demand| status.load.busier(demand));
-                add_to_view(&mut views, &status, load);
+                let slowdown = peer.slowdown(self.run_times.median(&status.service));
+                add_to_view(&mut views, &status, load, slowdown);
             }
         }
         views
     }
 }
 
-/// Adds one target to the aggregated load of its service.
-fn add_to_view(views: &mut HashMap<String, ServiceView>, status: &Status, load: Load) {
+/// Adds one target with the given relative run time to the aggregated load of its service.
+fn add_to_view(
+    views: &mut HashMap<String, ServiceView>,
+    status: &Status,
+    load: Load,
+    slowdown: f64,
+) {
     if !status.ready {
         return;
     }
+    let load = placing::weigh_load(load, slowdown);
     if !views.contains_key(&status.service) {
         views.insert(status.service.clone(), ServiceView::default());
     }
--- a/src/mesh/inbound.rs
+++ b/src/mesh/inbound.rs
@@ -130,9 +130,13 @@
         if self.condition_sent_at.get().is_some_and(|sent_at| now - sent_at < interval) {
             return;
         }
-        self.condition_sent_at.set(Some(now));
+        let mut has_sent = false;
         for inbound in self.links.borrow().iter() {
-            inbound.link.send_condition(Some(condition));
+            has_sent |= inbound.link.send_condition(Some(condition));
+        }
+        // A check that found nothing to send must not delay the next change.
+        if has_sent {
+            self.condition_sent_at.set(Some(now));
         }
     }
 
--- a/src/mesh/link.rs
+++ b/src/mesh/link.rs
@@ -168,12 +168,17 @@
     }
 
     /// Sends the condition of the local target if the other node reads it and it has changed.
-    pub fn send_condition(&self, condition: Option<Condition>) {
-        let Some(condition) = condition.filter(|_| self.peer_reads_conditions()) else { return };
-        if condition::is_changed(self.sent_condition.get(), condition) {
+    /// Returns whether it was sent.
+    pub fn send_condition(&self, condition: Option<Condition>) -> bool {
+        let Some(condition) = condition.filter(|_| self.peer_reads_conditions()) else {
+            return false;
+        };
+        let is_due = condition::is_changed(self.sent_condition.get(), condition);
+        if is_due {
             self.sent_condition.set(Some(condition));
             self.send(&Frame::Condition(condition));
         }
+        is_due
     }
 
     /// Keeps the calls made for a pending call until its answer arrives.
--- a/src/mesh/metrics.rs
+++ b/src/mesh/metrics.rs
@@ -21,6 +21,8 @@
 const CALLS: &str = "aspenspring_mesh_calls_total";
 /// Requests sent to the target, by whether they are retries or made by one.
 const TARGET_REQUESTS: &str = "aspenspring_mesh_target_requests_total";
+/// Calls sent to targets that were known to be slow.
+const CALLS_TO_SLOW_TARGETS: &str = "aspenspring_mesh_calls_to_slow_targets_total";
 /// Requests whose caller disconnected before the answer, by when this was noticed.
 const CALLERS_LEFT: &str = "aspenspring_mesh_callers_left_total";
 
@@ -100,6 +102,12 @@
         counter.increment(1);
     }
 
+    /// Counts a call that is sent to a target that is known to be slow.
+    pub fn record_call_to_slow_target(&self) {
+        let counter = with_local_recorder(&self.recorder, || counter!(CALLS_TO_SLOW_TARGETS));
+        counter.increment(1);
+    }
+
     /// Counts a request whose caller has disconnected.
     pub fn record_caller_left(&self, noticed: &'static str) {
         let mut counters = self.callers_left.borrow_mut();
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -32,6 +32,7 @@
 pub mod pacer;
 pub mod peer_limit;
 pub mod peers;
+pub mod placing;
 pub mod polling;
 pub mod quarantine;
 pub mod receiver;
--- a/src/mesh/request_log.rs
+++ b/src/mesh/request_log.rs
@@ -14,6 +14,7 @@
 use super::fingerprint::Fingerprint;
 use super::linger::PeerWatch;
 use super::node::Node;
+use super::placing::Choice;
 use super::sender::Outcome;
 use super::site::Route;
 use super::teams::admission::QuotaState;
@@ -35,6 +36,8 @@
     pub quota: Option<QuotaState>,
     /// Describes the limit of the last target, if the request was refused because of it.
     pub target_limit: String,
+    /// What was known of the last target, if it sends the extended load report.
+    pub choice: Option<Choice>,
 }
 
 /// A request that has its final answer.
@@ -97,6 +100,7 @@
             .map(|fingerprint| fingerprint.to_string())
             .unwrap_or_default(),
         target_limit: summary.target_limit.clone(),
+        target_condition: summary.choice.map(|choice| choice.to_string()).unwrap_or_default(),
         took_ms,
     });
 }
--- a/src/mesh/sender.rs
+++ b/src/mesh/sender.rs
@@ -15,6 +15,7 @@
 use super::frame::{Call, CallEnd, Doubt, Frame, Header, NotRun, TargetAnswer};
 use super::limit_reports;
 use super::node::{CountGuard, Node};
+use super::placing;
 use super::quarantine::Standing;
 use super::receiver;
 use super::request_log::RequestSummary;
@@ -160,6 +161,7 @@
         let mut failure = None;
         for _ in 0..OFFERS_MAX {
             let Some(destination) = self.pick().or_else(|| self.pick_tried()) else { break };
+            self.record_choice(&destination);
             last = self.attempt(&destination).await;
             if last == CallEnd::NotRun(NotRun::Limited) {
                 self.limited_by = Some(destination);
@@ -265,7 +267,9 @@
             !self.tried_local && node.accepts_calls() && (allows_limited || !is_limited);
         let current = node.target.current().filter(|known| known.service == self.service);
         let local_utilisation = current.filter(|_| may_use_local).map(|known| {
-            utilisation_of(node.target.load(), 0, known.is_cold)
+            let utilisation = utilisation_of(node.target.load(), 0, known.is_cold);
+            let slowdown = node.directory.slowdown(self.service, node.target.condition());
+            placing::cost(utilisation, slowdown)
                 + node.target.failing.cost(Instant::now())
                 + if is_limited { LIMITED_COST } else { 0.0 }
         });
@@ -280,6 +284,19 @@
         node.directory.pick(&wanted, &mut *rng)
     }
 
+    /// Records what was known of the chosen target, and counts a call to a slow one.
+    fn record_choice(&mut self, destination: &Destination) {
+        let node = self.node;
+        let known = match destination {
+            Destination::Local => node.target.condition().map(|known| (known, Duration::ZERO)),
+            Destination::Peer(peer) => peer.condition.current(),
+        };
+        self.summary.choice = node.directory.choice(self.service, known);
+        if self.summary.choice.is_some_and(|choice| placing::is_slow(choice.slowdown)) {
+            node.metrics.record_call_to_slow_target();
+        }
+    }
+
     /// Counts an arrival if the request reached the target, and returns whether it may be sent
     /// again. Charges the retry budget if so.
     fn may_retry(&mut self, end: &CallEnd) -> bool {
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -8,6 +8,7 @@
 mod limits;
 mod links;
 mod nodes;
+mod placing;
 mod polling;
 mod properties;
 mod quarantine;
