--- a/src/mesh/request_log.rs
+++ b/src/mesh/request_log.rs
@@ -15,6 +15,7 @@
 use super::frame::{NotRun, ServiceCalls};
 use super::linger::PeerWatch;
 use super::node::Node;
+use super::placing::Choice;
 use super::sender::Outcome;
 use super::site::Route;
 use super::teams::admission::QuotaState;
@@ -38,6 +39,8 @@
     pub target_limit: String,
     /// For a caller's request, all calls of its tree by service; empty where conditions are off.
     pub calls: Vec<ServiceCalls>,
+    /// What was known of the last target, if it sends the extended load report.
+    pub choice: Option<Choice>,
 }
 
 /// A request that has its final answer.
@@ -107,6 +110,7 @@
             .map(|fingerprint| fingerprint.to_string())
             .unwrap_or_default(),
         target_limit: summary.target_limit.clone(),
+        target_condition: summary.choice.map(|choice| choice.to_string()).unwrap_or_default(),
         took_ms,
     });
 }
