Merge fair shares of an overloaded service among teams

Switched on by the setting teams.fair_shares, as the targets of the deepest service of the deployment with teams send no extended load report.

--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -33,6 +33,8 @@
 use super::target::{Heartbeat, Target};
 use super::teams::admission;
 use super::teams::quota::Quotas;
+use super::teams::share::{self, TeamShares};
+use super::teams::use_report::{self, UseMeter};
 
 /// How long a root route is reported to peers after its last request has reached the target.
 const ROOT_TTL: Duration = Duration::from_secs(20);
@@ -81,6 +83,10 @@
     pub running_requests: RunningRequests,
     /// The quotas of teams.
     pub quotas: Quotas,
+    /// How the teams use the local target.
+    pub use_meter: UseMeter,
+    /// The shares of the teams in overloaded services.
+    pub shares: TeamShares,
     /// Requests that were running when targets crashed.
     pub quarantine: Quarantine,
     /// The root routes of requests that have reached the target, with the time of the last request.
@@ -148,6 +154,8 @@
                 settings.teams.quota,
                 settings.teams.tolerance(),
             ),
+            use_meter: UseMeter::default(),
+            shares: TeamShares::default(),
             quarantine: Quarantine::default(),
             recent_roots: RefCell::default(),
             last_site_request: Cell::default(),
@@ -364,9 +372,11 @@
             self.inbound.send_due_condition(condition, all + 1);
         }
         self.directory.update_run_times(&status.service, self.target.condition());
+        use_report::send_due(self, &site.teams, all + 1);
         let services = self.directory.services(&status, self.target.gate.demand());
         let entries = self.directory.linked() + 1;
         self.overload.adjust(&services, site.rank_max(), entries);
+        share::adjust(self, &status, &services, &site.teams);
         if self.settings.overload.completion {
             self.completion.adjust(&self.target_offers());
         }
@@ -374,6 +384,9 @@
             self.admission_logged.set(Some(Instant::now()));
             self.log_admission(&site, &services);
             self.log_completion(&site);
+            for change in self.shares.take_changes() {
+                self.log.emit(&change);
+            }
         }
     }
 
--- a/src/mesh/settings.rs
+++ b/src/mesh/settings.rs
@@ -105,6 +105,8 @@
     pub overage: f64,
     /// Additional tolerated excess, in runs.
     pub slack: f64,
+    /// Whether an overloaded service is divided among teams by max-min fairness.
+    pub fair_shares: bool,
 }
 
 impl TeamsSection {
@@ -119,7 +121,13 @@
     /// Quotas hold exactly, except that a lease may outlive a window by its duration of a quarter
     /// of a second.
     fn default() -> Self {
-        Self { quota: QuotaPolicy::default(), window_ms: 5_000, overage: 0.0, slack: 0.0 }
+        Self {
+            quota: QuotaPolicy::default(),
+            window_ms: 5_000,
+            overage: 0.0,
+            slack: 0.0,
+            fair_shares: false,
+        }
     }
 }
 
