--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -19,6 +19,7 @@
 use super::overload::ServiceView;
 use super::peer_limit::PeerLimit;
 use super::placing::{self, Choice, RunTimes};
+use super::returns::ServiceCapacity;
 use super::teams::quota::Fleet;
 use super::teams::share::{self, ServiceUse};
 use super::teams::use_report::PeerTeamUse;
@@ -479,6 +480,41 @@
         }
         uses
     }
+
+    /// The capacity of each service with ready targets, including the local target with status `own`.
+    pub fn capacities(
+        &self,
+        own: &Status,
+        own_condition: Option<Condition>,
+    ) -> HashMap<String, ServiceCapacity> {
+        let mut capacities = HashMap::new();
+        add_capacity(&mut capacities, own, own_condition.map(|known| (known, Duration::ZERO)));
+        for peer in self.peers.borrow().values() {
+            if peer.open_link().is_some() {
+                add_capacity(&mut capacities, &peer.status.borrow(), peer.condition.current());
+            }
+        }
+        capacities
+    }
+}
+
+/// Adds one target to the capacity of its service. One without a condition counts as accepting all
+/// offers.
+fn add_capacity(
+    capacities: &mut HashMap<String, ServiceCapacity>,
+    status: &Status,
+    condition: Option<(Condition, Duration)>,
+) {
+    if !status.ready {
+        return;
+    }
+    if !capacities.contains_key(&status.service) {
+        capacities.insert(status.service.clone(), ServiceCapacity::default());
+    }
+    let Some(capacity) = capacities.get_mut(&status.service) else { return };
+    let rejected = condition.map_or(0.0, |(known, _)| f64::from(known.rejected_percent) / 100.0);
+    capacity.slots += f64::from(status.load.limit) * (1.0 - rejected);
+    capacity.age = capacity.age.max(condition.map_or(Duration::ZERO, |(_, age)| age));
 }
 
 /// Adds one target with the given relative run time to the aggregated load of its service.
--- a/src/mesh/ingress.rs
+++ b/src/mesh/ingress.rs
@@ -157,7 +157,10 @@
     let answering = AnswerGuard::new(node, caller, attempt_id, &root, arrived);
     let admitted = match &parent {
         Some(parent) => Ok(AdmittedRequest::inherit(parent)),
-        None => admit_caller(node, &site, &route, &parts.headers, attempt_id).await,
+        None => {
+            let caller = CallerRequest { headers: &parts.headers, attempt_id, arrived };
+            admit_caller(node, &site, &route, &caller).await
+        }
     };
     let admitted = match admitted {
         Ok(admitted) => admitted,
@@ -264,6 +267,20 @@
         }
     }
 
+    /// A refusal because of load. All such refusals name their `Retry-After` by this function.
+    fn for_load(
+        node: &Node,
+        route: &Route,
+        reason: NotRun,
+        holder: (&Rc<str>, u8),
+        expiry: Option<Instant>,
+    ) -> Self {
+        let (team, rank) = holder;
+        let mut rng = node.rng.borrow_mut();
+        let retry_after = node.returns.retry_after(route, rank, expiry, Instant::now(), &mut *rng);
+        Self::new(reason, retry_after.as_millis() as u64, team)
+    }
+
     fn over_quota(over: OverQuota, team: &Rc<str>) -> Self {
         let retry_after_ms = (over.retry_after.as_millis() as u64).max(RETRY_AFTER_QUOTA_MIN_MS);
         let mut rejection = Self::new(NotRun::OverQuota, retry_after_ms, team);
@@ -272,14 +289,29 @@
     }
 }
 
+/// What admission needs to know of a caller's request.
+struct CallerRequest<'a> {
+    headers: &'a HeaderMap,
+    attempt_id: &'a str,
+    arrived: Instant,
+}
+
+impl CallerRequest<'_> {
+    /// When the caller's time is over; `None` unless it has stated that.
+    fn expiry(&self, node: &Node) -> Option<Instant> {
+        let remaining_ms = header_number(self.headers, &node.header_names.deadline_ms)?;
+        self.arrived.checked_add(Duration::from_millis(remaining_ms))
+    }
+}
+
 /// Admits a caller's request if its API key, the load and the quota of its team permit.
 async fn admit_caller(
     node: &Rc<Node>,
     site: &Site,
     route: &Route,
-    headers: &HeaderMap,
-    attempt_id: &str,
+    caller: &CallerRequest<'_>,
 ) -> Result<AdmittedRequest, Rejection> {
+    let CallerRequest { headers, attempt_id, .. } = *caller;
     let no_team: Rc<str> = Rc::default();
     let holder = admission::authenticate(site, route, headers, &node.header_names.api_key);
     let is_orphan = match &holder {
@@ -298,24 +330,29 @@
     if node.is_closing() {
         return Err(Rejection::new(NotRun::Closing, RETRY_AFTER_CLOSING_MS, team));
     }
-    if !node.completion.admits(route, rank, &mut *node.rng.borrow_mut()) {
-        return Err(Rejection::new(
-            NotRun::Unlikely,
-            sender::retry_after_ms(node, route, NotRun::Unlikely),
-            team,
-        ));
+    let expiry = caller.expiry(node);
+    let is_promised = node.returns.take_promise(route, expiry, Instant::now());
+    // A promise takes the retry budget into account, as it is void when the pass rate falls.
+    if !is_promised && !node.completion.admits(route, rank, &mut *node.rng.borrow_mut()) {
+        return Err(Rejection::for_load(node, route, NotRun::Unlikely, (team, rank), expiry));
     }
     // The quota counts requests that run, so it is checked only after admission.
-    let admitted = {
+    let admitted = if is_promised {
+        node.overload.release_reserved(route);
+        let rng = &mut *node.rng.borrow_mut();
+        node.overload.admit_protected(route, rng).ok_or(NotRun::Shed)
+    } else {
         let rng = &mut *node.rng.borrow_mut();
         node.shares.admit(&node.overload, route, team, rank, rng)
     };
     let admitted = admitted.map_err(|reason| {
+        if reason != NotRun::OverShare {
+            return Rejection::for_load(node, route, reason, (team, rank), expiry);
+        }
+        // A promise would let the team exceed its share.
         let mut rejection =
             Rejection::new(reason, sender::retry_after_ms(node, route, reason), team);
-        if reason == NotRun::OverShare {
-            rejection.summary.share = node.shares.describe(route, team, rank);
-        }
+        rejection.summary.share = node.shares.describe(route, team, rank);
         rejection
     })?;
     if let Identity::Team(team) = &holder {
@@ -324,6 +361,7 @@
             .map_err(|over| Rejection::over_quota(over, &team.name))?;
     }
     let tree = node.completion.begin_tree(&route.name, rank);
+    node.returns.record_admitted(route);
     Ok(AdmittedRequest { team: Rc::clone(team), rank, _admitted: Some(admitted), _tree: tree })
 }
 
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -26,6 +26,7 @@
 use super::metrics::MeshMetrics;
 use super::overload::{Overload, ServiceView};
 use super::quarantine::Quarantine;
+use super::returns::Returns;
 use super::running_requests::RunningRequests;
 use super::settings::MeshSettings;
 use super::site::Site;
@@ -79,6 +80,8 @@
     pub overload: Overload,
     /// Admission by the probability that call trees complete.
     pub completion: Completion,
+    /// The promises to callers that were refused.
+    pub returns: Returns,
     /// The requests that the target is running.
     pub running_requests: RunningRequests,
     /// The quotas of teams.
@@ -148,6 +151,7 @@
             target: Target::new(settings.target.address),
             overload: Overload::new(settings.overload.policy),
             completion: Completion::new(&settings.retry),
+            returns: Returns::default(),
             running_requests: RunningRequests::default(),
             quotas: Quotas::new(
                 settings.listen.peers,
@@ -380,6 +384,7 @@
         if self.settings.overload.completion {
             self.completion.adjust(&self.target_offers());
         }
+        self.adjust_returns(&status, &services);
         if self.admission_logged.get().is_none_or(|last| last.elapsed() >= ADMISSION_LOG_INTERVAL) {
             self.admission_logged.set(Some(Instant::now()));
             self.log_admission(&site, &services);
@@ -397,6 +402,30 @@
         self.target.condition().or_else(rejected)
     }
 
+    /// Updates the promises to callers that were refused.
+    fn adjust_returns(&self, status: &Status, services: &HashMap<String, ServiceView>) {
+        if !self.settings.overload.returns {
+            return;
+        }
+        let mut capacities = self.directory.capacities(status, self.reported_condition());
+        for (service, capacity) in &mut capacities {
+            let Some(view) = services.get(service) else { continue };
+            capacity.roots = view.roots.keys().cloned().collect();
+        }
+        let now = Instant::now();
+        for voided in self.returns.adjust(capacities, now) {
+            self.log.emit(&LogEvent::PromisesVoided {
+                service: voided.service,
+                slots_before: voided.slots_before as u32,
+                slots: voided.slots as u32,
+                age_ms: voided.age.as_millis() as u64,
+                voided: voided.voided as u32,
+                kept: voided.kept as u32,
+            });
+        }
+        self.overload.set_reserved(self.returns.reserved(now));
+    }
+
     /// Requests the configuration from a peer that has a newer one.
     pub fn request_newer_site(&self, status: &Status, link: &Link) {
         if status.site_version > self.site_version() {
--- a/tests/mesh/completion.rs
+++ b/tests/mesh/completion.rs
@@ -219,8 +219,8 @@
 #[test]
 fn an_entry_refuses_before_the_first_run_and_recovers() {
     support::run(async {
-        let entry = support::start("one", "stock", vec![Reaction::Decline]).await;
-        *entry.target.signals.borrow_mut() = "x-load: 1,0,20,100\r\n".to_owned();
+        let entry =
+            support::start_with_overload_settings("one", "stock", vec![Reaction::Decline]).await;
         let completion = &entry.node.completion;
         for name in ["read", "book"] {
             completion.record_tree(&name.into(), &calls("stock", 8, 0), true);
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -14,6 +14,7 @@
 mod properties;
 mod quarantine;
 mod quotas;
+mod returns;
 mod shares;
 mod stop;
 mod support;
--- a/tests/mesh/placing.rs
+++ b/tests/mesh/placing.rs
@@ -61,7 +61,7 @@
     running: u32,
     waiting: VecDeque<(usize, u64)>,
     tracker: ConditionTracker,
-    sent: Vec<Option<Condition>>,
+    sent: Vec<Condition>,
     sent_to_all: Option<Instant>,
     report: LoadReport,
 }
@@ -147,7 +147,8 @@
             events.push(Reverse((at_us, sequence, event)));
         };
         for target in 0..TARGETS {
-            machines.push(Machine { sent: vec![None; senders], ..Machine::default() });
+            machines
+                .push(Machine { sent: vec![Condition::default(); senders], ..Machine::default() });
             let first = rng.random_range(0..4_000_000);
             push(&mut events, first, Event::Spell { target });
         }
@@ -215,12 +216,10 @@
                     }
                     machine.tracker.record_run(Duration::from_micros(now_us - started_us));
                     let current = machine.tracker.current();
-                    let new = current
-                        .filter(|current| condition::is_changed(machine.sent[sender], *current));
-                    if let Some(new) = new {
-                        machine.sent[sender] = Some(new);
+                    if is_extended && condition::is_changed(machine.sent[sender], current) {
+                        machine.sent[sender] = current;
                         let peer = directories[sender].get(addresses[target]).unwrap();
-                        peer.condition.update(new);
+                        peer.condition.update(current);
                     }
                     let load = (machine.running, machine.waiting.len() as u32);
                     let answer = Event::Answer { target, sender, since_us, load };
@@ -261,12 +260,13 @@
                         }
                     }
                     let is_due = machine.sent_to_all.is_none_or(|at| now - at >= INTERVAL_BUSY);
-                    if let Some(current) = machine.tracker.current().filter(|_| is_due) {
+                    if is_due && is_extended {
+                        let current = machine.tracker.current();
                         let mut sent_any = false;
                         for (sender, sent) in machine.sent.iter_mut().enumerate() {
                             if condition::is_changed(*sent, current) {
                                 sent_any = true;
-                                *sent = Some(current);
+                                *sent = current;
                                 let peer = directories[sender].get(addresses[node]).unwrap();
                                 peer.condition.update(current);
                             }
--- a/tests/mesh/support.rs
+++ b/tests/mesh/support.rs
@@ -197,8 +197,29 @@
     (next_address(), PEERS_PORT).into()
 }
 
+/// Starts a node with all decisions switched on that its settings may ask for.
+pub async fn start_with_overload_settings(
+    name: &str,
+    service: &str,
+    reactions: Vec<Reaction>,
+) -> TestNode {
+    let overload =
+        OverloadSection { completion: true, returns: true, ..OverloadSection::default() };
+    start_with(next_address().into(), name, service, reactions, overload).await
+}
+
 /// Starts a node at the given address.
 pub async fn start_at(ip: IpAddr, name: &str, service: &str, reactions: Vec<Reaction>) -> TestNode {
+    start_with(ip, name, service, reactions, OverloadSection::default()).await
+}
+
+async fn start_with(
+    ip: IpAddr,
+    name: &str,
+    service: &str,
+    reactions: Vec<Reaction>,
+    overload: OverloadSection,
+) -> TestNode {
     let at = |port| SocketAddr::from((ip, port));
     let settings = MeshSettings {
         node: NodeSection {
@@ -218,7 +239,7 @@
         target: TargetSection { address: at(7006) },
         timing: TimingSection { stop_grace_ms: GRACE_MS },
         retry: RetrySection { share: 0.2, slack: 49 },
-        overload: OverloadSection::default(),
+        overload,
         teams: TeamsSection::default(),
         log: LogSection::default(),
     };
