Learn how long answers take before retry times count as late

Half of the objective was assumed for every answer, so retry times from which a caller would still be answered in time had little room. The mean time of answers of each route at the entry decides now.

A refusal of a team above its share makes no promise, as a promise would let it exceed the share.

--- a/src/mesh/ingress.rs
+++ b/src/mesh/ingress.rs
@@ -197,6 +197,9 @@
     if parent.is_none() && matches!(outcome, Outcome::NotRun { .. }) {
         admission::refund_token(node, &request.team);
     }
+    if parent.is_none() && outcome.went_well() {
+        node.returns.record_answered(&route, arrived.elapsed());
+    }
     if let Some(parent) = parent.filter(|_| !outcome.went_well()) {
         parent.has_failed_below.set(true);
     }
@@ -270,6 +273,8 @@
         expiry: Option<Instant>,
     ) -> Self {
         let (team, rank) = holder;
+        // A promise is not bound to a team: it would let a team exceed its share.
+        let expiry = expiry.filter(|_| reason != NotRun::OverShare);
         let mut rng = node.rng.borrow_mut();
         let retry_after = node.returns.retry_after(route, rank, expiry, Instant::now(), &mut *rng);
         Self::new(reason, retry_after.as_millis() as u64, team)
--- a/src/mesh/returns.rs
+++ b/src/mesh/returns.rs
@@ -50,8 +50,12 @@
 /// Fraction of it that may be promised for times at which the answer would miss the objective.
 /// Without this limit, lasting overload fills the far slots first, and every promise is late.
 const LATE_SHARE: f64 = 0.5;
-/// Fraction of the objective that is assumed to remain for the answer after the return.
+/// Fraction of the objective that an answer is assumed to take before one is known.
 const ANSWER_FRACTION: f64 = 0.5;
+/// Factor on the mean time of answers for the time that an answer may take.
+const ANSWER_FACTOR: f64 = 1.5;
+/// Weight of one answer in the mean time of answers.
+const ANSWER_WEIGHT: f64 = 0.05;
 /// Number of slots over which the promises are bounded; 2 s, so that a route with one admission a
 /// second has promises too.
 const WINDOW_SLOTS: usize = 20;
@@ -147,11 +151,20 @@
     admitted: u32,
     /// Requests admitted per second, averaged.
     rate_per_s: f64,
+    /// Mean time from arrival to answer of admitted requests; `None` before the first answer.
+    answer_time: Option<Duration>,
     /// The slots that are in use, by number.
     slots: BTreeMap<u64, Slot>,
 }
 
 impl Schedule {
+    /// The longest time until the return of a request that is answered within the objective.
+    fn on_time_delay(&self, route: &Route) -> Duration {
+        let objective = Duration::from_millis(route.objective_ms);
+        let expected = self.answer_time.map(|mean| mean.mul_f64(ANSWER_FACTOR));
+        objective.saturating_sub(expected.unwrap_or(objective.mul_f64(ANSWER_FRACTION)))
+    }
+
     /// Number of promises made for a slot.
     fn promised_in(&self, number: u64) -> usize {
         self.slots.get(&number).map_or(0, |slot| slot.promises.len() + slot.taken)
@@ -243,10 +256,10 @@
             return (due - now).min(longest);
         }
         let latest = now + longest;
-        let on_time = Duration::from_millis(route.objective_ms).mul_f64(1.0 - ANSWER_FRACTION);
         let numbers = self.slot_of(now + DELAY_MIN) + 1..=self.slot_of(latest);
+        let late_from = self.slot_of(now + schedule.on_time_delay(route));
         let has_room = self.pending.get() < RECORDS_MAX && remaining > longest;
-        let free = has_room.then(|| schedule.find_free(numbers, self.slot_of(now + on_time)));
+        let free = has_room.then(|| schedule.find_free(numbers, late_from));
         let Some(number) = free.flatten() else {
             self.count(|totals| totals.unpromised += 1);
             self.remember_unpromised(schedule, expiry, latest);
@@ -297,6 +310,15 @@
         }
     }
 
+    /// Records how long an admitted request of a caller took until its answer.
+    pub fn record_answered(&self, route: &Route, took: Duration) {
+        if let Some(schedule) = self.schedules.borrow_mut().get_mut(&route.name) {
+            let mean = schedule.answer_time.unwrap_or(took);
+            schedule.answer_time =
+                Some(mean.mul_f64(1.0 - ANSWER_WEIGHT) + took.mul_f64(ANSWER_WEIGHT));
+        }
+    }
+
     /// Periodic upkeep: applies the capacities of the services that send conditions, voids promises
     /// where they have fallen, and forgets outdated promises. Returns what was voided.
     pub fn adjust(&self, current: HashMap<String, ServiceCapacity>, now: Instant) -> Vec<Voided> {
