Take conditions as current while their node is heard

Cause: an unchanged condition is not sent again. A target that rejects a constant share would have counted as accepting everything 3 s after its last report. Also, the search for the cheapest route went over all routes for each service, rejecting or not.

Change: the age is that of the last frame from the target's node. The cheapest routes are found in one pass over the routes.

No test covers a constant share over more than 3 s.

--- a/src/event.rs
+++ b/src/event.rs
@@ -495,7 +495,7 @@
         admitted_percent: u32,
         /// The share of offers that the targets of that service accept, in percent.
         pass_percent: u32,
-        /// The age of the latest report that this is based on, in milliseconds.
+        /// How long ago one of these targets' nodes was last heard, in milliseconds.
         age_ms: u64,
         /// Calls of 100 trees to that service.
         calls_percent: u32,
--- a/src/mesh/completion.rs
+++ b/src/mesh/completion.rs
@@ -35,7 +35,7 @@
 /// Weight of the latest pass rate in the average. A rejected share is known to nine tenths after
 /// 0.2 s, as is its end, and a share that is due to chance is averaged out.
 const LATEST_WEIGHT: f64 = 0.7;
-/// Time after which a condition without a new report no longer restricts anything.
+/// Silence of a target's node after which its condition no longer restricts anything.
 const CONDITION_TTL: Duration = Duration::from_secs(3);
 /// Share of the senders' offers that a target still gets for each unit of rejected share above that
 /// of the best target, as an exponent: senders all but avoid one that rejects half of its offers.
@@ -72,7 +72,8 @@
 pub struct TargetOffers {
     /// Its load.
     pub load: Load,
-    /// Its condition and the age of the report; `None` if it does not send the extended load report.
+    /// Its condition, and the time for which nothing has been received from its node; `None` if it
+    /// does not send the extended load report.
     pub reported: Option<(Condition, Duration)>,
 }
 
@@ -81,7 +82,7 @@
 pub struct PassRate {
     /// The share, from 0 to 1.
     pub share: f64,
-    /// The age of the latest report that it is based on.
+    /// How long ago one of the targets' nodes was last heard.
     pub age: Duration,
 }
 
@@ -89,8 +90,8 @@
     /// The pass rate of a service; `None` unless one of its targets sends the extended load report.
     ///
     /// Each target is weighted by the offers that it gets from senders: these avoid targets that
-    /// reject more than others, as long as the others have capacity. Targets without a report, or
-    /// with an outdated one, count as accepting all offers.
+    /// reject more than others, as long as the others have capacity. Targets without a condition,
+    /// or with an outdated one, count as accepting all offers.
     pub fn of(targets: &[TargetOffers]) -> Option<Self> {
         let age = targets.iter().filter_map(|target| Some(target.reported?.1)).min()?;
         let rejected = |target: &TargetOffers| {
@@ -328,9 +329,13 @@
         retries
     }
 
-    /// The demand with the lowest probability of admission.
-    fn most_restricted(&self) -> Option<&Demand> {
-        self.demand.values().min_by(|one, other| one.probability.total_cmp(&other.probability))
+    /// The rank with the lowest probability of admission, and its demand.
+    fn most_restricted(&self) -> Option<(u8, &Demand)> {
+        let least = self
+            .demand
+            .iter()
+            .min_by(|one, other| one.1.probability.total_cmp(&other.1.probability));
+        least.map(|(rank, demand)| (*rank, demand))
     }
 }
 
@@ -494,12 +499,8 @@
     pub fn restriction(&self, route: &str) -> Restriction {
         let (roots, services) = (self.roots.borrow(), self.services.borrow());
         let Some(root) = roots.get(route) else { return Restriction::default() };
-        let Some(demand) = root.most_restricted() else { return Restriction::default() };
+        let Some((rank, demand)) = root.most_restricted() else { return Restriction::default() };
         let state = services.get(&demand.limited_by);
-        let is_most_restricted = |(rank, other): (&u8, &Demand)| {
-            (other.probability == demand.probability).then_some(*rank)
-        };
-        let rank = root.demand.iter().find_map(is_most_restricted).unwrap_or(0);
         Restriction {
             service: demand.limited_by.clone(),
             pass: state.and_then(|state| state.pass),
@@ -545,7 +546,8 @@
     });
 }
 
-/// Divides the budgets among the routes, in order of rank and then of the retries that a tree needs.
+/// Divides the budgets among the routes, in order of rank and then of the retries that a tree
+/// needs.
 fn decide(
     roots: &mut HashMap<Rc<str>, RootState>,
     services: &mut HashMap<String, ServiceState>,
@@ -588,21 +590,22 @@
     probe(roots, services);
 }
 
-/// Keeps a small probability of admission for the cheapest route that reaches each service.
+/// Keeps a small probability of admission for the cheapest route that reaches each service with
+/// rejecting targets.
 fn probe(roots: &mut HashMap<Rc<str>, RootState>, services: &HashMap<String, ServiceState>) {
-    for service in services.keys() {
-        let mut cheapest: Option<(f64, &mut RootState)> = None;
-        for root in roots.values_mut() {
-            let retries = root.retries(services);
-            if root.demand.is_empty() || !retries.iter().any(|(reached, _)| reached == service) {
-                continue;
-            }
-            let retries: f64 = retries.iter().map(|(_, retries)| retries).sum();
-            if cheapest.as_ref().is_none_or(|(least, _)| retries < *least) {
-                cheapest = Some((retries, root));
+    let mut cheapest: HashMap<&str, (f64, Rc<str>)> = HashMap::new();
+    for (name, root) in roots.iter().filter(|(_, root)| !root.demand.is_empty()) {
+        let retries = root.retries(services);
+        let all: f64 = retries.iter().map(|(_, retries)| retries).sum();
+        for (service, _) in retries {
+            let Some((service, _)) = services.get_key_value(service) else { continue };
+            if cheapest.get(service.as_str()).is_none_or(|(least, _)| all < *least) {
+                cheapest.insert(service, (all, Rc::clone(name)));
             }
         }
-        let Some((_, root)) = cheapest else { continue };
+    }
+    for (_, name) in cheapest.values() {
+        let Some(root) = roots.get_mut(name) else { continue };
         for demand in root.demand.values_mut() {
             demand.probability = demand.probability.max(PROBE_PROBABILITY);
         }
--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -354,10 +354,11 @@
         }
         for peer in peers.values() {
             let status = peer.status.borrow();
-            if !status.ready || peer.open_link().is_none() {
-                continue;
-            }
-            let target = TargetOffers { load: status.load, reported: peer.condition.current() };
+            let Some(link) = peer.open_link().filter(|_| status.ready) else { continue };
+            // A condition that has not changed is not sent again: any frame confirms it.
+            let age = link.last_received().elapsed();
+            let reported = peer.condition.current().map(|(condition, _)| (condition, age));
+            let target = TargetOffers { load: status.load, reported };
             match offers.get_mut(&status.service) {
                 Some(targets) => targets.push(target),
                 None => _ = offers.insert(status.service.clone(), vec![target]),
