Divide 0.95 of the slots among teams, and note the design of shares

With 0.97 of the slots divided, queues grew often enough for entries to shed requests of teams within their share. A rank that one team has to itself is not divided; the ranks below it were, with a capacity of 0, so that all their teams were restricted. They are now treated as without shares.

--- a/src/mesh/teams/share.rs
+++ b/src/mesh/teams/share.rs
@@ -30,8 +30,10 @@
 /// How long a team that is in no report is remembered. Covers the longest delay of a report.
 const TEAM_TTL: Duration = Duration::from_secs(4);
 /// Fraction of the slots that is divided. The rest absorbs random variation: without it, queues
-/// would grow, and the use of full slots does not show by how much the demand exceeds them.
-const FILL: f64 = 0.97;
+/// would grow, and the use of full slots does not show by how much the demand exceeds them. In the
+/// closed loop of the tests, 0.97 leaves teams within their share at 0.957 in the worst of 16 runs,
+/// 0.95 at 0.984, and 0.93 uses 0.01 to 0.02 less of the capacity.
+const FILL: f64 = 0.95;
 /// Utilisation, with queued requests, above which less than `FILL` is divided.
 const QUEUED_UTILISATION: f64 = 1.2;
 /// Reduction of the divided capacity for each unit of utilisation above `QUEUED_UTILISATION`.
@@ -352,10 +354,12 @@
         self.capacity = capacity;
         self.divided = None;
         let mut left = capacity;
+        let mut has_run_out = false;
         for (rank, demand) in &mut self.ranks {
             let total = demand.total();
-            let is_divided =
-                self.divided.is_none() && total > left.max(0.0) && demand.team_count() > 1;
+            let runs_out = !has_run_out && total > left.max(0.0);
+            has_run_out |= runs_out;
+            let is_divided = runs_out && demand.team_count() > 1;
             let level = if is_divided { demand.level(left, roster) } else { f64::INFINITY };
             if is_divided {
                 self.divided = Some(*rank);
--- a/src/mesh/window.rs
+++ b/src/mesh/window.rs
@@ -155,8 +155,8 @@
     }
 
     /// Number of requests in flight up to which requests that are entitled to capacity are admitted.
-    /// They get the whole of `SPARE_REQUESTS` at any utilisation: 8% of them were refused at entry
-    /// nodes with one request in flight on average.
+    /// They get the whole of `SPARE_REQUESTS` at any utilisation: without it, 7% of them were
+    /// refused at entry nodes with few requests in flight.
     pub fn protected_bound(&self) -> f64 {
         self.bound(0) - self.spare() + SPARE_REQUESTS
     }
--- a/tests/mesh/shares.rs
+++ b/tests/mesh/shares.rs
@@ -16,7 +16,7 @@
 use rand::{Rng, SeedableRng};
 use tokio::time::{Duration, Instant, advance};
 
-use super::support::{paused, route};
+use super::support::{Reaction, TestNode, ask, link_nodes, paused, route, run, start, status};
 
 const TEAMS: [&str; 7] = ["large", "a", "b", "c", "d", "e", ""];
 const CAPACITY_PER_S: f64 = 120.0;
@@ -228,7 +228,6 @@
             site.large_entry = large_entry;
             site.run(5).await;
             let (small, used) = results(site.run(40).await, 40);
-            println!("{seed} {large_entry:?}: small teams {small:.3}, capacity used {used:.3}");
             assert!(small >= 0.95 && used >= 0.9, "{large_entry:?}: {small:.3}, {used:.3}");
         });
     }
@@ -329,6 +328,9 @@
         assert_eq!(shares.entitlement(&other, "large", 1), Entitlement::None);
         let old = decided(report(&used, 12), Duration::from_millis(3_000), &roster);
         assert_eq!(old.entitlement(&page, "large", 1), Entitlement::None);
+        let alone = [("a", 0, 20.0), ("large", 1, 1.0), ("a", 1, 1.0)];
+        let after_one_team = decided(report(&alone, 12), Duration::ZERO, &roster);
+        assert_eq!(after_one_team.entitlement(&page, "large", 1), Entitlement::None);
         let ample = decided(report(&used, 20), Duration::ZERO, &roster);
         assert_eq!(ample.entitlement(&page, "large", 1), Entitlement::None);
         let mut rng = SmallRng::seed_from_u64(8);
@@ -380,3 +382,43 @@
         assert!(bytes.len() <= 300, "{} bytes", bytes.len());
     });
 }
+
+/// The report that the entry has after the target was busy for 2.5 s with requests of a team. The
+/// target states `load`; the configuration is `document`.
+async fn report_of_busy_target(load: &str, document: &'static str) -> Option<Rc<TeamUse>> {
+    let target = vec![Reaction::Answer(200, 0), Reaction::Answer(200, 3_000)];
+    let entry = start("entry", "page", vec![Reaction::Decline]).await;
+    let busy = start("busy", "stock", target).await;
+    link_nodes(&entry, &busy).await;
+    for TestNode { node, .. } in [&entry, &busy] {
+        node.apply_document(&document.into(), "test").unwrap();
+    }
+    *busy.target.signals.borrow_mut() = format!("x-load: {load}\r\n");
+    let send = |index: usize| {
+        let entry = entry.clone();
+        let line = "host: shop.test\r\nx-key: green-key";
+        let request = format!("GET /read/1 HTTP/1.1\r\n{line}\r\nx-attempt: {index}\r\n\r\n");
+        async move { status(&ask(&entry, &request).await) }
+    };
+    assert_eq!(send(0).await, 200);
+    for index in 1..=20 {
+        tokio::task::spawn_local(send(index));
+    }
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    let peer = entry.node.directory.get(busy.node.settings.listen.peers).unwrap();
+    peer.team_use.current().map(|(report, _)| report)
+}
+
+/// Guards against reports from, and thus other decisions in, deployments that have not switched
+/// shares on.
+#[test]
+fn only_targets_with_extended_reports_on_sites_with_teams_report_the_use() {
+    run(async {
+        let teams = "2 growers:green-key:0:0";
+        let report = report_of_busy_target("3,0,20,100", teams).await.expect("a report");
+        assert_eq!(&*report.teams[0].team, "growers");
+        assert!(report.teams[0].running_milli > 10_000, "{report:?}");
+        assert_eq!(report_of_busy_target("3,0,20", teams).await, None);
+        assert_eq!(report_of_busy_target("3,0,20,100", "2").await, None);
+    });
+}
