Bound what one measurement of a target's condition can do

Conditions that are not the usual ones are now sent again, run times expire, rejections are counted by decaying counts, and the retry budget is asked last.

--- a/src/mesh/condition.rs
+++ b/src/mesh/condition.rs
@@ -10,7 +10,6 @@
 use thiserror::Error;
 use tokio::time::Instant;
 
-use super::failure_share::FailureShare;
 use super::frame::Condition;
 
 /// The slowness of a machine on which work takes the usual time, in percent.
@@ -19,8 +18,20 @@
 const SLOWNESS_RANGE_PERCENT: (u16, u16) = (10, 2_000);
 /// Time after which a slowness without a new report counts as usual.
 const SLOWNESS_TTL: Duration = Duration::from_secs(1);
-/// Weight of one run in the moving average of run times.
-const RUN_TIME_WEIGHT: f64 = 0.02;
+/// Minimum weight of one run in the moving average of run times.
+const RUN_TIME_WEIGHT_MIN: f64 = 0.02;
+/// Time after which the run time is unknown if no run has ended. A target that was measured as slow
+/// gets few calls, and has to be tried again.
+const RUN_TIME_TTL: Duration = Duration::from_secs(5);
+/// Factor on the counted offers with each new one: about twenty offers count.
+const OFFER_DECAY: f64 = 0.95;
+/// Time in which the counted offers halve.
+const OFFER_HALF_LIFE: Duration = Duration::from_secs(1);
+/// Minimum number of offers assumed, so that a single rejection says little.
+const OFFERS_MIN: f64 = 5.0;
+/// Age of a condition from which an unchanged one is sent again. Without that, a slowness that lasts
+/// would be outdated at the receiver.
+const RESEND_AFTER: Duration = Duration::from_millis(500);
 /// Step to which the rejected share is rounded. The exact share changes with every answer.
 const REJECTED_STEP_PERCENT: u8 = 5;
 /// Relative change of the slowness or of the run time that is reported.
@@ -60,7 +71,44 @@
     slowness: Cell<Option<(u16, Instant)>>,
     /// Moving average of the run time at the usual slowness, in microseconds.
     run_us: Cell<f64>,
-    rejected: FailureShare,
+    /// Number of runs averaged, and when the last one ended.
+    runs: Cell<u32>,
+    last_run: Cell<Option<Instant>>,
+    offers: OfferCounts,
+}
+
+/// Decaying counts of the offers to a target and of those that it rejected.
+#[derive(Debug, Default)]
+struct OfferCounts {
+    offers: Cell<f64>,
+    rejected: Cell<f64>,
+    updated_at: Cell<Option<Instant>>,
+}
+
+impl OfferCounts {
+    /// The factor by which the counts have decayed since the last offer.
+    fn decay(&self) -> f64 {
+        let elapsed = self.updated_at.get().map_or(Duration::ZERO, |at| at.elapsed());
+        0.5_f64.powf(elapsed.as_secs_f64() / OFFER_HALF_LIFE.as_secs_f64())
+    }
+
+    fn record(&self, is_rejected: bool) {
+        let decay = self.decay() * OFFER_DECAY;
+        self.offers.set(self.offers.get() * decay + 1.0);
+        self.rejected.set(self.rejected.get() * decay + f64::from(u8::from(is_rejected)));
+        self.updated_at.set(Some(Instant::now()));
+    }
+
+    fn reset(&self) {
+        self.offers.set(0.0);
+        self.rejected.set(0.0);
+    }
+
+    /// The share of rejected offers. Falls to 0 without offers, so that the target is tried again.
+    fn rejected_share(&self) -> f64 {
+        let decay = self.decay();
+        self.rejected.get() * decay / (self.offers.get() * decay).max(OFFERS_MIN)
+    }
 }
 
 impl ConditionTracker {
@@ -73,21 +121,24 @@
     pub fn record_run(&self, duration: Duration) {
         let slowness = f64::from(self.slowness_percent()) / f64::from(USUAL_SLOWNESS_PERCENT);
         let sample = duration.as_micros() as f64 / slowness;
+        self.runs.set(self.runs.get().saturating_add(1));
+        let weight = (1.0 / f64::from(self.runs.get())).max(RUN_TIME_WEIGHT_MIN);
         let mean = self.run_us.get();
-        let mean = if mean == 0.0 { sample } else { mean + RUN_TIME_WEIGHT * (sample - mean) };
-        self.run_us.set(mean);
+        self.run_us.set(mean + weight * (sample - mean));
+        self.last_run.set(Some(Instant::now()));
     }
 
     /// Records whether the target rejected an offer.
     pub fn record_offer(&self, is_rejected: bool) {
-        self.rejected.record(is_rejected);
+        self.offers.record(is_rejected);
     }
 
     /// Forgets everything when a new incarnation takes over.
     pub fn reset(&self) {
         self.slowness.set(None);
         self.run_us.set(0.0);
-        self.rejected.reset();
+        self.runs.set(0);
+        self.offers.reset();
     }
 
     /// The slowness now, in percent; the usual one if the last report is outdated.
@@ -103,15 +154,16 @@
 
     /// The condition.
     pub fn current(&self) -> Condition {
-        let percent = (self.rejected.share(Instant::now()) * 100.0).round() as u8;
+        let percent = (self.offers.rejected_share() * 100.0).round() as u8;
         let rejected_percent = percent / REJECTED_STEP_PERCENT * REJECTED_STEP_PERCENT;
         if !self.is_extended() {
             return Condition { rejected_percent, ..Condition::default() };
         }
+        let is_measured = self.last_run.get().is_some_and(|last| last.elapsed() < RUN_TIME_TTL);
         Condition {
             rejected_percent,
             slowness_percent: self.slowness_percent(),
-            run_us: self.run_us.get() as u32,
+            run_us: if is_measured { self.run_us.get() as u32 } else { 0 },
         }
     }
 }
@@ -125,6 +177,18 @@
         || differs(sent.run_us.into(), current.run_us.into())
 }
 
+/// Whether `current` should be sent, `age` after `sent` was.
+pub fn is_due(sent: Condition, age: Duration, current: Condition) -> bool {
+    let is_unusual =
+        current.rejected_percent > 0 || current.slowness_percent != usual_slowness(current);
+    is_changed(sent, current) || (is_unusual && age >= RESEND_AFTER)
+}
+
+/// The slowness of a target in its usual condition: the usual one, or none if it states none.
+fn usual_slowness(condition: Condition) -> u16 {
+    if condition.is_extended() { USUAL_SLOWNESS_PERCENT } else { 0 }
+}
+
 /// The condition of another node's target, with the time of its report.
 #[derive(Debug, Default)]
 pub struct PeerCondition {
--- a/src/mesh/ingress.rs
+++ b/src/mesh/ingress.rs
@@ -23,6 +23,7 @@
 use super::overload::Admitted;
 use super::peers::pause_after;
 use super::request_log::{AnswerGuard, EndedRequest, RequestSummary, record_end};
+use super::returns;
 use super::running_requests::ParentRequest;
 use super::sender::{self, Outcome, Request};
 use super::site::{Route, Site};
@@ -286,6 +287,17 @@
         Self::new(reason, retry_after.as_millis() as u64, team)
     }
 
+    /// A refusal because the tree would most likely not complete. A promise would exceed the retry
+    /// budget, so the latest time is named at which the caller still comes back.
+    fn unlikely(node: &Node, route: &Route, team: &Rc<str>, expiry: Option<Instant>) -> Self {
+        let longest = expiry.map(|expiry| returns::longest_delay(expiry, Instant::now()));
+        let retry_after_ms = longest.map_or_else(
+            || sender::retry_after_ms(node, route, NotRun::Unlikely),
+            |longest| longest.as_millis() as u64,
+        );
+        Self::new(NotRun::Unlikely, retry_after_ms, team)
+    }
+
     fn over_quota(over: OverQuota, team: &Rc<str>) -> Self {
         let retry_after_ms = (over.retry_after.as_millis() as u64).max(RETRY_AFTER_QUOTA_MIN_MS);
         let mut rejection = Self::new(NotRun::OverQuota, retry_after_ms, team);
@@ -337,10 +349,6 @@
     }
     let expiry = caller.expiry(node);
     let is_promised = node.returns.take_promise(route, expiry, Instant::now());
-    // A promise takes the retry budget into account, as it is void when the pass rate falls.
-    if !is_promised && !node.completion.admits(route, rank, &mut *node.rng.borrow_mut()) {
-        return Err(Rejection::for_load(node, route, NotRun::Unlikely, (team, rank), expiry));
-    }
     // The quota counts requests that run, so it is checked only after admission.
     let admitted = if is_promised {
         node.overload.release_reserved(route);
@@ -360,6 +368,10 @@
         rejection.summary.share = node.shares.describe(route, team, rank);
         rejection
     })?;
+    // Last, so that its demand is what the load and the shares let pass.
+    if !node.completion.admits(route, rank, &mut *node.rng.borrow_mut()) {
+        return Err(Rejection::unlikely(node, route, team, expiry));
+    }
     if let Identity::Team(team) = &holder {
         admission::admit(node, team)
             .await
--- a/src/mesh/link.rs
+++ b/src/mesh/link.rs
@@ -40,7 +40,7 @@
     /// The optional frames that the other node reads.
     peer_features: Cell<u32>,
     /// The condition last sent.
-    sent_condition: Cell<Condition>,
+    sent_condition: Cell<(Condition, Instant)>,
     next_id: Cell<u64>,
     last_received: Cell<Instant>,
     has_received: Cell<bool>,
@@ -96,7 +96,7 @@
             pending: RefCell::default(),
             tree_calls: RefCell::default(),
             peer_features: Cell::default(),
-            sent_condition: Cell::default(),
+            sent_condition: Cell::new((Condition::default(), Instant::now())),
             next_id: Cell::new(1),
             last_received: Cell::new(Instant::now()),
             has_received: Cell::default(),
@@ -173,9 +173,10 @@
         let Some(condition) = condition.filter(|_| self.peer_reads_conditions()) else {
             return false;
         };
-        let is_due = condition::is_changed(self.sent_condition.get(), condition);
+        let (sent, sent_at) = self.sent_condition.get();
+        let is_due = condition::is_due(sent, sent_at.elapsed(), condition);
         if is_due {
-            self.sent_condition.set(condition);
+            self.sent_condition.set((condition, Instant::now()));
             self.send(&Frame::Condition(condition));
         }
         is_due
--- a/src/mesh/peers.rs
+++ b/src/mesh/peers.rs
@@ -155,6 +155,9 @@
     }
     peer.link.replace(None);
     peer.status.borrow_mut().ready = false;
+    // The next link starts with the default condition.
+    peer.condition.clear();
+    peer.team_use.clear();
 }
 
 /// Pings silent links, and closes those that do not answer.
--- a/src/mesh/placing.rs
+++ b/src/mesh/placing.rs
@@ -13,8 +13,9 @@
 use super::frame::{Condition, Load};
 
 /// Range of the relative run time of a target. The minimum bounds the preference for a target whose
-/// answers are fast because it does no work.
-const SLOWDOWN_RANGE: (f64, f64) = (0.5, 20.0);
+/// answers are fast because it does no work. With the maximum, an idle slow target still costs less
+/// than one that is silent or has used up its limit.
+const SLOWDOWN_RANGE: (f64, f64) = (0.5, 3.5);
 /// Relative run time from which a target counts as slow in the metrics.
 const SLOW_FROM: f64 = 1.5;
 
@@ -30,7 +31,7 @@
         let mut medians = self.medians.borrow_mut();
         medians.clear();
         for (service, mut run_times) in run_times {
-            let middle = run_times.len() / 2;
+            let middle = run_times.len().saturating_sub(1) / 2;
             if middle < run_times.len() {
                 let (_, median, _) = run_times.select_nth_unstable_by(middle, f64::total_cmp);
                 medians.insert(service, *median);
--- a/src/mesh/receiver.rs
+++ b/src/mesh/receiver.rs
@@ -236,7 +236,7 @@
     }
     let result = classify_reply(node, reply, has_failed_below.get());
     node.target.conditions.record_offer(result.end == CallEnd::NotRun(NotRun::Declined));
-    if result.end.went_well() {
+    if result.end.went_well() && !instance.is_cold {
         node.target.conditions.record_run(sent_at.elapsed());
     }
     // Only a success clears the request: one that crashes targets may also be declined, or fail
--- a/src/mesh/returns.rs
+++ b/src/mesh/returns.rs
@@ -247,7 +247,7 @@
         };
         let Some(expiry) = expiry else { return random_delay(route, rng) };
         let remaining = expiry.saturating_duration_since(now);
-        let longest = (remaining / REMAINING_DIVISOR).clamp(DELAY_MIN, DELAY_MAX);
+        let longest = longest_delay(expiry, now);
         if self.forget_unpromised(schedule, expiry, now) {
             self.count(|totals| totals.refused_again += 1);
             return longest;
@@ -497,6 +497,12 @@
     }
 }
 
+/// The longest time after which a caller still comes back.
+pub fn longest_delay(expiry: Instant, now: Instant) -> Duration {
+    let remaining = expiry.saturating_duration_since(now);
+    (remaining / REMAINING_DIVISOR).clamp(DELAY_MIN, DELAY_MAX)
+}
+
 /// A `Retry-After` without a promise: short enough for the retry to be answered within the
 /// objective, and randomized to spread out the retries of callers that were refused at the same
 /// time.
