Admit requests above the share by the bound of their rank

A request that passed the draw by share / demand was then shed by the level of ranks, which keeps 0.3 of the bound on requests in flight free. Where requests wait in other services first, this left capacity unused. Such requests are now admitted up to the bound of their rank, whatever the level.

--- a/src/mesh/overload.rs
+++ b/src/mesh/overload.rs
@@ -92,6 +92,12 @@
         self.admit_with(self.protected_probability(route), route, rng)
     }
 
+    /// Like `admit`, for a request that the share of its team permits: the level of ranks counts for
+    /// nothing, and it is shed only beyond the bound of its rank.
+    pub fn admit_shared(&self, route: &Route, rank: u8, rng: &mut impl Rng) -> Option<Admitted> {
+        self.admit_with(self.shared_probability(route, rank), route, rng)
+    }
+
     fn admit_with(&self, probability: f64, route: &Route, rng: &mut impl Rng) -> Option<Admitted> {
         let is_admitted =
             probability >= 1.0 || (probability > 0.0 && rng.random::<f64>() < probability);
@@ -174,20 +180,28 @@
         match self.policy {
             Policy::Open => 1.0,
             Policy::Levels => self.levels.admission_probability(route, 0),
-            Policy::Windows => self.probability_within_bounds(route),
+            Policy::Windows => self.probability_within_bounds(route, Window::protected_bound),
+        }
+    }
+
+    /// The probability that `admit_shared` admits a request of `route`.
+    pub fn shared_probability(&self, route: &Route, rank: u8) -> f64 {
+        match self.policy {
+            Policy::Open | Policy::Levels => self.admission_probability_at(route, rank),
+            Policy::Windows => self.probability_within_bounds(route, |window| window.bound(rank)),
         }
     }
 
     /// The probability that a request of `route` is admitted up to the bound of each service that it
     /// reaches, whatever the level of ranks.
-    fn probability_within_bounds(&self, route: &Route) -> f64 {
+    fn probability_within_bounds(&self, route: &Route, bound: impl Fn(&Window) -> f64) -> f64 {
         let windows = self.windows.borrow();
         let mut probability: f64 = 1.0;
         for window in windows.values() {
             if !window.is_reached_by(&route.name) {
                 continue;
             }
-            let left = window.protected_bound() - self.in_flight_through(window.roots());
+            let left = bound(window) - self.in_flight_through(window.roots());
             probability = probability.min(left.clamp(0.0, 1.0));
         }
         probability
--- a/src/mesh/teams/share.rs
+++ b/src/mesh/teams/share.rs
@@ -487,7 +487,7 @@
             Entitlement::None => overload.admit(route, rank, rng).ok_or(NotRun::Shed),
             Entitlement::Within => overload.admit_protected(route, rng).ok_or(NotRun::Shed),
             Entitlement::Above(state) if rng.random::<f64>() < state.probability => {
-                overload.admit(route, rank, rng).ok_or(NotRun::Shed)
+                overload.admit_shared(route, rank, rng).ok_or(NotRun::Shed)
             }
             Entitlement::Above(_) => {
                 overload.record_refusal(route);
@@ -522,7 +522,7 @@
                 Entitlement::None => overload.admission_probability_at(route, rank),
                 Entitlement::Within => overload.protected_probability(route),
                 Entitlement::Above(state) => {
-                    state.probability * overload.admission_probability_at(route, rank)
+                    state.probability * overload.shared_probability(route, rank)
                 }
             };
             tracked.applied.record(probability);
