Spread calls where many senders share the targets

Cause: all senders get the same load reports and chose the same target until the next one.

Change: a sender estimates how many nodes send as many calls as it does. Above four, it spreads calls over the targets of the same failure domain without penalties; the domain and the penalties are weighed as before. The medians are not computed while no target sends the extended report.

--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -17,7 +17,7 @@
 use super::link::Link;
 use super::overload::ServiceView;
 use super::peer_limit::PeerLimit;
-use super::placing::{self, Choice, RunTimes};
+use super::placing::{self, Choice, Reference, References, Snapshot};
 use super::teams::quota::Fleet;
 use super::teams::use_report::PeerTeamUse;
 
@@ -122,33 +122,34 @@
         self.avoided_until.set(Some(Instant::now() + AVOID_AFTER_FAILURE));
     }
 
-    /// The run time of its target relative to `median_us`.
-    fn slowdown(&self, median_us: Option<f64>) -> f64 {
-        placing::slowdown(self.condition.current().map(|(condition, _)| condition), median_us)
+    /// The run time of its target relative to the median of the service.
+    fn slowdown(&self, reference: Option<Reference>) -> f64 {
+        placing::slowdown(self.condition.current().map(|(condition, _)| condition), reference)
     }
 
-    /// Cost of sending it a call: the utilisation of its target, weighted by its run time relative
-    /// to `median_us`, with penalties for failures and silence.
-    fn cost(&self, now: Instant, median_us: Option<f64>) -> f64 {
+    /// The utilisation of its target.
+    fn utilisation(&self) -> f64 {
         let status = self.status.borrow();
         let sent_since = self.in_flight.get().saturating_sub(self.in_flight_at_update.get());
-        let mut utilisation = utilisation_of(status.load, sent_since, status.cold);
-        if median_us.is_some() {
-            utilisation = placing::cost(utilisation, self.slowdown(median_us));
-        }
+        utilisation_of(status.load, sent_since, status.cold)
+    }
+
+    /// Penalties for failures, silence and a limit that is used up, in units of utilisation.
+    fn penalties(&self, now: Instant) -> f64 {
+        let mut penalties = 0.0;
         if self.avoided_until.get().is_some_and(|until| now < until) {
-            utilisation += SUSPECT_COST;
+            penalties += SUSPECT_COST;
         }
         if self.limit.is_held(now) {
-            utilisation += LIMITED_COST;
+            penalties += LIMITED_COST;
         }
         let link = self.link.borrow();
         let is_silent =
             link.as_ref().is_some_and(|link| now - link.last_received() > SUSPECT_AFTER);
         if is_silent && self.in_flight.get() > 0 {
-            utilisation += SUSPECT_COST;
+            penalties += SUSPECT_COST;
         }
-        utilisation + self.failing.cost(now)
+        penalties + self.failing.cost(now)
     }
 }
 
@@ -186,9 +187,9 @@
     own_address: SocketAddr,
     own_failure_domain: String,
     peers: RefCell<HashMap<SocketAddr, Rc<Peer>>>,
-    /// The run times with which those of single targets are compared.
-    run_times: RunTimes,
-    /// The condition of the local target at the last update of the run times.
+    /// What the targets of each service are compared by.
+    references: References,
+    /// The condition of the local target at the last update of the references.
     own_condition: Cell<Option<Condition>>,
 }
 
@@ -199,7 +200,7 @@
             own_address,
             own_failure_domain: own_failure_domain.to_owned(),
             peers: RefCell::default(),
-            run_times: RunTimes::default(),
+            references: References::default(),
             own_condition: Cell::default(),
         }
     }
@@ -324,34 +325,41 @@
         peer.update_status(hello.status.clone());
     }
 
-    /// Updates the run times with which those of single targets are compared. `own` is the condition
-    /// of the local target, which belongs to `own_service`.
-    pub fn update_run_times(&self, own_service: &str, own: Option<Condition>) {
+    /// Updates what the targets of each service are compared by. `own` is the condition of the local
+    /// target, which belongs to `own_service`.
+    pub fn update_references(&self, own_service: &str, own: Option<Condition>) {
         self.own_condition.set(own);
-        let mut run_times: HashMap<String, Vec<f64>> = HashMap::new();
-        let mut add = |service: &str, condition: Option<Condition>| {
-            let Some(run_time) = condition.and_then(placing::run_time) else { return };
-            if let Some(run_times) = run_times.get_mut(service) {
-                run_times.push(run_time);
-                return;
-            }
-            run_times.insert(service.to_owned(), vec![run_time]);
-        };
-        add(own_service, own);
-        for peer in self.peers.borrow().values() {
-            let Some((condition, _)) = peer.condition.current() else { continue };
+        let mut snapshots: HashMap<String, Snapshot> = HashMap::new();
+        let peers = self.peers.borrow();
+        if own.is_none() && peers.values().all(|peer| peer.condition.current().is_none()) {
+            self.references.update(snapshots);
+            return;
+        }
+        if let Some(run_time_us) = own.and_then(placing::run_time) {
+            let snapshot = snapshots.entry(own_service.to_owned()).or_default();
+            snapshot.run_times_us.push(run_time_us);
+        }
+        for peer in peers.values() {
             let status = peer.status.borrow();
-            if status.ready && peer.open_link().is_some() {
-                add(&status.service, Some(condition));
+            if !status.ready || peer.open_link().is_none() {
+                continue;
             }
+            if !snapshots.contains_key(&status.service) {
+                snapshots.insert(status.service.clone(), Snapshot::default());
+            }
+            let Some(snapshot) = snapshots.get_mut(&status.service) else { continue };
+            snapshot.calls += status.load.running + status.load.waiting;
+            snapshot.own_calls += peer.in_flight.get();
+            let condition = peer.condition.current().map(|(condition, _)| condition);
+            snapshot.run_times_us.extend(condition.and_then(placing::run_time));
         }
-        self.run_times.set(run_times);
+        self.references.update(snapshots);
     }
 
     /// The run time of a target of `service` relative to the median of the service; 1 if it is
     /// unknown.
     pub fn slowdown(&self, service: &str, condition: Option<Condition>) -> f64 {
-        placing::slowdown(condition, self.run_times.median(service))
+        placing::slowdown(condition, self.references.get(service))
     }
 
     /// What is known of a target of `service` with the given condition and its age; `None` unless it
@@ -363,13 +371,21 @@
 
     /// Picks the target with the lowest cost, preferring the same failure domain. Skips nodes that
     /// were already tried.
+    ///
+    /// Where conditions are known, the call is spread over the targets that are as eligible as the
+    /// cheapest one: those in the same failure domain and without penalties.
     pub fn pick(&self, wanted: &PickRequest<'_>, rng: &mut impl Rng) -> Option<Destination> {
         let now = Instant::now();
-        let median_us = self.run_times.median(wanted.service);
+        let reference = self.references.get(wanted.service);
+        let spread = reference.map_or(0.0, |reference| reference.spread());
         let mut cheapest: Option<(f64, Destination)> = None;
         if let Some(utilisation) = wanted.local_utilisation {
             cheapest = Some((utilisation, Destination::Local));
         }
+        // Whether the cheapest target is in the same domain, unless it is local or has penalties.
+        let mut cheapest_domain: Option<bool> = None;
+        // The cheapest targets after spreading, in other domains and in the same one.
+        let mut eligible: [Option<(f64, Rc<Peer>)>; 2] = [None, None];
         for peer in self.peers.borrow().values() {
             if wanted.tried.contains(&peer.address) || peer.open_link().is_none() {
                 continue;
@@ -383,16 +399,37 @@
             if !wanted.allows_limited && peer.limit.is_held(now) {
                 continue;
             }
-            let mut cost = peer.cost(now, median_us);
-            if !self.is_same_domain(peer) {
+            let is_same_domain = self.is_same_domain(peer);
+            let penalties = peer.penalties(now);
+            let mut cost = peer.utilisation();
+            if reference.is_some() {
+                let slowdown = peer.slowdown(reference);
+                cost = placing::cost(cost, slowdown);
+                if spread > COST_JITTER && penalties == 0.0 {
+                    let best = &mut eligible[usize::from(is_same_domain)];
+                    let cost = cost
+                        + placing::spread_cost(spread, slowdown)
+                        + rng.random::<f64>() * spread;
+                    if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+                        *best = Some((cost, Rc::clone(peer)));
+                    }
+                }
+            }
+            cost += penalties;
+            if !is_same_domain {
                 cost =
                     cost.max(SAME_DOMAIN_UTILISATION_MAX - CROSS_DOMAIN_COST) + CROSS_DOMAIN_COST;
             }
             cost += rng.random::<f64>() * COST_JITTER;
             if cheapest.as_ref().is_none_or(|(least, _)| cost < *least) {
                 cheapest = Some((cost, Destination::Peer(Rc::clone(peer))));
+                cheapest_domain = (penalties == 0.0).then_some(is_same_domain);
             }
         }
+        if let Some((_, peer)) = cheapest_domain.and_then(|same| eligible[usize::from(same)].take())
+        {
+            return Some(Destination::Peer(peer));
+        }
         cheapest.map(|(_, destination)| destination)
     }
 
@@ -407,7 +444,7 @@
                 let status = peer.status.borrow();
                 let demand = peer.limit.demand_on(&status.incarnation);
                 let load = demand.map_or(status.load, |demand| status.load.busier(demand));
-                let slowdown = peer.slowdown(self.run_times.median(&status.service));
+                let slowdown = peer.slowdown(self.references.get(&status.service));
                 add_to_view(&mut views, &status, load, slowdown);
             }
         }
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -356,7 +356,7 @@
         if let Some(condition) = self.target.condition() {
             self.inbound.send_due_condition(condition, all + 1);
         }
-        self.directory.update_run_times(&status.service, self.target.condition());
+        self.directory.update_references(&status.service, self.target.condition());
         let services = self.directory.services(&status, self.target.gate.demand());
         let entries = self.directory.linked() + 1;
         self.overload.adjust(&services, site.rank_max(), entries);
--- a/src/mesh/placing.rs
+++ b/src/mesh/placing.rs
@@ -17,30 +17,84 @@
 const SLOWDOWN_RANGE: (f64, f64) = (0.5, 20.0);
 /// Relative run time from which a target counts as slow in the metrics.
 const SLOW_FROM: f64 = 1.5;
+/// Number of senders up to which costs are not spread: their own answers keep them informed.
+const SENDERS_FEW: f64 = 4.0;
+/// Spread of costs for each further node that sends as many calls as this one. In trials with half of
+/// it, 12 senders herded more at half load.
+const SPREAD_PER_SENDER: f64 = 0.2;
+/// Maximum spread. With 2, 50 senders herd as much as without conditions.
+const SPREAD_MAX: f64 = 4.0;
+/// Cost of a slow target for each unit of spread and of slowdown.
+const SPREAD_COST: f64 = 0.5;
+/// Minimum number of own calls assumed, so that a node that sends none has a finite spread.
+const OWN_CALLS_MIN: f64 = 0.01;
+/// Weight of one update, made every 100 ms, in the moving averages of calls.
+const CALLS_WEIGHT: f64 = 0.05;
 
-/// The median run times of the targets of each service, in microseconds.
+/// The reports about the targets of one service at one time.
 #[derive(Debug, Default)]
-pub struct RunTimes {
-    medians: RefCell<HashMap<String, f64>>,
+pub struct Snapshot {
+    /// The known run times, in microseconds.
+    pub run_times_us: Vec<f64>,
+    /// Calls that run or wait at targets of other nodes.
+    pub calls: u32,
+    /// Those of them that this node has sent.
+    pub own_calls: u32,
 }
 
-impl RunTimes {
-    /// Replaces the medians by those of the given run times.
-    pub fn set(&self, run_times: HashMap<String, Vec<f64>>) {
-        let mut medians = self.medians.borrow_mut();
-        medians.clear();
-        for (service, mut run_times) in run_times {
-            let middle = run_times.len() / 2;
-            if middle < run_times.len() {
-                let (_, median, _) = run_times.select_nth_unstable_by(middle, f64::total_cmp);
-                medians.insert(service, *median);
+/// What the targets of a service are compared by.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Reference {
+    /// The median run time, in microseconds.
+    median_us: f64,
+    /// Moving average of the calls at targets of other nodes.
+    calls: f64,
+    /// Moving average of those of them that this node has sent.
+    own_calls: f64,
+}
+
+impl Reference {
+    /// Random spread of costs among equally eligible targets, in units of utilisation.
+    ///
+    /// All senders get the same load reports, and so choose the same target until the next one. The
+    /// more calls are sent by others, the less a sender knows of the load, and the wider it spreads
+    /// its calls.
+    pub fn spread(&self) -> f64 {
+        let senders = self.calls / self.own_calls.max(OWN_CALLS_MIN);
+        (SPREAD_PER_SENDER * (senders - SENDERS_FEW)).clamp(0.0, SPREAD_MAX)
+    }
+}
+
+/// The references of all services of which a run time is known.
+#[derive(Debug, Default)]
+pub struct References {
+    by_service: RefCell<HashMap<String, Reference>>,
+}
+
+impl References {
+    /// Replaces the references by those of the given services.
+    pub fn update(&self, snapshots: HashMap<String, Snapshot>) {
+        let mut by_service = self.by_service.borrow_mut();
+        by_service.retain(|service, _| snapshots.contains_key(service));
+        for (service, mut snapshot) in snapshots {
+            let run_times_us = &mut snapshot.run_times_us;
+            if run_times_us.is_empty() {
+                by_service.remove(&service);
+                continue;
             }
+            let middle = run_times_us.len() / 2;
+            let (_, median_us, _) = run_times_us.select_nth_unstable_by(middle, f64::total_cmp);
+            let reference = by_service.entry(service).or_default();
+            reference.median_us = *median_us;
+            reference.calls += CALLS_WEIGHT * (f64::from(snapshot.calls) - reference.calls);
+            reference.own_calls +=
+                CALLS_WEIGHT * (f64::from(snapshot.own_calls) - reference.own_calls);
         }
     }
 
-    /// The median of a service; `None` if none of its targets has a known run time.
-    pub fn median(&self, service: &str) -> Option<f64> {
-        self.medians.borrow().get(service).copied()
+    /// The reference of a service; `None` if no run time of its targets is known.
+    pub fn get(&self, service: &str) -> Option<Reference> {
+        self.by_service.borrow().get(service).copied()
     }
 }
 
@@ -51,9 +105,9 @@
 }
 
 /// The run time of a target relative to the median of its service; 1 if either is unknown.
-pub fn slowdown(condition: Option<Condition>, median: Option<f64>) -> f64 {
-    let (Some(condition), Some(median)) = (condition, median) else { return 1.0 };
-    let relative = run_time(condition).map_or(1.0, |run_time| run_time / median);
+pub fn slowdown(condition: Option<Condition>, reference: Option<Reference>) -> f64 {
+    let (Some(condition), Some(reference)) = (condition, reference) else { return 1.0 };
+    let relative = run_time(condition).map_or(1.0, |run_time| run_time / reference.median_us);
     relative.clamp(SLOWDOWN_RANGE.0, SLOWDOWN_RANGE.1)
 }
 
@@ -83,6 +137,12 @@
     Load { running: weighted(load.running), waiting: load.waiting, limit: weighted(load.limit) }
 }
 
+/// Cost of a slow target in addition to `cost` where costs have a random spread, which would
+/// otherwise reach it.
+pub fn spread_cost(spread: f64, slowdown: f64) -> f64 {
+    SPREAD_COST * spread * (slowdown - 1.0)
+}
+
 /// What was known of the target that was chosen last, for the log.
 #[derive(Clone, Copy, Debug)]
 pub struct Choice {
