--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -375,7 +375,7 @@
         if let Some(condition) = self.reported_condition() {
             self.inbound.send_due_condition(condition, all + 1);
         }
-        self.directory.update_run_times(&status.service, self.target.condition());
+        self.directory.update_references(&status.service, self.target.condition());
         use_report::send_due(self, &site.teams, all + 1);
         let services = self.directory.services(&status, self.target.gate.demand());
         let entries = self.directory.linked() + 1;
