Tell whether a service has conditions, and make room for the calls of a tree

Decisions under hard load take effect for a service only once one of its targets sends the extended load report. Node::has_conditions tells so; without any report it costs one comparison. Tests not run yet.

--- a/src/mesh/condition.rs
+++ b/src/mesh/condition.rs
@@ -5,6 +5,7 @@
 //! decisions that depend on it are off for other targets.
 
 use std::cell::{Cell, RefCell};
+use std::rc::Rc;
 use std::time::Duration;
 
 use thiserror::Error;
@@ -122,9 +123,21 @@
 #[derive(Debug, Default)]
 pub struct PeerCondition {
     reported: RefCell<Option<(Condition, Instant)>>,
+    /// Set by the first report of any peer. While it is not set, no decision looks for conditions.
+    any_reported: Rc<Cell<bool>>,
 }
 
 impl PeerCondition {
+    /// A condition that sets `any_reported` when it is reported.
+    pub fn new(any_reported: &Rc<Cell<bool>>) -> Self {
+        Self { any_reported: Rc::clone(any_reported), ..Self::default() }
+    }
+
+    /// Whether a condition was reported.
+    pub fn is_reported(&self) -> bool {
+        self.reported.borrow().is_some()
+    }
+
     /// Records a reported condition. Figures out of range are clamped.
     pub fn update(&self, condition: Condition) {
         let (slowness_min, slowness_max) = SLOWNESS_RANGE_PERCENT;
@@ -134,6 +147,7 @@
             ..condition
         };
         self.reported.replace(Some((condition, Instant::now())));
+        self.any_reported.set(true);
     }
 
     /// Forgets the condition when a new incarnation takes over.
--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -74,7 +74,7 @@
 }
 
 impl Peer {
-    fn new(address: SocketAddr, failure_domain: &str) -> Self {
+    fn new(address: SocketAddr, failure_domain: &str, any_condition: &Rc<Cell<bool>>) -> Self {
         Self {
             address,
             failure_domain: RefCell::new(failure_domain.to_owned()),
@@ -86,7 +86,7 @@
             hello_received: Notify::new(),
             failing: FailureShare::default(),
             limit: PeerLimit::default(),
-            condition: PeerCondition::default(),
+            condition: PeerCondition::new(any_condition),
             team_use: PeerTeamUse::default(),
             was_linked: Cell::default(),
             discovered_at: Instant::now(),
@@ -177,6 +177,8 @@
     own_address: SocketAddr,
     own_failure_domain: String,
     peers: RefCell<HashMap<SocketAddr, Rc<Peer>>>,
+    /// Whether any peer has ever reported a condition.
+    any_condition: Rc<Cell<bool>>,
 }
 
 impl Directory {
@@ -186,6 +188,7 @@
             own_address,
             own_failure_domain: own_failure_domain.to_owned(),
             peers: RefCell::default(),
+            any_condition: Rc::default(),
         }
     }
 
@@ -201,7 +204,7 @@
             }
             return None;
         }
-        let peer = Rc::new(Peer::new(address, failure_domain));
+        let peer = Rc::new(Peer::new(address, failure_domain, &self.any_condition));
         peers.insert(address, Rc::clone(&peer));
         Some(peer)
     }
@@ -268,6 +271,16 @@
         (in_domain, all)
     }
 
+    /// Whether a linked node has a target of `service` with a condition.
+    pub fn has_conditions(&self, service: &str) -> bool {
+        self.any_condition.get()
+            && self.peers.borrow().values().any(|peer| {
+                peer.condition.is_reported()
+                    && peer.open_link().is_some()
+                    && peer.status.borrow().service == service
+            })
+    }
+
     /// Number of linked nodes of the same failure domain with a lower address than this one: those
     /// that reach the store, and all.
     pub fn predecessors_in_domain(&self) -> (usize, usize) {
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -264,6 +264,12 @@
         current.map_or_else(|| self.settings.node.service.clone(), |known| known.service.clone())
     }
 
+    /// Whether a target of `service` has a condition: that of this node or of a linked one.
+    pub fn has_conditions(&self, service: &str) -> bool {
+        let own = self.target.current().filter(|known| known.service == service);
+        own.is_some() && self.target.condition().is_some() || self.directory.has_conditions(service)
+    }
+
     /// Logs that the state of the target has changed, and sends the new status to the peers.
     pub fn target_changed(&self, learned_from: &'static str) {
         let current = self.target.current();
--- a/src/mesh/request_log.rs
+++ b/src/mesh/request_log.rs
@@ -12,6 +12,7 @@
 use crate::event::LogEvent;
 
 use super::fingerprint::Fingerprint;
+use super::frame::ServiceCalls;
 use super::linger::PeerWatch;
 use super::node::Node;
 use super::sender::Outcome;
@@ -35,6 +36,9 @@
     pub quota: Option<QuotaState>,
     /// Describes the limit of the last target, if the request was refused because of it.
     pub target_limit: String,
+    /// The calls of the tree by service, including the request itself; only for services whose
+    /// targets have conditions.
+    pub calls: Vec<ServiceCalls>,
 }
 
 /// A request that has its final answer.
