Retry rejected offers within the budget, and report the calls of a tree

With 0.55 of the offers at a deep service rejected, one call out of attempts or budget failed its whole tree. Where targets of a service have conditions, a rejected offer no longer counts against attempts_max: the request goes on to targets not yet tried, then to those already tried after a short backoff, up to 12 offers and within the budget. The budget there counts the requests of the window before, so it does not fall with admission, and the sum over all nodes keeps to the rule for any distribution of requests. A fifth is left to calls of runs that have completed a call.

The node of a running request sums the calls made for it and sends the sum before the answer; the entry finds it in RequestSummary::calls.

--- a/src/mesh/budget.rs
+++ b/src/mesh/budget.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::ops::Range;
 use std::time::Duration;
 
 use rand::Rng;
@@ -12,6 +13,12 @@
 /// Fraction of the permitted retry share that a node uses. The rest absorbs uneven load: retries
 /// from one level of the call tree are spread unevenly over the nodes of the next.
 const SHARE_FRACTION: f64 = 0.75;
+/// Fraction of the permitted share of the requests of the window before that a node uses. The rest absorbs calls
+/// that retried runs make again, which are charged to nodes unevenly.
+const LAGGED_SHARE_FRACTION: f64 = 0.95;
+/// Fraction of a budget that is left to calls of runs that have already completed a call: a tree
+/// that has made progress has fewer calls left that may fail.
+const RESERVED_FOR_PROGRESS: f64 = 0.2;
 /// Fraction of the slack that all nodes together use; each decides at random whether to use its
 /// part.
 const SLACK_FRACTION: f64 = 0.4;
@@ -37,15 +44,15 @@
 /// Sliding window of the traffic to a service.
 #[derive(Debug)]
 struct RetryWindow {
-    /// The buckets of a window and the one that has just left it, as a ring.
-    buckets: [Bucket; BUCKETS + 1],
+    /// The buckets of this window and of the one before, as a ring.
+    buckets: [Bucket; 2 * BUCKETS],
     /// Number of the current bucket, counted from the start of the node.
     newest: u64,
 }
 
 impl RetryWindow {
     fn new(newest: u64) -> Self {
-        Self { buckets: [Bucket::default(); BUCKETS + 1], newest }
+        Self { buckets: [Bucket::default(); 2 * BUCKETS], newest }
     }
 
     /// Advances to the bucket of the given number.
@@ -64,12 +71,37 @@
         &mut self.buckets[index]
     }
 
+    /// The buckets with the given ages, in buckets.
+    fn aged(&self, ages: Range<usize>) -> impl Iterator<Item = &Bucket> {
+        let length = self.buckets.len();
+        let newest = self.newest as usize % length;
+        ages.map(move |age| &self.buckets[(newest + length - age) % length])
+    }
+
     /// Requests over slightly less than a window, and retries spent over at least one.
     fn sums(&self) -> (f64, f64) {
-        let oldest = (self.newest + 1) as usize % self.buckets.len();
-        let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
-        let spent = self.buckets.iter().map(|bucket| bucket.spent).sum();
-        (f64::from(requests - self.buckets[oldest].requests), spent)
+        let requests: u32 = self.aged(0..BUCKETS).map(|bucket| bucket.requests).sum();
+        let spent = self.aged(0..BUCKETS + 1).map(|bucket| bucket.spent).sum();
+        (f64::from(requests), spent)
+    }
+
+    /// The least remaining budget over all windows that contain this moment: what is `allowed` for
+    /// the requests in the window before, less the retries spent so far. Only buckets that lie in a window as a whole count as requests, and all
+    /// that overlap it as spent.
+    fn lagged_remaining(&self, allowed: impl Fn(f64) -> f64) -> f64 {
+        let length = self.buckets.len();
+        let newest = self.newest as usize % length;
+        let aged = |age: usize| &self.buckets[(newest + length - age) % length];
+        // The window that has just begun; then those that began one bucket earlier each.
+        let mut requests: u32 = self.aged(1..BUCKETS).map(|bucket| bucket.requests).sum();
+        let mut spent = aged(0).spent;
+        let mut least = allowed(f64::from(requests)) - spent;
+        for age in 1..=BUCKETS {
+            requests = requests - aged(age).requests + aged(age + BUCKETS - 1).requests;
+            spent += aged(age).spent;
+            least = least.min(allowed(f64::from(requests)) - spent);
+        }
+        least
     }
 }
 
@@ -85,6 +117,7 @@
 #[derive(Debug)]
 pub struct RetryBudgets {
     share: f64,
+    lagged_share: f64,
     slack: f64,
     started: Instant,
     windows: RefCell<HashMap<String, RetryWindow>>,
@@ -95,6 +128,7 @@
     pub fn new(settings: &RetrySection) -> Self {
         Self {
             share: settings.share * SHARE_FRACTION,
+            lagged_share: settings.share * LAGGED_SHARE_FRACTION,
             slack: f64::from(settings.slack) * SLACK_FRACTION,
             started: Instant::now(),
             windows: RefCell::default(),
@@ -126,17 +160,40 @@
     /// With many nodes, each one's part of the slack is less than one retry. If no whole retry is
     /// left, the node draws one with that probability, and is charged that part either way.
     pub fn try_take(&self, service: &str, rank: u8, nodes: usize, rng: &mut impl Rng) -> bool {
-        let rank_fraction = (1.0 - RESERVED_PER_RANK * f64::from(rank)).max(RANK_FRACTION_MIN);
         let slack = self.slack / nodes.max(1) as f64;
         self.with_window(service, |window| {
             let (requests, spent) = window.sums();
-            let remaining = (requests * self.share + slack) * rank_fraction - spent;
-            let charge = if remaining >= 1.0 { 1.0 } else { slack.min(1.0) };
-            if remaining < charge {
-                return false;
-            }
-            window.current().spent += charge;
-            rng.random::<f64>() < charge
+            let remaining = (requests * self.share + slack) * rank_fraction(rank) - spent;
+            take(window, remaining, slack, rng)
+        })
+    }
+
+    /// Like `try_take`, for services whose targets have conditions: counts the requests of the window
+    /// before, so that the budget does not fall with the requests that are admitted while targets
+    /// reject offers.
+    ///
+    /// The rule allows a share of the requests of all nodes in the best of three windows: the one in
+    /// which the retries are made, the one half a window earlier and the one a whole window earlier.
+    /// A node does not know which one is best for all nodes together. If each used the one that is
+    /// best for itself, nodes that are busy at different times would use up to three times the
+    /// allowed number. If all use the same one, their sum is at most the best, for any distribution
+    /// of requests. The check covers every window that contains this moment, also those that end
+    /// later and in which there may be no more requests.
+    pub fn try_take_lagged(
+        &self,
+        service: &str,
+        rank: u8,
+        has_progressed: bool,
+        nodes: usize,
+        rng: &mut impl Rng,
+    ) -> bool {
+        let slack = self.slack / nodes.max(1) as f64;
+        let progress_fraction = if has_progressed { 1.0 } else { 1.0 - RESERVED_FOR_PROGRESS };
+        let fraction = rank_fraction(rank) * progress_fraction;
+        self.with_window(service, |window| {
+            let allowed = |requests: f64| (requests * self.lagged_share + slack) * fraction;
+            let remaining = window.lagged_remaining(allowed);
+            take(window, remaining, slack, rng)
         })
     }
 
@@ -152,3 +209,19 @@
         take(windows.entry(service.to_owned()).or_insert_with(|| RetryWindow::new(number)))
     }
 }
+
+/// The fraction of a budget that is available to `rank`.
+fn rank_fraction(rank: u8) -> f64 {
+    (1.0 - RESERVED_PER_RANK * f64::from(rank)).max(RANK_FRACTION_MIN)
+}
+
+/// Takes one retry if `remaining` allows it. If no whole retry is left, draws one with the
+/// probability `slack`, and is charged that part either way.
+fn take(window: &mut RetryWindow, remaining: f64, slack: f64, rng: &mut impl Rng) -> bool {
+    let charge = if remaining >= 1.0 { 1.0 } else { slack.min(1.0) };
+    if remaining < charge {
+        return false;
+    }
+    window.current().spent += charge;
+    rng.random::<f64>() < charge
+}
--- a/src/mesh/ingress.rs
+++ b/src/mesh/ingress.rs
@@ -187,6 +187,7 @@
         root,
         rank: admitted.rank,
         is_repeat: parent.as_ref().is_some_and(|parent| parent.is_repeat),
+        has_progressed: parent.as_ref().is_some_and(|parent| parent.calls.has_completed_call()),
         team: admitted.team,
     };
     let (outcome, mut summary) = send(node, &route, &request, parent.as_ref()).await;
@@ -194,8 +195,13 @@
     if parent.is_none() && matches!(outcome, Outcome::NotRun { .. }) {
         admission::refund_token(node, &request.team);
     }
-    if let Some(parent) = parent.filter(|_| !outcome.went_well()) {
-        parent.has_failed_below.set(true);
+    if let Some(parent) = parent {
+        parent.calls.add_all(&summary.calls);
+        if outcome.went_well() {
+            parent.calls.record_completed_call();
+        } else {
+            parent.has_failed_below.set(true);
+        }
     }
     let mut response = response_to(&outcome);
     if let (Outcome::Answered(_), Ok(id)) = (&outcome, HeaderValue::from_str(attempt_id)) {
--- a/src/mesh/link.rs
+++ b/src/mesh/link.rs
@@ -176,6 +176,13 @@
         }
     }
 
+    /// Sends the calls made for the call `id`, if there are any and the other node reads them.
+    pub fn send_tree_calls(&self, id: u64, calls: Vec<ServiceCalls>) {
+        if !calls.is_empty() && self.peer_reads_conditions() {
+            self.send(&Frame::TreeCalls { id, calls });
+        }
+    }
+
     /// Keeps the calls made for a pending call until its answer arrives.
     pub fn keep_tree_calls(&self, id: u64, calls: Vec<ServiceCalls>) {
         if self.pending.borrow().contains_key(&id) {
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -46,5 +46,6 @@
 pub mod split;
 pub mod target;
 pub mod teams;
+pub mod tree_calls;
 pub mod window;
 pub mod words;
--- a/src/mesh/peers.rs
+++ b/src/mesh/peers.rs
@@ -22,6 +22,7 @@
 use super::receiver;
 use super::socket;
 use super::teams::admission;
+use super::tree_calls::TreeCalls;
 
 /// Interval at which all links are checked.
 const WATCH_INTERVAL: Duration = Duration::from_millis(500);
@@ -275,8 +276,10 @@
     call: Call,
 ) {
     let deadline = Instant::now() + Duration::from_millis(call.remaining_ms.into());
-    let end = receiver::serve(&node, &call, deadline).await;
+    let calls = Rc::new(TreeCalls::default());
+    let end = receiver::serve(&node, &call, deadline, &calls).await;
     running.borrow_mut().remove(&call.id);
+    link.send_tree_calls(call.id, calls.take());
     link.send_condition(node.target.condition());
     link.send(&Frame::Answer { id: call.id, end, load: node.target.load() });
 }
--- a/src/mesh/receiver.rs
+++ b/src/mesh/receiver.rs
@@ -29,6 +29,7 @@
 use super::signal::Signal;
 use super::site::RouteKind;
 use super::target::Instance;
+use super::tree_calls::TreeCalls;
 
 /// A call with less time than this before its deadline is not worth running.
 const REMAINING_MIN: Duration = Duration::from_millis(3);
@@ -65,10 +66,16 @@
     }
 }
 
-/// Runs a call on the target. Dropping the future cancels the call.
-pub async fn serve(node: &Rc<Node>, call: &Call, deadline: Instant) -> CallEnd {
+/// Runs a call on the target, and adds the calls made for it to `calls`. Dropping the future cancels
+/// the call.
+pub async fn serve(
+    node: &Rc<Node>,
+    call: &Call,
+    deadline: Instant,
+    calls: &Rc<TreeCalls>,
+) -> CallEnd {
     let began = Instant::now();
-    let CallResult { end, detail } = admit_and_run(node, call, deadline).await;
+    let CallResult { end, detail } = admit_and_run(node, call, deadline, calls).await;
     node.metrics.record_call(end.reason());
     if end.has_arrived() {
         node.target.failing.record(end.counts_as_target_failure());
@@ -115,7 +122,12 @@
 }
 
 /// Waits for a slot and runs the call in it.
-async fn admit_and_run(node: &Rc<Node>, call: &Call, deadline: Instant) -> CallResult {
+async fn admit_and_run(
+    node: &Rc<Node>,
+    call: &Call,
+    deadline: Instant,
+    calls: &Rc<TreeCalls>,
+) -> CallResult {
     let _serving = CountGuard::new(&node.serving, 1);
     if !node.accepts_calls() {
         return NotRun::Leaving.into();
@@ -169,7 +181,7 @@
     if fingerprint.is_some_and(|fingerprint| quarantine.is_quarantined(fingerprint)) {
         return NotRun::Quarantined.into();
     }
-    run(node, call, deadline, &instance, connection).await
+    run(node, call, deadline, &instance, connection, calls).await
 }
 
 /// The current incarnation of the target, if it serves `service`.
@@ -192,6 +204,7 @@
     deadline: Instant,
     instance: &Instance,
     mut connection: Connection,
+    calls: &Rc<TreeCalls>,
 ) -> CallResult {
     let head = request_head(node, call, deadline, instance);
     node.record_root(&call.root);
@@ -203,6 +216,7 @@
         is_repeat: call.is_repeat,
         team: call.team.as_str().into(),
         has_failed_below: Rc::clone(&has_failed_below),
+        calls: Rc::clone(calls),
         withdrawn: CancellationToken::new(),
     };
     let running = node.running_requests.register(&call.attempt_id, parent);
--- a/src/mesh/request_log.rs
+++ b/src/mesh/request_log.rs
@@ -28,6 +28,8 @@
     pub offered: Vec<Option<SocketAddr>>,
     /// How often it reached a target.
     pub arrivals: u32,
+    /// How many targets rejected it without running it.
+    pub rejected: u32,
     /// The fingerprint of the request, if it was refused because of a quarantine.
     pub quarantined: Option<Fingerprint>,
     /// Team whose API key admitted the root request; empty if no key was used.
--- a/src/mesh/running_requests.rs
+++ b/src/mesh/running_requests.rs
@@ -13,6 +13,8 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use super::tree_calls::TreeCalls;
+
 /// Separates the id of the parent request from the suffix in the id of a call.
 const SEPARATOR: char = '.';
 /// How long a finished request is remembered, and how long after the start of a node its target may
@@ -37,6 +39,8 @@
     pub team: Rc<str>,
     /// Whether a call made for the request has failed.
     pub has_failed_below: Rc<Cell<bool>>,
+    /// The calls made for the request so far.
+    pub calls: Rc<TreeCalls>,
     /// Cancelled when the request ends without an answer, after which its calls serve no purpose.
     pub withdrawn: CancellationToken,
 }
--- a/src/mesh/sender.rs
+++ b/src/mesh/sender.rs
@@ -8,20 +8,34 @@
 
 use bytes::Bytes;
 use rand::Rng;
-use tokio::time::{Instant, timeout_at};
+use rand::seq::IndexedRandom;
+use tokio::time::{Instant, sleep, timeout_at};
 
 use super::directory::{Destination, LIMITED_COST, PickRequest, utilisation_of};
 use super::fingerprint::Fingerprint;
-use super::frame::{Call, CallEnd, Doubt, Frame, Header, NotRun, TargetAnswer};
+use super::frame::{
+    Call, CallEnd, Condition, Doubt, Frame, Header, NotRun, ServiceCalls, TargetAnswer,
+};
 use super::limit_reports;
 use super::node::{CountGuard, Node};
 use super::quarantine::Standing;
 use super::receiver;
 use super::request_log::RequestSummary;
 use super::site::{Route, RouteKind};
+use super::tree_calls::TreeCalls;
 
 /// Maximum number of targets that one request is offered to, including those that refuse it.
 const OFFERS_MAX: usize = 6;
+/// Maximum number of offers of one request, including those that targets rejected, where targets
+/// have conditions. With 0.55 of all offers rejected, 12 offers leave one call in 1,300 without a
+/// run.
+const OFFERS_MAX_REJECTED: usize = 12;
+/// Time before a request is first offered again to a target that rejected it. Multiplied by the
+/// number of such offers, so that all of them together take about a fifth of a second.
+const REOFFER_BACKOFF: Range<Duration> = Duration::from_millis(2)..Duration::from_millis(8);
+/// Least weight of a target among those that have rejected a request, in percent: the reported
+/// share of rejected offers may be outdated.
+const PASS_PERCENT_MIN: u8 = 5;
 /// How long after the deadline the answer of a peer is awaited: at the deadline, the peer reports
 /// whether the request has run.
 const ANSWER_GRACE: Duration = Duration::from_millis(30);
@@ -56,6 +70,8 @@
     pub rank: u8,
     /// Whether it was made by a retry.
     pub is_repeat: bool,
+    /// Whether it was made by a run that has already completed a call.
+    pub has_progressed: bool,
     /// Team whose API key admitted the root request; empty if no key was used.
     pub team: Rc<str>,
 }
@@ -116,6 +132,14 @@
     tried_local: bool,
     /// The target that refused it last because of its limit.
     limited_by: Option<Destination>,
+    /// Whether targets of the service have conditions.
+    has_conditions: bool,
+    /// The different targets that it reached.
+    reached: Vec<Destination>,
+    /// How often it was offered again to a target that it had reached.
+    reoffers: u32,
+    /// The calls made for it.
+    calls: Rc<TreeCalls>,
     /// The attempts so far, for the log.
     summary: RequestSummary,
 }
@@ -137,10 +161,16 @@
         tried: Vec::new(),
         tried_local: false,
         limited_by: None,
+        has_conditions: node.has_conditions(service),
+        reached: Vec::new(),
+        reoffers: 0,
+        calls: Rc::default(),
         summary: RequestSummary::default(),
     };
     let outcome = dispatch.run().await;
+    dispatch.add_own_calls();
     let mut summary = dispatch.summary;
+    summary.calls = dispatch.calls.take();
     service.clone_into(&mut summary.service);
     if matches!(outcome, Outcome::NotRun { reason: NotRun::Quarantined, .. }) {
         summary.quarantined = Some(request.fingerprint());
@@ -158,9 +188,10 @@
         let mut doubt = None;
         // So does a failure reported by a target.
         let mut failure = None;
-        for _ in 0..OFFERS_MAX {
-            let Some(destination) = self.pick().or_else(|| self.pick_tried()) else { break };
+        while self.may_offer() {
+            let Some(destination) = self.next_destination().await else { break };
             last = self.attempt(&destination).await;
+            self.record_reached(&destination, &last);
             if last == CallEnd::NotRun(NotRun::Limited) {
                 self.limited_by = Some(destination);
             }
@@ -246,6 +277,94 @@
         self.node.directory.remote_targets(self.service).1 + usize::from(own.is_some())
     }
 
+    /// Whether another offer is within the maximum number of offers.
+    fn may_offer(&self) -> bool {
+        let offers = self.summary.offered.len();
+        offers - (self.rejected_offers() as usize) < OFFERS_MAX && offers < OFFERS_MAX_REJECTED
+    }
+
+    /// Number of offers that a target rejected and that don't count as attempts.
+    fn rejected_offers(&self) -> u32 {
+        if self.has_conditions { self.summary.rejected } else { 0 }
+    }
+
+    /// The target of the next offer, if any: one that was not tried yet, or one that was. Waits
+    /// before the request is offered again to a target that it has reached.
+    async fn next_destination(&mut self) -> Option<Destination> {
+        if !self.has_conditions || self.summary.rejected == 0 {
+            return self.pick().or_else(|| self.pick_tried());
+        }
+        let may_reach_another = self.reached.len() < self.route.attempts_max as usize;
+        if let Some(destination) = self.pick().filter(|_| may_reach_another) {
+            return Some(destination);
+        }
+        let backoff = self.next_backoff();
+        if Instant::now() + backoff >= self.request.deadline {
+            return None;
+        }
+        sleep(backoff).await;
+        self.pick_reached().or_else(|| self.pick_tried().filter(|_| may_reach_another))
+    }
+
+    /// A randomized time to wait before the request is offered again to a target that it has
+    /// reached; longer each time.
+    fn next_backoff(&mut self) -> Duration {
+        self.reoffers += 1;
+        self.node.rng.borrow_mut().random_range(REOFFER_BACKOFF) * self.reoffers
+    }
+
+    /// A target that the request has reached. One that rejects fewer offers is more likely.
+    fn pick_reached(&self) -> Option<Destination> {
+        let pass_weight = |destination: &Destination| match destination {
+            Destination::Local => {
+                let current = self.node.target.current().filter(|now| now.service == self.service);
+                let is_open = current.is_some() && self.node.accepts_calls();
+                is_open.then(|| pass_percent(self.node.target.condition()))
+            }
+            Destination::Peer(peer) => {
+                let status = peer.status.borrow();
+                let is_open =
+                    status.ready && status.service == self.service && peer.open_link().is_some();
+                is_open.then(|| pass_percent(peer.condition.current().map(|(found, _)| found)))
+            }
+        };
+        let mut open = Vec::new();
+        for destination in &self.reached {
+            if let Some(weight) = pass_weight(destination) {
+                open.push((destination, weight));
+            }
+        }
+        let mut rng = self.node.rng.borrow_mut();
+        let chosen = open.choose_weighted(&mut *rng, |(_, weight)| *weight).ok()?;
+        Some(chosen.0.clone())
+    }
+
+    /// Records the target that an offer reached, and whether it rejected the offer.
+    fn record_reached(&mut self, destination: &Destination, end: &CallEnd) {
+        self.summary.rejected += u32::from(*end == CallEnd::NotRun(NotRun::Declined));
+        if !self.has_conditions || !end.has_arrived() {
+            return;
+        }
+        if !self.reached.iter().any(|known| is_same_target(known, destination)) {
+            self.reached.push(destination.clone());
+        }
+    }
+
+    /// Adds the offers of this request to the calls of the tree.
+    fn add_own_calls(&self) {
+        if !self.has_conditions || self.summary.offered.is_empty() {
+            return;
+        }
+        // A call that a retried run makes again takes from the budget like a retry.
+        let requests = u32::from(!self.request.is_repeat);
+        self.calls.add(&ServiceCalls {
+            service: self.service.to_owned(),
+            requests,
+            repeats: self.summary.arrivals.saturating_sub(requests),
+            rejected: self.summary.rejected,
+        });
+    }
+
     /// A target that was already tried, once all others have been tried.
     fn pick_tried(&mut self) -> Option<Destination> {
         if self.summary.arrivals == 0 {
@@ -307,13 +426,18 @@
         }
         let node = self.node;
         let nodes = node.directory.linked() + 1;
-        self.summary.arrivals < self.route.attempts_max
-            && node.budgets.try_take(
-                self.service,
-                self.request.rank,
-                nodes,
-                &mut *node.rng.borrow_mut(),
-            )
+        let rank = self.request.rank;
+        let rng = &mut *node.rng.borrow_mut();
+        if !self.has_conditions {
+            return self.summary.arrivals < self.route.attempts_max
+                && node.budgets.try_take(self.service, rank, nodes, rng);
+        }
+        let attempts = self.summary.arrivals - self.rejected_offers();
+        if attempts >= self.route.attempts_max || !self.may_offer() {
+            return false;
+        }
+        let has_progressed = self.request.has_progressed;
+        node.budgets.try_take_lagged(self.service, rank, has_progressed, nodes, rng)
     }
 
     /// Sends the request to one target.
@@ -323,7 +447,7 @@
                 self.tried_local = true;
                 self.summary.offered.push(None);
                 let call = self.call();
-                receiver::serve(self.node, &call, self.request.deadline).await
+                receiver::serve(self.node, &call, self.request.deadline, &self.calls).await
             }
             Destination::Peer(peer) => {
                 self.tried.push(peer.address);
@@ -337,6 +461,7 @@
                 let _guard = InFlightGuard(&peer.in_flight);
                 let end = timeout_at(self.request.deadline + ANSWER_GRACE, pending.end()).await;
                 let end = end.unwrap_or(CallEnd::MayHaveRun(Doubt::Timeout));
+                self.calls.add_all(&pending.take_tree_calls());
                 if suggests_unavailable(&end) {
                     peer.avoid();
                 }
@@ -360,7 +485,8 @@
             remaining_ms: left.as_millis() as u32,
             root: self.request.root.to_string(),
             rank: self.request.rank,
-            is_repeat: self.request.is_repeat || self.summary.arrivals > 0,
+            // A rejected offer has not run, so the calls of the next run are not made again.
+            is_repeat: self.request.is_repeat || self.summary.arrivals > self.rejected_offers(),
             team: self.request.team.to_string(),
             method: self.request.method.clone(),
             path: self.request.path.clone(),
@@ -370,6 +496,22 @@
     }
 }
 
+/// Whether two destinations are the same target.
+fn is_same_target(one: &Destination, other: &Destination) -> bool {
+    match (one, other) {
+        (Destination::Local, Destination::Local) => true,
+        (Destination::Peer(one), Destination::Peer(other)) => one.address == other.address,
+        _ => false,
+    }
+}
+
+/// The share of offers that a target with this condition does not reject, in percent; at least
+/// `PASS_PERCENT_MIN`.
+fn pass_percent(condition: Option<Condition>) -> u8 {
+    let rejected = condition.map_or(0, |condition| condition.rejected_percent);
+    100_u8.saturating_sub(rejected).max(PASS_PERCENT_MIN)
+}
+
 /// Counts a call as in flight until dropped.
 struct InFlightGuard<'a>(&'a std::cell::Cell<u32>);
 
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -12,6 +12,7 @@
 mod properties;
 mod quarantine;
 mod quotas;
+mod retries;
 mod stop;
 mod support;
 mod targets;
