Describe, count and log the offers that targets reject

RequestEnded now states in rejected how many offers a target rejected, and in repeats_percent the budget that applies to the service.

--- a/src/event.rs
+++ b/src/event.rs
@@ -503,6 +503,8 @@
         offered: String,
         /// How many times it reached a target.
         arrivals: u32,
+        /// How many of these times the target rejected it without running it.
+        rejected: u32,
         /// Time from the last data received from the node that handled the request last to the end
         /// of the request, in milliseconds.
         heard_ms: u64,
--- a/src/mesh/budget.rs
+++ b/src/mesh/budget.rs
@@ -154,6 +154,13 @@
         })
     }
 
+    /// Like `remaining`, for services whose targets have conditions.
+    pub fn remaining_lagged(&self, service: &str) -> f64 {
+        self.with_window(service, |window| {
+            window.lagged_remaining(|requests| requests * self.lagged_share)
+        })
+    }
+
     /// Takes one retry for a request of `rank` if the budget allows it. `nodes` is the number of
     /// nodes that share the slack.
     ///
--- a/src/mesh/metrics.rs
+++ b/src/mesh/metrics.rs
@@ -21,6 +21,8 @@
 const CALLS: &str = "aspenspring_mesh_calls_total";
 /// Requests sent to the target, by whether they are retries or made by one.
 const TARGET_REQUESTS: &str = "aspenspring_mesh_target_requests_total";
+/// Offers that a target rejected without running them, by whether the request was offered again.
+const REJECTED_OFFERS: &str = "aspenspring_mesh_rejected_offers_total";
 /// Requests whose caller disconnected before the answer, by when this was noticed.
 const CALLERS_LEFT: &str = "aspenspring_mesh_callers_left_total";
 
@@ -40,6 +42,7 @@
     latencies: RefCell<HashMap<Rc<str>, Histogram>>,
     calls: RefCell<HashMap<&'static str, Counter>>,
     target_requests: RefCell<HashMap<bool, Counter>>,
+    rejected_offers: RefCell<HashMap<bool, Counter>>,
     callers_left: RefCell<HashMap<&'static str, Counter>>,
     /// Requests per team and outcome since the last scrape.
     team_requests: RefCell<HashMap<Rc<str>, HashMap<&'static str, u64>>>,
@@ -60,6 +63,7 @@
             latencies: RefCell::default(),
             calls: RefCell::default(),
             target_requests: RefCell::default(),
+            rejected_offers: RefCell::default(),
             callers_left: RefCell::default(),
             team_requests: RefCell::default(),
         }
@@ -100,6 +104,19 @@
         counter.increment(1);
     }
 
+    /// Counts an offer that a target rejected.
+    pub fn record_rejected_offer(&self, is_repeated: bool) {
+        let mut counters = self.rejected_offers.borrow_mut();
+        let counter = counters.entry(is_repeated).or_insert_with(|| {
+            let repeated = is_repeated.to_string();
+            with_local_recorder(
+                &self.recorder,
+                || counter!(REJECTED_OFFERS, "repeated" => repeated),
+            )
+        });
+        counter.increment(1);
+    }
+
     /// Counts a request whose caller has disconnected.
     pub fn record_caller_left(&self, noticed: &'static str) {
         let mut counters = self.callers_left.borrow_mut();
--- a/src/mesh/request_log.rs
+++ b/src/mesh/request_log.rs
@@ -91,10 +91,11 @@
         status: u32::from(ended.status),
         offered: offered.join(" "),
         arrivals: summary.arrivals,
+        rejected: summary.rejected,
         heard_ms: silent_ms(node, summary),
         admitted_percent: (node.overload.admission_probability(ended.route) * 100.0) as u32,
         limited_by: node.overload.limited_by(ended.route).unwrap_or_default(),
-        repeats_percent: (node.budgets.remaining(&summary.service) * 100.0) as u32,
+        repeats_percent: (repeats_left(node, summary) * 100.0) as u32,
         config_version: node.site_version(),
         team: summary.team.to_string(),
         quota: summary.quota.as_ref().map(QuotaState::to_string).unwrap_or_default(),
@@ -107,6 +108,14 @@
     });
 }
 
+/// Retries that the node could still send to the service of a request.
+fn repeats_left(node: &Node, summary: &RequestSummary) -> f64 {
+    if node.has_conditions(&summary.service) {
+        return node.budgets.remaining_lagged(&summary.service);
+    }
+    node.budgets.remaining(&summary.service)
+}
+
 /// Time since the last bytes from the node that the request was last offered to, in milliseconds; 0
 /// if that is this node or its link is closed.
 fn silent_ms(node: &Node, summary: &RequestSummary) -> u64 {
--- a/src/mesh/sender.rs
+++ b/src/mesh/sender.rs
@@ -200,7 +200,11 @@
                 CallEnd::Answered(answer) => failure = Some(answer.clone()),
                 CallEnd::NotRun(_) => {}
             }
-            if !self.may_retry(&last) {
+            let may_retry = self.may_retry(&last);
+            if last == CallEnd::NotRun(NotRun::Declined) {
+                self.node.metrics.record_rejected_offer(may_retry);
+            }
+            if !may_retry {
                 break;
             }
         }
