Merge retries of rejected offers and the calls of a tree

Switched on by overload.completion. A run after a rejected offer counts as a repeat, as before, and so do its calls.

--- a/src/mesh/request_log.rs
+++ b/src/mesh/request_log.rs
@@ -29,6 +29,8 @@
     pub offered: Vec<Option<SocketAddr>>,
     /// How often it reached a target.
     pub arrivals: u32,
+    /// How many targets rejected it without running it.
+    pub rejected: u32,
     /// The fingerprint of the request, if it was refused because of a quarantine.
     pub quarantined: Option<Fingerprint>,
     /// Team whose API key admitted the root request; empty if no key was used.
@@ -39,7 +41,8 @@
     pub share: String,
     /// Describes the limit of the last target, if the request was refused because of it.
     pub target_limit: String,
-    /// For a caller's request, all calls of its tree by service; empty where conditions are off.
+    /// The calls of the tree by service, including the request itself; only for services whose
+    /// targets have conditions.
     pub calls: Vec<ServiceCalls>,
     /// What was known of the last target, if it sends the extended load report.
     pub choice: Option<Choice>,
@@ -100,10 +103,11 @@
         status: u32::from(ended.status),
         offered: offered.join(" "),
         arrivals: summary.arrivals,
+        rejected: summary.rejected,
         heard_ms: silent_ms(node, summary),
         admitted_percent: (probability * 100.0) as u32,
         limited_by,
-        repeats_percent: (node.budgets.remaining(&summary.service) * 100.0) as u32,
+        repeats_percent: (repeats_left(node, summary) * 100.0) as u32,
         config_version: node.site_version(),
         team: summary.team.to_string(),
         quota: summary.quota.as_ref().map(QuotaState::to_string).unwrap_or_default(),
@@ -118,6 +122,14 @@
     });
 }
 
+/// Retries that the node could still send to the service of a request.
+fn repeats_left(node: &Node, summary: &RequestSummary) -> f64 {
+    if node.settings.overload.completion {
+        return node.budgets.remaining_lagged(&summary.service);
+    }
+    node.budgets.remaining(&summary.service)
+}
+
 /// Time since the last bytes from the node that the request was last offered to, in milliseconds; 0
 /// if that is this node or its link is closed.
 fn silent_ms(node: &Node, summary: &RequestSummary) -> u64 {
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -14,6 +14,7 @@
 mod properties;
 mod quarantine;
 mod quotas;
+mod retries;
 mod returns;
 mod shares;
 mod stop;
