--- a/src/mesh/budget.rs
+++ b/src/mesh/budget.rs
@@ -16,6 +16,9 @@
 /// Fraction of the permitted share of the requests of the window before that a node uses. The rest absorbs calls
 /// that retried runs make again, which are charged to nodes unevenly.
 const LAGGED_SHARE_FRACTION: f64 = 0.95;
+/// Fraction of the permitted share of the best window that a node uses. The best windows of nodes that
+/// are busy at different times add up to more than the best window of all.
+const BEST_SHARE_FRACTION: f64 = 0.68;
 /// Fraction of a budget that is left to calls of runs that have already completed a call: a tree
 /// that has made progress has fewer calls left that may fail.
 const RESERVED_FOR_PROGRESS: f64 = 0.2;
@@ -87,9 +90,19 @@
         (f64::from(requests), spent)
     }
 
+    /// Requests in the best of the present window, the one half a window earlier and the one before.
+    fn best_requests(&self) -> f64 {
+        let mut best = 0;
+        for lag in [0, BUCKETS / 2, BUCKETS] {
+            let requests = self.aged(lag..lag + BUCKETS).map(|bucket| bucket.requests).sum();
+            best = best.max(requests);
+        }
+        f64::from(best)
+    }
+
     /// The least remaining budget over all windows that contain this moment: what is `allowed` for
-    /// the requests in the window before, less the retries spent so far. Only buckets that lie in a window as a whole count as requests, and all
-    /// that overlap it as spent.
+    /// the requests in the window before, less the retries spent so far. Only buckets that lie in a
+    /// window as a whole count as requests, and all that overlap it as spent.
     fn lagged_remaining(&self, allowed: impl Fn(f64) -> f64) -> f64 {
         let length = self.buckets.len();
         let newest = self.newest as usize % length;
@@ -120,6 +133,7 @@
 pub struct RetryBudgets {
     share: f64,
     lagged_share: f64,
+    best_share: f64,
     slack: f64,
     started: Instant,
     windows: RefCell<HashMap<String, RetryWindow>>,
@@ -131,6 +145,7 @@
         Self {
             share: settings.share * SHARE_FRACTION,
             lagged_share: settings.share * LAGGED_SHARE_FRACTION,
+            best_share: settings.share * BEST_SHARE_FRACTION,
             slack: f64::from(settings.slack) * SLACK_FRACTION,
             started: Instant::now(),
             windows: RefCell::default(),
@@ -203,12 +218,13 @@
         })
     }
 
-    /// The retries that `fraction` of the budget still allows. There is no window before in the first
-    /// twenty seconds of requests, in which all nodes of a new deployment count the present window.
+    /// The retries that `fraction` of the budget still allows. In the first twenty seconds of requests
+    /// the window before is incomplete. Then each node counts the best of the three windows, as the
+    /// requests of all nodes have begun together and rise together.
     fn full_remaining(&self, window: &RetryWindow, slack: f64, fraction: f64) -> f64 {
         if window.newest - window.oldest < 2 * BUCKETS as u64 {
-            let (requests, spent) = window.sums();
-            return (requests * self.share + slack) * fraction - spent;
+            let (_, spent) = window.sums();
+            return (window.best_requests() * self.best_share + slack) * fraction - spent;
         }
         window.lagged_remaining(|requests| (requests * self.lagged_share + slack) * fraction)
     }
