Restrict entries with few requests, and bound figures from peers

Cause: demand was averaged over 1 s and forgotten after 6.6 s, so an entry with a request every few seconds admitted it as if there were none. A rank with trees in flight but no demand divided by zero and was admitted. Calls and repeats of a reported tree were not bounded, and services and routes that are no longer seen were kept.

Change: the demand planned for is the larger of averages over 1 s and 20 s. A rank without demand is admitted only while budget remains. A tree counts at most 100 calls to a service, and 12 repeats per call; a tree with repeats only counts 12 of them. Means below 0.01 are removed, as are routes without demand and trees. Sums of loads saturate.

The three new tests failed before. The saturating sums have no test.

--- a/src/mesh/completion.rs
+++ b/src/mesh/completion.rs
@@ -42,18 +42,29 @@
 const AVOIDANCE: f64 = 5.0;
 /// Half of the step to which rejected shares are rounded down in reports.
 const REJECTED_HALF_STEP: f64 = 0.025;
-/// Weight of the requests asked in the last interval in the average demand: about a second.
+/// Weight of the requests asked in the last interval in the demand averaged over about a second,
+/// which follows a rise.
 const DEMAND_WEIGHT: f64 = 0.1;
+/// Weight of the requests asked in the last interval in the demand averaged over about 20 s. With the
+/// shorter average alone, an entry that gets a request every few seconds seems to have no demand
+/// when the next one comes, and admits it.
+const SLOW_DEMAND_WEIGHT: f64 = 0.005;
 /// Least weight of one tree in the mean number of calls.
 const CALLS_WEIGHT_MIN: f64 = 0.05;
 /// Maximum number of calls to one service that are learned from one tree. Reports come from other
-/// nodes and may be wrong.
-const CALLS_MAX: u32 = 1_000;
+/// nodes and may be wrong, and one tree moves a mean by up to `CALLS_WEIGHT_MIN` of this.
+const CALLS_MAX: u32 = 100;
+/// Maximum number of repeats per request that are counted from one tree: the offers that a sender
+/// makes for one request.
+const REPEATS_PER_REQUEST_MAX: u32 = 12;
+/// Mean number of calls below which a service is no longer learned for a route.
+const CALLS_MIN: f64 = 0.01;
 /// Maximum number of services learned for a route.
 const SERVICES_MAX: usize = 64;
 /// Maximum number of routes, and of services with a budget. Reports may name any number of them.
 const TRACKED_MAX: usize = 1_024;
-/// Demand below which a rank is no longer tracked, in requests per second.
+/// Demand below which a rank is no longer tracked, in requests per second. It is reached 78 s after
+/// a single request.
 const DEMAND_MIN_PER_S: f64 = 0.001;
 
 /// Length of a bucket of the budget window.
@@ -175,8 +186,11 @@
     fn record(&mut self, calls: &ServiceCalls) {
         let index = self.newest as usize % self.buckets.len();
         let bucket = &mut self.buckets[index];
-        bucket.requests = bucket.requests.saturating_add(calls.requests);
-        bucket.repeats = bucket.repeats.saturating_add(calls.repeats);
+        let requests = calls.requests.min(CALLS_MAX);
+        // A tree whose runs were all repeated by its callers has repeats without a request.
+        let repeats = calls.repeats.min(REPEATS_PER_REQUEST_MAX * requests.max(1));
+        bucket.requests = bucket.requests.saturating_add(requests);
+        bucket.repeats = bucket.repeats.saturating_add(repeats);
     }
 
     /// Calls in the best of the three windows.
@@ -255,8 +269,10 @@
 struct Demand {
     /// Requests since the last decision.
     asked: u32,
-    /// Average demand, in requests per second.
-    per_s: f64,
+    /// Demand averaged over about a second, in requests per second.
+    recent_per_s: f64,
+    /// Demand averaged over about 20 s, in requests per second.
+    slow_per_s: f64,
     probability: f64,
     /// The service that limits the probability; empty if none does.
     limited_by: String,
@@ -268,7 +284,8 @@
     fn default() -> Self {
         Self {
             asked: 0,
-            per_s: 0.0,
+            recent_per_s: 0.0,
+            slow_per_s: 0.0,
             probability: 1.0,
             limited_by: String::new(),
             in_flight: Rc::default(),
@@ -276,6 +293,32 @@
     }
 }
 
+impl Demand {
+    /// Includes the requests of the last interval in the averages.
+    fn update(&mut self) {
+        let latest = f64::from(self.asked) / ADJUST_INTERVAL.as_secs_f64();
+        self.asked = 0;
+        self.recent_per_s += DEMAND_WEIGHT * (latest - self.recent_per_s);
+        self.slow_per_s += SLOW_DEMAND_WEIGHT * (latest - self.slow_per_s);
+    }
+
+    /// The demand planned for, in requests per second: rises within a second, falls within 20 s.
+    fn per_s(&self) -> f64 {
+        self.recent_per_s.max(self.slow_per_s)
+    }
+
+    /// The probability at which `permitted` retries per second cover the demand if each request is
+    /// expected to need `retries`.
+    fn covered(&self, permitted: f64, retries: f64) -> f64 {
+        let needed = retries * self.per_s();
+        if needed > 0.0 {
+            return permitted.max(0.0) / needed;
+        }
+        // A rank that has only trees in flight.
+        if permitted > 0.0 { 1.0 } else { 0.0 }
+    }
+}
+
 /// State of one root route.
 #[derive(Debug, Default)]
 struct RootState {
@@ -297,11 +340,12 @@
                 *mean -= weight * *mean;
             }
         }
+        self.calls.retain(|_, mean| *mean >= CALLS_MIN);
         for known in calls {
             let requests = f64::from(known.requests.min(CALLS_MAX));
             if let Some(mean) = self.calls.get_mut(&known.service) {
                 *mean += weight * (requests - *mean);
-            } else if self.calls.len() < SERVICES_MAX {
+            } else if requests > 0.0 && self.calls.len() < SERVICES_MAX {
                 self.calls.insert(known.service.clone(), weight * requests);
             }
         }
@@ -465,13 +509,17 @@
         self.is_on.set(services.values().any(|state| state.pass.is_some()));
         let mut roots = self.roots.borrow_mut();
         if !self.is_on.get() {
-            for root in roots.values_mut() {
+            roots.retain(|_, root| {
                 root.demand.clear();
-            }
+                root.trees > 0
+            });
             return;
         }
-        for root in roots.values_mut() {
+        roots.retain(|_, root| {
             update_demand(&mut root.demand);
+            root.trees > 0 || !root.demand.is_empty()
+        });
+        for root in roots.values_mut() {
             for (service, retries) in root.retries(&services) {
                 let Some(state) = services.get_mut(service) else { continue };
                 for (rank, demand) in &root.demand {
@@ -489,8 +537,8 @@
         let Some(root) = roots.get(route) else { return 1.0 };
         let (mut asked, mut admitted) = (0.0, 0.0);
         for demand in root.demand.values() {
-            asked += demand.per_s;
-            admitted += demand.per_s * demand.probability;
+            asked += demand.per_s();
+            admitted += demand.per_s() * demand.probability;
         }
         if asked > 0.0 { admitted / asked } else { 1.0 }
     }
@@ -507,7 +555,7 @@
             calls: root.calls.get(&demand.limited_by).copied().unwrap_or(0.0),
             retries_per_s: state
                 .map_or(0.0, |state| state.budget.rate(self.share, rank, &state.pending)),
-            asked_per_s: root.demand.values().map(|demand| demand.per_s).sum(),
+            asked_per_s: root.demand.values().map(Demand::per_s).sum(),
         }
     }
 
@@ -539,10 +587,8 @@
 /// Updates the average demand, and forgets the ranks that have none.
 fn update_demand(by_rank: &mut BTreeMap<u8, Demand>) {
     by_rank.retain(|_, demand| {
-        let latest = f64::from(demand.asked) / ADJUST_INTERVAL.as_secs_f64();
-        demand.asked = 0;
-        demand.per_s += DEMAND_WEIGHT * (latest - demand.per_s);
-        demand.per_s > DEMAND_MIN_PER_S || demand.in_flight.get() > 0
+        demand.update();
+        demand.per_s() > DEMAND_MIN_PER_S || demand.in_flight.get() > 0
     });
 }
 
@@ -563,7 +609,8 @@
     });
     for (rank, _, name) in &order {
         let Some(root) = roots.get_mut(name) else { continue };
-        let per_s = root.demand.get(rank).map_or(0.0, |demand| demand.per_s);
+        let Some(demand) = root.demand.get(rank) else { continue };
+        let per_s = demand.per_s();
         let (mut probability, mut limited_by) = (1.0, "");
         let retries = root.retries(services);
         if root.completes(services) < COMPLETES_MIN {
@@ -571,7 +618,7 @@
                 let Some(state) = services.get(*service) else { continue };
                 let permitted =
                     state.budget.rate(share, *rank, &state.pending) - state.planned_per_s;
-                let covered = permitted.max(0.0) / (retries * per_s);
+                let covered = demand.covered(permitted, *retries);
                 if covered < probability {
                     (probability, limited_by) = (covered, service);
                 }
--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -355,7 +355,8 @@
                 snapshots.insert(status.service.clone(), Snapshot::default());
             }
             let Some(snapshot) = snapshots.get_mut(&status.service) else { continue };
-            snapshot.calls += status.load.running + status.load.waiting;
+            let calls = status.load.running.saturating_add(status.load.waiting);
+            snapshot.calls = snapshot.calls.saturating_add(calls);
             snapshot.own_calls += peer.in_flight.get();
             let condition = peer.condition.current().map(|(condition, _)| condition);
             snapshot.run_times_us.extend(condition.and_then(placing::run_time));
@@ -580,12 +581,12 @@
     let Some(view) = views.get_mut(&status.service) else { return };
     let weight = capacity_weight(f64::from(status.failing_percent) / 100.0);
     let weighted = |count: u32| (f64::from(count) * weight).ceil() as u32;
-    view.load.running += weighted(load.running);
-    view.load.waiting += weighted(load.waiting);
-    view.load.limit += weighted(load.limit);
+    view.load.running = view.load.running.saturating_add(weighted(load.running));
+    view.load.waiting = view.load.waiting.saturating_add(weighted(load.waiting));
+    view.load.limit = view.load.limit.saturating_add(weighted(load.limit));
     for work in &status.roots {
         if let Some(running) = view.roots.get_mut(&work.root) {
-            *running += work.running;
+            *running = running.saturating_add(work.running);
             continue;
         }
         view.roots.insert(work.root.clone(), work.running);
--- a/tests/mesh/completion.rs
+++ b/tests/mesh/completion.rs
@@ -173,6 +173,64 @@
     assert!(mean.iter().sum::<u32>() <= 73, "more was spent than planned in 10 s: {mean:?}");
 }
 
+/// Guards against an entry forgetting its demand between requests that are seconds apart.
+#[test]
+fn entries_with_few_requests_restrict_like_busy_ones() {
+    // A tree earns 0.54 planned retries at rank 2 and needs 9.8, so 0.055 of the demand is covered.
+    for per_s in [0.05, 0.2, 0.5, 1.0, 3.0] {
+        let (mut asked, mut admitted) = (0.0, 0.0);
+        for seed in 1..11 {
+            paused(async {
+                let load = vec![(per_s, 8, route("pages", "front", RouteKind::Idempotent, 2))];
+                let mut entry = Entry::new(load, seed);
+                entry.run(100.0).await;
+                entry.rejected = 0.55;
+                for _ in 0..200 {
+                    entry.run(ADJUST_INTERVAL.as_secs_f64()).await;
+                    asked += 1.0;
+                    admitted += entry.probability("pages");
+                }
+            });
+        }
+        let share: f64 = admitted / asked;
+        assert!((0.02..0.1).contains(&share), "{per_s} requests/s: admitted {share}");
+    }
+}
+
+/// Guards against 0 / 0, which admits everything although no budget is left.
+#[test]
+fn a_rank_that_nobody_has_asked_for_is_not_free() {
+    paused(async {
+        let mut entry = Entry::new(three_routes(), 1);
+        entry.run(20.0).await;
+        entry.rejected = 0.55;
+        entry.run(0.5).await;
+        let (pages, rank) = (entry.load[0].2.clone(), 1);
+        entry.completion.record_tree(&pages.name, &calls("deep", 100, 1_200), false);
+        let _tree = entry.completion.begin_tree(&pages.name, rank);
+        entry.adjust();
+        let admitted = (0..50).filter(|_| entry.completion.admits(&pages, rank, &mut entry.rng));
+        assert!(admitted.count() < 10);
+    });
+}
+
+/// Guards against one wrong report that refuses every route of a service, or lifts all limits.
+#[test]
+fn wrong_figures_of_one_report_change_little() {
+    for (requests, repeats) in [(1, u32::MAX), (u32::MAX, 0)] {
+        paused(async {
+            let mut entry = Entry::new(three_routes(), 1);
+            entry.run(20.0).await;
+            let name: Rc<str> = "other".into();
+            entry.completion.record_tree(&name, &calls("deep", requests, repeats), false);
+            entry.rejected = 0.55;
+            entry.run(0.3).await;
+            let (pages, book) = (entry.probability("pages"), entry.probability("book"));
+            assert!(book > 0.5 && pages < 0.6, "{requests} {repeats}: {book} {pages}");
+        });
+    }
+}
+
 #[test]
 fn trees_in_flight_are_charged_until_they_end_within_the_part_of_their_rank() {
     paused(async {
