Compute the expected retries of a route once per decision

Cause: each decision built the list of expected retries, with its look-ups, up to four times per route, also while no target rejected offers.

Change: one plan per route holds the retries, their sum and the probability of completion; probing is one pass over the plans, which are in order of cost. A tick in which all pass rates are 1 only lifts the restrictions.

The time per tick was not measured.

--- a/src/mesh/completion.rs
+++ b/src/mesh/completion.rs
@@ -9,7 +9,7 @@
 //! trees have made. Without targets that send the extended load report, all of this is off.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -351,28 +351,6 @@
         }
     }
 
-    /// The probability that a tree completes without retries.
-    fn completes(&self, services: &HashMap<String, ServiceState>) -> f64 {
-        let passes = |(service, calls): (&String, &f64)| {
-            let pass = services.get(service).and_then(|state| state.pass);
-            pass.map_or(1.0, |pass| pass.share.max(0.0).powf(*calls))
-        };
-        self.calls.iter().map(passes).product()
-    }
-
-    /// The retries that a tree is expected to need at each service.
-    fn retries<'a>(&'a self, services: &HashMap<String, ServiceState>) -> Vec<(&'a str, f64)> {
-        let mut retries = Vec::new();
-        for (service, calls) in &self.calls {
-            let Some(pass) = services.get(service).and_then(|state| state.pass) else { continue };
-            let needed = calls * pass.retries_per_call();
-            if needed > 0.0 {
-                retries.push((service.as_str(), needed));
-            }
-        }
-        retries
-    }
-
     /// The rank with the lowest probability of admission, and its demand.
     fn most_restricted(&self) -> Option<(u8, &Demand)> {
         let least = self
@@ -519,16 +497,22 @@
             update_demand(&mut root.demand);
             root.trees > 0 || !root.demand.is_empty()
         });
-        for root in roots.values_mut() {
-            for (service, retries) in root.retries(&services) {
-                let Some(state) = services.get_mut(service) else { continue };
-                for (rank, demand) in &root.demand {
+        if services.values().all(|state| state.pass.is_none_or(|pass| pass.share >= 1.0)) {
+            lift(&mut roots);
+            return;
+        }
+        let mut plans = plans(&mut roots, &services);
+        for plan in &plans {
+            for (service, retries) in &plan.retries {
+                let Some(state) = services.get_mut(*service) else { continue };
+                for (rank, demand) in plan.demand.iter() {
                     let pending = state.pending.entry(*rank).or_default();
                     *pending += f64::from(demand.in_flight.get()) * retries;
                 }
             }
         }
-        decide(&mut roots, &mut services, self.share);
+        decide(&mut plans, &mut services, self.share);
+        probe(&mut plans);
     }
 
     /// The probability that a request of the route is admitted, averaged over its ranks.
@@ -592,68 +576,100 @@
     });
 }
 
+/// Admits all requests, as no target rejects offers.
+fn lift(roots: &mut HashMap<Rc<str>, RootState>) {
+    for demand in roots.values_mut().flat_map(|root| root.demand.values_mut()) {
+        demand.probability = 1.0;
+        demand.limited_by.clear();
+    }
+}
+
+/// A route in one decision.
+struct RootPlan<'a> {
+    name: &'a str,
+    /// The retries that a tree is expected to need, by service with rejecting targets.
+    retries: Vec<(&'a str, f64)>,
+    /// Their sum.
+    retries_sum: f64,
+    /// The probability that a tree completes without retries.
+    completes: f64,
+    demand: &'a mut BTreeMap<u8, Demand>,
+}
+
+/// The routes with demand, in order of the retries that a tree needs.
+fn plans<'a>(
+    roots: &'a mut HashMap<Rc<str>, RootState>,
+    services: &HashMap<String, ServiceState>,
+) -> Vec<RootPlan<'a>> {
+    let mut plans = Vec::new();
+    for (name, RootState { calls, demand, .. }) in roots {
+        if demand.is_empty() {
+            continue;
+        }
+        let (mut retries, mut retries_sum, mut completes) = (Vec::new(), 0.0, 1.0);
+        for (service, calls) in calls.iter() {
+            let Some(pass) = services.get(service).and_then(|state| state.pass) else { continue };
+            let needed = calls * pass.retries_per_call();
+            if needed > 0.0 {
+                retries.push((service.as_str(), needed));
+                retries_sum += needed;
+                completes *= pass.share.max(0.0).powf(*calls);
+            }
+        }
+        plans.push(RootPlan { name, retries, retries_sum, completes, demand });
+    }
+    plans.sort_by(|one, other| {
+        one.retries_sum.total_cmp(&other.retries_sum).then_with(|| one.name.cmp(other.name))
+    });
+    plans
+}
+
 /// Divides the budgets among the routes, in order of rank and then of the retries that a tree
 /// needs.
-fn decide(
-    roots: &mut HashMap<Rc<str>, RootState>,
-    services: &mut HashMap<String, ServiceState>,
-    share: f64,
-) {
-    let mut order: Vec<(u8, f64, Rc<str>)> = Vec::new();
-    for (name, root) in roots.iter() {
-        let retries = root.retries(services).iter().map(|(_, retries)| retries).sum();
-        order.extend(root.demand.keys().map(|rank| (*rank, retries, Rc::clone(name))));
-    }
-    order.sort_by(|one, other| {
-        one.0.cmp(&other.0).then(one.1.total_cmp(&other.1)).then_with(|| one.2.cmp(&other.2))
-    });
-    for (rank, _, name) in &order {
-        let Some(root) = roots.get_mut(name) else { continue };
-        let Some(demand) = root.demand.get(rank) else { continue };
-        let per_s = demand.per_s();
+fn decide(plans: &mut [RootPlan], services: &mut HashMap<String, ServiceState>, share: f64) {
+    let ranks = |(index, plan): (usize, &RootPlan)| -> Vec<_> {
+        plan.demand.keys().map(|rank| (*rank, index)).collect()
+    };
+    let mut order: Vec<(u8, usize)> = plans.iter().enumerate().flat_map(ranks).collect();
+    order.sort_unstable();
+    for (rank, index) in order {
+        let RootPlan { retries, completes, demand, .. } = &mut plans[index];
+        let Some(demand) = demand.get_mut(&rank) else { continue };
         let (mut probability, mut limited_by) = (1.0, "");
-        let retries = root.retries(services);
-        if root.completes(services) < COMPLETES_MIN {
-            for (service, retries) in &retries {
+        if *completes < COMPLETES_MIN {
+            for (service, retries) in retries.iter() {
                 let Some(state) = services.get(*service) else { continue };
                 let permitted =
-                    state.budget.rate(share, *rank, &state.pending) - state.planned_per_s;
+                    state.budget.rate(share, rank, &state.pending) - state.planned_per_s;
                 let covered = demand.covered(permitted, *retries);
                 if covered < probability {
                     (probability, limited_by) = (covered, service);
                 }
             }
         }
-        for (service, retries) in &retries {
+        for (service, retries) in retries.iter() {
             if let Some(state) = services.get_mut(*service) {
-                state.planned_per_s += probability * per_s * retries;
+                state.planned_per_s += probability * demand.per_s() * retries;
             }
         }
-        let limited_by = limited_by.to_owned();
-        let Some(demand) = root.demand.get_mut(rank) else { continue };
         demand.probability = probability;
-        demand.limited_by = limited_by;
+        limited_by.clone_into(&mut demand.limited_by);
     }
-    probe(roots, services);
 }
 
 /// Keeps a small probability of admission for the cheapest route that reaches each service with
 /// rejecting targets.
-fn probe(roots: &mut HashMap<Rc<str>, RootState>, services: &HashMap<String, ServiceState>) {
-    let mut cheapest: HashMap<&str, (f64, Rc<str>)> = HashMap::new();
-    for (name, root) in roots.iter().filter(|(_, root)| !root.demand.is_empty()) {
-        let retries = root.retries(services);
-        let all: f64 = retries.iter().map(|(_, retries)| retries).sum();
-        for (service, _) in retries {
-            let Some((service, _)) = services.get_key_value(service) else { continue };
-            if cheapest.get(service.as_str()).is_none_or(|(least, _)| all < *least) {
-                cheapest.insert(service, (all, Rc::clone(name)));
-            }
+fn probe(plans: &mut [RootPlan]) {
+    let mut probed: HashSet<&str> = HashSet::new();
+    for plan in plans {
+        let mut is_cheapest = false;
+        for (service, _) in &plan.retries {
+            is_cheapest |= probed.insert(service);
         }
-    }
-    for (_, name) in cheapest.values() {
-        let Some(root) = roots.get_mut(name) else { continue };
-        for demand in root.demand.values_mut() {
+        if !is_cheapest {
+            continue;
+        }
+        for demand in plan.demand.values_mut() {
             demand.probability = demand.probability.max(PROBE_PROBABILITY);
         }
     }
