Exclude inner calls from the time that a slow machine multiplies

Cause: the run time of a target was the elapsed time of the run, including the time for which it waited for calls of its own. The whole was divided and multiplied by the slowness of its machine, so a spell of 2.5 that makes runs of 20 ms own work and 80 ms inner calls 1.3 times as long cost 2.5, and samples taken in a spell pulled the average down.

Change: a running request tracks the time for which at least one of its calls is open. The average of that time is kept apart and divided by the current slowness in run_us, so that peers multiply only the own time. The frame is unchanged.

Measured: two new tests (own_time) fail with the old computation and pass with the new one; the tests of conditions and placing pass.

--- a/src/mesh/condition.rs
+++ b/src/mesh/condition.rs
@@ -70,8 +70,12 @@
     /// The last slowness, in percent, and when it was reported; `None` before the first extended
     /// report.
     slowness: Cell<Option<(u16, Instant)>>,
-    /// Moving average of the run time at the usual slowness, in microseconds.
-    run_us: Cell<f64>,
+    /// Moving average of the time that the target itself works on a run, at the usual slowness, in
+    /// microseconds.
+    own_us: Cell<f64>,
+    /// Moving average of the time for which a run waits for calls of its own, in microseconds. It
+    /// does not depend on the slowness of the target's machine.
+    inner_us: Cell<f64>,
     /// Number of runs averaged, and when the last one ended.
     runs: Cell<u32>,
     last_run: Cell<Option<Instant>>,
@@ -118,14 +122,17 @@
         self.slowness.set(Some((percent, Instant::now())));
     }
 
-    /// Records the duration of a run that the target has completed.
-    pub fn record_run(&self, duration: Duration) {
-        let slowness = f64::from(self.slowness_percent()) / f64::from(USUAL_SLOWNESS_PERCENT);
-        let sample = duration.as_micros() as f64 / slowness;
+    /// Records a run that the target has completed: the time that it worked itself, and the time for
+    /// which it had calls open.
+    pub fn record_run(&self, own: Duration, inner: Duration) {
+        let own_us = own.as_micros() as f64 / self.slowness();
         self.runs.set(self.runs.get().saturating_add(1));
         let weight = (1.0 / f64::from(self.runs.get())).max(RUN_TIME_WEIGHT_MIN);
-        let mean = self.run_us.get();
-        self.run_us.set(mean + weight * (sample - mean));
+        for (mean_us, sample_us) in
+            [(&self.own_us, own_us), (&self.inner_us, inner.as_micros() as f64)]
+        {
+            mean_us.set(mean_us.get() + weight * (sample_us - mean_us.get()));
+        }
         self.last_run.set(Some(Instant::now()));
     }
 
@@ -137,7 +144,8 @@
     /// Forgets everything when a new incarnation takes over.
     pub fn reset(&self) {
         self.slowness.set(None);
-        self.run_us.set(0.0);
+        self.own_us.set(0.0);
+        self.inner_us.set(0.0);
         self.runs.set(0);
         self.offers.reset();
     }
@@ -148,6 +156,17 @@
         current.map_or(USUAL_SLOWNESS_PERCENT, |(percent, _)| percent)
     }
 
+    /// The time of the target's own work now, relative to the usual time.
+    fn slowness(&self) -> f64 {
+        f64::from(self.slowness_percent()) / f64::from(USUAL_SLOWNESS_PERCENT)
+    }
+
+    /// The expected time of a run now divided by the slowness, in microseconds. Peers multiply it by
+    /// the slowness, and so do not multiply the time of inner calls.
+    fn run_us(&self) -> u32 {
+        (self.own_us.get() + self.inner_us.get() / self.slowness()) as u32
+    }
+
     /// Whether the target sends the extended load report.
     pub fn is_extended(&self) -> bool {
         self.slowness.get().is_some()
@@ -164,7 +183,7 @@
         Condition {
             rejected_percent,
             slowness_percent: self.slowness_percent(),
-            run_us: if is_measured { self.run_us.get() as u32 } else { 0 },
+            run_us: if is_measured { self.run_us() } else { 0 },
         }
     }
 }
--- a/src/mesh/ingress.rs
+++ b/src/mesh/ingress.rs
@@ -154,6 +154,7 @@
     };
     let attempt_id = header_text(&parts.headers, &node.header_names.attempt_id);
     let parent = node.running_requests.parent(attempt_id);
+    let _inner_call = parent.as_ref().map(|parent| parent.inner_call_time.begin());
     let root = parent.as_ref().map_or(&route.name, |parent| &parent.root).clone();
     let answering = AnswerGuard::new(node, caller, attempt_id, &root, arrived);
     let admitted = match &parent {
--- a/src/mesh/receiver.rs
+++ b/src/mesh/receiver.rs
@@ -25,7 +25,7 @@
 use super::incarnation::Incarnation;
 use super::limit_reports;
 use super::node::{CountGuard, Node};
-use super::running_requests::ParentRequest;
+use super::running_requests::{InnerCallTime, ParentRequest};
 use super::signal::Signal;
 use super::site::RouteKind;
 use super::target::Instance;
@@ -209,6 +209,7 @@
     let head = request_head(node, call, deadline, instance);
     node.record_root(&call.root);
     let has_failed_below = Rc::new(Cell::new(false));
+    let inner_call_time = Rc::new(InnerCallTime::default());
     let parent = ParentRequest {
         root: call.root.as_str().into(),
         rank: call.rank,
@@ -217,6 +218,7 @@
         team: call.team.as_str().into(),
         has_failed_below: Rc::clone(&has_failed_below),
         calls: Rc::clone(calls),
+        inner_call_time: Rc::clone(&inner_call_time),
         withdrawn: CancellationToken::new(),
     };
     let running = node.running_requests.register(&call.attempt_id, parent);
@@ -251,7 +253,8 @@
     let result = classify_reply(node, reply, has_failed_below.get());
     node.target.conditions.record_offer(result.end == CallEnd::NotRun(NotRun::Declined));
     if result.end.went_well() && !instance.is_cold {
-        node.target.conditions.record_run(sent_at.elapsed());
+        let inner = inner_call_time.total();
+        node.target.conditions.record_run(sent_at.elapsed().saturating_sub(inner), inner);
     }
     // Only a success clears the request: one that crashes targets may also be declined, or fail
     // because of an inner call, before it reaches the point where it crashes.
--- a/src/mesh/running_requests.rs
+++ b/src/mesh/running_requests.rs
@@ -24,6 +24,47 @@
 /// Upper bound on remembered finished requests.
 const ENDED_MAX: usize = 20_000;
 
+/// The time for which a run has at least one call of its own open.
+#[derive(Debug, Default)]
+pub struct InnerCallTime {
+    open: Cell<u32>,
+    /// When the first of the open calls began.
+    open_since: Cell<Option<Instant>>,
+    /// The time before that.
+    closed: Cell<Duration>,
+}
+
+impl InnerCallTime {
+    /// Counts a call as open until the returned guard is dropped.
+    pub fn begin(self: &Rc<Self>) -> InnerCallGuard {
+        if self.open.replace(self.open.get() + 1) == 0 {
+            self.open_since.set(Some(Instant::now()));
+        }
+        InnerCallGuard(Rc::clone(self))
+    }
+
+    /// The time so far. Calls that are open at the same time count once.
+    pub fn total(&self) -> Duration {
+        let open = self.open_since.get().map_or(Duration::ZERO, |since| since.elapsed());
+        self.closed.get() + open
+    }
+}
+
+/// An open call of a run.
+#[derive(Debug)]
+pub struct InnerCallGuard(Rc<InnerCallTime>);
+
+impl Drop for InnerCallGuard {
+    fn drop(&mut self) {
+        let time = &self.0;
+        time.open.set(time.open.get() - 1);
+        if time.open.get() == 0 {
+            time.closed.set(time.total());
+            time.open_since.set(None);
+        }
+    }
+}
+
 /// A request that the local target is running, with the properties that its calls inherit.
 #[derive(Clone, Debug)]
 pub struct ParentRequest {
@@ -41,6 +82,8 @@
     pub has_failed_below: Rc<Cell<bool>>,
     /// The calls made for the request so far.
     pub calls: Rc<TreeCalls>,
+    /// The time for which the run waits for calls of its own.
+    pub inner_call_time: Rc<InnerCallTime>,
     /// Cancelled when the request ends without an answer, after which its calls serve no purpose.
     pub withdrawn: CancellationToken,
 }
--- a/tests/mesh/conditions.rs
+++ b/tests/mesh/conditions.rs
@@ -3,10 +3,11 @@
 use aspenspring::mesh::codec::{Decoder, Encoder};
 use aspenspring::mesh::condition::{self, ConditionTracker, PeerCondition};
 use aspenspring::mesh::frame::{Condition, FEATURE_CONDITION, Frame, Hello, Status};
+use aspenspring::mesh::placing;
 use bytes::{BufMut, BytesMut};
 use tokio::time::{Duration, sleep};
 
-use super::support::{paused, unused_address};
+use super::support::{Reaction, ask, paused, request, run, start, status, unused_address};
 
 #[test]
 fn only_a_report_with_a_fourth_figure_states_the_slowness() {
@@ -23,7 +24,7 @@
 fn a_target_without_extended_reports_states_no_slowness() {
     paused(async {
         let tracker = ConditionTracker::default();
-        tracker.record_run(Duration::from_millis(50));
+        tracker.record_run(Duration::from_millis(50), Duration::ZERO);
         tracker.record_offer(true);
         assert!(!tracker.is_extended());
         let plain = Condition { rejected_percent: 20, ..Condition::default() };
@@ -69,3 +70,46 @@
     bytes.put_slice(&without_features);
     assert_eq!(decode(&mut bytes), Frame::Hello(Hello { features: 0, ..hello }));
 }
+
+/// Guards against multiplying the time of inner calls by the slowness of the caller's machine.
+#[test]
+fn only_the_own_time_of_a_run_depends_on_the_slowness() {
+    paused(async {
+        let tracker = ConditionTracker::default();
+        for (slowness, own_ms) in [(100, 20), (250, 50), (100, 20)] {
+            tracker.record_slowness(slowness);
+            for _ in 0..100 {
+                tracker.record_run(Duration::from_millis(own_ms), Duration::from_millis(80));
+            }
+            let run_time_us = placing::run_time(tracker.current()).unwrap();
+            let expected_us = (own_ms + 80) as f64 * 1_000.0;
+            assert!((run_time_us - expected_us).abs() < 10.0, "{run_time_us} at {slowness}%");
+        }
+    });
+}
+
+/// Guards against counting the inner calls of a run as work of its target, or twice if they overlap.
+#[test]
+fn the_own_time_of_a_run_excludes_its_calls() {
+    run(async {
+        let reactions = vec![Reaction::Answer(200, 800), Reaction::Answer(200, 500)];
+        let entry = start("stock-1", "stock", reactions).await;
+        let tracker = &entry.node.target.conditions;
+        let outer = request("read", "a1");
+        let calls = async {
+            while entry.target.arrivals() == 0 {
+                sleep(Duration::from_millis(5)).await;
+            }
+            let (first, second) = (request("read", "a1.b1"), request("read", "a1.b2"));
+            let answers = tokio::join!(ask(&entry, &first), ask(&entry, &second));
+            assert_eq!((status(&answers.0), status(&answers.1)), (200, 200));
+            // Only the outer run counts.
+            tracker.reset();
+        };
+        let (answer, ()) = tokio::join!(ask(&entry, &outer), calls);
+        assert_eq!(status(&answer), 200);
+        tracker.record_slowness(2_000);
+        let run_us = tracker.current().run_us;
+        assert!((200_000..450_000).contains(&run_us), "{run_us}");
+    });
+}
--- a/tests/mesh/placing.rs
+++ b/tests/mesh/placing.rs
@@ -169,7 +169,8 @@
                 if is_extended {
                     machine.tracker.record_slowness(if machine.is_slow { 250 } else { 100 });
                 }
-                machine.tracker.record_run(Duration::from_micros(now_us - started_us));
+                let run = Duration::from_micros(now_us - started_us);
+                machine.tracker.record_run(run, Duration::ZERO);
                 machine.send_condition(call.sender, &nodes[call.sender].1[call.target]);
                 let Load { running, waiting, .. } = machine.load();
                 push(HOP_US as f64, Event::Answer(call, (running, waiting)));
