--- a/tests/mesh/placing.rs
+++ b/tests/mesh/placing.rs
@@ -271,6 +271,12 @@
     assert_goals(2);
 }
 
+/// Guards against queues at targets whose load a sender knows only in part.
+#[test]
+fn four_senders_meet_the_goals_at_half_load_and_near_the_capacity() {
+    assert_goals(4);
+}
+
 /// Guards against senders that know little of each other's calls and herd onto a fast target.
 #[test]
 fn many_senders_meet_the_goals_at_half_load_and_herd_less_than_before() {
