Bound protected requests at many entries and leave reserved capacity

Cause: protected_bound granted 4 spare requests per entry at any utilisation, which at 85 entries is 340 on 210 slots. Requests within or above their share were admitted into the capacity reserved for promised returns.

Change: the spare requests of protected_bound fade between the utilisations 1.2 and 2.0. New requests subtract the reserved capacity; admit_within_share is new, and admit_protected remains for promised returns.

The test of the reserved capacity fails before (20 of 20 admitted) and passes.

--- a/src/mesh/overload.rs
+++ b/src/mesh/overload.rs
@@ -88,9 +88,15 @@
         self.admit_with(probability, route, rng)
     }
 
-    /// Like `admit`, for a request that is entitled to capacity: its rank counts for nothing, and it
-    /// is shed only beyond the bound on requests in flight.
+    /// Like `admit`, for a request whose return was promised: its rank counts for nothing, and it is
+    /// shed only beyond the bound on requests in flight.
     pub fn admit_protected(&self, route: &Route, rng: &mut impl Rng) -> Option<Admitted> {
+        self.admit_with(self.probability_up_to_protected_bound(route, false), route, rng)
+    }
+
+    /// Like `admit_protected`, for a request of a team within its share. It leaves the capacity that
+    /// is kept for returning requests.
+    pub fn admit_within_share(&self, route: &Route, rng: &mut impl Rng) -> Option<Admitted> {
         self.admit_with(self.protected_probability(route), route, rng)
     }
 
@@ -189,12 +195,18 @@
         }
     }
 
-    /// The probability that `admit_protected` admits a request of `route`.
+    /// The probability that `admit_within_share` admits a request of `route`.
     pub fn protected_probability(&self, route: &Route) -> f64 {
+        self.probability_up_to_protected_bound(route, true)
+    }
+
+    fn probability_up_to_protected_bound(&self, route: &Route, is_new: bool) -> f64 {
         match self.policy {
             Policy::Open => 1.0,
             Policy::Levels => self.levels.admission_probability(route, 0),
-            Policy::Windows => self.probability_within_bounds(route, Window::protected_bound),
+            Policy::Windows => {
+                self.probability_within_bounds(route, is_new, Window::protected_bound)
+            }
         }
     }
 
@@ -202,20 +214,29 @@
     pub fn shared_probability(&self, route: &Route, rank: u8) -> f64 {
         match self.policy {
             Policy::Open | Policy::Levels => self.admission_probability_at(route, rank),
-            Policy::Windows => self.probability_within_bounds(route, |window| window.bound(rank)),
+            Policy::Windows => {
+                self.probability_within_bounds(route, true, |window| window.bound(rank))
+            }
         }
     }
 
     /// The probability that a request of `route` is admitted up to the bound of each service that it
-    /// reaches, whatever the level of ranks.
-    fn probability_within_bounds(&self, route: &Route, bound: impl Fn(&Window) -> f64) -> f64 {
+    /// reaches, whatever the level of ranks. A new request leaves the capacity that is kept for
+    /// returning ones.
+    fn probability_within_bounds(
+        &self,
+        route: &Route,
+        is_new: bool,
+        bound: impl Fn(&Window) -> f64,
+    ) -> f64 {
         let windows = self.windows.borrow();
         let mut probability: f64 = 1.0;
         for window in windows.values() {
             if !window.is_reached_by(&route.name) {
                 continue;
             }
-            let left = bound(window) - self.in_flight_through(window.roots());
+            let reserved = if is_new { self.reserved_through(window.roots()) } else { 0.0 };
+            let left = bound(window) - self.in_flight_through(window.roots()) - reserved;
             probability = probability.min(left.clamp(0.0, 1.0));
         }
         probability
--- a/src/mesh/teams/share.rs
+++ b/src/mesh/teams/share.rs
@@ -520,7 +520,7 @@
         self.record_applied(entitlement, overload, route, team, rank);
         match entitlement {
             Entitlement::None => overload.admit(route, rank, rng).ok_or(NotRun::Shed),
-            Entitlement::Within => overload.admit_protected(route, rng).ok_or(NotRun::Shed),
+            Entitlement::Within => overload.admit_within_share(route, rng).ok_or(NotRun::Shed),
             Entitlement::Above(state) if rng.random::<f64>() < state.probability => {
                 overload.admit_shared(route, rank, rng).ok_or(NotRun::Shed)
             }
--- a/src/mesh/window.rs
+++ b/src/mesh/window.rs
@@ -33,6 +33,8 @@
 const SPARE_REQUESTS: f64 = 4.0;
 /// Utilisation up to which the whole of `SPARE_REQUESTS` is granted.
 const UTILISATION_LOW: f64 = 0.6;
+/// Utilisation above which requests that are entitled to capacity get none of `SPARE_REQUESTS`.
+const SPARE_UTILISATION_MAX: f64 = 2.0;
 /// Fraction of the bound that each rank leaves to more important ranks.
 const RESERVE_PER_RANK: f64 = 0.12;
 /// Maximum fraction of the bound that the least important rank leaves to all others.
@@ -155,10 +157,13 @@
     }
 
     /// Number of requests in flight up to which requests that are entitled to capacity are admitted.
-    /// They get the whole of `SPARE_REQUESTS` at any utilisation: without it, 7% of them were
-    /// refused at entry nodes with few requests in flight.
+    /// They get the whole of `SPARE_REQUESTS` up to the desired utilisation: without it, 7% of them
+    /// were refused at entry nodes with few requests in flight. Above it these fade, as the spare
+    /// requests of all entry nodes together may exceed the slots: 85 x 4 = 340 on 210 slots.
     pub fn protected_bound(&self) -> f64 {
-        self.bound(0) - self.spare() + SPARE_REQUESTS
+        let range = SPARE_UTILISATION_MAX - DESIRED_UTILISATION;
+        let headroom = (SPARE_UTILISATION_MAX - self.utilisation) / range;
+        self.bound(0) - self.spare() + SPARE_REQUESTS * headroom.clamp(0.0, 1.0)
     }
 
     /// Additional requests that may be in flight while the service has capacity. An entry node with
--- a/tests/mesh/shares.rs
+++ b/tests/mesh/shares.rs
@@ -345,6 +345,66 @@
     });
 }
 
+/// Guards against spare requests that add up, over many entries, to more than the slots.
+#[test]
+fn protected_requests_at_many_entries_do_not_fill_the_queues() {
+    let page = route("page", "stock", RouteKind::Idempotent, 1);
+    let entries: Vec<_> = (0..85).map(|_| Overload::new(Policy::Windows)).collect();
+    let mut rng = SmallRng::seed_from_u64(33);
+    let mut in_flight = VecDeque::new();
+    let (mut served, mut utilisation) = (0, 0.0);
+    for step in 0..4_000 {
+        // Steps of 10 ms, 210 slots, runs of 100 ms and 1.5 times as many requests.
+        for _ in 0..31 {
+            let entry = rng.random_range(0..entries.len());
+            in_flight.extend(entries[entry].admit_protected(&page, &mut rng));
+        }
+        let ended = in_flight.len().min(210) / 10;
+        in_flight.drain(..ended);
+        let running = in_flight.len().min(210) as u32;
+        let load = Load { running, waiting: in_flight.len() as u32 - running, limit: 210 };
+        if step >= 2_000 {
+            served += ended;
+            utilisation += load.utilisation() / 2_000.0;
+        }
+        if step % 10 == 0 {
+            let roots = HashMap::from([("page".to_owned(), running)]);
+            let views = HashMap::from([("stock".to_owned(), ServiceView { load, roots })]);
+            entries.iter().for_each(|entry| entry.adjust(&views, 1, entries.len()));
+        }
+    }
+    let used = served as f64 / (21.0 * 2_000.0);
+    println!("85 entries: utilisation {utilisation:.3}, used {used:.3}");
+    // The spare requests fade between the utilisations 1.2 and 2.0.
+    assert!(utilisation < 1.6 && used >= 0.9, "{utilisation:.3}, {used:.3}");
+}
+
+/// Guards against teams within their share that take the capacity of promised returns.
+#[test]
+fn requests_within_their_share_leave_the_capacity_of_promised_returns() {
+    paused(async {
+        let (page, mut rng) =
+            (route("page", "stock", RouteKind::Idempotent, 1), SmallRng::seed_from_u64(34));
+        let used = [("large", 1, 9.0), ("a", 1, 1.0)];
+        let shares = decided(report(&used, 8), Duration::ZERO, &roster(&[("a", None)]));
+        let load = Load { running: 8, waiting: 2, limit: 8 };
+        let roots = HashMap::from([("page".to_owned(), 8)]);
+        let views = HashMap::from([("stock".to_owned(), ServiceView { load, roots })]);
+        let overload = Overload::new(Policy::Windows);
+        (0..2).for_each(|_| overload.adjust(&views, 1, 1));
+        let fill = || overload.admit_protected(&page, &mut rng);
+        let mut admitted: Vec<_> = std::iter::from_fn(fill).collect();
+        admitted.truncate(admitted.len() - 4);
+        overload.set_reserved(HashMap::from([("page".into(), 8)]));
+        for team in ["a", "large"] {
+            let refused =
+                (0..20).filter(|_| shares.admit(&overload, &page, team, 1, &mut rng).is_err());
+            assert_eq!(refused.count(), 20, "{team} takes reserved capacity");
+        }
+        assert!(overload.admit_protected(&page, &mut rng).is_some());
+    });
+}
+
 /// Guards against a restriction that nobody gains by.
 #[test]
 fn a_team_that_is_alone_gets_the_whole_capacity() {
