Use the reports of many targets and reduce wrong figures

Cause: services of 48 targets or more report further apart than the 3 s after which a report was discarded. One wrong figure of a peer overflowed sums and lists were unbounded. Shares were computed from reports even where the node's settings don't ask for fair shares.

Change: a report is used for max(3 s, twice the interval between reports); the memory of teams and the history follow, with at most 80 means a team. Reports are reduced to what a full target can have, and their limit to that of the peer's load. share::adjust checks teams.fair_shares. The applied probability is computed once per request. FILL is named DIVIDED_FRACTION, and the log says how old the reports are.

The test of many targets uses a field that is new; it passes with 1, 47 and 150 targets. The bound by the peer's load has no test.

--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -494,13 +494,15 @@
         own_use: Option<(Rc<TeamUse>, Duration)>,
     ) -> HashMap<String, ServiceUse> {
         let mut uses: HashMap<String, ServiceUse> = HashMap::new();
+        let peers = self.peers.borrow();
+        // The number of targets of each service is not known yet; this is the most there can be.
+        let targets_max = peers.len() + 1;
         let is_current = |report: &Option<(Rc<TeamUse>, Duration)>| {
-            report.as_ref().is_some_and(|(_, age)| share::is_fresh(*age))
+            report.as_ref().is_some_and(|(_, age)| share::is_fresh(*age, targets_max))
         };
         if own.ready && is_current(&own_use) {
             uses.insert(own.service.clone(), ServiceUse::default());
         }
-        let peers = self.peers.borrow();
         for peer in peers.values() {
             if is_current(&peer.team_use.current()) && peer.open_link().is_some() {
                 let status = peer.status.borrow();
@@ -512,7 +514,14 @@
         if uses.is_empty() {
             return uses;
         }
+        for peer in peers.values() {
+            let status = peer.status.borrow();
+            if let Some(usage) = uses.get_mut(&status.service).filter(|_| status.ready) {
+                usage.targets += usize::from(peer.open_link().is_some());
+            }
+        }
         if let Some(usage) = uses.get_mut(&own.service).filter(|_| own.ready) {
+            usage.targets += 1;
             usage.add_target(own.load, own_use);
         }
         for peer in peers.values() {
--- a/src/mesh/peers.rs
+++ b/src/mesh/peers.rs
@@ -119,7 +119,10 @@
         Frame::Limit(limit) => peer.limit.update(limit),
         Frame::Condition(condition) => peer.condition.update(condition),
         Frame::TreeCalls { id, calls } => link.keep_tree_calls(id, calls),
-        Frame::TeamUse(report) => peer.team_use.update(report),
+        Frame::TeamUse(mut report) => {
+            report.limit = report.limit.min(peer.status.borrow().load.limit);
+            peer.team_use.update(report);
+        }
         Frame::Crash(crash) => crash_reports::receive_crash(node, &crash),
         Frame::Cleared(fingerprint) => {
             node.quarantine.clear(fingerprint);
--- a/src/mesh/teams/share.rs
+++ b/src/mesh/teams/share.rs
@@ -21,14 +21,18 @@
 use crate::mesh::site::Route;
 
 use super::roster::Roster;
-use super::use_report::sample_weight;
+use super::use_report::{interval, sample_weight};
 
-/// Age at which a report is discarded.
+/// Minimum age at which a report is discarded. With many targets, the age is twice the interval
+/// between their reports, so that one report may be lost.
 const REPORT_TTL: Duration = Duration::from_secs(3);
 /// Time from the admission of a request until its runs are visible in the sampled use.
 const USE_LAG: Duration = Duration::from_millis(200);
-/// How long a team that is in no report is remembered. Covers the longest delay of a report.
-const TEAM_TTL: Duration = Duration::from_secs(4);
+/// How long a team that is in no report is remembered beyond the age at which reports are
+/// discarded, so that the probability applied before the oldest report is known.
+const TEAM_TTL_MARGIN: Duration = Duration::from_secs(1);
+/// Number of intervals into which the history of applied probabilities is divided at most.
+const HISTORY_MAX: u32 = 80;
 /// How long a restricted team that is not listed is remembered. The restriction itself lowers its
 /// use below that of unlisted teams; a team that is forgotten would be unrestricted again.
 const RESTRICTED_TTL: Duration = Duration::from_secs(30);
@@ -38,8 +42,8 @@
 /// would grow, and the use of full slots does not show by how much the demand exceeds them. In the
 /// closed loop of the tests, 0.97 leaves teams within their share at 0.957 in the worst of 16 runs,
 /// 0.95 at 0.984, and 0.93 uses 0.01 to 0.02 less of the capacity.
-const FILL: f64 = 0.95;
-/// Utilisation, with queued requests, above which less than `FILL` is divided.
+const DIVIDED_FRACTION: f64 = 0.95;
+/// Utilisation, with queued requests, above which less than `DIVIDED_FRACTION` is divided.
 const QUEUED_UTILISATION: f64 = 1.2;
 /// Reduction of the divided capacity for each unit of utilisation above `QUEUED_UTILISATION`.
 const QUEUE_REDUCTION: f64 = 0.3;
@@ -66,18 +70,20 @@
     pub load: Load,
     /// The summed load of the targets without a current report.
     pub unreported: Load,
+    /// Number of targets, on which the interval between their reports depends.
+    pub targets: usize,
 }
 
 impl ServiceUse {
     /// Adds a target with its last report.
     pub fn add_target(&mut self, load: Load, report: Option<(Rc<TeamUse>, Duration)>) {
         let add = |sum: &mut Load| {
-            sum.running += load.running;
-            sum.waiting += load.waiting;
-            sum.limit += load.limit;
+            sum.running = sum.running.saturating_add(load.running);
+            sum.waiting = sum.waiting.saturating_add(load.waiting);
+            sum.limit = sum.limit.saturating_add(load.limit);
         };
         add(&mut self.load);
-        match report.filter(|(_, age)| is_fresh(*age)) {
+        match report.filter(|(_, age)| is_fresh(*age, self.targets)) {
             Some(report) => self.reports.push(report),
             None => add(&mut self.unreported),
         }
@@ -89,7 +95,8 @@
         let reported: f64 = self.reports.iter().map(|(report, _)| f64::from(report.limit)).sum();
         let queued = (utilisation - QUEUED_UTILISATION).clamp(0.0, 1.0);
         let limit = reported + f64::from(self.unreported.limit);
-        limit * FILL * (1.0 - QUEUE_REDUCTION * queued) - f64::from(self.unreported.running)
+        limit * DIVIDED_FRACTION * (1.0 - QUEUE_REDUCTION * queued)
+            - f64::from(self.unreported.running)
     }
 
     /// The reported running requests of all teams.
@@ -108,9 +115,14 @@
     }
 }
 
-/// Whether a report of this age is still used.
-pub fn is_fresh(age: Duration) -> bool {
-    age < REPORT_TTL
+/// Whether a report of this age is still used. `targets` is the number of targets of the service.
+pub fn is_fresh(age: Duration, targets: usize) -> bool {
+    age < report_ttl(targets)
+}
+
+/// Age at which a report is discarded.
+fn report_ttl(targets: usize) -> Duration {
+    REPORT_TTL.max(interval(targets) * 2)
 }
 
 /// How the requests of one team and rank are treated.
@@ -143,7 +155,7 @@
         write!(
             f,
             "asks for {demand:.1} running requests, its share is {share:.1}; admitted {:.0} in 100, \
-             told {} ms ago",
+             reports up to {} ms old",
             probability * 100.0,
             reports_age.as_millis()
         )
@@ -174,15 +186,18 @@
         self.pending.set((sum + probability, count + 1));
     }
 
-    /// Ends an interval during which the probability of the share was `by_share`.
-    fn adjust(&mut self, by_share: f64, weight: f64, now: Instant) {
+    /// Ends an interval during which the probability of the share was `by_share`. Means are kept for
+    /// `kept`.
+    fn adjust(&mut self, by_share: f64, weight: f64, kept: Duration, now: Instant) {
         let (sum, count) = self.pending.take();
         if count > 0 {
             self.by_load = (sum / f64::from(count) / by_share).clamp(0.0, 1.0);
         }
         self.mean += weight * (by_share * self.by_load - self.mean);
-        self.history.push_back((now, self.mean));
-        while self.history.front().is_some_and(|(at, _)| now - *at > TEAM_TTL) {
+        if self.history.back().is_none_or(|(at, _)| now - *at >= kept / HISTORY_MAX) {
+            self.history.push_back((now, self.mean));
+        }
+        while self.history.front().is_some_and(|(at, _)| now - *at > kept) {
             self.history.pop_front();
         }
     }
@@ -211,9 +226,10 @@
 }
 
 impl TeamDemand {
-    /// How long the team is remembered while it is in no report.
-    fn ttl(&self) -> Duration {
-        if self.probability < 1.0 { RESTRICTED_TTL } else { TEAM_TTL }
+    /// How long the team is remembered while it is in no report; `unrestricted` if it may use all it
+    /// asks for.
+    fn ttl(&self, unrestricted: Duration) -> Duration {
+        if self.probability < 1.0 { RESTRICTED_TTL.max(unrestricted) } else { unrestricted }
     }
 
     fn new(now: Instant) -> Self {
@@ -244,7 +260,7 @@
 
     fn team_count(&self) -> u32 {
         let listed = self.teams.values().filter(|team| team.demand > DEMAND_MIN).count();
-        listed as u32 + self.others.0
+        (listed as u32).saturating_add(self.others.0)
     }
 
     /// The water level at `capacity`: the share of a team of weight 1.
@@ -312,9 +328,10 @@
         self.utilisation += weight * (utilisation - self.utilisation);
         self.reports = usage.reports.len();
         self.oldest = usage.oldest();
+        let team_ttl = report_ttl(usage.targets) + TEAM_TTL_MARGIN;
         self.estimate(usage, elapsed.unwrap_or_default(), now);
         for rank in self.ranks.values_mut() {
-            rank.teams.retain(|_, team| now - team.reported_at < team.ttl());
+            rank.teams.retain(|_, team| now - team.reported_at < team.ttl(team_ttl));
             for team in rank.teams.values_mut() {
                 let demand = if team.demand.is_nan() { team.estimate } else { team.demand };
                 team.demand = demand + weight * (team.estimate - demand);
@@ -329,7 +346,7 @@
         self.divide(capacity * (1.0 + self.correction), roster);
         for rank in self.ranks.values_mut() {
             for team in rank.teams.values_mut() {
-                team.applied.adjust(team.probability, weight, now);
+                team.applied.adjust(team.probability, weight, team_ttl, now);
             }
         }
     }
@@ -548,18 +565,18 @@
         team: &str,
         rank: u8,
     ) {
+        let probability = match entitlement {
+            Entitlement::None => overload.admission_probability_at(route, rank),
+            Entitlement::Within => overload.protected_probability(route),
+            Entitlement::Above(state) => {
+                state.probability * overload.shared_probability(route, rank)
+            }
+        };
         for shares in self.services.borrow().values() {
             if !shares.roots.contains(&*route.name) {
                 continue;
             }
             let Some(tracked) = shares.team(team, rank) else { continue };
-            let probability = match entitlement {
-                Entitlement::None => overload.admission_probability_at(route, rank),
-                Entitlement::Within => overload.protected_probability(route),
-                Entitlement::Above(state) => {
-                    state.probability * overload.shared_probability(route, rank)
-                }
-            };
             tracked.applied.record(probability);
         }
     }
@@ -595,9 +612,10 @@
     }
 }
 
-/// Adjusts the shares of a node, whose status is `own`.
+/// Adjusts the shares of a node, whose status is `own`. There are none unless the settings ask for
+/// fair shares.
 pub fn adjust(node: &Node, own: &Status, views: &HashMap<String, ServiceView>, roster: &Roster) {
-    let uses = if roster.is_empty() {
+    let uses = if roster.is_empty() || !node.settings.teams.fair_shares {
         HashMap::new()
     } else {
         node.directory.service_uses(own, node.use_meter.sent.current())
--- a/src/mesh/teams/use_report.rs
+++ b/src/mesh/teams/use_report.rs
@@ -31,8 +31,22 @@
 }
 
 impl PeerTeamUse {
-    /// Records a report.
-    pub fn update(&self, report: TeamUse) {
+    /// Records a report. Figures that no target can have are reduced, so that a wrong report has
+    /// no more effect than a full target.
+    pub fn update(&self, mut report: TeamUse) {
+        let most = report.limit.saturating_mul(1_000);
+        report.teams.truncate(LISTED_MAX);
+        for used in &mut report.teams {
+            used.running_milli = used.running_milli.min(most);
+        }
+        // One entry for each rank.
+        report.others.sort_by_key(|other| other.rank);
+        report.others.dedup_by_key(|other| other.rank);
+        for other in &mut report.others {
+            other.running_milli = other.running_milli.min(most);
+            // A team that is not forgotten uses at least `NEGLIGIBLE`.
+            other.teams = other.teams.min(other.running_milli);
+        }
         self.reported.replace(Some((Rc::new(report), Instant::now())));
     }
 
@@ -53,6 +67,11 @@
     1.0 - (-elapsed.as_secs_f64() / AVERAGING.as_secs_f64()).exp()
 }
 
+/// Interval between two reports of one of `targets` targets of a service.
+pub fn interval(targets: usize) -> Duration {
+    INTERVAL.mul_f64((targets as f64 / TARGETS_AT_FULL_RATE).max(1.0))
+}
+
 /// Measures how the teams use the local target.
 #[derive(Debug, Default)]
 pub struct UseMeter {
@@ -105,8 +124,7 @@
         targets: usize,
         now: Instant,
     ) -> Option<TeamUse> {
-        let interval = INTERVAL.mul_f64((targets as f64 / TARGETS_AT_FULL_RATE).max(1.0));
-        let is_due = self.sent_at.get().is_none_or(|sent_at| now - sent_at >= interval);
+        let is_due = self.sent_at.get().is_none_or(|sent_at| now - sent_at >= interval(targets));
         if self.utilisation.get() <= REPORTED_ABOVE || !is_due {
             return None;
         }
--- a/tests/mesh/shares.rs
+++ b/tests/mesh/shares.rs
@@ -379,6 +379,37 @@
     assert!(utilisation < 1.6 && used >= 0.9, "{utilisation:.3}, {used:.3}");
 }
 
+/// Guards against an overflow and against unbounded state by the wrong figures of one node.
+#[test]
+fn wrong_figures_in_a_report_are_reduced_to_those_of_a_full_target() {
+    paused(async {
+        let wrong = TeamRankUse { team: "a".to_owned(), rank: 1, running_milli: u32::MAX };
+        let others = OtherUse { rank: 1, teams: u32::MAX, running_milli: u32::MAX };
+        let reported = PeerTeamUse::default();
+        reported.update(TeamUse { teams: vec![wrong; 100], others: vec![others; 2], limit: 8 });
+        let (report, age) = reported.current().unwrap();
+        decided(Rc::clone(&report), age, &roster(&[("a", None)]));
+        let others = OtherUse { rank: 1, teams: 8_000, running_milli: 8_000 };
+        assert_eq!((report.teams.len(), &*report.others), (16, &[others][..]));
+        assert!(report.teams.iter().all(|used| used.running_milli == 8_000));
+        let mut usage = ServiceUse::default();
+        let load = Load { running: u32::MAX, waiting: u32::MAX, limit: u32::MAX };
+        (0..2).for_each(|_| usage.add_target(load, None));
+        assert_eq!(usage.load.limit, u32::MAX);
+    });
+}
+
+/// Guards against reports that expire before the next is sent, where a service has many targets.
+#[test]
+fn reports_of_many_targets_are_used_until_the_next_one() {
+    for (targets, expected) in [(1, 0), (47, 0), (150, 1)] {
+        let mut usage = ServiceUse { targets, ..ServiceUse::default() };
+        let age = Duration::from_millis(9_400);
+        usage.add_target(Load::default(), Some((report(&[], 8), age)));
+        assert_eq!(usage.reports.len(), expected, "{targets} targets");
+    }
+}
+
 /// Guards against teams within their share that take the capacity of promised returns.
 #[test]
 fn requests_within_their_share_leave_the_capacity_of_promised_returns() {
