--- a/src/mesh/teams/share.rs
+++ b/src/mesh/teams/share.rs
@@ -31,8 +31,12 @@
 /// How long a team that is in no report is remembered beyond the age at which reports are
 /// discarded, so that the probability applied before the oldest report is known.
 const TEAM_TTL_MARGIN: Duration = Duration::from_secs(1);
-/// Number of intervals into which the history of applied probabilities is divided at most.
-const HISTORY_MAX: u32 = 80;
+/// Number of intervals into which the history of applied probabilities is divided at most. The
+/// history of a team then fits into 64 entries.
+const HISTORY_MAX: u32 = 60;
+/// Maximum number of teams and ranks that are tracked for one service. All others count as not
+/// listed. At 150 services and about 0.5 KB each, they take 38 MB of the 64 MB of a node.
+const TEAMS_MAX: usize = 512;
 /// How long a restricted team that is not listed is remembered. The restriction itself lowers its
 /// use below that of unlisted teams; a team that is forgotten would be unrestricted again.
 const RESTRICTED_TTL: Duration = Duration::from_secs(30);
@@ -171,7 +175,8 @@
     /// the share.
     by_load: f64,
     mean: f64,
-    history: VecDeque<(Instant, f64)>,
+    /// Earlier means, the last one at the last time of `ServiceShares::history_times`.
+    history: VecDeque<f32>,
 }
 
 impl Default for Applied {
@@ -186,27 +191,26 @@
         self.pending.set((sum + probability, count + 1));
     }
 
-    /// Ends an interval during which the probability of the share was `by_share`. Means are kept for
-    /// `kept`.
-    fn adjust(&mut self, by_share: f64, weight: f64, kept: Duration, now: Instant) {
+    /// Ends an interval during which the probability of the share was `by_share`. The mean is added
+    /// to the history if `is_kept`, of which the last `length` are kept.
+    fn adjust(&mut self, by_share: f64, weight: f64, is_kept: bool, length: usize) {
         let (sum, count) = self.pending.take();
         if count > 0 {
             self.by_load = (sum / f64::from(count) / by_share).clamp(0.0, 1.0);
         }
         self.mean += weight * (by_share * self.by_load - self.mean);
-        if self.history.back().is_none_or(|(at, _)| now - *at >= kept / HISTORY_MAX) {
-            self.history.push_back((now, self.mean));
+        if is_kept {
+            self.history.push_back(self.mean as f32);
         }
-        while self.history.front().is_some_and(|(at, _)| now - *at > kept) {
+        while self.history.len() > length {
             self.history.pop_front();
         }
     }
 
-    /// The mean at an earlier time; the oldest one known if that was before.
-    fn mean_before(&self, now: Instant, delay: Duration) -> f64 {
-        let mut earlier = self.history.iter().rev().skip_while(|(at, _)| now - *at < delay);
-        let found = earlier.next().or(self.history.front());
-        found.map_or(1.0, |(_, mean)| *mean).max(PROBABILITY_MIN)
+    /// The mean before the last `skipped` of the history; the oldest one known if that was before.
+    fn mean_before(&self, skipped: usize) -> f64 {
+        let index = self.history.len().saturating_sub(skipped + 1);
+        self.history.get(index).map_or(1.0, |mean| f64::from(*mean)).max(PROBABILITY_MIN)
     }
 }
 
@@ -311,6 +315,8 @@
     reports: usize,
     oldest: Duration,
     adjusted_at: Option<Instant>,
+    /// The times of the applied probabilities that teams keep, oldest first.
+    history_times: VecDeque<Instant>,
     /// The root routes of the requests that reach the service.
     roots: HashSet<String>,
     /// Whether shares were in force when this was last logged.
@@ -344,9 +350,15 @@
         let (least, most) = CORRECTION_RANGE;
         self.correction = if self.divided.is_some() { correction.clamp(least, most) } else { 0.0 };
         self.divide(capacity * (1.0 + self.correction), roster);
+        let times = &mut self.history_times;
+        let is_kept = times.back().is_none_or(|at| now - *at >= team_ttl / HISTORY_MAX);
+        times.extend(is_kept.then_some(now));
+        while times.front().is_some_and(|at| now - *at > team_ttl) {
+            times.pop_front();
+        }
         for rank in self.ranks.values_mut() {
             for team in rank.teams.values_mut() {
-                team.applied.adjust(team.probability, weight, team_ttl, now);
+                team.applied.adjust(team.probability, weight, is_kept, times.len());
             }
         }
     }
@@ -363,15 +375,24 @@
                 team.estimate = 0.0;
             }
         }
+        let times = &self.history_times;
+        let later_than = |delay| times.iter().rev().take_while(|at| now - **at < delay).count();
+        let mut tracked: usize = self.ranks.values().map(|rank| rank.teams.len()).sum();
         for (report, age) in &usage.reports {
+            let skipped = later_than(*age + USE_LAG);
             for used in &report.teams {
-                let teams = &mut self.ranks.entry(used.rank).or_default().teams;
-                if !teams.contains_key(used.team.as_str()) {
-                    teams.insert(used.team.as_str().into(), TeamDemand::new(now));
-                }
-                let Some(team) = teams.get_mut(used.team.as_str()) else { continue };
-                let admitted = team.applied.mean_before(now, *age + USE_LAG);
                 let running = f64::from(used.running_milli) / 1000.0;
+                let rank = self.ranks.entry(used.rank).or_default();
+                if !rank.teams.contains_key(used.team.as_str()) {
+                    if tracked >= TEAMS_MAX {
+                        rank.others = (rank.others.0.max(1), rank.others.1 + running);
+                        continue;
+                    }
+                    tracked += 1;
+                    rank.teams.insert(used.team.as_str().into(), TeamDemand::new(now));
+                }
+                let Some(team) = rank.teams.get_mut(used.team.as_str()) else { continue };
+                let admitted = team.applied.mean_before(skipped);
                 team.estimate += running / admitted.powf(PROBABILITY_EXPONENT);
                 team.reported_at = now;
             }
@@ -382,11 +403,11 @@
                 *demand += f64::from(used.running_milli) / 1000.0;
             }
         }
-        let delay = usage.oldest() + USE_LAG;
+        let skipped = later_than(usage.oldest() + USE_LAG);
         for rank in self.ranks.values_mut().filter(|rank| rank.others.0 > 0) {
             for team in rank.teams.values_mut().filter(|team| team.reported_at != now) {
                 team.estimate = team.unlisted_estimate;
-                let admitted = team.applied.mean_before(now, delay);
+                let admitted = team.applied.mean_before(skipped);
                 let (count, demand) = &mut rank.others;
                 *count = count.saturating_sub(1);
                 *demand = (*demand - team.estimate * admitted.powf(PROBABILITY_EXPONENT)).max(0.0);
--- a/tests/mesh/shares.rs
+++ b/tests/mesh/shares.rs
@@ -262,12 +262,14 @@
         for _ in 0..10 {
             let result = site.run(4).await;
             let used = results(&result, 4).1;
-            assert!((0.82..1.08).contains(&used), "used {used:.3} in 4 s");
+            assert!((0.9..1.08).contains(&used), "used {used:.3} in 4 s");
             large.push(f64::from(result.1[0]) / 4.0);
         }
         let mean = large.iter().sum::<f64>() / large.len() as f64;
         let swing = large.iter().map(|rate| (rate / mean - 1.0).abs()).fold(0.0, f64::max);
-        assert!(swing < 0.25, "the large team is served {large:?} a second");
+        // Three standard deviations by chance: the small teams ask for 192 requests in 4 s, with a
+        // deviation of 14, and the large team gets the rest of the capacity, about 260.
+        assert!(swing < 0.16, "the large team is served {large:?} a second");
     });
 }
 
@@ -283,7 +285,7 @@
         assert!(small >= 0.95, "after the restart of an entry: {small:.3}");
         site.entries[2].stopped_until = Some(Instant::now() + Duration::from_millis(1_500));
         let (small, used) = results(&site.run(10).await, 10);
-        assert!(small >= 0.95 && used >= 0.88, "with a stopped entry: {small:.3}, {used:.3}");
+        assert!(small >= 0.95 && used >= 0.9, "with a stopped entry: {small:.3}, {used:.3}");
         site.targets[0].is_gone = true;
         site.targets[0].running.clear();
         site.targets[0].waiting.clear();
