--- a/src/mesh/teams/share.rs
+++ b/src/mesh/teams/share.rs
@@ -21,20 +21,33 @@
 use crate::mesh::site::Route;
 
 use super::roster::Roster;
-use super::use_report::sample_weight;
+use super::use_report::{interval, sample_weight};
 
-/// Age at which a report is discarded.
+/// Minimum age at which a report is discarded. With many targets, the age is twice the interval
+/// between their reports, so that one report may be lost.
 const REPORT_TTL: Duration = Duration::from_secs(3);
 /// Time from the admission of a request until its runs are visible in the sampled use.
 const USE_LAG: Duration = Duration::from_millis(200);
-/// How long a team that is in no report is remembered. Covers the longest delay of a report.
-const TEAM_TTL: Duration = Duration::from_secs(4);
+/// How long a team that is in no report is remembered beyond the age at which reports are
+/// discarded, so that the probability applied before the oldest report is known.
+const TEAM_TTL_MARGIN: Duration = Duration::from_secs(1);
+/// Number of intervals into which the history of applied probabilities is divided at most. The
+/// history of a team then fits into 64 entries.
+const HISTORY_MAX: u32 = 60;
+/// Maximum number of teams and ranks that are tracked for one service. All others count as not
+/// listed. At 150 services and about 0.5 KB each, they take 38 MB of the 64 MB of a node.
+const TEAMS_MAX: usize = 512;
+/// How long a restricted team that is not listed is remembered. The restriction itself lowers its
+/// use below that of unlisted teams; a team that is forgotten would be unrestricted again.
+const RESTRICTED_TTL: Duration = Duration::from_secs(30);
+/// Time constant with which the estimate of a team decays while it is not listed.
+const UNLISTED_DECAY: Duration = Duration::from_secs(10);
 /// Fraction of the slots that is divided. The rest absorbs random variation: without it, queues
 /// would grow, and the use of full slots does not show by how much the demand exceeds them. In the
 /// closed loop of the tests, 0.97 leaves teams within their share at 0.957 in the worst of 16 runs,
 /// 0.95 at 0.984, and 0.93 uses 0.01 to 0.02 less of the capacity.
-const FILL: f64 = 0.95;
-/// Utilisation, with queued requests, above which less than `FILL` is divided.
+const DIVIDED_FRACTION: f64 = 0.95;
+/// Utilisation, with queued requests, above which less than `DIVIDED_FRACTION` is divided.
 const QUEUED_UTILISATION: f64 = 1.2;
 /// Reduction of the divided capacity for each unit of utilisation above `QUEUED_UTILISATION`.
 const QUEUE_REDUCTION: f64 = 0.3;
@@ -61,18 +74,20 @@
     pub load: Load,
     /// The summed load of the targets without a current report.
     pub unreported: Load,
+    /// Number of targets, on which the interval between their reports depends.
+    pub targets: usize,
 }
 
 impl ServiceUse {
     /// Adds a target with its last report.
     pub fn add_target(&mut self, load: Load, report: Option<(Rc<TeamUse>, Duration)>) {
         let add = |sum: &mut Load| {
-            sum.running += load.running;
-            sum.waiting += load.waiting;
-            sum.limit += load.limit;
+            sum.running = sum.running.saturating_add(load.running);
+            sum.waiting = sum.waiting.saturating_add(load.waiting);
+            sum.limit = sum.limit.saturating_add(load.limit);
         };
         add(&mut self.load);
-        match report.filter(|(_, age)| is_fresh(*age)) {
+        match report.filter(|(_, age)| is_fresh(*age, self.targets)) {
             Some(report) => self.reports.push(report),
             None => add(&mut self.unreported),
         }
@@ -84,7 +99,8 @@
         let reported: f64 = self.reports.iter().map(|(report, _)| f64::from(report.limit)).sum();
         let queued = (utilisation - QUEUED_UTILISATION).clamp(0.0, 1.0);
         let limit = reported + f64::from(self.unreported.limit);
-        limit * FILL * (1.0 - QUEUE_REDUCTION * queued) - f64::from(self.unreported.running)
+        limit * DIVIDED_FRACTION * (1.0 - QUEUE_REDUCTION * queued)
+            - f64::from(self.unreported.running)
     }
 
     /// The reported running requests of all teams.
@@ -103,9 +119,14 @@
     }
 }
 
-/// Whether a report of this age is still used.
-pub fn is_fresh(age: Duration) -> bool {
-    age < REPORT_TTL
+/// Whether a report of this age is still used. `targets` is the number of targets of the service.
+pub fn is_fresh(age: Duration, targets: usize) -> bool {
+    age < report_ttl(targets)
+}
+
+/// Age at which a report is discarded.
+fn report_ttl(targets: usize) -> Duration {
+    REPORT_TTL.max(interval(targets) * 2)
 }
 
 /// How the requests of one team and rank are treated.
@@ -138,7 +159,7 @@
         write!(
             f,
             "asks for {demand:.1} running requests, its share is {share:.1}; admitted {:.0} in 100, \
-             told {} ms ago",
+             reports up to {} ms old",
             probability * 100.0,
             reports_age.as_millis()
         )
@@ -154,7 +175,8 @@
     /// the share.
     by_load: f64,
     mean: f64,
-    history: VecDeque<(Instant, f64)>,
+    /// Earlier means, the last one at the last time of `ServiceShares::history_times`.
+    history: VecDeque<f32>,
 }
 
 impl Default for Applied {
@@ -169,24 +191,26 @@
         self.pending.set((sum + probability, count + 1));
     }
 
-    /// Ends an interval during which the probability of the share was `by_share`.
-    fn adjust(&mut self, by_share: f64, weight: f64, now: Instant) {
+    /// Ends an interval during which the probability of the share was `by_share`. The mean is added
+    /// to the history if `is_kept`, of which the last `length` are kept.
+    fn adjust(&mut self, by_share: f64, weight: f64, is_kept: bool, length: usize) {
         let (sum, count) = self.pending.take();
         if count > 0 {
             self.by_load = (sum / f64::from(count) / by_share).clamp(0.0, 1.0);
         }
         self.mean += weight * (by_share * self.by_load - self.mean);
-        self.history.push_back((now, self.mean));
-        while self.history.front().is_some_and(|(at, _)| now - *at > TEAM_TTL) {
+        if is_kept {
+            self.history.push_back(self.mean as f32);
+        }
+        while self.history.len() > length {
             self.history.pop_front();
         }
     }
 
-    /// The mean at an earlier time; the oldest one known if that was before.
-    fn mean_before(&self, now: Instant, delay: Duration) -> f64 {
-        let mut earlier = self.history.iter().rev().skip_while(|(at, _)| now - *at < delay);
-        let found = earlier.next().or(self.history.front());
-        found.map_or(1.0, |(_, mean)| *mean).max(PROBABILITY_MIN)
+    /// The mean before the last `skipped` of the history; the oldest one known if that was before.
+    fn mean_before(&self, skipped: usize) -> f64 {
+        let index = self.history.len().saturating_sub(skipped + 1);
+        self.history.get(index).map_or(1.0, |mean| f64::from(*mean)).max(PROBABILITY_MIN)
     }
 }
 
@@ -196,6 +220,8 @@
     /// The estimated demand in running requests, from the current reports and averaged.
     estimate: f64,
     demand: f64,
+    /// The last estimate, decayed, which is used if no report lists the team.
+    unlisted_estimate: f64,
     share: f64,
     /// The probability of admission that follows from the share.
     probability: f64,
@@ -204,10 +230,17 @@
 }
 
 impl TeamDemand {
+    /// How long the team is remembered while it is in no report; `unrestricted` if it may use all it
+    /// asks for.
+    fn ttl(&self, unrestricted: Duration) -> Duration {
+        if self.probability < 1.0 { RESTRICTED_TTL.max(unrestricted) } else { unrestricted }
+    }
+
     fn new(now: Instant) -> Self {
         Self {
             estimate: 0.0,
             demand: f64::NAN,
+            unlisted_estimate: 0.0,
             share: f64::INFINITY,
             probability: 1.0,
             applied: Applied::default(),
@@ -231,7 +264,7 @@
 
     fn team_count(&self) -> u32 {
         let listed = self.teams.values().filter(|team| team.demand > DEMAND_MIN).count();
-        listed as u32 + self.others.0
+        (listed as u32).saturating_add(self.others.0)
     }
 
     /// The water level at `capacity`: the share of a team of weight 1.
@@ -275,11 +308,15 @@
     /// Correction of the divided capacity, as a fraction of it.
     correction: f64,
     level: f64,
+    /// Whether the unlisted teams of the divided rank together ask for more than their shares.
+    are_others_above: bool,
     /// Mean utilisation of the service.
     utilisation: f64,
     reports: usize,
     oldest: Duration,
     adjusted_at: Option<Instant>,
+    /// The times of the applied probabilities that teams keep, oldest first.
+    history_times: VecDeque<Instant>,
     /// The root routes of the requests that reach the service.
     roots: HashSet<String>,
     /// Whether shares were in force when this was last logged.
@@ -297,9 +334,10 @@
         self.utilisation += weight * (utilisation - self.utilisation);
         self.reports = usage.reports.len();
         self.oldest = usage.oldest();
-        self.estimate(usage, now);
+        let team_ttl = report_ttl(usage.targets) + TEAM_TTL_MARGIN;
+        self.estimate(usage, elapsed.unwrap_or_default(), now);
         for rank in self.ranks.values_mut() {
-            rank.teams.retain(|_, team| now - team.reported_at < TEAM_TTL);
+            rank.teams.retain(|_, team| now - team.reported_at < team.ttl(team_ttl));
             for team in rank.teams.values_mut() {
                 let demand = if team.demand.is_nan() { team.estimate } else { team.demand };
                 team.demand = demand + weight * (team.estimate - demand);
@@ -312,31 +350,49 @@
         let (least, most) = CORRECTION_RANGE;
         self.correction = if self.divided.is_some() { correction.clamp(least, most) } else { 0.0 };
         self.divide(capacity * (1.0 + self.correction), roster);
+        let times = &mut self.history_times;
+        let is_kept = times.back().is_none_or(|at| now - *at >= team_ttl / HISTORY_MAX);
+        times.extend(is_kept.then_some(now));
+        while times.front().is_some_and(|at| now - *at > team_ttl) {
+            times.pop_front();
+        }
         for rank in self.ranks.values_mut() {
             for team in rank.teams.values_mut() {
-                team.applied.adjust(team.probability, weight, now);
+                team.applied.adjust(team.probability, weight, is_kept, times.len());
             }
         }
     }
 
     /// Estimates the demand of each team by its use and by the probability with which the requests
-    /// that are now visible in the use were admitted.
-    fn estimate(&mut self, usage: &ServiceUse, now: Instant) {
+    /// that are now visible in the use were admitted. A known team that is not listed is assumed to
+    /// be among the others, if there are any; `elapsed` is the time since the last estimate.
+    fn estimate(&mut self, usage: &ServiceUse, elapsed: Duration, now: Instant) {
+        let decay = (-elapsed.as_secs_f64() / UNLISTED_DECAY.as_secs_f64()).exp();
         for rank in self.ranks.values_mut() {
             rank.others = (0, 0.0);
             for team in rank.teams.values_mut() {
+                team.unlisted_estimate = team.estimate * decay;
                 team.estimate = 0.0;
             }
         }
+        let times = &self.history_times;
+        let later_than = |delay| times.iter().rev().take_while(|at| now - **at < delay).count();
+        let mut tracked: usize = self.ranks.values().map(|rank| rank.teams.len()).sum();
         for (report, age) in &usage.reports {
+            let skipped = later_than(*age + USE_LAG);
             for used in &report.teams {
-                let teams = &mut self.ranks.entry(used.rank).or_default().teams;
-                if !teams.contains_key(used.team.as_str()) {
-                    teams.insert(used.team.as_str().into(), TeamDemand::new(now));
-                }
-                let Some(team) = teams.get_mut(used.team.as_str()) else { continue };
-                let admitted = team.applied.mean_before(now, *age + USE_LAG);
                 let running = f64::from(used.running_milli) / 1000.0;
+                let rank = self.ranks.entry(used.rank).or_default();
+                if !rank.teams.contains_key(used.team.as_str()) {
+                    if tracked >= TEAMS_MAX {
+                        rank.others = (rank.others.0.max(1), rank.others.1 + running);
+                        continue;
+                    }
+                    tracked += 1;
+                    rank.teams.insert(used.team.as_str().into(), TeamDemand::new(now));
+                }
+                let Some(team) = rank.teams.get_mut(used.team.as_str()) else { continue };
+                let admitted = team.applied.mean_before(skipped);
                 team.estimate += running / admitted.powf(PROBABILITY_EXPONENT);
                 team.reported_at = now;
             }
@@ -347,6 +403,19 @@
                 *demand += f64::from(used.running_milli) / 1000.0;
             }
         }
+        let skipped = later_than(usage.oldest() + USE_LAG);
+        for rank in self.ranks.values_mut().filter(|rank| rank.others.0 > 0) {
+            for team in rank.teams.values_mut().filter(|team| team.reported_at != now) {
+                team.estimate = team.unlisted_estimate;
+                let admitted = team.applied.mean_before(skipped);
+                let (count, demand) = &mut rank.others;
+                *count = count.saturating_sub(1);
+                *demand = (*demand - team.estimate * admitted.powf(PROBABILITY_EXPONENT)).max(0.0);
+            }
+            if rank.others.0 == 0 {
+                rank.others.1 = 0.0;
+            }
+        }
     }
 
     /// Divides `capacity` among the teams of the rank at which it runs out.
@@ -364,6 +433,9 @@
             if is_divided {
                 self.divided = Some(*rank);
                 self.level = level;
+                let (count, others) = demand.others;
+                let share = level * f64::from(count) * roster.share_weight("");
+                self.are_others_above = others > share;
             }
             for (name, team) in &mut demand.teams {
                 team.share = level * roster.share_weight(name);
@@ -390,6 +462,7 @@
                 let reports_age = self.oldest;
                 Entitlement::Above(ShareState { probability, share, demand, reports_age })
             }
+            None if rank == divided && self.are_others_above => Entitlement::None,
             _ => Entitlement::Within,
         }
     }
@@ -485,7 +558,7 @@
         self.record_applied(entitlement, overload, route, team, rank);
         match entitlement {
             Entitlement::None => overload.admit(route, rank, rng).ok_or(NotRun::Shed),
-            Entitlement::Within => overload.admit_protected(route, rng).ok_or(NotRun::Shed),
+            Entitlement::Within => overload.admit_within_share(route, rng).ok_or(NotRun::Shed),
             Entitlement::Above(state) if rng.random::<f64>() < state.probability => {
                 overload.admit_shared(route, rank, rng).ok_or(NotRun::Shed)
             }
@@ -513,18 +586,18 @@
         team: &str,
         rank: u8,
     ) {
+        let probability = match entitlement {
+            Entitlement::None => overload.admission_probability_at(route, rank),
+            Entitlement::Within => overload.protected_probability(route),
+            Entitlement::Above(state) => {
+                state.probability * overload.shared_probability(route, rank)
+            }
+        };
         for shares in self.services.borrow().values() {
             if !shares.roots.contains(&*route.name) {
                 continue;
             }
             let Some(tracked) = shares.team(team, rank) else { continue };
-            let probability = match entitlement {
-                Entitlement::None => overload.admission_probability_at(route, rank),
-                Entitlement::Within => overload.protected_probability(route),
-                Entitlement::Above(state) => {
-                    state.probability * overload.shared_probability(route, rank)
-                }
-            };
             tracked.applied.record(probability);
         }
     }
@@ -560,9 +633,10 @@
     }
 }
 
-/// Adjusts the shares of a node, whose status is `own`.
+/// Adjusts the shares of a node, whose status is `own`. There are none unless the settings ask for
+/// fair shares.
 pub fn adjust(node: &Node, own: &Status, views: &HashMap<String, ServiceView>, roster: &Roster) {
-    let uses = if roster.is_empty() {
+    let uses = if roster.is_empty() || !node.settings.teams.fair_shares {
         HashMap::new()
     } else {
         node.directory.service_uses(own, node.use_meter.sent.current())
