Test the goals of retry times for each load

Change: a test for each load with the bound of a third on callers refused again, and one with on time not worse than before. The bound on answered callers stays as it was.

--- a/tests/mesh/returns.rs
+++ b/tests/mesh/returns.rs
@@ -473,23 +473,68 @@
     results
 }
 
-#[test]
-fn callers_that_come_back_once_are_rarely_refused_again() {
-    paused(async {
-        let peaks = |s: f64| if s % 8.0 < 2.0 { 1.4 } else { 0.7 };
-        let lasting = |s: f64| if s % 12.0 < 6.0 { 1.4 } else { 0.5 };
-        let swing = |s: f64| 1.0 + 0.55 * (s / 15.0 * std::f64::consts::TAU).sin();
-        let loads: [(&str, &dyn Fn(f64) -> f64); 3] =
-            [("peaks", &peaks), ("lasting", &lasting), ("swing", &swing)];
-        // Measured, before and after: refused again 0.080 and 0.046, 0.197 and 0.145, 0.175 and
-        // 0.151; on time 0.919 and 0.915, 0.803 and 0.785, 0.824 and 0.806.
-        for ((name, load), again_max) in loads.into_iter().zip([0.65, 0.8, 0.92]) {
-            let [before, after] =
-                [serve(load, 120, false).await, serve(load, 120, true).await].map(Shares::of);
-            println!("{name}: before {before:?}, after {after:?}");
-            assert!(after.refused_again <= before.refused_again * again_max, "{name}");
-            assert!(after.answered >= before.answered + 0.015, "{name}");
-            assert!(after.on_time >= before.on_time - 0.03, "{name}");
-        }
+/// The load at a time in seconds, relative to the capacity.
+type LoadAt = fn(f64) -> f64;
+
+const PEAKS: LoadAt = |s| if s % 8.0 < 2.0 { 1.4 } else { 0.7 };
+const LASTING: LoadAt = |s| if s % 12.0 < 6.0 { 1.4 } else { 0.5 };
+const SWING: LoadAt = |s| 1.0 + 0.55 * (s / 15.0 * std::f64::consts::TAU).sin();
+
+/// The results of a load with random times and with promises.
+fn compare(load: LoadAt) -> [Shares; 2] {
+    let compared = paused(async {
+        [serve(load, 120, false).await, serve(load, 120, true).await].map(Shares::of)
     });
+    println!("before and after: {compared:?}");
+    compared
+}
+
+// The next three guard against promises that don't hold and refusals without a promise, which make
+// callers come back in vain. The bound is the goal of docs/design/hard-load.md.
+
+#[test]
+fn refused_again_falls_to_a_third_in_peaks() {
+    let [before, after] = compare(PEAKS);
+    assert!(after.refused_again <= before.refused_again / 3.0, "{before:?}, {after:?}");
+}
+
+#[test]
+fn refused_again_falls_to_a_third_in_lasting_overload() {
+    let [before, after] = compare(LASTING);
+    assert!(after.refused_again <= before.refused_again / 3.0, "{before:?}, {after:?}");
+}
+
+#[test]
+fn refused_again_falls_to_a_third_in_a_swing() {
+    let [before, after] = compare(SWING);
+    assert!(after.refused_again <= before.refused_again / 3.0, "{before:?}, {after:?}");
+}
+
+// The next three guard against late admissions that displace requests which would be on time.
+
+#[test]
+fn as_many_answers_are_on_time_in_peaks() {
+    let [before, after] = compare(PEAKS);
+    assert!(after.on_time >= before.on_time, "{before:?}, {after:?}");
+}
+
+#[test]
+fn as_many_answers_are_on_time_in_lasting_overload() {
+    let [before, after] = compare(LASTING);
+    assert!(after.on_time >= before.on_time, "{before:?}, {after:?}");
+}
+
+#[test]
+fn as_many_answers_are_on_time_in_a_swing() {
+    let [before, after] = compare(SWING);
+    assert!(after.on_time >= before.on_time, "{before:?}, {after:?}");
+}
+
+/// Guards against capacity that is kept for callers and then left unused.
+#[test]
+fn promises_let_more_callers_be_answered() {
+    for load in [PEAKS, LASTING, SWING] {
+        let [before, after] = compare(load);
+        assert!(after.answered >= before.answered + 0.015, "{before:?}, {after:?}");
+    }
 }
