--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -559,7 +559,7 @@
     }
     let Some(capacity) = capacities.get_mut(&status.service) else { return };
     let rejected = condition.map_or(0.0, |(known, _)| f64::from(known.rejected_percent) / 100.0);
-    capacity.slots += f64::from(status.load.limit) * (1.0 - rejected);
+    capacity.capacity += f64::from(status.load.limit) * (1.0 - rejected);
     capacity.age = capacity.age.max(condition.map_or(Duration::ZERO, |(_, age)| age));
 }
 
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -416,8 +416,8 @@
         for voided in self.returns.adjust(capacities, now) {
             self.log.emit(&LogEvent::PromisesVoided {
                 service: voided.service,
-                slots_before: voided.slots_before as u32,
-                slots: voided.slots as u32,
+                slots_before: voided.capacity_before as u32,
+                slots: voided.capacity as u32,
                 age_ms: voided.age.as_millis() as u64,
                 voided: voided.voided as u32,
                 kept: voided.kept as u32,
--- a/src/mesh/returns.rs
+++ b/src/mesh/returns.rs
@@ -26,7 +26,7 @@
 const OBJECTIVE_MIN_MS: u64 = 300;
 
 /// Length of a time slot of the schedules.
-const SLOT: Duration = Duration::from_millis(100);
+const TIME_SLOT: Duration = Duration::from_millis(100);
 /// Callers come back after at most this part of their remaining time.
 const REMAINING_DIVISOR: u32 = 3;
 /// The longest time that is named. Capacity can't be foreseen for longer.
@@ -45,7 +45,7 @@
 const LATE_MAX: Duration = Duration::from_millis(400);
 /// How long before the promised time capacity is kept from new requests. It must be free at that
 /// time, and a slot's worth of requests ends within one slot.
-const RESERVED_BEFORE: Duration = SLOT;
+const RESERVED_BEFORE: Duration = TIME_SLOT;
 /// How long after the promised time capacity is kept from new requests. Most callers come back
 /// within this time; some never do.
 const RESERVED_AFTER: Duration = Duration::from_millis(150);
@@ -53,7 +53,7 @@
 /// Fraction of a route's admission rate that may be promised.
 const PROMISED_SHARE: f64 = 0.5;
 /// Fraction of it that may be promised for times at which the answer would miss the objective.
-/// Without this limit, lasting overload fills the far slots first, and every promise is late.
+/// Without this limit, lasting overload fills the far time slots first, and every promise is late.
 const LATE_SHARE: f64 = 0.5;
 /// Fraction of the objective that an answer is assumed to take before one is known.
 const ANSWER_FRACTION: f64 = 0.5;
@@ -76,8 +76,9 @@
 /// The capacity of a service with ready targets.
 #[derive(Clone, Debug, Default)]
 pub struct ServiceCapacity {
-    /// The slots of its targets, each weighted by the share of offers that it accepts.
-    pub slots: f64,
+    /// The requests that its targets can run at once, each target weighted by the share of offers that
+    /// it accepts.
+    pub capacity: f64,
     /// Age of the oldest condition that this is based on.
     pub age: Duration,
     /// The root routes of the requests that reach the service.
@@ -89,10 +90,10 @@
 pub struct Voided {
     /// The service.
     pub service: String,
-    /// Its capacity when promises were last checked, in slots.
-    pub slots_before: f64,
-    /// Its capacity now, in slots.
-    pub slots: f64,
+    /// Its capacity when promises were last checked, in requests that it can run at once.
+    pub capacity_before: f64,
+    /// Its capacity now.
+    pub capacity: f64,
     /// Age of the oldest condition that the capacity is based on.
     pub age: Duration,
     /// Number of promises that were voided.
@@ -229,7 +230,7 @@
         let offset = numbers.start().saturating_sub(margin);
         let counts: Vec<usize> =
             (offset..=numbers.end() + margin).map(|number| self.promised_in(number)).collect();
-        let slots_per_s = 1.0 / SLOT.as_secs_f64();
+        let slots_per_s = 1.0 / TIME_SLOT.as_secs_f64();
         for number in numbers {
             let share = if number >= late_from { LATE_SHARE } else { 1.0 };
             let per_slot = self.rate_per_s * PROMISED_SHARE * share / slots_per_s;
@@ -260,8 +261,8 @@
     started: Instant,
     /// The schedules of the routes for which promises are made.
     schedules: RefCell<HashMap<Rc<str>, Schedule>>,
-    /// The capacity of each service when promises were last checked, in slots, and the root routes
-    /// of the requests that reach it.
+    /// The capacity of each service when promises were last checked, and the root routes of the
+    /// requests that reach it.
     capacities: RefCell<HashMap<String, ServiceCapacity>>,
     /// When `reserved` was last called.
     reserved_at: Cell<Option<Instant>>,
@@ -322,8 +323,8 @@
             self.remember_unpromised(schedule, request, latest);
             return longest;
         };
-        let offset = SLOT.mul_f64(rng.random::<f64>());
-        let due = (self.started + SLOT * number as u32 + offset).min(latest);
+        let offset = TIME_SLOT.mul_f64(rng.random::<f64>());
+        let due = (self.started + TIME_SLOT * number as u32 + offset).min(latest);
         let promise = Promise { request, due, made_at: now, rank };
         schedule.slots.entry(number).or_default().promises.push(promise);
         self.pending.set(self.pending.get() + 1);
@@ -413,12 +414,12 @@
             let capacity = current.get(service).unwrap_or(&gone);
             // Without capacity before, there is nothing that a fall could be measured by.
             let has_fallen =
-                before.slots > 0.0 && capacity.slots <= before.slots * (1.0 - FALL_MIN);
+                before.capacity > 0.0 && capacity.capacity <= before.capacity * (1.0 - FALL_MIN);
             if has_fallen {
                 voided.extend(self.void(&mut schedules, service, before, capacity));
-                before.slots = capacity.slots;
+                before.capacity = capacity.capacity;
             } else {
-                before.slots = before.slots.max(capacity.slots);
+                before.capacity = before.capacity.max(capacity.capacity);
             }
             current.contains_key(service)
         });
@@ -469,7 +470,7 @@
         before: &ServiceCapacity,
         current: &ServiceCapacity,
     ) -> Option<Voided> {
-        let kept_share = (current.slots / before.slots).clamp(0.0, 1.0);
+        let kept_share = (current.capacity / before.capacity).clamp(0.0, 1.0);
         let mut promises = Vec::new();
         for root in &before.roots {
             let Some(schedule) = schedules.get_mut(root.as_str()) else { continue };
@@ -496,8 +497,8 @@
         self.count(|totals| totals.voided += voided as u64);
         (voided > 0).then(|| Voided {
             service: service.to_owned(),
-            slots_before: before.slots,
-            slots: current.slots,
+            capacity_before: before.capacity,
+            capacity: current.capacity,
             age: current.age,
             voided,
             kept,
@@ -552,13 +553,13 @@
 
     /// The number of the slot that contains `at`.
     fn slot_of(&self, at: Instant) -> u64 {
-        (at.saturating_duration_since(self.started).as_millis() / SLOT.as_millis()) as u64
+        (at.saturating_duration_since(self.started).as_millis() / TIME_SLOT.as_millis()) as u64
     }
 
     /// The slots of promises with which a request that arrives at `now` may return.
     fn slots_due_at(&self, now: Instant) -> RangeInclusive<u64> {
         let newest = self.slot_of(now + EARLY_MAX);
-        let late_slots = LATE_MAX.as_millis().div_ceil(SLOT.as_millis()) as u64;
+        let late_slots = LATE_MAX.as_millis().div_ceil(TIME_SLOT.as_millis()) as u64;
         self.slot_of(now).saturating_sub(late_slots)..=newest
     }
 
--- a/tests/mesh/returns.rs
+++ b/tests/mesh/returns.rs
@@ -30,9 +30,9 @@
     Route { objective_ms: 1_200, ..route(name, "page", RouteKind::Idempotent, rank) }
 }
 
-fn capacities(slots: f64, roots: &[&str]) -> HashMap<String, ServiceCapacity> {
+fn capacities(capacity: f64, roots: &[&str]) -> HashMap<String, ServiceCapacity> {
     let roots = roots.iter().map(|root| (*root).to_owned()).collect();
-    let capacity = ServiceCapacity { slots, age: ms(40), roots };
+    let capacity = ServiceCapacity { capacity, age: ms(40), roots };
     HashMap::from([("stock".to_owned(), capacity)])
 }
 
@@ -76,6 +76,7 @@
     (expiry, name_time(returns, route, "", expiry, &mut rng.borrow_mut()))
 }
 
+/// Guards against other callers that use up a promise, and against one that is used twice.
 #[test]
 fn a_caller_is_recognised_by_its_expiry_and_only_around_its_time() {
     paused(async {
@@ -174,6 +175,7 @@
     });
 }
 
+/// Guards against callers that ignore `Retry-After` and collect promises.
 #[test]
 fn a_caller_that_comes_too_early_gets_no_second_promise() {
     paused(async {
@@ -188,6 +190,7 @@
     });
 }
 
+/// Guards against more promises than the entry can keep, and times at which no caller comes back.
 #[test]
 fn promises_are_bounded_by_the_rate_and_a_third_of_the_remaining_time() {
     paused(async {
@@ -202,6 +205,7 @@
     });
 }
 
+/// Guards against promises to callers that have come back already and give up.
 #[test]
 fn a_caller_that_was_refused_again_takes_no_capacity_from_others() {
     paused(async {
@@ -220,6 +224,7 @@
     });
 }
 
+/// Guards against promises that outlive the targets they were made for.
 #[test]
 fn promises_are_void_when_the_capacity_falls_least_important_rank_first() {
     paused(async {
@@ -232,8 +237,8 @@
         let voided = entry.0.adjust(capacities(50.0, &["book", "read"]), Instant::now());
         let expected = Voided {
             service: "stock".to_owned(),
-            slots_before: 100.0,
-            slots: 50.0,
+            capacity_before: 100.0,
+            capacity: 50.0,
             age: ms(40),
             voided: 10,
             kept: 10,
@@ -266,6 +271,8 @@
     });
 }
 
+/// Guards against a loss of state that refuses callers, and against a change where nothing is known
+/// of the services.
 #[test]
 fn a_restarted_entry_and_one_without_conditions_decide_as_before() {
     paused(async {
@@ -295,6 +302,7 @@
     });
 }
 
+/// Guards against memory that grows with the refusals, and overflow on deadlines that callers state.
 #[test]
 fn state_is_bounded_and_odd_deadlines_are_harmless() {
     paused(async {
@@ -316,6 +324,7 @@
     });
 }
 
+/// Guards against a node that names a time and then does not recognise the caller.
 #[test]
 fn a_refused_caller_is_admitted_by_the_node_at_the_time_it_was_told() {
     run(async {
