Admit trees with a single call also without a retry budget

Cause: rank 0 is served first and uses up the budget, so routes of other ranks are refused, also those with one call that completes with the pass rate itself. A tree with one call that is rejected has cost no run.

Change: a route with at most one call per tree is admitted while its trees complete without retries with a probability of 0.3 or more. The budget is charged for the covered part only.

--- a/src/mesh/completion.rs
+++ b/src/mesh/completion.rs
@@ -27,6 +27,11 @@
 const PLANNED_FRACTION: f64 = 0.9;
 /// Probability of completing without retries from which a route is not restricted.
 const COMPLETES_MIN: f64 = 0.9;
+/// Probability of completing without retries from which a tree with a single call is not restricted:
+/// one that is rejected has cost no run, and its offers show when the targets have recovered.
+const SINGLE_CALL_COMPLETES_MIN: f64 = 0.3;
+/// Mean number of calls of a tree up to which it counts as one with a single call.
+const SINGLE_CALL_MAX: f64 = 1.0;
 /// Minimum admission probability of the cheapest route that reaches a service, so that its targets
 /// get offers and its recovery is noticed.
 const PROBE_PROBABILITY: f64 = 0.02;
@@ -593,6 +598,8 @@
     retries_sum: f64,
     /// The probability that a tree completes without retries.
     completes: f64,
+    /// The mean number of calls of a tree to all services.
+    calls: f64,
     demand: &'a mut BTreeMap<u8, Demand>,
 }
 
@@ -603,6 +610,7 @@
 ) -> Vec<RootPlan<'a>> {
     let mut plans = Vec::new();
     for (name, RootState { calls, demand, .. }) in roots {
+        let all_calls = calls.values().sum();
         if demand.is_empty() {
             continue;
         }
@@ -616,7 +624,7 @@
                 completes *= pass.share.max(0.0).powf(*calls);
             }
         }
-        plans.push(RootPlan { name, retries, retries_sum, completes, demand });
+        plans.push(RootPlan { name, retries, retries_sum, completes, calls: all_calls, demand });
     }
     plans.sort_by(|one, other| {
         one.retries_sum.total_cmp(&other.retries_sum).then_with(|| one.name.cmp(other.name))
@@ -633,7 +641,7 @@
     let mut order: Vec<(u8, usize)> = plans.iter().enumerate().flat_map(ranks).collect();
     order.sort_unstable();
     for (rank, index) in order {
-        let RootPlan { retries, completes, demand, .. } = &mut plans[index];
+        let RootPlan { retries, completes, calls, demand, .. } = &mut plans[index];
         let Some(demand) = demand.get_mut(&rank) else { continue };
         let (mut probability, mut limited_by) = (1.0, "");
         if *completes < COMPLETES_MIN {
@@ -652,6 +660,10 @@
                 state.planned_per_s += probability * demand.per_s() * retries;
             }
         }
+        // The budget is charged for what it covers only: without it, senders don't retry.
+        if *calls <= SINGLE_CALL_MAX && *completes >= SINGLE_CALL_COMPLETES_MIN {
+            (probability, limited_by) = (1.0, "");
+        }
         demand.probability = probability;
         limited_by.clone_into(&mut demand.limited_by);
     }
--- a/tests/mesh/completion.rs
+++ b/tests/mesh/completion.rs
@@ -197,6 +197,26 @@
     }
 }
 
+/// Guards against refusing trees that cost nothing when they fail, once the budget is used up.
+#[test]
+fn trees_with_a_single_call_are_admitted_without_a_budget() {
+    paused(async {
+        let mut load = three_routes();
+        load.push((3.0, 1, route("look", "deep", RouteKind::Idempotent, 1)));
+        let mut entry = Entry::new(load, 1);
+        entry.run(20.0).await;
+        entry.rejected = 0.55;
+        let book: Rc<str> = "book".into();
+        entry.completion.record_tree(&book, &calls("deep", 100, 1_200), false);
+        entry.run(1.0).await;
+        assert_eq!(entry.probability("look"), 1.0);
+        assert!(entry.probability("book") < 0.1, "{}", entry.probability("book"));
+        entry.rejected = 0.9;
+        entry.run(1.0).await;
+        assert!(entry.probability("look") < 0.1, "a tree that hardly ever completes");
+    });
+}
+
 /// Guards against 0 / 0, which admits everything although no budget is left.
 #[test]
 fn a_rank_that_nobody_has_asked_for_is_not_free() {
