Scale the budget parts of ranks to the number of ranks

A refusal for want of retries names a random time again: all named the longest one, and the callers of 1.7 s came back together after the fault. Requests of callers are no part of a run that could have progressed.

--- a/src/mesh/budget.rs
+++ b/src/mesh/budget.rs
@@ -1,6 +1,6 @@
 //! Limits the retries that a node sends to each service.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::ops::Range;
 use std::time::Duration;
@@ -134,6 +134,8 @@
     share: f64,
     lagged_share: f64,
     best_share: f64,
+    /// The fractions used where rejected offers are retried.
+    rank_fractions: Cell<RankFractions>,
     slack: f64,
     started: Instant,
     windows: RefCell<HashMap<String, RetryWindow>>,
@@ -146,12 +148,18 @@
             share: settings.share * SHARE_FRACTION,
             lagged_share: settings.share * LAGGED_SHARE_FRACTION,
             best_share: settings.share * BEST_SHARE_FRACTION,
+            rank_fractions: Cell::default(),
             slack: f64::from(settings.slack) * SLACK_FRACTION,
             started: Instant::now(),
             windows: RefCell::default(),
         }
     }
 
+    /// Sets the least important rank.
+    pub fn set_rank_max(&self, rank_max: u8) {
+        self.rank_fractions.set(RankFractions::up_to(rank_max));
+    }
+
     /// Counts the first attempt of a request.
     pub fn record_request(&self, service: &str) {
         self.with_window(service, |window| window.current().requests += 1);
@@ -185,7 +193,8 @@
         let slack = self.slack / nodes.max(1) as f64;
         self.with_window(service, |window| {
             let (requests, spent) = window.sums();
-            let remaining = (requests * self.share + slack) * rank_fraction(rank) - spent;
+            let remaining =
+                (requests * self.share + slack) * RankFractions::default().of(rank) - spent;
             take(window, remaining, slack, rng)
         })
     }
@@ -211,7 +220,7 @@
     ) -> bool {
         let slack = self.slack / nodes.max(1) as f64;
         let progress_fraction = if has_progressed { 1.0 } else { 1.0 - RESERVED_FOR_PROGRESS };
-        let fraction = rank_fraction(rank) * progress_fraction;
+        let fraction = self.rank_fractions.get().of(rank) * progress_fraction;
         self.with_window(service, |window| {
             let remaining = self.full_remaining(window, slack, fraction);
             take(window, remaining, slack, rng)
@@ -242,9 +251,30 @@
     }
 }
 
-/// Fraction of the budget that is available to requests of `rank`.
-pub fn rank_fraction(rank: u8) -> f64 {
-    (1.0 - RESERVED_PER_RANK * f64::from(rank)).max(RANK_FRACTION_MIN)
+/// Fractions of a budget that are available to each rank.
+#[derive(Clone, Copy, Debug)]
+pub struct RankFractions {
+    reserved_per_rank: f64,
+}
+
+impl Default for RankFractions {
+    fn default() -> Self {
+        Self { reserved_per_rank: RESERVED_PER_RANK }
+    }
+}
+
+impl RankFractions {
+    /// Fractions that fall to the least one at `rank_max`, the least important rank. Where teams have
+    /// ranks too there are many, and equal steps would leave most of them the least fraction.
+    pub fn up_to(rank_max: u8) -> Self {
+        let step = (1.0 - RANK_FRACTION_MIN) / f64::from(rank_max.max(1));
+        Self { reserved_per_rank: step.min(RESERVED_PER_RANK) }
+    }
+
+    /// Fraction of the budget that is available to requests of `rank`.
+    pub fn of(self, rank: u8) -> f64 {
+        (1.0 - self.reserved_per_rank * f64::from(rank)).max(RANK_FRACTION_MIN)
+    }
 }
 
 /// Takes one retry if `remaining` allows it. If no whole retry is left, draws one with the
--- a/src/mesh/completion.rs
+++ b/src/mesh/completion.rs
@@ -18,7 +18,7 @@
 use rand::Rng;
 use tokio::time::Instant;
 
-use super::budget::{BEST_SHARE_FRACTION, LAGGED_SHARE_FRACTION, rank_fraction};
+use super::budget::{BEST_SHARE_FRACTION, LAGGED_SHARE_FRACTION, RankFractions};
 use super::frame::{Condition, Load, ServiceCalls};
 use super::overload::ADJUST_INTERVAL;
 use super::settings::RetrySection;
@@ -246,7 +246,13 @@
     /// end, so retries that leave the window on the way become available again. Windows that begin
     /// during a fault are earned by fewer requests. They are spent in a proportionally shorter time:
     /// otherwise the rate falls with every window, and budget is left over after a fault of 10 s.
-    fn rate(&self, share: f64, rank: u8, pending: &BTreeMap<u8, f64>) -> f64 {
+    fn rate(
+        &self,
+        share: f64,
+        rank: u8,
+        pending: &BTreeMap<u8, f64>,
+        fractions: RankFractions,
+    ) -> f64 {
         let windows = self.windows(share);
         let most = windows.iter().map(|(budget, _)| *budget).fold(f64::MIN_POSITIVE, f64::max);
         let mut rate = f64::INFINITY;
@@ -254,7 +260,7 @@
             if rank > 0 && age + SPEND_BUCKETS_MIN > WINDOW_BUCKETS {
                 continue;
             }
-            let left = remaining(budget, spent, rank, pending);
+            let left = remaining((budget, spent), rank, pending, fractions);
             let until_end = budget / most * WINDOW_BUCKETS as f64 - age as f64;
             let spend_buckets = if rank == 0 { 0.0 } else { until_end };
             let spend_buckets = spend_buckets.max(SPEND_BUCKETS_MIN as f64);
@@ -268,12 +274,17 @@
 ///
 /// Senders leave a part of the budget to more important ranks. So trees of less important ranks that
 /// were in flight when a fault began can't use up more than their own part.
-fn remaining(budget: f64, mut spent: f64, rank: u8, pending: &BTreeMap<u8, f64>) -> f64 {
+fn remaining(
+    (budget, mut spent): (f64, f64),
+    rank: u8,
+    pending: &BTreeMap<u8, f64>,
+    fractions: RankFractions,
+) -> f64 {
     for (other, retries) in pending.iter().rev() {
-        let bound = if *other < rank { f64::INFINITY } else { budget * rank_fraction(*other) };
+        let bound = if *other < rank { f64::INFINITY } else { budget * fractions.of(*other) };
         spent = spent.max((spent + retries).min(bound));
     }
-    budget * rank_fraction(rank) - spent
+    budget * fractions.of(rank) - spent
 }
 
 /// State of one service.
@@ -423,6 +434,7 @@
 pub struct Completion {
     /// Retries planned per call of this node's trees, before the fraction that senders use.
     share: f64,
+    rank_fractions: Cell<RankFractions>,
     started: Instant,
     /// Whether any target has a condition.
     is_on: Cell<bool>,
@@ -435,6 +447,7 @@
     pub fn new(settings: &RetrySection) -> Self {
         Self {
             share: settings.share * PLANNED_FRACTION,
+            rank_fractions: Cell::default(),
             started: Instant::now(),
             is_on: Cell::default(),
             services: RefCell::default(),
@@ -442,6 +455,11 @@
         }
     }
 
+    /// Sets the least important rank.
+    pub fn set_rank_max(&self, rank_max: u8) {
+        self.rank_fractions.set(RankFractions::up_to(rank_max));
+    }
+
     /// Whether a caller's request is admitted. Counts it as demand.
     pub fn admits(&self, route: &Route, rank: u8, rng: &mut impl Rng) -> bool {
         if !self.is_on.get() {
@@ -542,7 +560,7 @@
                 }
             }
         }
-        decide(&mut plans, &mut services, self.share);
+        decide(&mut plans, &mut services, self.share, self.rank_fractions.get());
         probe(&mut plans);
     }
 
@@ -568,8 +586,9 @@
             service: demand.limited_by.clone(),
             pass: state.and_then(|state| state.pass),
             calls: root.calls.get(&demand.limited_by).copied().unwrap_or(0.0),
-            retries_per_s: state
-                .map_or(0.0, |state| state.budget.rate(self.share, rank, &state.pending)),
+            retries_per_s: state.map_or(0.0, |state| {
+                state.budget.rate(self.share, rank, &state.pending, self.rank_fractions.get())
+            }),
             asked_per_s: root.demand.values().map(Demand::per_s).sum(),
         }
     }
@@ -660,7 +679,12 @@
 
 /// Divides the budgets among the routes, in order of rank and then of the retries that a tree
 /// needs.
-fn decide(plans: &mut [RootPlan], services: &mut HashMap<String, ServiceState>, share: f64) {
+fn decide(
+    plans: &mut [RootPlan],
+    services: &mut HashMap<String, ServiceState>,
+    share: f64,
+    fractions: RankFractions,
+) {
     let ranks = |(index, plan): (usize, &RootPlan)| -> Vec<_> {
         plan.demand.keys().map(|rank| (*rank, index)).collect()
     };
@@ -674,7 +698,7 @@
             for (service, retries) in retries.iter() {
                 let Some(state) = services.get(*service) else { continue };
                 let permitted =
-                    state.budget.rate(share, rank, &state.pending) - state.planned_per_s;
+                    state.budget.rate(share, rank, &state.pending, fractions) - state.planned_per_s;
                 let covered = demand.covered(permitted, *retries);
                 if covered < probability {
                     (probability, limited_by) = (covered, service);
--- a/src/mesh/ingress.rs
+++ b/src/mesh/ingress.rs
@@ -23,7 +23,7 @@
 use super::overload::Admitted;
 use super::peers::pause_after;
 use super::request_log::{AnswerGuard, EndedRequest, RequestSummary, record_end};
-use super::returns::{self, RefusedRequest};
+use super::returns::RefusedRequest;
 use super::running_requests::ParentRequest;
 use super::sender::{self, Outcome, Request};
 use super::site::{Route, Site};
@@ -194,7 +194,8 @@
         root,
         rank: admitted.rank,
         is_repeat: parent.as_ref().is_some_and(|parent| parent.is_repeat),
-        has_progressed: parent.as_ref().is_some_and(|parent| parent.calls.has_completed_call()),
+        // A caller's own request belongs to no run that could have progressed.
+        has_progressed: parent.as_ref().is_none_or(|parent| parent.calls.has_completed_call()),
         team: admitted.team,
     };
     let (outcome, mut summary) = send(node, &route, &request, parent.as_ref()).await;
@@ -297,17 +298,6 @@
         Self::new(reason, retry_after.as_millis() as u64, team)
     }
 
-    /// A refusal because the tree would most likely not complete. A promise would exceed the retry
-    /// budget, so the latest time is named at which the caller still comes back.
-    fn unlikely(node: &Node, route: &Route, team: &Rc<str>, expiry: Option<Instant>) -> Self {
-        let longest = expiry.map(|expiry| returns::longest_delay(expiry, Instant::now()));
-        let retry_after_ms = longest.map_or_else(
-            || sender::retry_after_ms(node, route, NotRun::Unlikely),
-            |longest| longest.as_millis() as u64,
-        );
-        Self::new(NotRun::Unlikely, retry_after_ms, team)
-    }
-
     fn over_quota(over: OverQuota, team: &Rc<str>) -> Self {
         let retry_after_ms = (over.retry_after.as_millis() as u64).max(RETRY_AFTER_QUOTA_MIN_MS);
         let mut rejection = Self::new(NotRun::OverQuota, retry_after_ms, team);
@@ -385,7 +375,9 @@
     })?;
     // Last, so that its demand is what the load and the shares let pass.
     if !node.completion.admits(route, rank, &mut *node.rng.borrow_mut()) {
-        return Err(Rejection::unlikely(node, route, team, expiry));
+        // A promise would exceed the retry budget.
+        let retry_after_ms = sender::retry_after_ms(node, route, NotRun::Unlikely);
+        return Err(Rejection::new(NotRun::Unlikely, retry_after_ms, team));
     }
     if let Identity::Team(team) = &holder {
         admission::admit(node, team)
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -382,6 +382,8 @@
         self.overload.adjust(&services, site.rank_max(), entries);
         share::adjust(self, &status, &services, &site.teams);
         if self.settings.overload.completion {
+            self.budgets.set_rank_max(site.rank_max());
+            self.completion.set_rank_max(site.rank_max());
             self.completion.adjust(&self.target_offers());
         }
         self.adjust_returns(&status, &services);
