--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -334,6 +334,13 @@
         peer.update_status(hello.status.clone());
     }
 
+    /// Whether the target of another node sends the extended load report.
+    pub fn has_extended(&self) -> bool {
+        let peers = self.peers.borrow();
+        let mut conditions = peers.values().filter_map(|peer| peer.condition.current());
+        conditions.any(|(condition, _)| condition.is_extended())
+    }
+
     /// Updates what the targets of each service are compared by. `own` is the condition of the local
     /// target, which belongs to `own_service`.
     pub fn update_references(&self, own_service: &str, own: Option<Condition>) {
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -80,6 +80,8 @@
     pub overload: Overload,
     /// Admission by the probability that call trees complete.
     pub completion: Completion,
+    /// Whether a target of the deployment has sent the extended load report.
+    has_extended_reports: Cell<bool>,
     /// The promises to callers that were refused.
     pub returns: Returns,
     /// The requests that the target is running.
@@ -151,6 +153,7 @@
             target: Target::new(settings.target.address),
             overload: Overload::new(settings.overload.policy),
             completion: Completion::new(&settings.retry),
+            has_extended_reports: Cell::default(),
             returns: Returns::default(),
             running_requests: RunningRequests::default(),
             quotas: Quotas::new(
@@ -372,6 +375,10 @@
             admission::return_expired_tokens(self);
         }
         limit_reports::send_due(self, all + 1);
+        if !self.has_extended_reports.get() {
+            let is_extended = self.target.condition().is_some() || self.directory.has_extended();
+            self.has_extended_reports.set(is_extended);
+        }
         if let Some(condition) = self.reported_condition() {
             self.inbound.send_due_condition(condition, all + 1);
         }
@@ -381,7 +388,7 @@
         let entries = self.directory.linked() + 1;
         self.overload.adjust(&services, site.rank_max(), entries);
         share::adjust(self, &status, &services, &site.teams);
-        if self.settings.overload.completion {
+        if self.completion_is_on() {
             self.budgets.set_rank_max(site.rank_max());
             self.completion.set_rank_max(site.rank_max());
             self.completion.adjust(&self.target_offers());
@@ -397,16 +404,20 @@
         }
     }
 
+    /// Whether admission by completion and retries of rejected offers are on.
+    pub fn completion_is_on(&self) -> bool {
+        self.settings.overload.completion.is_on(self.has_extended_reports.get())
+    }
+
     /// The condition of the target as reported to peers, if it is.
     pub fn reported_condition(&self) -> Option<Condition> {
-        let rejected =
-            || self.settings.overload.completion.then(|| self.target.conditions.current());
+        let rejected = || self.completion_is_on().then(|| self.target.conditions.current());
         self.target.condition().or_else(rejected)
     }
 
     /// Updates the promises to callers that were refused.
     fn adjust_returns(&self, status: &Status, services: &HashMap<String, ServiceView>) {
-        if !self.settings.overload.returns {
+        if !self.settings.overload.returns.is_on(self.has_extended_reports.get()) {
             return;
         }
         let mut capacities = self.directory.capacities(status, self.reported_condition());
--- a/src/mesh/request_log.rs
+++ b/src/mesh/request_log.rs
@@ -124,7 +124,7 @@
 
 /// Retries that the node could still send to the service of a request.
 fn repeats_left(node: &Node, summary: &RequestSummary) -> f64 {
-    if node.settings.overload.completion {
+    if node.completion_is_on() {
         return node.budgets.remaining_lagged(&summary.service);
     }
     node.budgets.remaining(&summary.service)
--- a/src/mesh/sender.rs
+++ b/src/mesh/sender.rs
@@ -158,7 +158,7 @@
         tried: Vec::new(),
         tried_local: false,
         limited_by: None,
-        retries_rejected: node.settings.overload.completion,
+        retries_rejected: node.completion_is_on(),
         reached: Vec::new(),
         reoffers: 0,
         calls: Rc::default(),
--- a/src/mesh/settings.rs
+++ b/src/mesh/settings.rs
@@ -87,10 +87,35 @@
     /// Whether admission takes into account how likely a request's call tree is to finish, and
     /// offers that targets reject are retried within the whole budget.
     #[serde(default)]
-    pub completion: bool,
+    pub completion: Switch,
     /// Whether the times named in refusals have capacity reserved.
     #[serde(default)]
-    pub returns: bool,
+    pub returns: Switch,
+}
+
+/// Where a feature takes effect.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Switch {
+    /// Nowhere.
+    #[default]
+    Off,
+    /// On deployments that have targets which send the extended load report.
+    ExtendedReports,
+    /// Everywhere.
+    On,
+}
+
+impl Switch {
+    /// Whether the feature takes effect; `has_extended_reports` tells whether a target of the
+    /// deployment has sent the extended load report.
+    pub fn is_on(self, has_extended_reports: bool) -> bool {
+        match self {
+            Self::Off => false,
+            Self::ExtendedReports => has_extended_reports,
+            Self::On => true,
+        }
+    }
 }
 
 /// Enforcement of the quotas of teams.
--- a/tests/load/completion.rs
+++ b/tests/load/completion.rs
@@ -8,7 +8,7 @@
 use aspenspring::mesh::completion::{Completion, PassRate, TargetOffers};
 use aspenspring::mesh::frame::{Condition, Load, ServiceCalls};
 use aspenspring::mesh::overload::ADJUST_INTERVAL;
-use aspenspring::mesh::settings::RetrySection;
+use aspenspring::mesh::settings::{MeshSettings, RetrySection, Switch};
 use aspenspring::mesh::site::{Route, RouteKind};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -386,3 +386,28 @@
         assert_eq!(caller.node.completion.admission_probability("read"), 1.0);
     });
 }
+
+/// Guards against other decisions on deployments whose targets send the plain load report.
+#[test]
+fn extended_reports_of_any_target_switch_it_on_where_the_settings_ask_for_them() {
+    support::run(async {
+        let start = async |name: &str| {
+            let answers = vec![Reaction::Answer(200, 0)];
+            let configure = |settings: &mut MeshSettings| {
+                settings.overload.completion = Switch::ExtendedReports
+            };
+            support::start_configured(name, "stock", answers, configure).await
+        };
+        let (entry, other) = (start("one").await, start("two").await);
+        support::link_nodes(&entry, &other).await;
+        let ask = async |load: &str| {
+            *other.target.signals.borrow_mut() = format!("x-load: {load}\r\n");
+            support::ask(&other, &support::request("read", "a1")).await;
+            sleep(Duration::from_millis(600)).await;
+            [&entry, &other].map(|node| node.node.completion_is_on())
+        };
+        assert_eq!(ask("3,0,20").await, [false, false]);
+        assert_eq!(ask("3,0,20,x").await, [false, false]);
+        assert_eq!(ask("3,0,20,100").await, [true, true]);
+    });
+}
--- a/tests/mesh/support.rs
+++ b/tests/mesh/support.rs
@@ -15,7 +15,7 @@
 use aspenspring::mesh::node::Node;
 use aspenspring::mesh::peers;
 use aspenspring::mesh::settings::{
-    ListenSection, LogSection, MeshSettings, NodeSection, OverloadSection, RetrySection,
+    ListenSection, LogSection, MeshSettings, NodeSection, OverloadSection, RetrySection, Switch,
     TargetSection, TeamsSection, TimingSection,
 };
 use aspenspring::mesh::site::{Limits, Route, RouteKind, Share, Site};
@@ -205,10 +205,21 @@
     reactions: Vec<Reaction>,
 ) -> TestNode {
     let configure = |settings: &mut MeshSettings| {
-        settings.overload.completion = true;
-        settings.overload.returns = true;
+        settings.overload.completion = Switch::On;
+        settings.overload.returns = Switch::On;
         settings.teams.fair_shares = true;
     };
+    start_configured(name, service, reactions, configure).await
+}
+
+/// Starts a node with changed settings.
+#[allow(dead_code, reason = "only the tests of tests/load use it")]
+pub async fn start_configured(
+    name: &str,
+    service: &str,
+    reactions: Vec<Reaction>,
+    configure: impl FnOnce(&mut MeshSettings),
+) -> TestNode {
     start_with(next_address().into(), name, service, reactions, configure).await
 }
 
