--- a/tests/platform/node.rs
+++ b/tests/platform/node.rs
@@ -71,6 +71,9 @@
             },
             "target": { "address": at(TARGET_PORT) },
             "store": { "address": store.address.to_string() },
+            // All that a deployment can switch on, so that the soak plays it.
+            "overload": { "policy": "windows", "completion": "on", "returns": "on" },
+            "teams": { "fair_shares": true },
             "bounds": {
                 "graceS": 6, "retryBudgetRatio": 0.2, "retryBudgetSlack": 49, "quotaWindowS": 5,
                 "quotaOverage": 0.1, "quotaSlack": 20,
