Remove what the change left unused, and share what it wrote twice

Unused: the switch in PeerCondition from before the settings, NotRun::Busy of the hand-back that was not built, the scan for conditions that has_extended_reports already answers. Written twice: the loop that finds the routes to log (take_changed) and the pace of reports by the number of targets (paced, three places). A comment in Dispatch::call said the opposite of its line.

--- a/src/mesh/condition.rs
+++ b/src/mesh/condition.rs
@@ -5,7 +5,6 @@
 //! fourth figure. The rejected share is tracked for every target.
 
 use std::cell::{Cell, RefCell};
-use std::rc::Rc;
 use std::time::Duration;
 
 use thiserror::Error;
@@ -213,21 +212,9 @@
 #[derive(Debug, Default)]
 pub struct PeerCondition {
     reported: RefCell<Option<(Condition, Instant)>>,
-    /// Set by the first report of any peer. While it is not set, no decision looks for conditions.
-    any_reported: Rc<Cell<bool>>,
 }
 
 impl PeerCondition {
-    /// A condition that sets `any_reported` when it is reported.
-    pub fn new(any_reported: &Rc<Cell<bool>>) -> Self {
-        Self { any_reported: Rc::clone(any_reported), ..Self::default() }
-    }
-
-    /// Whether a condition was reported.
-    pub fn is_reported(&self) -> bool {
-        self.reported.borrow().is_some()
-    }
-
     /// Records a reported condition. Figures out of range are clamped.
     pub fn update(&self, condition: Condition) {
         let (slowness_min, slowness_max) = SLOWNESS_RANGE_PERCENT;
@@ -238,7 +225,6 @@
             condition.slowness_percent = percent.clamp(slowness_min, slowness_max);
         }
         self.reported.replace(Some((condition, Instant::now())));
-        self.any_reported.set(true);
     }
 
     /// Forgets the condition when a new incarnation takes over.
--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -347,10 +347,6 @@
         self.own_condition.set(own);
         let mut snapshots: HashMap<String, Snapshot> = HashMap::new();
         let peers = self.peers.borrow();
-        if own.is_none() && peers.values().all(|peer| peer.condition.current().is_none()) {
-            self.references.update(snapshots);
-            return;
-        }
         if let Some(run_time_us) = own.and_then(placing::run_time) {
             let snapshot = snapshots.entry(own_service.to_owned()).or_default();
             snapshot.run_times_us.push(run_time_us);
@@ -471,7 +467,8 @@
         for peer in peers.values() {
             let status = peer.status.borrow();
             let Some(link) = peer.open_link().filter(|_| status.ready) else { continue };
-            // A condition that has not changed is not sent again: any frame confirms it.
+            // An unchanged condition is sent again at most as often as load reports, which is every
+            // few seconds for a service of many targets, so any frame confirms it.
             let age = link.last_received().elapsed();
             let reported = peer.condition.current().map(|(condition, _)| (condition, age));
             let is_rejecting =
--- a/src/mesh/frame.rs
+++ b/src/mesh/frame.rs
@@ -507,8 +507,6 @@
     Unlikely,
     /// The entry node shed the request because its team uses more than its share.
     OverShare,
-    /// The target's machine has become slow, and another target can take the call.
-    Busy,
 }
 
 impl NotRun {
@@ -536,7 +534,6 @@
             Self::Limited => "target-limited",
             Self::Unlikely => "unlikely-to-finish",
             Self::OverShare => "over-share",
-            Self::Busy => "target-slow",
         }
     }
 }
--- a/src/mesh/inbound.rs
+++ b/src/mesh/inbound.rs
@@ -10,7 +10,7 @@
 use super::frame::{Condition, Frame, Load, Status, TargetLimit};
 use super::link::Link;
 use super::overload::Policy;
-use super::report::{INTERVAL_BUSY, LoadReport, TARGETS_AT_FULL_RATE};
+use super::report::{INTERVAL_BUSY, LoadReport, paced};
 
 /// Minimum interval between two full status updates, unless the target appears or disappears.
 const STATUS_PAUSE: Duration = INTERVAL_BUSY;
@@ -126,8 +126,11 @@
     /// report to all is long enough ago. `targets` is the number of targets of the service.
     pub fn send_due_condition(&self, condition: Condition, targets: usize) {
         let now = Instant::now();
-        let interval = INTERVAL_BUSY.mul_f64((targets as f64 / TARGETS_AT_FULL_RATE).max(1.0));
-        if self.condition_sent_at.get().is_some_and(|sent_at| now - sent_at < interval) {
+        if self
+            .condition_sent_at
+            .get()
+            .is_some_and(|sent_at| now - sent_at < paced(INTERVAL_BUSY, targets))
+        {
             return;
         }
         let mut has_sent = false;
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -29,7 +29,7 @@
 use super::returns::Returns;
 use super::running_requests::RunningRequests;
 use super::settings::MeshSettings;
-use super::site::Site;
+use super::site::{Route, Site};
 use super::split::Splitter;
 use super::target::{Heartbeat, Target};
 use super::teams::admission;
@@ -382,7 +382,9 @@
         if let Some(condition) = self.reported_condition() {
             self.inbound.send_due_condition(condition, all + 1);
         }
-        self.directory.update_references(&status.service, self.target.condition());
+        if self.has_extended_reports.get() {
+            self.directory.update_references(&status.service, self.target.condition());
+        }
         use_report::send_due(self, &site.teams, all + 1);
         let services = self.directory.services(&status, self.target.gate.demand());
         let entries = self.directory.linked() + 1;
@@ -483,18 +485,8 @@
 
     /// Logs the routes that have begun or ceased to be shed.
     fn log_admission(&self, site: &Site, services: &HashMap<String, ServiceView>) {
-        let mut shed = self.shed_routes.borrow_mut();
-        for route in site.routes() {
-            let probability = self.overload.admission_probability(&route);
-            let is_shed = probability < 1.0;
-            if shed.contains(&route.name) == is_shed {
-                continue;
-            }
-            if is_shed {
-                shed.insert(Rc::clone(&route.name));
-            } else {
-                shed.remove(&route.name);
-            }
+        let probability = |route: &Route| self.overload.admission_probability(route);
+        for (route, probability) in take_changed(&self.shed_routes, site, probability) {
             let limited_by = self.overload.limited_by(&route).unwrap_or_default();
             let load = services.get(&limited_by).map(|view| view.load).unwrap_or_default();
             self.log.emit(&LogEvent::AdmissionChanged {
@@ -524,18 +516,8 @@
 
     /// Logs the routes that have begun or ceased to be restricted to the trees that complete.
     fn log_completion(&self, site: &Site) {
-        let mut unlikely = self.unlikely_routes.borrow_mut();
-        for route in site.routes() {
-            let probability = self.completion.admission_probability(&route.name);
-            let is_restricted = probability < 1.0;
-            if unlikely.contains(&route.name) == is_restricted {
-                continue;
-            }
-            if is_restricted {
-                unlikely.insert(Rc::clone(&route.name));
-            } else {
-                unlikely.remove(&route.name);
-            }
+        let probability = |route: &Route| self.completion.admission_probability(&route.name);
+        for (route, probability) in take_changed(&self.unlikely_routes, site, probability) {
             let inputs = self.completion.restriction(&route.name);
             self.log.emit(&LogEvent::CompletionChanged {
                 root: route.name.to_string(),
@@ -585,6 +567,31 @@
     }
 }
 
+/// The routes whose requests have begun or ceased to be refused since they were last logged, with the
+/// probability of admission. `logged` are the routes last logged as being refused.
+fn take_changed(
+    logged: &RefCell<HashSet<Rc<str>>>,
+    site: &Site,
+    probability: impl Fn(&Route) -> f64,
+) -> Vec<(Rc<Route>, f64)> {
+    let mut logged = logged.borrow_mut();
+    let mut changed = Vec::new();
+    for route in site.routes() {
+        let probability = probability(&route);
+        let is_refused = probability < 1.0;
+        if logged.contains(&route.name) == is_refused {
+            continue;
+        }
+        if is_refused {
+            logged.insert(Rc::clone(&route.name));
+        } else {
+            logged.remove(&route.name);
+        }
+        changed.push((route, probability));
+    }
+    changed
+}
+
 /// Adds an amount to a counter until dropped.
 pub struct CountGuard<'a> {
     counter: &'a Cell<usize>,
--- a/src/mesh/report.rs
+++ b/src/mesh/report.rs
@@ -27,7 +27,13 @@
 const CHANGE_URGENT: f64 = 0.5;
 /// Maximum number of targets that each report at the full rate. Together they send each node at
 /// most 44 reports a second (8 targets, 180 ms); more targets share this rate.
-pub const TARGETS_AT_FULL_RATE: f64 = 8.0;
+const TARGETS_AT_FULL_RATE: f64 = 8.0;
+
+/// The interval between reports of one of `targets` targets that share the rate of reports, where
+/// `interval` is that of a few.
+pub fn paced(interval: Duration, targets: usize) -> Duration {
+    interval.mul_f64((targets as f64 / TARGETS_AT_FULL_RATE).max(1.0))
+}
 
 /// The load last reported to a group of nodes, and the time of the report.
 #[derive(Clone, Copy, Debug, Default)]
@@ -54,7 +60,7 @@
         } else {
             return false;
         };
-        age >= interval.mul_f64((targets as f64 / TARGETS_AT_FULL_RATE).max(1.0))
+        age >= paced(interval, targets)
     }
 
     /// Records that `load` has been reported.
--- a/src/mesh/returns.rs
+++ b/src/mesh/returns.rs
@@ -575,7 +575,7 @@
 }
 
 /// The longest time after which a caller still comes back.
-pub fn longest_delay(expiry: Instant, now: Instant) -> Duration {
+fn longest_delay(expiry: Instant, now: Instant) -> Duration {
     let remaining = expiry.saturating_duration_since(now);
     (remaining / REMAINING_DIVISOR).clamp(DELAY_MIN, DELAY_MAX)
 }
--- a/src/mesh/sender.rs
+++ b/src/mesh/sender.rs
@@ -502,7 +502,8 @@
             remaining_ms: left.as_millis() as u32,
             root: self.request.root.to_string(),
             rank: self.request.rank,
-            // A rejected offer has not run, so the calls of the next run are not made again.
+            // A run after a rejected offer is an arrival beyond the first too, so its calls count as
+            // repeats.
             is_repeat: self.request.is_repeat || self.summary.arrivals > 0,
             team: self.request.team.to_string(),
             method: self.request.method.clone(),
@@ -546,11 +547,7 @@
         CallEnd::MayHaveRun(Doubt::LinkLost) => true,
         CallEnd::NotRun(reason) => !matches!(
             reason,
-            NotRun::Declined
-                | NotRun::Expired
-                | NotRun::Quarantined
-                | NotRun::Limited
-                | NotRun::Busy
+            NotRun::Declined | NotRun::Expired | NotRun::Quarantined | NotRun::Limited
         ),
     }
 }
@@ -571,8 +568,7 @@
         | NotRun::NoKey
         | NotRun::OverQuota
         | NotRun::Orphaned
-        | NotRun::Quarantined
-        | NotRun::Busy => RETRY_AFTER_BUSY_MS,
+        | NotRun::Quarantined => RETRY_AFTER_BUSY_MS,
     }
 }
 
--- a/src/mesh/teams/use_report.rs
+++ b/src/mesh/teams/use_report.rs
@@ -9,7 +9,7 @@
 
 use crate::mesh::frame::{Frame, Load, OtherUse, TeamRankUse, TeamUse};
 use crate::mesh::node::Node;
-use crate::mesh::report::TARGETS_AT_FULL_RATE;
+use crate::mesh::report::paced;
 
 use super::roster::Roster;
 
@@ -69,7 +69,7 @@
 
 /// Interval between two reports of one of `targets` targets of a service.
 pub fn interval(targets: usize) -> Duration {
-    INTERVAL.mul_f64((targets as f64 / TARGETS_AT_FULL_RATE).max(1.0))
+    paced(INTERVAL, targets)
 }
 
 /// Measures how the teams use the local target.
