Keep one sliding window for the retries of senders and of entries

Completion had written again the ring of buckets, the best of three windows and the sums over the windows that contain a moment, which the budgets of senders have. Both now use RetryWindow in a module of its own, so that entries plan by the very windows that senders spend by.

--- a/src/mesh/completion.rs
+++ b/src/mesh/completion.rs
@@ -11,16 +11,16 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, HashSet};
-use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
 
 use rand::Rng;
 use tokio::time::Instant;
 
-use super::budget::{BEST_SHARE_FRACTION, LAGGED_SHARE_FRACTION, RankFractions};
+use super::budget::RankFractions;
 use super::frame::{Condition, Load, ServiceCalls};
 use super::overload::ADJUST_INTERVAL;
+use super::retry_window::{BUCKET, BUCKETS, RetryWindow};
 use super::settings::RetrySection;
 use super::site::Route;
 
@@ -75,12 +75,6 @@
 /// a single request.
 const DEMAND_MIN_PER_S: f64 = 0.001;
 
-/// Length of a bucket of the budget window.
-const BUCKET: Duration = Duration::from_millis(500);
-/// Number of buckets in the budget window of ten seconds.
-const WINDOW_BUCKETS: usize = 20;
-/// Number of buckets kept: this window and the one before, which earns the budget.
-const KEPT_BUCKETS: usize = 2 * WINDOW_BUCKETS;
 /// Shortest time in which the remaining budget is spent, in buckets. The calls of a tree take about
 /// a second.
 const SPEND_BUCKETS_MIN: usize = 2;
@@ -154,88 +148,31 @@
     }
 }
 
-/// Calls of this node's trees to a service in one bucket of the window.
-#[derive(Clone, Copy, Debug, Default)]
-struct Bucket {
-    requests: u32,
-    repeats: u32,
-}
-
 /// This node's part of the retry budget of a service: what its own trees have earned and spent.
 ///
-/// Follows the rule of `budget::RetryBudgets` for services whose targets have conditions, so that
-/// entries plan what senders grant.
+/// Follows the same windows as the budgets of the senders, so that entries plan what senders grant.
 #[derive(Debug)]
 struct TreeBudget {
-    /// The buckets of this window and of the one before, as a ring.
-    buckets: [Bucket; KEPT_BUCKETS],
-    /// Number of the current bucket, counted from the start of the node.
-    newest: u64,
-    /// Number of the bucket with the first calls; `None` if there have been none.
-    oldest: Option<u64>,
+    window: RetryWindow,
+    has_begun: bool,
 }
 
 impl TreeBudget {
-    fn new(newest: u64) -> Self {
-        Self { buckets: [Bucket::default(); KEPT_BUCKETS], newest, oldest: None }
-    }
-
-    /// Advances to the bucket of the given number.
-    fn advance(&mut self, number: u64) {
-        let elapsed = number.saturating_sub(self.newest).min(self.buckets.len() as u64);
-        for back in 0..elapsed {
-            let index = (number - back) as usize % self.buckets.len();
-            self.buckets[index] = Bucket::default();
-        }
-        self.newest = self.newest.max(number);
-    }
-
-    /// The bucket that is `back` buckets older than the current one.
-    fn bucket(&self, back: usize) -> Bucket {
-        let length = self.buckets.len();
-        self.buckets[(self.newest as usize % length + length - back) % length]
+    fn new(bucket: u64) -> Self {
+        Self { window: RetryWindow::new(bucket), has_begun: false }
     }
 
     fn record(&mut self, calls: &ServiceCalls) {
-        self.oldest.get_or_insert(self.newest);
-        let index = self.newest as usize % self.buckets.len();
-        let bucket = &mut self.buckets[index];
+        if !self.has_begun {
+            self.window.begin();
+            self.has_begun = true;
+        }
         let requests = calls.requests.min(CALLS_MAX);
         // A tree whose runs were all repeated by its callers has repeats without a request.
         let repeats = calls.repeats.min(REPEATS_PER_REQUEST_MAX * requests.max(1));
+        let bucket = self.window.current();
         bucket.requests = bucket.requests.saturating_add(requests);
-        bucket.repeats = bucket.repeats.saturating_add(repeats);
-    }
-
-    /// Whether there are calls in any of the kept buckets.
-    fn has_requests(&self) -> bool {
-        self.buckets.iter().any(|bucket| bucket.requests > 0)
-    }
-
-    /// The windows that contain this moment, by the age of their first bucket: the retries that
-    /// `share` permits in each, and those spent in it so far.
-    fn windows(&self, share: f64) -> [(f64, f64); WINDOW_BUCKETS + 1] {
-        let requests = |ages: Range<usize>| -> f64 {
-            ages.map(|age| f64::from(self.bucket(age).requests)).sum()
-        };
-        // In the first twenty seconds of requests, senders count the best of three windows.
-        let is_new = self.oldest.is_none_or(|oldest| self.newest - oldest < KEPT_BUCKETS as u64);
-        let mut earned = requests(usize::from(!is_new)..WINDOW_BUCKETS);
-        if is_new {
-            for back in [WINDOW_BUCKETS / 2, WINDOW_BUCKETS] {
-                earned = earned.max(requests(back..back + WINDOW_BUCKETS));
-            }
-        }
-        let fraction = if is_new { BEST_SHARE_FRACTION } else { LAGGED_SHARE_FRACTION };
-        let mut spent = 0.0;
-        std::array::from_fn(|age| {
-            spent += f64::from(self.bucket(age).repeats);
-            if age > 0 && !is_new {
-                earned -= f64::from(self.bucket(age).requests);
-                earned += f64::from(self.bucket(age + WINDOW_BUCKETS - 1).requests);
-            }
-            (earned * share * fraction, spent)
-        })
+        bucket.spent += f64::from(repeats);
     }
 
     /// The rate at which requests of `rank` may spend the budget, in retries per second. `pending`
@@ -253,15 +190,15 @@
         pending: &BTreeMap<u8, f64>,
         fractions: RankFractions,
     ) -> f64 {
-        let windows = self.windows(share);
+        let windows = self.window.windows().map(|(requests, spent)| (requests * share, spent));
         let most = windows.iter().map(|(budget, _)| *budget).fold(f64::MIN_POSITIVE, f64::max);
         let mut rate = f64::INFINITY;
         for (age, (budget, spent)) in windows.into_iter().enumerate() {
-            if rank > 0 && age + SPEND_BUCKETS_MIN > WINDOW_BUCKETS {
+            if rank > 0 && age + SPEND_BUCKETS_MIN > BUCKETS {
                 continue;
             }
             let left = remaining((budget, spent), rank, pending, fractions);
-            let until_end = budget / most * WINDOW_BUCKETS as f64 - age as f64;
+            let until_end = budget / most * BUCKETS as f64 - age as f64;
             let spend_buckets = if rank == 0 { 0.0 } else { until_end };
             let spend_buckets = spend_buckets.max(SPEND_BUCKETS_MIN as f64);
             rate = rate.min(left / (BUCKET.as_secs_f64() * spend_buckets));
@@ -491,7 +428,7 @@
         if calls.is_empty() {
             return;
         }
-        let bucket = self.bucket();
+        let bucket = RetryWindow::number(self.started);
         let mut services = self.services.borrow_mut();
         for known in calls {
             if !services.contains_key(&known.service) {
@@ -501,7 +438,7 @@
                 services.insert(known.service.clone(), ServiceState::new(bucket));
             }
             let Some(state) = services.get_mut(&known.service) else { continue };
-            state.budget.advance(bucket);
+            state.budget.window.advance(bucket);
             state.budget.record(known);
         }
         if has_succeeded {
@@ -513,7 +450,7 @@
     /// service that has a target with a condition.
     pub fn adjust(&self, targets: &HashMap<String, Vec<TargetOffers>>) {
         let mut services = self.services.borrow_mut();
-        let bucket = self.bucket();
+        let bucket = RetryWindow::number(self.started);
         for (service, offers) in targets {
             if !services.contains_key(service) {
                 services.insert(service.clone(), ServiceState::new(bucket));
@@ -525,14 +462,14 @@
             state.pass = latest.map(average);
         }
         for (service, state) in services.iter_mut() {
-            state.budget.advance(bucket);
+            state.budget.window.advance(bucket);
             state.pending.clear();
             state.planned_per_s = 0.0;
             if !targets.contains_key(service) {
                 state.pass = None;
             }
         }
-        services.retain(|_, state| state.pass.is_some() || state.budget.has_requests());
+        services.retain(|_, state| state.pass.is_some() || state.budget.window.has_requests());
         self.is_on.set(services.values().any(|state| state.pass.is_some()));
         let mut roots = self.roots.borrow_mut();
         if !self.is_on.get() {
@@ -600,11 +537,6 @@
         known.collect()
     }
 
-    /// Number of the current bucket.
-    fn bucket(&self) -> u64 {
-        (self.started.elapsed().as_millis() / BUCKET.as_millis()) as u64
-    }
-
     /// Calls `take` with the state of a route; `None` if there are too many routes.
     fn with_root<T>(&self, name: &Rc<str>, take: impl FnOnce(&mut RootState) -> T) -> Option<T> {
         let mut roots = self.roots.borrow_mut();
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -39,6 +39,7 @@
 pub mod receiver;
 pub mod report;
 pub mod request_log;
+pub mod retry_window;
 pub mod returns;
 pub mod running_requests;
 pub mod sender;
