Show that a change is lost when the store comes back from an older copy

All six nodes ask for changes after a row version that the store has given out again, so a new configuration is in force on none of them.

--- a/review/standin/backend.rs
+++ b/review/standin/backend.rs
@@ -101,8 +101,7 @@
         let (backend, zone) = (Arc::clone(self), zone.to_owned());
         thread::spawn(move || {
             for sequence in 1.. {
-                if backend.ended.load(Ordering::SeqCst)
-                    || backend.is_silent.load(Ordering::SeqCst)
+                if backend.ended.load(Ordering::SeqCst) || backend.is_silent.load(Ordering::SeqCst)
                 {
                     return;
                 }
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -3,12 +3,14 @@
 //! the case could not run.
 
 mod backend;
+mod claimed_parent;
 mod declined;
 mod forgotten_leave;
 mod http;
 mod json;
 mod late_check_in;
 mod quota_stop;
+mod restored_store;
 mod site;
 mod slow_reader;
 mod store;
@@ -51,6 +53,8 @@
         "slow-reader" => slow_reader::run(&site, trouble),
         "late-check-in" => late_check_in::run(&site, trouble),
         "forgotten-leave" => forgotten_leave::run(&site, trouble),
+        "restored-store" => restored_store::run(&site, trouble),
+        "claimed-parent" => claimed_parent::run(&site, trouble),
         "quota-stop" => quota_stop::run(&site, trouble),
         _ => End::NotRun(format!("no case {case}")),
     };
--- a/review/standin/quota_stop.rs
+++ b/review/standin/quota_stop.rs
@@ -115,7 +115,9 @@
         thread.join().ok();
     }
     for node in &nodes {
-        for line in node.log().lines().filter(|line| line.contains("panicked") || line.contains("overflow")) {
+        for line in
+            node.log().lines().filter(|line| line.contains("panicked") || line.contains("overflow"))
+        {
             record.line(format!("log of {}: {line}", node.name));
         }
         node.end();
@@ -135,7 +137,8 @@
             other_cuts += 1;
             continue;
         };
-        let is_around = attempt.ended >= term && attempt.ended <= term + GRACE + Duration::from_secs(1);
+        let is_around =
+            attempt.ended >= term && attempt.ended <= term + GRACE + Duration::from_secs(1);
         let is_late = attempt.ended - attempt.sent >= DEADLINE;
         // Still at work in the last sixth of the grace period.
         let is_excused = attempt.ended >= term + GRACE.mul_f64(5.0 / 6.0);
--- a/review/standin/site.rs
+++ b/review/standin/site.rs
@@ -117,7 +117,14 @@
     }
 
     /// Fills in the template of the deploy file for a machine and returns the node, not started.
-    pub fn node(&self, name: &str, zone: &str, service: &str, machine: Machine, bounds: &str) -> Node {
+    pub fn node(
+        &self,
+        name: &str,
+        zone: &str,
+        service: &str,
+        machine: Machine,
+        bounds: &str,
+    ) -> Node {
         let template = fs::read_to_string("deploy/node.json").expect("no deploy/node.json");
         let ip = machine.ip.to_string();
         let address = |at: SocketAddr| json::quote(&at.to_string());
@@ -135,7 +142,10 @@
             .replace("{{applicationAddress|json}}", &address(machine.application()))
             .replace("{{platform.address|json}}", &address(self.store.address))
             .replace("{{bounds|json}}", bounds);
-        assert!(!settings.contains("{{"), "deploy/node.json has a placeholder that is not known here");
+        assert!(
+            !settings.contains("{{"),
+            "deploy/node.json has a placeholder that is not known here"
+        );
         let path = self.folder.join(format!("{name}.json"));
         fs::write(&path, settings).unwrap();
         Node { site: self.clone(), name: name.to_owned(), machine, path, child: Arc::default() }
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -17,6 +17,15 @@
     rows: Rows,
     version: u64,
     started: Instant,
+    /// `Store-Era`: rises by one each time the store comes back from a copy.
+    era: u64,
+    is_away: bool,
+}
+
+/// A copy of the store.
+pub struct Copy {
+    rows: Rows,
+    version: u64,
 }
 
 /// The store.
@@ -29,7 +38,13 @@
 impl Store {
     pub fn start() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let state = State { rows: Rows::new(), version: 0, started: Instant::now() };
+        let state = State {
+            rows: Rows::new(),
+            version: 0,
+            started: Instant::now(),
+            era: 1,
+            is_away: false,
+        };
         let store = Self {
             address: listener.local_addr().unwrap(),
             state: Arc::new((Mutex::new(state), Condvar::new())),
@@ -44,15 +59,41 @@
         store
     }
 
-    /// Writes a row as the operator does.
-    pub fn put(&self, table: &str, key: &str, value: &[u8]) {
+    /// Writes a row as the operator does. Returns its version.
+    pub fn put(&self, table: &str, key: &str, value: &[u8]) -> u64 {
         let (state, changed) = &*self.state;
         let mut state = state.lock().unwrap();
-        state.version += 1;
-        let version = state.version;
-        let at = (table.to_owned(), String::new(), key.to_owned());
-        state.rows.insert(at, (json::base64(value), version, false));
+        let version = put(&mut state, table, key, value);
         changed.notify_all();
+        version
+    }
+
+    /// A copy of the store as it is now.
+    pub fn copy(&self) -> Copy {
+        let state = self.state.0.lock().unwrap();
+        Copy { rows: state.rows.clone(), version: state.version }
+    }
+
+    /// Turns all calls away until the store comes back.
+    pub fn go_away(&self) {
+        let (state, changed) = &*self.state;
+        state.lock().unwrap().is_away = true;
+        changed.notify_all();
+    }
+
+    /// Comes back from a copy. What the operator has written since is written again, in order,
+    /// before the store takes other calls. Returns the version of the last of these rows.
+    pub fn come_back(&self, copy: Copy, again: &[(&str, &str, &[u8])]) -> u64 {
+        let (state, changed) = &*self.state;
+        let mut state = state.lock().unwrap();
+        (state.rows, state.version) = (copy.rows, copy.version);
+        state.era += 1;
+        for (table, key, value) in again {
+            put(&mut state, table, key, value);
+        }
+        state.is_away = false;
+        changed.notify_all();
+        state.version
     }
 
     fn serve(&self, stream: TcpStream) {
@@ -64,8 +105,10 @@
             thread::sleep(Duration::from_millis(4));
             let (status, body) = self.answer(&request);
             let length = body.len();
+            let era = self.state.0.lock().unwrap().era;
             let text = format!(
-                "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {length}\r\n\r\n{body}"
+                "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nStore-Era: {era}\r\n\
+                 Content-Length: {length}\r\n\r\n{body}"
             );
             if writer.write_all(text.as_bytes()).is_err() {
                 return;
@@ -74,6 +117,9 @@
     }
 
     fn answer(&self, request: &Message) -> (u16, String) {
+        if self.state.0.lock().unwrap().is_away {
+            return (503, "{}".to_owned());
+        }
         let (path, query) = request.path().split_once('?').unwrap_or((request.path(), ""));
         let parameter = |name: &str| {
             let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
@@ -96,12 +142,25 @@
                 let after: u64 = parameter("after").and_then(|t| t.parse().ok()).unwrap_or(0);
                 let wait_ms = parameter("waitMs").and_then(|t| t.parse().ok()).unwrap_or(0);
                 let (state, changed) = &*self.state;
+                let era = state.lock().unwrap().era;
                 let unchanged = |state: &mut State| {
-                    !state.rows.iter().any(|((t, ..), (_, at, _))| *t == table && *at > after)
+                    !state.is_away
+                        && state.era == era
+                        && state.version >= after
+                        && !state
+                            .rows
+                            .iter()
+                            .any(|((t, ..), (_, at, _))| *t == table && *at > after)
                 };
                 let state = state.lock().unwrap();
                 let wait = Duration::from_millis(wait_ms);
                 let (state, _) = changed.wait_timeout_while(state, wait, unchanged).unwrap();
+                if state.is_away || state.era != era {
+                    return (503, "{}".to_owned());
+                }
+                if state.version < after {
+                    return (410, "{}".to_owned());
+                }
                 let wanted = |(t, ..): &(String, String, String), at: u64, _: bool| {
                     *t == table && at > after
                 };
@@ -144,10 +203,14 @@
     }
 }
 
-fn render(
-    state: &State,
-    wanted: impl Fn(&(String, String, String), u64, bool) -> bool,
-) -> String {
+fn put(state: &mut State, table: &str, key: &str, value: &[u8]) -> u64 {
+    state.version += 1;
+    let at = (table.to_owned(), String::new(), key.to_owned());
+    state.rows.insert(at, (json::base64(value), state.version, false));
+    state.version
+}
+
+fn render(state: &State, wanted: impl Fn(&(String, String, String), u64, bool) -> bool) -> String {
     let mut rows = Vec::new();
     let mut found: Vec<_> = state.rows.iter().filter(|(k, v)| wanted(k, v.1, v.2)).collect();
     found.sort_by(|one, other| one.0.2.as_bytes().cmp(other.0.2.as_bytes()));
