--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -8,6 +8,7 @@
 mod forgotten_leave;
 mod http;
 mod json;
+mod large_uploads;
 mod late_check_in;
 mod quota_stop;
 mod restored_store;
@@ -55,6 +56,7 @@
         "forgotten-leave" => forgotten_leave::run(&site, trouble),
         "restored-store" => restored_store::run(&site, trouble),
         "claimed-parent" => claimed_parent::run(&site, trouble),
+        "large-uploads" => large_uploads::run(&site, trouble),
         "quota-stop" => quota_stop::run(&site, trouble),
         _ => End::NotRun(format!("no case {case}")),
     };
--- a/review/standin/site.rs
+++ b/review/standin/site.rs
@@ -223,6 +223,14 @@
         }
     }
 
+    /// The memory that the process has in use now, in kB; 0 if that cannot be read.
+    pub fn memory_kb(&self) -> u64 {
+        let Some(pid) = self.child.lock().unwrap().as_ref().map(Child::id) else { return 0 };
+        let text = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+        let line = text.lines().find(|line| line.starts_with("VmRSS:")).unwrap_or_default();
+        line.split_whitespace().nth(1).and_then(|text| text.parse().ok()).unwrap_or(0)
+    }
+
     /// The log of the node so far.
     pub fn log(&self) -> String {
         fs::read_to_string(self.site.folder.join(format!("{}.log", self.name))).unwrap_or_default()
