Show that a split route keeps the credits of the weights before

A trial of the review, no case: after a change from 90 to 10 to 1 to 0, a third of the requests sent later than configApplyMs still run at the service whose weight is 0.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -10,6 +10,7 @@
 mod json;
 mod large_uploads;
 mod late_check_in;
+mod old_credits;
 mod quota_stop;
 mod restored_store;
 mod site;
@@ -57,6 +58,7 @@
         "restored-store" => restored_store::run(&site, trouble),
         "claimed-parent" => claimed_parent::run(&site, trouble),
         "large-uploads" => large_uploads::run(&site, trouble),
+        "old-credits" => old_credits::run(&site, trouble),
         "quota-stop" => quota_stop::run(&site, trouble),
         _ => End::NotRun(format!("no case {case}")),
     };
