--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -10,6 +10,7 @@
 mod store;
 mod watch;
 
+use std::backtrace::Backtrace;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 
@@ -41,10 +42,13 @@
 }
 
 /// Aborts the process on a panic, so that a node does not appear healthy after one of its tasks has ended.
+///
+/// Prints the backtrace, as the location of a panic in the standard library does not name the caller.
 fn abort_on_panic() {
     let default_hook = std::panic::take_hook();
     std::panic::set_hook(Box::new(move |panic| {
         default_hook(panic);
+        eprintln!("{}", Backtrace::force_capture());
         std::process::abort();
     }));
 }
