Keep an owner for each quota while all nodes stop

Seen by callers: in a rolling restart of two VMs (review/2) one or both nodes exit by SIGABRT, and requests that targets are running end with a closed connection: 18 of 1,190 and 12 of 1,068. Cause: a stopping node leaves the fleet that owns quotas, so with no other member its share of each quota is 0. The time until the next token is then Duration::MAX, and adding that to an Instant panics. Evidence: the backtrace (docs/incidents/stop-abort.md). stopping_nodes_admit_by_quota_when_all_nodes_stop, a_stopping_node_without_peers_admits_by_quota, no_quota_and_no_share_overflows_the_clock and an_owner_without_tokens_is_asked_again_within_a_second fail before. Change: while all linked nodes are stopping, they are the fleet. The time until a token is bounded, and a lease asks an empty owner again after a second at most. Why it works: a fleet is never empty, so no share is 0, and all stopping nodes choose the same owner.

--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -253,20 +253,24 @@
 
     /// The nodes among which the ownership of quotas is divided.
     ///
-    /// Excludes stopping nodes and nodes that were not reached within `UNREACHED_RETENTION` of
-    /// being discovered. A node whose link was lost may be on the other side of a network
-    /// partition, so it counts as known until it is removed.
+    /// Excludes stopping nodes, unless all linked nodes are stopping, and nodes that were not
+    /// reached within `UNREACHED_RETENTION` of being discovered. A node whose link was lost may be
+    /// on the other side of a network partition, so it counts as known until it is removed.
     pub fn fleet(&self, is_stopping: bool) -> Fleet {
         let mut fleet = Fleet { members: Vec::new(), known: 0 };
-        if !is_stopping {
+        let mut stopping = Vec::new();
+        if is_stopping {
+            stopping.push(self.own_address);
+        } else {
             fleet.members.push(self.own_address);
             fleet.known = 1;
         }
         for peer in self.peers.borrow().values() {
+            let is_linked = peer.open_link().is_some();
             if peer.status.borrow().stopping {
+                stopping.extend(is_linked.then_some(peer.address));
                 continue;
             }
-            let is_linked = peer.open_link().is_some();
             if is_linked {
                 fleet.members.push(peer.address);
             }
@@ -274,6 +278,11 @@
                 peer.was_linked.get() || peer.discovered_at.elapsed() < UNREACHED_RETENTION;
             fleet.known += usize::from(is_linked || may_be_alive);
         }
+        if fleet.members.is_empty() {
+            // Stopping nodes still serve requests, and each quota needs an owner.
+            fleet.known += stopping.len();
+            fleet.members = stopping;
+        }
         fleet.members.sort_unstable();
         fleet
     }
--- a/src/mesh/teams/bucket.rs
+++ b/src/mesh/teams/bucket.rs
@@ -6,6 +6,10 @@
 
 use super::roster::Quota;
 
+/// The maximum time until the next token. The rate may be 0, and times that are added to an `Instant` must not
+/// overflow it.
+const UNTIL_NEXT_MAX: Duration = Duration::from_secs(3_600);
+
 /// Tokens that accrue at the rate of a quota, up to its burst.
 #[derive(Clone, Copy, Debug)]
 pub struct Bucket {
@@ -39,9 +43,17 @@
         self.tokens += f64::from(tokens);
     }
 
-    /// The time until a whole token is available; zero if one already is.
+    /// The time until a whole token is available, at most `UNTIL_NEXT_MAX`; zero if one already is.
     pub fn until_next(&self, per_s: f64) -> Duration {
         let deficit = (1.0 - self.tokens).max(0.0);
-        Duration::try_from_secs_f64(deficit / per_s).unwrap_or(Duration::MAX)
+        if deficit == 0.0 {
+            return Duration::ZERO;
+        }
+        time_per_token(per_s / deficit)
     }
 }
+
+/// The time in which one token accrues, at most `UNTIL_NEXT_MAX`.
+pub fn time_per_token(per_s: f64) -> Duration {
+    Duration::try_from_secs_f64(1.0 / per_s).unwrap_or(UNTIL_NEXT_MAX).min(UNTIL_NEXT_MAX)
+}
--- a/src/mesh/teams/lease.rs
+++ b/src/mesh/teams/lease.rs
@@ -24,6 +24,10 @@
 /// The minimum pause before the next request to an owner that had no tokens left.
 const EMPTY_MIN: Duration = Duration::from_millis(20);
 
+/// The maximum time for which requests are refused without asking the owner again. The quota may be raised, and the
+/// owner may reach more of the fleet, before the next token is due.
+const EMPTY_MAX: Duration = Duration::from_secs(1);
+
 /// Whether a request may run, as far as the entry node can decide.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Decision {
@@ -158,11 +162,12 @@
         self.used = grant.used;
         self.equal_share = None;
         if grant.tokens > 0 {
-            self.tokens = if now < self.valid_until { self.tokens } else { 0 } + grant.tokens;
+            let kept = if now < self.valid_until { self.tokens } else { 0 };
+            self.tokens = kept.saturating_add(grant.tokens);
             self.valid_until = now + LEASE_DURATION;
         }
         if grant.tokens < wanted {
-            self.empty_until = now + grant.next_token_in.max(EMPTY_MIN);
+            self.empty_until = now + grant.next_token_in.clamp(EMPTY_MIN, EMPTY_MAX);
             self.retry_at = now + grant.retry_after;
         }
     }
--- a/src/mesh/teams/owner.rs
+++ b/src/mesh/teams/owner.rs
@@ -4,7 +4,7 @@
 
 use tokio::time::Instant;
 
-use super::bucket::Bucket;
+use super::bucket::{Bucket, time_per_token};
 use super::roster::Quota;
 
 /// Number and duration of the slots of the sliding window in which grants are counted.
@@ -99,14 +99,13 @@
         let next_token_in = self.bucket.until_next(quota.per_s);
         let mut retry_after = Duration::ZERO;
         if tokens < wanted {
-            let token_interval =
-                Duration::try_from_secs_f64(1.0 / quota.per_s).unwrap_or(RETRY_AFTER_MAX);
+            let token_interval = time_per_token(quota.per_s);
             let refused = (wanted - tokens).min(RETRY_AFTER_MAX.as_millis() as u32);
             let retry_at = self.last_retry_at.max(now + next_token_in.min(RETRY_AFTER_MAX));
             self.last_retry_at = (retry_at + token_interval * refused).min(now + RETRY_AFTER_MAX);
             retry_after = retry_at.min(now + RETRY_AFTER_MAX) - now;
         }
-        Grant { tokens, next_token_in, retry_after, used: self.granted.iter().sum() }
+        Grant { tokens, next_token_in, retry_after, used: self.used() }
     }
 
     /// Returns unused tokens to the bucket.
@@ -117,9 +116,15 @@
         self.bucket.put_back(tokens);
     }
 
+    /// The tokens granted over the last five seconds.
+    fn used(&self) -> u32 {
+        self.granted.iter().fold(0, |sum: u32, granted| sum.saturating_add(*granted))
+    }
+
     fn record_grant(&mut self, tokens: u32, now: Instant) {
         self.advance_window(now);
-        self.granted[self.newest_slot as usize % SLOT_COUNT] += tokens;
+        let slot = &mut self.granted[self.newest_slot as usize % SLOT_COUNT];
+        *slot = slot.saturating_add(tokens);
     }
 
     fn advance_window(&mut self, now: Instant) {
--- a/src/mesh/teams/quota.rs
+++ b/src/mesh/teams/quota.rs
@@ -29,7 +29,8 @@
 /// The nodes from which the owners of quotas are chosen.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Fleet {
-    /// This node and those that it is connected to, except stopping ones; sorted.
+    /// This node and those that it is connected to, except stopping ones while there are others;
+    /// sorted and never empty.
     pub members: Vec<SocketAddr>,
     /// The number of known nodes, including the members.
     pub known: usize,
--- a/tests/mesh/quotas.rs
+++ b/tests/mesh/quotas.rs
@@ -6,8 +6,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use aspenspring::mesh::teams::lease::{Decision, Step};
-use aspenspring::mesh::teams::owner::{Grant, Tolerance};
+use aspenspring::mesh::teams::lease::{Decision, Lease, Step};
+use aspenspring::mesh::teams::owner::{Grant, OwnedQuota, Tolerance};
 use aspenspring::mesh::teams::quota::{Fleet, QuotaPolicy, Quotas};
 use aspenspring::mesh::teams::roster::Quota;
 use rand::rngs::SmallRng;
@@ -407,3 +407,46 @@
         );
     }
 }
+
+/// Guards against times to the next token that no `Instant` can hold: with a share of 0, every request of a team
+/// ended the process.
+#[test]
+fn no_quota_and_no_share_overflows_the_clock() {
+    let mut rng = SmallRng::seed_from_u64(4);
+    let rates = [f64::MIN_POSITIVE, 1e-19, 1e-16, 1e-9, 0.5, 1e9, f64::MAX];
+    let shares = [0.0, f64::MIN_POSITIVE, 1e-10, 0.5, 1.0];
+    for (per_s, share) in rates.into_iter().flat_map(|rate| shares.map(|share| (rate, share))) {
+        for burst in [0.0, 5.0, f64::MAX] {
+            let quota = Quota { per_s, burst };
+            let now = Instant::now();
+            let mut owned = OwnedQuota::new(quota, &tolerance(), share, now, now);
+            let mut lease = Lease::new(now);
+            for wanted in [1, u32::MAX, 1] {
+                let grant = owned.grant(quota, share, wanted, now);
+                lease.add_grant(&grant, wanted, now);
+                owned.put_back(u32::MAX, now);
+            }
+            let equal = lease.try_take_equal_share(quota, 0.0, 2_900, now, &mut rng);
+            for decision in [lease.try_take(now), equal] {
+                let Decision::Refused { retry_after } = decision else { continue };
+                assert!(retry_after <= Duration::from_secs(3_600), "{quota:?}: {retry_after:?}");
+            }
+        }
+    }
+}
+
+/// Guards against a node that goes on refusing requests by a grant that has become outdated: in the minority of a
+/// partition, the next token of a small quota may be due in minutes.
+#[test]
+fn an_owner_without_tokens_is_asked_again_within_a_second() {
+    let quota = Quota { per_s: 0.5, burst: 5.0 };
+    let now = Instant::now();
+    let mut owned = OwnedQuota::new(quota, &tolerance(), 0.01, now, now);
+    let mut lease = Lease::new(now);
+    let grant = owned.grant(quota, 0.01, 9, now);
+    assert!(grant.next_token_in > Duration::from_secs(60), "{grant:?}");
+    lease.add_grant(&grant, 9, now);
+    while lease.try_take(now) == Decision::Admitted {}
+    assert!(matches!(lease.try_take(now), Decision::Refused { .. }));
+    assert_eq!(lease.try_take(now + Duration::from_secs(1)), Decision::Unknown);
+}
--- a/tests/mesh/teams.rs
+++ b/tests/mesh/teams.rs
@@ -246,3 +246,47 @@
         }
     });
 }
+
+/// Sends requests of a team to stopping nodes in turn, and returns how many were admitted. Those beyond its quota
+/// must be refused.
+async fn admitted_while_stopping(entries: &[&TestNode], count: usize) -> usize {
+    let admitted = count_admitted(entries, count).await;
+    for entry in entries {
+        assert!(entry.node.is_stopping() && !entry.node.is_closing());
+        let fleet = entry.node.quotas.fleet();
+        assert_eq!((fleet.members.len(), fleet.share()), (entries.len(), 1.0), "{fleet:?}");
+    }
+    admitted
+}
+
+/// Guards against nodes that abort on requests of teams with quotas once all other nodes are stopping or down: no
+/// node owned the quota, and the time until the next token overflowed.
+#[test]
+fn stopping_nodes_admit_by_quota_when_all_nodes_stop() {
+    run(async {
+        let (first, second) = entry_and_target("2 growers:green-key:100:20", FAST).await;
+        sleep(Duration::from_millis(400)).await;
+        for node in [&first, &second] {
+            node.node.stop();
+        }
+        // Until both know of each other that they are stopping.
+        sleep(Duration::from_millis(250)).await;
+        let admitted = admitted_while_stopping(&[&first, &second], 60).await;
+        // The burst, and what accrues in the second that 60 requests take at most.
+        assert!((20..=120).contains(&admitted), "{admitted} were admitted");
+    });
+}
+
+/// Guards against the same abort of a node that is alone, and of one whose only peer is down.
+#[test]
+fn a_stopping_node_without_peers_admits_by_quota() {
+    run(async {
+        let alone = start("stock-1", "stock", vec![FAST]).await;
+        assert!(alone.node.apply_document(&"2 growers:green-key:2:20".into(), "test").unwrap());
+        sleep(Duration::from_millis(400)).await;
+        alone.node.stop();
+        sleep(Duration::from_millis(250)).await;
+        let admitted = admitted_while_stopping(&[&alone], 60).await;
+        assert!(admitted < 60, "the quota still holds");
+    });
+}
