Bound the numbers from outside that could end a node

Counts of crashes and the announced length of a body could wrap. Change: bounds, saturating sums, and an error that names `teams`. Result: a_keep_alive_timeout_of_any_length_is_accepted, the_largest_counts_do_not_overflow and the new case of settings_without_a_bound_or_with_a_bad_address_are_refused fail before and pass now.

--- a/src/mesh/http1.rs
+++ b/src/mesh/http1.rs
@@ -29,6 +29,9 @@
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
 /// Keep-alive timeout assumed if the peer announces none.
 const KEEP_ALIVE_DEFAULT: Duration = Duration::from_secs(4);
+/// Maximum keep-alive timeout. A peer may announce any number of seconds, and an `Instant` overflows
+/// with the largest ones.
+const KEEP_ALIVE_MAX: Duration = Duration::from_secs(3_600);
 /// Maximum number of unrelated answers skipped before the right one.
 const SKIPPED_MAX: usize = 4;
 
@@ -194,7 +197,7 @@
         .filter_map(|parameter| parameter.trim().strip_prefix("timeout="))
         .find_map(|value| value.trim().parse::<u64>().ok());
     timeout_s.map_or(KEEP_ALIVE_DEFAULT, |seconds| {
-        Duration::from_secs(seconds).saturating_sub(KEEP_ALIVE_MARGIN)
+        Duration::from_secs(seconds).saturating_sub(KEEP_ALIVE_MARGIN).min(KEEP_ALIVE_MAX)
     })
 }
 
--- a/src/mesh/ingress.rs
+++ b/src/mesh/ingress.rs
@@ -421,7 +421,7 @@
     }
     let memory_bytes = node.settings.node.memory_mb as f64 * 1024.0 * 1024.0;
     let capacity = (memory_bytes * BODIES_MEMORY_FRACTION) as usize;
-    if node.held_bytes.get() + announced > capacity {
+    if node.held_bytes.get().saturating_add(announced) > capacity {
         return Err(not_run_response(StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER_NO_MEMORY_MS));
     }
     let mut read = BytesMut::with_capacity(announced);
--- a/src/mesh/quarantine.rs
+++ b/src/mesh/quarantine.rs
@@ -187,11 +187,11 @@
         records.retain(|_, record| record.is_relevant(now));
         for request in &crash.requests {
             let record = records.entry(*request).or_insert_with(|| Record::new(now));
-            record.crashes += 1;
+            record.crashes = record.crashes.saturating_add(1);
             record.last_crash = now;
         }
         if let Some(record) = crash.held.and_then(|cause| records.get_mut(&cause)) {
-            record.quarantine(record.quarantine_count + 1, now);
+            record.quarantine(record.quarantine_count.saturating_add(1), now);
         }
         if records.len() > RECORDS_MAX {
             records.retain(|_, record| record.crashes >= SUSPECT_CRASHES);
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -65,9 +65,11 @@
     );
     if bounds.contains_key(QUOTA_WINDOW) {
         let teams = rest.entry("teams").or_insert_with(|| serde_json::json!({}));
-        teams["window_ms"] = ((bound(&bounds, QUOTA_WINDOW)? * 1000.0) as u64).into();
-        teams["overage"] = bound(&bounds, "quotaOverage")?.into();
-        teams["slack"] = bound(&bounds, "quotaSlack")?.into();
+        let teams = teams.as_object_mut().ok_or_else(|| eyre!("teams is not an object"))?;
+        let window_ms = (bound(&bounds, QUOTA_WINDOW)? * 1000.0) as u64;
+        teams.insert("window_ms".to_owned(), window_ms.into());
+        teams.insert("overage".to_owned(), bound(&bounds, "quotaOverage")?.into());
+        teams.insert("slack".to_owned(), bound(&bounds, "quotaSlack")?.into());
     }
     Ok(serde_json::from_value(Value::Object(rest))?)
 }
--- a/tests/mesh/exchange.rs
+++ b/tests/mesh/exchange.rs
@@ -117,6 +117,22 @@
     });
 }
 
+/// Guards against the end of the process by a keep-alive timeout that no `Instant` can hold.
+#[test]
+fn a_keep_alive_timeout_of_any_length_is_accepted() {
+    run(async {
+        let address = serve(vec![
+            b"HTTP/1.1 200 OK\r\nx-attempt: 1\r\nkeep-alive: timeout=18446744073709551615\r\n\
+              content-length: 0\r\n\r\n",
+            b"",
+        ])
+        .await;
+        let mut connection = Connection::open(address).await.unwrap();
+        exchange(&mut connection, "1").await.unwrap();
+        assert!(connection.is_usable());
+    });
+}
+
 #[test]
 fn an_answer_before_the_whole_body_was_written_prevents_reuse() {
     run(async {
--- a/tests/mesh/quarantine.rs
+++ b/tests/mesh/quarantine.rs
@@ -293,3 +293,15 @@
     node.record_crash(Vec::new());
     assert!(node.is_empty(), "old records are dropped");
 }
+
+/// Guards against counts from the store or from other nodes that overflow with the next crash.
+#[tokio::test(start_paused = true)]
+async fn the_largest_counts_do_not_overflow() {
+    let node = Quarantine::default();
+    let suspicion =
+        Suspicion { fingerprint: fingerprint(CULPRIT), crashes: u32::MAX, holds: u32::MAX };
+    node.apply_suspicion(&suspicion);
+    advance(Duration::from_secs(24 * 60 * 60)).await;
+    node.record_crash(vec![fingerprint(CULPRIT)]);
+    assert!(node.is_quarantined(fingerprint(CULPRIT)));
+}
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -116,8 +116,10 @@
         ("\"graceS\":6", "\"graceS\":\"six\"", "graceS"),
         ("\"127.0.0.1:5\"", "\"nowhere\"", "invalid"),
         ("\"target\"", "\"other\"", "target"),
+        ("\"teams\":", "\"teams\": 7, \"rest\":", "teams"),
     ] {
-        let text = filled_template();
+        let text = filled_template()
+            .replace("\"seedLagS\":3", "\"quotaWindowS\":5,\"quotaOverage\":0.1,\"quotaSlack\":20");
         assert!(text.contains(from), "{from}");
         let error = parse_settings(&text.replace(from, to)).expect_err("refused");
         assert!(format!("{error:#}").contains(expected), "{error:#}");
