Never send an attempt twice on one connection to a target

Without an attempt left, such a request is refused and has run. Cause: answers are matched by the id of the attempt, which all offers of an attempt share. The next offer mostly goes out on the connection of the one before, where the late copy of the rejection is taken for its answer. Change: a connection remembers the last 64 attempts and carries none of them again. Why it works: a copy then always has a foreign id, and is skipped.

--- a/src/mesh/http1.rs
+++ b/src/mesh/http1.rs
@@ -2,8 +2,11 @@
 //!
 //! hyper's client takes the next bytes on a connection as the answer to the last request. A target
 //! may send a second, late answer to an earlier request on a kept connection, recognizable only by
-//! the id in it, so this client matches answers before accepting them.
+//! the id in it, so this client matches answers before accepting them. Offers of one attempt have
+//! the same id, so each needs a connection of its own.
 
+use std::collections::VecDeque;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -32,6 +35,8 @@
 /// Maximum keep-alive timeout. A peer may announce any number of seconds, and an `Instant` overflows
 /// with the largest ones.
 const KEEP_ALIVE_MAX: Duration = Duration::from_secs(3_600);
+/// Number of attempts that a connection remembers. Late answers arrive in front of the next one.
+const CARRIED_MAX: usize = 64;
 /// Maximum number of unrelated answers skipped before the right one.
 const SKIPPED_MAX: usize = 4;
 
@@ -62,6 +67,8 @@
     stream: TcpStream,
     buffer: BytesMut,
     usable_until: Instant,
+    /// Hashes of the ids of the attempts last sent on it, oldest first.
+    carried: VecDeque<u64>,
 }
 
 /// A complete answer.
@@ -98,7 +105,21 @@
     pub async fn open(address: SocketAddr) -> Result<Self, ExchangeError> {
         let stream = socket::connect(address).await.map_err(ExchangeError::Connect)?;
         let usable_until = Instant::now() + KEEP_ALIVE_DEFAULT;
-        Ok(Self { stream, buffer: BytesMut::new(), usable_until })
+        Ok(Self { stream, buffer: BytesMut::new(), usable_until, carried: VecDeque::new() })
+    }
+
+    /// Records that a request with this attempt id is sent on the connection.
+    pub fn record_attempt(&mut self, attempt_id: &str) {
+        if self.carried.len() >= CARRIED_MAX {
+            self.carried.pop_front();
+        }
+        self.carried.push_back(hash(attempt_id));
+    }
+
+    /// Whether the connection has carried a request with this attempt id. It must not carry another
+    /// one: a late copy of the answer to the first could not be told from the answer to the second.
+    pub fn has_carried(&self, attempt_id: &str) -> bool {
+        !self.carried.is_empty() && self.carried.contains(&hash(attempt_id))
     }
 
     /// Whether another request can be written: the peer has not closed the connection, has sent no
@@ -131,6 +152,12 @@
     }
 }
 
+fn hash(attempt_id: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    attempt_id.hash(&mut hasher);
+    hasher.finish()
+}
+
 /// Writes a request while its answer is read, which may arrive before the request is fully written.
 ///
 /// A peer that answers early may stop reading, so the answer counts even if writing fails. The
--- a/src/mesh/receiver.rs
+++ b/src/mesh/receiver.rs
@@ -156,7 +156,7 @@
         Err(_) => return NotRun::Expired.into(),
     };
     let entered_at = Instant::now();
-    let connection = match node.target.take_idle() {
+    let connection = match node.target.take_idle(&call.attempt_id) {
         Some(connection) => connection,
         None => match Connection::open(node.target.address).await {
             Ok(connection) => connection,
@@ -231,6 +231,7 @@
         is_mine
     };
     node.metrics.record_target_request(call.is_repeat);
+    connection.record_attempt(&call.attempt_id);
     let exchanged = connection.exchange(&method, &head, &call.body, accepts);
     let reply = match timeout_at(deadline, exchanged).await {
         Ok(Ok(reply)) => reply,
--- a/src/mesh/target.rs
+++ b/src/mesh/target.rs
@@ -265,10 +265,12 @@
         self.gate.load()
     }
 
-    /// Takes a usable idle connection, if there is one.
-    pub fn take_idle(&self) -> Option<Connection> {
+    /// Takes a usable idle connection that has not carried this attempt, if there is one.
+    pub fn take_idle(&self, attempt_id: &str) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
-        while let Some(connection) = idle.pop() {
+        let is_new = |connection: &Connection| !connection.has_carried(attempt_id);
+        while let Some(index) = idle.iter().rposition(is_new) {
+            let connection = idle.remove(index);
             if connection.is_usable() {
                 return Some(connection);
             }
--- a/tests/mesh/nodes.rs
+++ b/tests/mesh/nodes.rs
@@ -168,6 +168,25 @@
     });
 }
 
+/// Guards against requests that run twice, or are refused though they run: the copy of a rejection was taken for the
+/// answer to the next offer of the same attempt on the same connection.
+#[test]
+fn a_late_copy_of_a_rejection_is_not_taken_for_the_answer_to_the_next_offer() {
+    run(async {
+        let slow = Reaction::Answer(200, 30);
+        for (reactions, offers) in [
+            (vec![Reaction::DeclineTwice, slow.clone()], 2),
+            (vec![Reaction::Decline, Reaction::DeclineTwice, slow], 3),
+        ] {
+            let entry = start("stock-1", "stock", reactions).await;
+            let answer = ask(&entry, &request("book", "a1")).await;
+            assert_eq!((status(&answer), entry.target.arrivals()), (200, offers));
+            let next = ask(&entry, &request("book", "a2")).await;
+            assert_eq!(header(&next, "x-attempt").as_deref(), Some("a2"));
+        }
+    });
+}
+
 #[test]
 fn an_older_configuration_never_replaces_a_newer_one() {
     run(async {
--- a/tests/mesh/support.rs
+++ b/tests/mesh/support.rs
@@ -143,6 +143,8 @@
     Twice,
     /// Reports that it did not run the request.
     Decline,
+    /// Like `Decline`, and sends the answer again just before the next one on the connection.
+    DeclineTwice,
     /// Reads the request and closes the connection.
     Break,
     /// Reports that this other incarnation is at the address.
@@ -363,7 +365,7 @@
                 answer_of(*status, &id, name, length)
             }
             Reaction::Twice => answer_of(200, &id, name, length),
-            Reaction::Decline => format!(
+            Reaction::Decline | Reaction::DeclineTwice => format!(
                 "HTTP/1.1 503 X\r\nx-attempt: {id}\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n"
             ),
             Reaction::CrashOn(after_ms, _) if crashes => {
@@ -386,7 +388,7 @@
         if stream.write_all(written.as_bytes()).await.is_err() {
             return;
         }
-        if matches!(reaction, Reaction::Twice) {
+        if matches!(reaction, Reaction::Twice | Reaction::DeclineTwice) {
             duplicate = answer;
         }
     }
