Keep the runs of one attempt apart at its target

Seen by callers: a read that is sent again after its link was lost may fail, as its calls are refused as orphans. Cause: runs are registered by the id of the attempt. With two runs of one attempt, the end of one removed the other. Change: each run is registered by itself, and an attempt has ended once its last run has. Result: the_end_of_one_run_of_an_attempt_leaves_the_other fails before and passes now.

--- a/src/mesh/running_requests.rs
+++ b/src/mesh/running_requests.rs
@@ -92,13 +92,21 @@
 #[derive(Debug)]
 pub struct RunningRequests {
     started: Instant,
-    running: RefCell<HashMap<String, ParentRequest>>,
+    /// The runs of each request, oldest first. An attempt that is sent again may reach the target
+    /// while an earlier run still goes on.
+    running: RefCell<HashMap<String, Vec<(u64, ParentRequest)>>>,
+    next_run: Cell<u64>,
     ended: RefCell<RecentlyEnded>,
 }
 
 impl Default for RunningRequests {
     fn default() -> Self {
-        Self { started: Instant::now(), running: RefCell::default(), ended: RefCell::default() }
+        Self {
+            started: Instant::now(),
+            running: RefCell::default(),
+            next_run: Cell::default(),
+            ended: RefCell::default(),
+        }
     }
 }
 
@@ -138,6 +146,7 @@
 pub struct RunGuard<'a> {
     running_requests: &'a RunningRequests,
     id: &'a str,
+    run: u64,
     withdrawn: CancellationToken,
     is_answered: bool,
 }
@@ -151,10 +160,12 @@
 
 impl Drop for RunGuard<'_> {
     fn drop(&mut self) {
-        self.running_requests.running.borrow_mut().remove(self.id);
         if !self.is_answered {
             self.withdrawn.cancel();
         }
+        if self.running_requests.remove(self.id, self.run) {
+            return;
+        }
         let now = Instant::now();
         let mut ended = self.running_requests.ended.borrow_mut();
         ended.evict_expired(now);
@@ -166,19 +177,33 @@
     /// Registers request `id` as running until the returned guard is dropped.
     pub fn register<'a>(&'a self, id: &'a str, parent: ParentRequest) -> RunGuard<'a> {
         let withdrawn = parent.withdrawn.clone();
-        self.running.borrow_mut().insert(id.to_owned(), parent);
-        RunGuard { running_requests: self, id, withdrawn, is_answered: false }
+        let run = self.next_run.replace(self.next_run.get() + 1);
+        self.running.borrow_mut().entry(id.to_owned()).or_default().push((run, parent));
+        RunGuard { running_requests: self, id, run, withdrawn, is_answered: false }
+    }
+
+    /// Removes a run. Returns whether another run of the request goes on.
+    fn remove(&self, id: &str, run: u64) -> bool {
+        let mut running = self.running.borrow_mut();
+        let Some(runs) = running.get_mut(id) else { return false };
+        runs.retain(|(other, _)| *other != run);
+        if runs.is_empty() {
+            running.remove(id);
+            return false;
+        }
+        true
     }
 
     /// Number of running requests with the root route `root`.
     pub fn running_of(&self, root: &str) -> usize {
-        self.running.borrow().values().filter(|parent| &*parent.root == root).count()
+        let running = self.running.borrow();
+        running.values().flatten().filter(|(_, parent)| &*parent.root == root).count()
     }
 
     /// Number of running requests by team and rank.
     pub fn running_by_team(&self) -> HashMap<(Rc<str>, u8), u32> {
         let mut counts = HashMap::new();
-        for parent in self.running.borrow().values() {
+        for (_, parent) in self.running.borrow().values().flatten() {
             *counts.entry((Rc::clone(&parent.team), parent.rank)).or_default() += 1;
         }
         counts
@@ -199,9 +224,10 @@
         self.ended.borrow().answered.get(parent) == Some(&false)
     }
 
-    /// The parent request of the call `id`, if it is running.
+    /// The parent request of the call `id`, if it is running; of several runs, the last one.
     pub fn parent(&self, id: &str) -> Option<ParentRequest> {
         let (parent, _) = id.rsplit_once(SEPARATOR)?;
-        self.running.borrow().get(parent).cloned()
+        let running = self.running.borrow();
+        running.get(parent)?.last().map(|(_, parent)| parent.clone())
     }
 }
--- a/tests/mesh/nodes.rs
+++ b/tests/mesh/nodes.rs
@@ -1,12 +1,15 @@
 //! Whole nodes: which target gets a request, what the target receives, and what answer the caller
 //! gets.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use aspenspring::mesh::peers;
+use aspenspring::mesh::running_requests::{ParentRequest, RunningRequests};
 use aspenspring::mesh::target::TargetState;
 use tokio::io::AsyncWriteExt;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
+use tokio_util::sync::CancellationToken;
 
 use super::support::{
     Reaction, ask, connect, header, heartbeat, link_nodes, read_message, request, run, start,
@@ -296,6 +299,36 @@
     });
 }
 
+/// Guards against calls that are refused as orphans while their parent request runs: of two runs of one attempt, the
+/// one that ended first took the other with it.
+#[test]
+fn the_end_of_one_run_of_an_attempt_leaves_the_other() {
+    let running = RunningRequests::default();
+    let parent = |rank| ParentRequest {
+        root: "read".into(),
+        rank,
+        deadline: Instant::now(),
+        is_repeat: false,
+        team: "".into(),
+        has_failed_below: Rc::default(),
+        calls: Rc::default(),
+        inner_call_time: Rc::default(),
+        withdrawn: CancellationToken::new(),
+    };
+    let first = running.register("a1", parent(1));
+    let second = running.register("a1", parent(2));
+    drop(first);
+    let found = running.parent("a1.b2").expect("the second run goes on");
+    assert!(found.rank == 2 && !found.withdrawn.is_cancelled());
+    assert!(!running.has_unanswered_parent("a1.b2"));
+    let third = running.register("a1", parent(3));
+    assert_eq!(running.running_of("read"), 2);
+    second.finish();
+    assert_eq!(running.parent("a1.b2").unwrap().rank, 3);
+    drop(third);
+    assert!(running.parent("a1.b2").is_none() && running.has_unanswered_parent("a1.b2"));
+}
+
 #[test]
 fn another_incarnation_at_the_address_does_not_run_requests_for_the_first() {
     run(async {
