Save the departure of a target before it is acknowledged

Cause: departures were kept in the memory of the node and of its peers alone. The new tests an_acknowledged_departure_outlasts_all_nodes, a_departure_is_acknowledged_only_once_the_store_has_it and departures_saved_by_another_process_are_kept fail before. Change: a departure is written to the store, under a condition, before it is acknowledged, and read at the start of the node. While the store is silent it is answered 503 after 0.9 s, and the target gets no more requests all the same. Why it works: what a target counts on outlives every process that told it so.

--- a/src/event.rs
+++ b/src/event.rs
@@ -395,7 +395,7 @@
         /// `ready`, `cold` or `none`.
         state: &'static str,
         /// The source of the information: `heartbeat`, `farewell`, `answer`,
-        /// `refused_connection` or `other_incarnation`.
+        /// `refused_connection`, `other_incarnation` or `table`.
         learned_from: &'static str,
         /// Maximum number of requests running concurrently.
         limit: u32,
@@ -440,6 +440,18 @@
         /// `answer` (of the target) or `peer` (which was told before this node was restarted).
         learned_from: &'static str,
     }
+    /// A departure of the node's target was not saved in time, and was not acknowledged.
+    1015 Warning DepartureUnsaved {
+        /// The incarnation, which gets no more work.
+        instance: String,
+        /// How long the target was kept waiting.
+        waited_ms: u64,
+    }
+    /// The departures that earlier processes of the node had saved were read.
+    1016 Info DeparturesRestored {
+        /// The incarnations, separated by spaces.
+        instances: String,
+    }
     /// Another node can be called.
     1020 Info LinkUp {
         /// Its address.
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -10,6 +10,7 @@
 pub mod condition;
 pub mod crash;
 pub mod crash_reports;
+pub mod departures;
 pub mod directory;
 pub mod failure_share;
 pub mod fingerprint;
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -15,6 +15,7 @@
 
 use super::budget::RetryBudgets;
 use super::completion::{Completion, TargetOffers};
+use super::departures::Departures;
 use super::directory::Directory;
 use super::follower::StoreWatch;
 use super::frame::{Condition, FEATURE_CONDITION, Frame, Hello, RootWork, Status};
@@ -76,6 +77,8 @@
     pub directory: Directory,
     /// The local target.
     pub target: Target,
+    /// The departures of the local target.
+    pub departures: Departures,
     /// Admission of callers' requests.
     pub overload: Overload,
     /// Admission by the probability that call trees complete.
@@ -151,6 +154,7 @@
         Self {
             directory: Directory::new(settings.listen.peers, &settings.node.failure_domain),
             target: Target::new(settings.target.address),
+            departures: Departures::default(),
             overload: Overload::new(settings.overload.policy),
             completion: Completion::new(&settings.retry),
             has_extended_reports: Cell::default(),
@@ -253,12 +257,16 @@
         self.stopping_since.get().is_some()
     }
 
-    /// Whether the node still accepts calls for the local target.
+    /// Whether the node accepts calls for the local target: it knows the target's departures, and is
+    /// not about to end.
     ///
     /// A stopping node keeps serving its target for a part of the grace period: the target is still
     /// running, and cannot be reached while its node restarts. Calls accepted until then finish
     /// within the rest of the grace period.
     pub fn accepts_calls(&self) -> bool {
+        if !self.departures.is_settled(self.site_version() > 0) {
+            return false;
+        }
         let grace = Duration::from_millis(self.settings.timing.stop_grace_ms);
         let until = grace.mul_f64(STOP_ACCEPT_SHARE);
         self.stopping_since.get().is_none_or(|since| since.elapsed() < until)
--- a/src/mesh/target.rs
+++ b/src/mesh/target.rs
@@ -199,6 +199,14 @@
         self.mark_unavailable(&incarnation)
     }
 
+    /// The incarnation that has left according to a report about `incarnation`, which may lack the
+    /// start time.
+    pub fn departure(&self, incarnation: &Incarnation) -> Incarnation {
+        let left = self.left.borrow();
+        let found = left.iter().rev().find(|left| left.ends(incarnation));
+        found.unwrap_or(incarnation).clone()
+    }
+
     /// Stops giving work to an incarnation until its next heartbeat. Returns whether the state has
     /// changed.
     pub fn mark_unavailable(&self, incarnation: &Incarnation) -> bool {
--- a/src/platform/heartbeat.rs
+++ b/src/platform/heartbeat.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Method, Response};
@@ -23,6 +24,8 @@
 const DEREGISTER_PATH: &str = "/aspenspring/Instances.Deregister/";
 /// The maximum length of a request body.
 const BODY_MAX_BYTES: usize = 64 * 1024;
+/// How long a target waits for the acknowledgement of its departure. It takes no answer after a second.
+const SAVE_TIMEOUT: Duration = Duration::from_millis(900);
 
 #[derive(Deserialize)]
 struct HeartbeatBody {
@@ -90,12 +93,13 @@
     let Ok(body) = body else { return status_only(400) };
     let body = body.to_bytes();
     let result = if is_deregistration {
-        handle_deregistration(node, id, &body)
+        handle_deregistration(node, id, &body).map(Some)
     } else {
         handle_heartbeat(node, id, &body)
     };
     match result {
-        Ok(()) => accepted_response(),
+        Ok(None) => accepted_response(),
+        Ok(Some(departed)) => acknowledge_departure(node, &departed).await,
         Err(error) => {
             let detail = format!("{id}: {error:#}");
             node.log.emit(&LogEvent::InputRefused { input: "heartbeat", detail });
@@ -104,21 +108,36 @@
     }
 }
 
-/// Handles a deregistration: the target is about to exit.
-fn handle_deregistration(node: &Node, id: &str, body: &[u8]) -> eyre::Result<()> {
+/// Acknowledges a departure once it is saved. The target gets no more work in any case, and reports its departure
+/// again if it is not acknowledged.
+async fn acknowledge_departure(node: &Node, departed: &Incarnation) -> Response<Full<Bytes>> {
+    node.departures.request_save(departed);
+    if node.departures.wait_until_saved(departed, SAVE_TIMEOUT).await {
+        return accepted_response();
+    }
+    let waited_ms = SAVE_TIMEOUT.as_millis() as u64;
+    node.log.emit(&LogEvent::DepartureUnsaved { instance: departed.id.clone(), waited_ms });
+    status_only(503)
+}
+
+/// Handles a deregistration: the target is about to exit. Returns the incarnation that has left.
+fn handle_deregistration(node: &Node, id: &str, body: &[u8]) -> eyre::Result<Incarnation> {
     let deregistration =
         if body.is_empty() { DeregistrationBody::default() } else { serde_json::from_slice(body)? };
     let incarnation = Incarnation { id: id.to_owned(), started_unix_ms: deregistration.born };
     if node.target.mark_left(&incarnation) {
         node.target_changed("farewell");
     }
-    Ok(())
+    Ok(node.target.departure(&incarnation))
 }
 
-/// Handles a heartbeat.
-fn handle_heartbeat(node: &Node, id: &str, body: &[u8]) -> eyre::Result<()> {
+/// Handles a heartbeat. Returns the incarnation if it is about to leave.
+fn handle_heartbeat(node: &Node, id: &str, body: &[u8]) -> eyre::Result<Option<Incarnation>> {
     let body: HeartbeatBody = serde_json::from_slice(body)?;
-    node.apply_heartbeat(&to_heartbeat(id, body))
+    let heartbeat = to_heartbeat(id, body);
+    node.apply_heartbeat(&heartbeat)?;
+    let is_leaving = heartbeat.state == TargetState::Draining;
+    Ok(is_leaving.then(|| node.target.departure(&heartbeat.incarnation)))
 }
 
 fn to_heartbeat(id: &str, body: HeartbeatBody) -> Heartbeat {
--- a/src/platform/members.rs
+++ b/src/platform/members.rs
@@ -1,4 +1,5 @@
-//! Registers a node in the store at its start, and reads the other nodes and the quarantined requests from it.
+//! Registers a node in the store at its start, and reads the departures of its target, the other nodes and the
+//! quarantined requests from it.
 //!
 //! Each node writes its own row and then reads all rows. Of two nodes that start at the same time, the one that reads
 //! later finds the row of the other and connects to it, so no node has to watch the table.
@@ -9,8 +10,10 @@
 
 use eyre::eyre;
 use rand::Rng;
+use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until};
 
+use super::departures;
 use super::quarantine;
 use super::store::{Row, Store};
 use crate::event::LogEvent;
@@ -33,13 +36,15 @@
 /// A node that cannot reach the store but has the configuration from another node is ready after this time.
 const READY_WITHOUT_STORE_AFTER: Duration = Duration::from_secs(2);
 
-/// Registers this node and connects to all others. Retries until the store has answered.
+/// Restores the departures of the node's target, registers the node and connects to all others. Retries until the
+/// store has answered.
 pub async fn join(node: Rc<Node>, address: SocketAddr) {
     let started = Instant::now();
     let mut store = Store::new(address);
+    let mut has_restored = false;
     let mut backoff = BACKOFF_MIN;
     let mut attempted_at = started;
-    while let Err(error) = register_and_read(&node, &mut store).await {
+    while let Err(error) = restore_and_register(&node, &mut store, &mut has_restored).await {
         let detail = format!("cannot register in the list of nodes or read it: {error:#}");
         let asked_ms = attempted_at.elapsed().as_millis() as u64;
         node.log.emit(&LogEvent::StoreAway { store: "table", detail, asked_ms });
@@ -56,6 +61,19 @@
     node.has_joined.set(true);
 }
 
+async fn restore_and_register(
+    node: &Rc<Node>,
+    store: &mut Store,
+    has_restored: &mut bool,
+) -> eyre::Result<()> {
+    if !*has_restored {
+        let version = departures::restore(node, store).await?;
+        spawn_local(departures::persist(Rc::clone(node), store.address(), version));
+        *has_restored = true;
+    }
+    register_and_read(node, store).await
+}
+
 async fn register_and_read(node: &Rc<Node>, store: &mut Store) -> eyre::Result<()> {
     let settings = &node.settings;
     let key = settings.listen.peers.to_string();
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,6 +1,7 @@
 //! Adapter to the users' platform: translates its settings, headers, heartbeats, configuration and metadata
 //! store into the types of the mesh node. It contains no decision logic.
 
+mod departures;
 mod document;
 mod headers;
 mod heartbeat;
@@ -77,6 +78,7 @@
         address: mesh.listen.peers,
     });
     let node = Rc::new(Node::new(mesh, headers::header_names(), Box::new(read_document), log));
+    node.departures.await_restore();
     launch::start(&node).wrap_err("cannot open the listeners")?;
     heartbeat::start(&node).wrap_err("cannot listen for heartbeats of the target")?;
     spawn_local(watch::watch_site(Rc::clone(&node), store.address));
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -5,7 +5,7 @@
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
-use eyre::{WrapErr, bail};
+use eyre::{WrapErr, bail, eyre};
 use http::Method;
 use serde::{Deserialize, Deserializer, Serialize};
 use serde_json::{Value, json};
@@ -26,6 +26,9 @@
     /// The value in base64; missing if the row was deleted.
     #[serde(default)]
     value: String,
+    /// The version of the last change of the row.
+    #[serde(default)]
+    pub row_version: u64,
     /// Whether the row was deleted.
     #[serde(default)]
     pub deleted: bool,
@@ -73,6 +76,33 @@
     HistoryGone,
 }
 
+/// Where a row is.
+#[derive(Clone, Copy, Debug)]
+pub struct Place<'a> {
+    /// The table.
+    pub table: &'a str,
+    /// The part of the table.
+    pub part: &'a str,
+    /// The key.
+    pub key: &'a str,
+}
+
+/// The result of a conditional write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Written {
+    /// The row was written and has this version.
+    Done(u64),
+    /// The row did not have the expected version.
+    Conflict,
+}
+
+/// The answer to a transaction.
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Committed {
+    row_version: u64,
+}
+
 /// A row to write.
 #[derive(Serialize)]
 struct Put<'a> {
@@ -95,6 +125,11 @@
         Self { address, connection: None }
     }
 
+    /// The address of the store.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// The rows of a table from key `from` on, at most 500. Fails after `time_limit`.
     pub async fn rows(
         &mut self,
@@ -108,6 +143,27 @@
         Ok(serde_json::from_slice(&reply.body)?)
     }
 
+    /// The row at `place`, if it exists. Fails after `time_limit`.
+    pub async fn row(
+        &mut self,
+        place: &Place<'_>,
+        time_limit: Duration,
+    ) -> eyre::Result<Option<Row>> {
+        let Place { table, part, key } = place;
+        let path =
+            format!("/aspenspring/rows-get?table={table}&part={part}&rangeStart={key}&limit=1");
+        let reply = self.send_request(&Method::GET, &path, b"", time_limit).await?;
+        expect_ok(&reply)?;
+        let found: Rows = serde_json::from_slice(&reply.body)?;
+        for row in found.rows {
+            let row = row.map_err(|error| eyre!("a row of {table}: {error}"))?;
+            if row.key == *key {
+                return Ok(Some(row));
+            }
+        }
+        Ok(None)
+    }
+
     /// Long poll: the rows of a table that changed after `version`, as soon as there are any; none if nothing
     /// changes within the wait.
     pub async fn changes(
@@ -132,6 +188,26 @@
         self.write(&json!({ "expectedRevision": [], "put": [put], "remove": [] })).await
     }
 
+    /// Writes a row if its version is `expected`; 0 means that it does not exist.
+    pub async fn put_if(
+        &mut self,
+        place: &Place<'_>,
+        expected: u64,
+        value: &[u8],
+    ) -> eyre::Result<Written> {
+        let Place { table, part, key } = *place;
+        let condition = json!({ "table": table, "part": part, "key": key, "rowVersion": expected });
+        let put = Put { table, part, key, value: STANDARD.encode(value) };
+        let transaction = json!({ "expectedRevision": [condition], "put": [put], "remove": [] });
+        let reply = self.send_transaction(&transaction).await?;
+        if reply.status == http::StatusCode::PRECONDITION_FAILED.as_u16() {
+            return Ok(Written::Conflict);
+        }
+        expect_ok(&reply)?;
+        let committed: Committed = serde_json::from_slice(&reply.body)?;
+        Ok(Written::Done(committed.row_version))
+    }
+
     /// Deletes a row if it exists.
     pub async fn remove(&mut self, table: &str, key: &str) -> eyre::Result<()> {
         let removed = json!({ "table": table, "part": "", "key": key });
@@ -139,10 +215,12 @@
     }
 
     async fn write(&mut self, transaction: &Value) -> eyre::Result<()> {
+        expect_ok(&self.send_transaction(transaction).await?)
+    }
+
+    async fn send_transaction(&mut self, transaction: &Value) -> eyre::Result<Reply> {
         let body = serde_json::to_vec(transaction)?;
-        let reply =
-            self.send_request(&Method::POST, "/aspenspring/rows-tx", &body, WRITE_TIMEOUT).await?;
-        expect_ok(&reply)
+        self.send_request(&Method::POST, "/aspenspring/rows-tx", &body, WRITE_TIMEOUT).await
     }
 
     async fn send_request(
--- a/tests/mesh/targets.rs
+++ b/tests/mesh/targets.rs
@@ -1,8 +1,12 @@
 //! Heartbeats of a target, including late ones and ones out of order.
 
+use std::time::Duration;
+
+use aspenspring::mesh::departures::Departures;
 use aspenspring::mesh::target::{Target, TargetState};
+use tokio::time::sleep;
 
-use super::support::{heartbeat, incarnation};
+use super::support::{heartbeat, incarnation, paused};
 
 fn target() -> Target {
     Target::new("127.0.0.1:9".parse().unwrap())
@@ -89,3 +93,62 @@
     assert!(!target.apply_heartbeat(&life(7_000, 2)));
     assert!(target.apply_heartbeat(&life(8_000, 1)));
 }
+
+#[test]
+fn departures_are_saved_once_and_the_latest_are_kept() {
+    let departures = Departures::default();
+    departures.restore(vec![incarnation("one", 5), incarnation("two", 5)]);
+    departures.request_save(&incarnation("two", 5));
+    departures.request_save(&incarnation("two", 4));
+    assert_eq!(departures.next_to_save(), None, "the departures of these are saved");
+    departures.request_save(&incarnation("one", 6));
+    departures.request_save(&incarnation("one", 6));
+    let next = departures.next_to_save().unwrap();
+    assert_eq!(next, [incarnation("two", 5), incarnation("one", 6)]);
+    // One that is reported during the write is saved by the next one.
+    departures.request_save(&incarnation("three", 0));
+    departures.record_saved(next);
+    assert_eq!(departures.next_to_save().unwrap().last(), Some(&incarnation("three", 0)));
+    for number in 0..40 {
+        departures.request_save(&incarnation(&format!("n{number}"), 0));
+    }
+    let next = departures.next_to_save().unwrap();
+    assert_eq!((next.len(), next.last()), (8, Some(&incarnation("n39", 0))));
+}
+
+#[test]
+fn a_departure_is_acknowledged_only_after_it_was_saved() {
+    paused(async {
+        let departures = Departures::default();
+        let one = incarnation("one", 5);
+        departures.request_save(&one);
+        let limit = Duration::from_millis(900);
+        assert!(!departures.wait_until_saved(&one, limit).await);
+        let (is_saved, ()) = tokio::join!(departures.wait_until_saved(&one, limit), async {
+            sleep(Duration::from_millis(500)).await;
+            departures.record_saved(departures.next_to_save().unwrap());
+        });
+        assert!(is_saved);
+        assert!(departures.wait_until_saved(&incarnation("one", 0), Duration::ZERO).await);
+    });
+}
+
+#[test]
+fn a_target_gets_work_once_its_departures_are_known() {
+    paused(async {
+        let departures = Departures::default();
+        assert!(departures.is_settled(false), "nothing is to be read");
+        departures.await_restore();
+        sleep(Duration::from_secs(60)).await;
+        assert!(!departures.is_settled(false), "no configuration either");
+        assert!(!departures.is_settled(true));
+        sleep(Duration::from_millis(1_900)).await;
+        assert!(!departures.is_settled(true));
+        sleep(Duration::from_millis(100)).await;
+        assert!(departures.is_settled(true), "the store has been silent for too long");
+        let departures = Departures::default();
+        departures.await_restore();
+        departures.restore(Vec::new());
+        assert!(departures.is_settled(true));
+    });
+}
--- a/tests/platform/process.rs
+++ b/tests/platform/process.rs
@@ -456,3 +456,120 @@
         assert!(within <= 6 * LIMIT_PER_S + 5, "{within} within 4 s");
     }
 }
+
+/// Reports that a target leaves, in both ways that a target has.
+fn report_departure(node: &Process, instance: &str, is_draining: bool) -> String {
+    if is_draining {
+        let body = heartbeat("stock", "draining", 8).to_string();
+        return node.report_target_state("Heartbeat", instance, &body);
+    }
+    node.report_target_state("Deregister", instance, r#"{"born":5000}"#)
+}
+
+/// Kills all processes and starts them again.
+fn kill_all(nodes: &mut [Process]) {
+    for node in nodes.iter() {
+        node.signal(libc::SIGKILL);
+    }
+    for node in nodes {
+        node.wait();
+        node.start();
+    }
+}
+
+/// A late heartbeat of the target `i-1` is accepted and does not bring it back.
+fn expect_departed(nodes: &[Process]) {
+    let late = heartbeat("stock", "ready", 7).to_string();
+    for _ in 0..3 {
+        assert!(nodes[0].report_target_state("Heartbeat", "i-1", &late).contains(" 200 "));
+        let answer = nodes[1].get(7001, "/look/1");
+        assert!(answer.contains(" 503 "), "the target has left: {answer}");
+        thread::sleep(Duration::from_millis(200));
+    }
+}
+
+/// Guards against requests to a target whose departure was acknowledged: all nodes forgot it when they were killed
+/// together, and a late heartbeat brought the target back.
+#[test]
+fn an_acknowledged_departure_outlasts_all_nodes() {
+    for is_draining in [false, true] {
+        let store = configured_store();
+        let mut nodes = [start_ready(&store, "one"), start_ready(&store, "two")];
+        register_target(&nodes[0], "i-1", 6);
+        wait_for(|| nodes[1].get(7001, "/look/1").ends_with("one"));
+        assert!(report_departure(&nodes[0], "i-1", is_draining).contains(" 200 "));
+        kill_all(&mut nodes);
+        wait_for(|| nodes.iter().all(Process::is_ready) && nodes[1].metric("peers_linked") == "1");
+        expect_departed(&nodes);
+        register_target(&nodes[0], "i-2", 1);
+        wait_for(|| nodes[1].get(7001, "/look/1").ends_with("one"));
+        // The earlier departure is kept beside the new one.
+        assert!(report_departure(&nodes[0], "i-2", is_draining).contains(" 200 "));
+        let saved = store.values("departures");
+        assert!(saved.len() == 1 && saved[0].contains("i-1") && saved[0].contains("i-2"));
+    }
+}
+
+/// Guards against departures that are acknowledged while nothing but the memory of nodes holds them. The target gets
+/// no more requests all the same.
+#[test]
+fn a_departure_is_acknowledged_only_once_the_store_has_it() {
+    for set_fault in [Store::set_unavailable, Store::set_unresponsive] {
+        let store = configured_store();
+        let mut nodes = [start_ready(&store, "one"), start_ready(&store, "two")];
+        register_target(&nodes[0], "i-1", 6);
+        wait_for(|| nodes[1].get(7001, "/look/1").ends_with("one"));
+        set_fault(&store, true);
+        let reported_at = Instant::now();
+        let answer = report_departure(&nodes[0], "i-1", false);
+        assert!(answer.contains(" 503 "), "{answer}");
+        assert!(reported_at.elapsed() < Duration::from_secs(1), "{:?}", reported_at.elapsed());
+        assert!(nodes[1].get(7001, "/look/1").contains(" 503 "), "it still gets requests");
+        wait_for(|| nodes[0].log().contains("\"name\":\"DepartureUnsaved\""));
+        set_fault(&store, false);
+        wait_at_most(SETTLE_TIME, || report_departure(&nodes[0], "i-1", false).contains(" 200 "));
+        kill_all(&mut nodes);
+        wait_for(|| nodes.iter().all(Process::is_ready) && nodes[1].metric("peers_linked") == "1");
+        expect_departed(&nodes);
+    }
+}
+
+/// Guards against a saved departure that is undone by a write based on an older version of the row.
+#[test]
+fn departures_saved_by_another_process_are_kept() {
+    let store = configured_store();
+    let node = start_ready(&store, "one");
+    register_target(&node, "i-1", 6);
+    assert!(report_departure(&node, "i-1", false).contains(" 200 "));
+    store.replace_values("departures", br#"[{"id":"i-9","started_unix_ms":5000}]"#);
+    register_target(&node, "i-2", 1);
+    assert!(report_departure(&node, "i-2", false).contains(" 200 "));
+    let saved = store.values("departures");
+    assert!(saved[0].contains("i-9") && saved[0].contains("i-2"), "{saved:?}");
+    store.replace_values("departures", b"[{]");
+    register_target(&node, "i-3", 1);
+    assert!(report_departure(&node, "i-3", false).contains(" 200 "));
+    wait_for(|| node.log().contains("invalid list of departures"));
+}
+
+/// Guards against a target that gets no work because the store does not answer when its node starts.
+#[test]
+fn a_node_that_starts_without_the_store_serves_its_target() {
+    let store = configured_store();
+    let mut first = start_ready(&store, "one");
+    let second = start_ready(&store, "two");
+    wait_for(|| first.metric("peers_linked") == "1");
+    store.set_unavailable(true);
+    first.signal(libc::SIGKILL);
+    first.wait();
+    first.start();
+    // Nobody tells the new process of the other node; the other one dials it.
+    wait_for(|| first.site_version() == "4");
+    register_target(&first, "i-1", 1);
+    wait_at_most(Duration::from_secs(5), || second.get(7001, "/look/1").ends_with("one"));
+    assert!(report_departure(&first, "i-1", false).contains(" 503 "));
+    store.set_unavailable(false);
+    wait_at_most(Duration::from_secs(5), || {
+        report_departure(&first, "i-1", false).contains(" 200 ")
+    });
+}
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -11,8 +11,8 @@
 use base64::engine::general_purpose::STANDARD;
 use serde_json::{Value, json};
 
-/// Rows: table and key, with the value in base64 and the version.
-type Rows = BTreeMap<(String, String), (String, u64)>;
+/// Rows: table, part and key, with the value in base64 and the version.
+type Rows = BTreeMap<(String, String, String), (String, u64)>;
 
 #[derive(Default)]
 struct State {
@@ -56,7 +56,7 @@
     /// Writes a row, as the operator does.
     pub fn put(&self, table: &str, key: &str, value: &[u8]) {
         let (state, changed) = &*self.state;
-        put(&mut state.lock().unwrap(), table, key, &STANDARD.encode(value));
+        put(&mut state.lock().unwrap(), table, "", key, &STANDARD.encode(value));
         changed.notify_all();
     }
 
@@ -102,8 +102,27 @@
     /// The keys of a table.
     pub fn keys(&self, table: &str) -> Vec<String> {
         let state = self.state.0.lock().unwrap();
-        let of_table = state.rows.keys().filter(|(of, _)| of == table);
-        of_table.map(|(_, key)| key.clone()).collect()
+        let of_table = state.rows.keys().filter(|(of, ..)| of == table);
+        of_table.map(|(.., key)| key.clone()).collect()
+    }
+
+    /// The values of a table.
+    pub fn values(&self, table: &str) -> Vec<String> {
+        let state = self.state.0.lock().unwrap();
+        let of_table = state.rows.iter().filter(|((of, ..), _)| of == table);
+        let decode = |value: &str| String::from_utf8(STANDARD.decode(value).unwrap()).unwrap();
+        of_table.map(|(_, (value, _))| decode(value)).collect()
+    }
+
+    /// Changes the values of a table as another writer does.
+    pub fn replace_values(&self, table: &str, value: &[u8]) {
+        let (state, changed) = &*self.state;
+        let mut state = state.lock().unwrap();
+        let of_table = state.rows.keys().filter(|(of, ..)| of == table);
+        for (table, part, key) in of_table.cloned().collect::<Vec<_>>() {
+            put(&mut state, &table, &part, &key, &STANDARD.encode(value));
+        }
+        changed.notify_all();
     }
 
     fn serve(&self, stream: TcpStream) {
@@ -140,13 +159,20 @@
         let table = query_parameter("table").unwrap_or_default();
         if path.starts_with("/aspenspring/rows-tx") {
             let body: Value = serde_json::from_slice(body).unwrap();
+            let text = |row: &Value, name: &str| row[name].as_str().unwrap().to_owned();
+            let place = |row: &Value| (text(row, "table"), text(row, "part"), text(row, "key"));
+            for row in body["expectedRevision"].as_array().unwrap() {
+                let version = state.rows.get(&place(row)).map_or(0, |(_, version)| *version);
+                if version != row["rowVersion"].as_u64().unwrap() {
+                    return (412, json!({ "rows": [], "rowVersion": state.version, "nowMs": 0 }));
+                }
+            }
             for row in body["put"].as_array().unwrap() {
-                let text = |name: &str| row[name].as_str().unwrap().to_owned();
-                put(&mut state, &text("table"), &text("key"), &text("value"));
+                let (table, part, key) = place(row);
+                put(&mut state, &table, &part, &key, &text(row, "value"));
             }
             for row in body["remove"].as_array().unwrap() {
-                let text = |name: &str| row[name].as_str().unwrap().to_owned();
-                state.rows.remove(&(text("table"), text("key")));
+                state.rows.remove(&place(row));
                 state.version += 1;
             }
             changed.notify_all();
@@ -154,7 +180,8 @@
         }
         if path.starts_with("/aspenspring/rows-get") {
             let from = query_parameter("rangeStart").unwrap_or_default();
-            return (200, answer(&state, table, |key, _| key >= from));
+            let part = query_parameter("part").unwrap_or_default();
+            return (200, answer(&state, table, |of, key, _| of == part && key >= from));
         }
         let after: u64 = query_parameter("after").unwrap().parse().unwrap();
         if table == "op" {
@@ -164,7 +191,7 @@
         }
         let wait = Duration::from_millis(query_parameter("waitMs").unwrap().parse().unwrap());
         let is_unchanged = |state: &mut State| {
-            let is_new = |((of, _), (_, version)): (&(String, String), &(String, u64))| {
+            let is_new = |((of, ..), (_, version)): (&(String, String, String), &(String, u64))| {
                 of == table && *version > after
             };
             !state.is_unavailable
@@ -181,24 +208,25 @@
         if state.history_dropped_to > after {
             return (410, json!({}));
         }
-        (200, answer(&state, table, |_, version| version > after))
+        (200, answer(&state, table, |_, _, version| version > after))
     }
 }
 
-fn put(state: &mut State, table: &str, key: &str, value: &str) {
+fn put(state: &mut State, table: &str, part: &str, key: &str, value: &str) {
     state.version += 1;
-    let version = state.version;
-    state.rows.insert((table.to_owned(), key.to_owned()), (value.to_owned(), version));
+    let place = (table.to_owned(), part.to_owned(), key.to_owned());
+    state.rows.insert(place, (value.to_owned(), state.version));
 }
 
-fn answer(state: &State, table: &str, is_wanted: impl Fn(&str, u64) -> bool) -> Value {
+/// The rows of a table for whose part, key and version `is_wanted` holds.
+fn answer(state: &State, table: &str, is_wanted: impl Fn(&str, &str, u64) -> bool) -> Value {
     let mut rows = Vec::new();
-    for ((of, key), (value, version)) in &state.rows {
-        if of != table || !is_wanted(key, *version) {
+    for ((of, part, key), (value, version)) in &state.rows {
+        if of != table || !is_wanted(part, key, *version) {
             continue;
         }
         rows.push(
-            json!({ "table": of, "part": "", "key": key, "value": value, "rowVersion": version }),
+            json!({ "table": of, "part": part, "key": key, "value": value, "rowVersion": version }),
         );
     }
     json!({ "rows": rows, "hasMore": false, "rowVersion": state.version, "nowMs": 0 })
