--- a/tests/platform/soak/faults.rs
+++ b/tests/platform/soak/faults.rs
@@ -16,6 +16,11 @@
 const LIMITS_PER_S: [f64; 5] = [0.0, 0.7, 2.0, 6.5, 20.0];
 /// Changes the seed of the periods.
 const SIGNALS_SEED: u64 = 0x5197;
+/// The number of additional departures of targets, and of faults of all nodes at once.
+const DEPARTURE_COUNT: usize = 3;
+const SITE_FAULT_COUNT: usize = 1;
+/// Changes the seed of these faults.
+const SITE_SEED: u64 = 0x0a11;
 /// The number of additional periods in which a service rejects requests, and in which a machine is slow.
 const CONDITION_COUNTS: (usize, usize) = (2, 4);
 /// Changes the seed of these periods.
@@ -44,6 +49,15 @@
     NameLimit { member: usize, per_s: f64, for_ms: u64 },
     /// The target of a node states that it leaves; then its next incarnation takes over.
     Leave { member: usize, for_ms: u64 },
+    /// The target of a node deregisters and serves on; a heartbeat that it sent before arrives `late_ms` after that.
+    /// Then its next incarnation takes over.
+    Depart { member: usize, kills_all: bool, late_ms: u64, for_ms: u64 },
+    /// All nodes are killed at the same moment.
+    KillAll,
+    /// All nodes are stopped one after the other. Their stops overlap.
+    StopAll { gap_ms: u64 },
+    /// A target sends a second copy of a share of its answers, in front of the next one on the connection.
+    Repeat { member: usize, percent: u64, for_ms: u64 },
     /// All targets of a service reject a share of the requests without running them.
     Reject { service: &'static str, percent: u64, for_ms: u64 },
     /// The machine of a node's target takes `percent` of the usual time for its work.
@@ -107,6 +121,23 @@
         };
         faults.push(Fault { at, kind });
     }
+    let mut rng = SmallRng::seed_from_u64(seed ^ SITE_SEED);
+    for index in 0..DEPARTURE_COUNT + SITE_FAULT_COUNT {
+        let at = within.mul_f64(rng.random());
+        let member = rng.random_range(0..members);
+        let kind = if index < DEPARTURE_COUNT {
+            let (late_ms, for_ms) = (rng.random_range(500..5_000), rng.random_range(5_000..8_000));
+            FaultKind::Depart { member, kills_all: rng.random_bool(0.5), late_ms, for_ms }
+        } else if rng.random() {
+            FaultKind::StopAll { gap_ms: rng.random_range(0..1_200) }
+        } else {
+            FaultKind::KillAll
+        };
+        faults.push(Fault { at, kind });
+        let for_ms = rng.random_range(1_000..6_000);
+        let kind = FaultKind::Repeat { member, percent: rng.random_range(3..40), for_ms };
+        faults.push(Fault { at: within.mul_f64(rng.random()), kind });
+    }
     faults.sort_by_key(|fault| fault.at);
     faults
 }
--- a/tests/platform/soak/signals.rs
+++ b/tests/platform/soak/signals.rs
@@ -16,6 +16,9 @@
 /// How long after a node has passed such an answer on requests may still be sent to a target that leaves.
 const LEAVING_TOLD: Duration = Duration::from_secs(2);
 
+/// How long after the acknowledgement of its departure a target may still get requests.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+
 /// What a target states.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Signal {
@@ -23,6 +26,15 @@
     Limit(f64),
     /// It is about to leave; its next incarnation is not.
     Leaving,
+    /// It has deregistered, and states nothing in its answers.
+    Departed,
+}
+
+impl Signal {
+    /// Whether the next incarnation takes over once this has ended.
+    fn ends_incarnation(self) -> bool {
+        matches!(self, Self::Leaving | Self::Departed)
+    }
 }
 
 impl fmt::Display for Signal {
@@ -30,6 +42,7 @@
         match self {
             Self::Limit(per_s) => write!(f, "server-limit: {per_s}\r\n"),
             Self::Leaving => f.write_str("server-leaving: 1\r\n"),
+            Self::Departed => Ok(()),
         }
     }
 }
@@ -40,6 +53,8 @@
     signal: Signal,
     from: Instant,
     until: Option<Instant>,
+    /// When the node has acknowledged a departure.
+    acknowledged_at: Option<Instant>,
 }
 
 /// What a target has stated, and the requests that have reached it.
@@ -52,6 +67,8 @@
     rejected_percent: u64,
     /// How long its work takes, in percent of the usual time; 0 stands for the usual time.
     slowness_percent: u64,
+    /// The share of answers that the target sends twice, in percent.
+    repeated_percent: u64,
     incarnation: u32,
     periods: Vec<Period>,
     arrivals: Vec<(Instant, String)>,
@@ -64,16 +81,31 @@
         if log.periods.iter().any(|period| period.until.is_none()) {
             return false;
         }
-        log.periods.push(Period { signal, from: Instant::now(), until: None });
+        let from = Instant::now();
+        log.periods.push(Period { signal, from, until: None, acknowledged_at: None });
         true
     }
 
+    /// Records that the node has acknowledged the departure that has begun.
+    pub fn acknowledge(&self) {
+        if let Some(period) = self.0.lock().unwrap().periods.last_mut() {
+            period.acknowledged_at = Some(Instant::now());
+        }
+    }
+
+    /// Whether the target has departed, and its next incarnation has not taken over yet.
+    pub fn has_departed(&self) -> bool {
+        let log = self.0.lock().unwrap();
+        let mut open = log.periods.iter().filter(|period| period.until.is_none());
+        open.any(|period| period.signal == Signal::Departed)
+    }
+
     /// Ends what the target states. The next incarnation takes over from one that left.
     pub fn end(&self) {
         let mut log = self.0.lock().unwrap();
         let Some(period) = log.periods.last_mut() else { return };
         period.until = Some(Instant::now());
-        log.incarnation += u32::from(period.signal == Signal::Leaving);
+        log.incarnation += u32::from(period.signal.ends_incarnation());
     }
 
     /// The header lines of an answer that count as signals.
@@ -106,6 +138,16 @@
         self.0.lock().unwrap().rejected_percent = percent;
     }
 
+    /// Sets the share of answers that the target sends twice.
+    pub fn set_repeated(&self, percent: u64) {
+        self.0.lock().unwrap().repeated_percent = percent;
+    }
+
+    /// Whether the target sends its answer to request number `number` twice.
+    pub fn repeats(&self, number: usize) -> bool {
+        (number as u64 * 29 % 100) < self.0.lock().unwrap().repeated_percent
+    }
+
     /// Whether the target rejects its request number `number`.
     pub fn rejects(&self, number: usize) -> bool {
         // 37 and 100 have no common divisor, so each remainder comes once in a hundred requests.
@@ -132,6 +174,19 @@
             records.iter().map(|record| (record.attempt.as_str(), record)).collect();
         for period in &log.periods {
             let until = period.until.unwrap_or_else(Instant::now);
+            if period.signal == Signal::Departed {
+                let Some(at) = period.acknowledged_at else { continue };
+                let is_late = |(arrived, _): &&(Instant, String)| {
+                    *arrived > at + DRAIN_TIME
+                        && *arrived < until
+                        && site.is_in_touch(name, *arrived)
+                };
+                let late = log.arrivals.iter().filter(is_late).count();
+                if late > 0 {
+                    return Some(format!("{late} requests reached {name}, which had departed"));
+                }
+                continue;
+            }
             let told = told_times(period, until, name, records);
             let mut counted = Vec::new();
             for (at, attempt) in &log.arrivals {
@@ -142,7 +197,7 @@
                 // What counts is when the request arrived for a limit, and when it was sent for leaving.
                 let (since, after) = match period.signal {
                     Signal::Limit(_) => (*at, LIMIT_TOLD),
-                    Signal::Leaving => (record.sent_at, LEAVING_TOLD),
+                    Signal::Leaving | Signal::Departed => (record.sent_at, LEAVING_TOLD),
                 };
                 let member = &site.members[record.member];
                 let was_told = told.iter().any(|(index, told_at)| {
@@ -156,7 +211,7 @@
             }
             let allowed = match period.signal {
                 Signal::Limit(per_s) => 1.5 * per_s * LIMIT_WINDOW.as_secs_f64() + 5.0,
-                Signal::Leaving => 0.0,
+                Signal::Leaving | Signal::Departed => 0.0,
             };
             for (first, from) in counted.iter().enumerate() {
                 let within = counted[first..].partition_point(|at| *at < *from + LIMIT_WINDOW);
--- a/tests/platform/soak/site.rs
+++ b/tests/platform/soak/site.rs
@@ -11,7 +11,9 @@
 use super::findings::Findings;
 use super::intervals::Intervals;
 use super::signals::{Signal, TargetState};
-use super::targets::{RunRecord, Runs, STEADY_KEY, document, send_heartbeats, serve};
+use super::targets::{
+    RunRecord, Runs, STEADY_KEY, document, heartbeat_text, send_heartbeats, serve,
+};
 use crate::node::{self, NodeSpec, Process};
 use crate::store::Store;
 use crate::target::CRASH_PATH;
@@ -310,6 +312,22 @@
                 self.state_for(member, Signal::Limit(per_s), for_ms)
             }
             FaultKind::Leave { member, for_ms } => self.state_for(member, Signal::Leaving, for_ms),
+            FaultKind::Depart { member, kills_all, late_ms, for_ms } => {
+                self.depart(member, kills_all, late_ms, for_ms);
+            }
+            FaultKind::KillAll => self.kill_all(),
+            FaultKind::StopAll { gap_ms } => thread::scope(|scope| {
+                for member in &self.members {
+                    scope.spawn(|| self.stop_node(member));
+                    thread::sleep(Duration::from_millis(gap_ms));
+                }
+            }),
+            FaultKind::Repeat { member, percent, for_ms } => {
+                let target = &self.members[member].target;
+                target.set_repeated(percent);
+                thread::sleep(Duration::from_millis(for_ms));
+                target.set_repeated(0);
+            }
             FaultKind::Reject { service, percent, for_ms } => {
                 let set_rejected = |percent| {
                     for (member, (_, other)) in self.members.iter().zip(NODES) {
@@ -376,6 +394,51 @@
         }
     }
 
+    /// Lets the target of a node deregister and serve on. Afterwards its next incarnation takes over.
+    fn depart(&self, index: usize, kills_all: bool, late_ms: u64, for_ms: u64) {
+        let (member, (_, service)) = (&self.members[index], NODES[index]);
+        let id = format!("{}-{}", member.name, member.target.incarnation());
+        if !member.target.begin(Signal::Departed) {
+            return;
+        }
+        let began_at = Instant::now();
+        let until = began_at + Duration::from_millis(for_ms);
+        let late_at = began_at + Duration::from_millis(late_ms);
+        let text = node::target_report("Deregister", &id, r#"{"born":5000}"#);
+        while Instant::now() < until {
+            let answer = member.send_request(node::HEARTBEATS_PORT, &text);
+            if answer.is_some_and(|answer| answer.contains(" 200 ")) {
+                member.target.acknowledge();
+                if kills_all {
+                    self.kill_all();
+                }
+                break;
+            }
+            thread::sleep(POLL_INTERVAL);
+        }
+        thread::sleep(late_at.saturating_duration_since(Instant::now()));
+        // The node may be down, as for any other heartbeat.
+        drop(member.send_request(node::HEARTBEATS_PORT, &heartbeat_text(service, &id, u64::MAX)));
+        thread::sleep(until.saturating_duration_since(Instant::now()));
+        member.target.end();
+    }
+
+    /// Kills all nodes at the same moment.
+    fn kill_all(&self) {
+        thread::scope(|scope| {
+            for member in &self.members {
+                scope.spawn(|| self.disrupt(member, || {}, libc::SIGKILL));
+            }
+        });
+    }
+
+    /// Whether the node `name` and the store had no faults from [`SETTLE_TIME`] before `now` on.
+    pub fn is_in_touch(&self, name: &str, now: Instant) -> bool {
+        let member = self.members.iter().find(|member| member.name == name);
+        let is_settled = member.is_some_and(|member| member.is_settled(now, now));
+        is_settled && !self.store_faults.any_overlaps(now - SETTLE_TIME, now)
+    }
+
     /// Disrupts a node: calls `action`, then sends `signal`. The disruption lasts until the node runs again.
     fn disrupt(&self, member: &Member, action: impl FnOnce(), signal: libc::c_int) {
         let (index, incarnation) =
--- a/tests/platform/soak/targets.rs
+++ b/tests/platform/soak/targets.rs
@@ -92,20 +92,25 @@
         let mut sequence = 0;
         while !is_stopped.load(Ordering::Relaxed) {
             thread::sleep(HEARTBEAT_INTERVAL);
-            if TcpStream::connect((ip, TARGET_PORT)).is_err() {
+            if TcpStream::connect((ip, TARGET_PORT)).is_err() || target.has_departed() {
                 continue;
             }
             sequence += 1;
-            let mut body = heartbeat(service, "ready", sequence);
-            body["information"]["slots"] = SLOTS.into();
             let id = format!("{name}-{}", target.incarnation());
-            let text = node::target_report("Heartbeat", &id, &body.to_string());
+            let text = heartbeat_text(service, &id, sequence);
             // A node that is down gets a later heartbeat.
             drop(node::send_request(SocketAddr::from((ip, HEARTBEATS_PORT)), &text, PROBE_TIMEOUT));
         }
     });
 }
 
+/// The text of a `ready` heartbeat.
+pub fn heartbeat_text(service: &str, id: &str, sequence: u64) -> String {
+    let mut body = heartbeat(service, "ready", sequence);
+    body["information"]["slots"] = SLOTS.into();
+    node::target_report("Heartbeat", id, &body.to_string())
+}
+
 /// Starts a target that records its runs and answers with its name and the attempt id. It restarts after a crash.
 pub fn serve(address: SocketAddr, name: &str, target: Arc<TargetState>, all_runs: Runs) {
     let signature = name.to_owned();
@@ -115,7 +120,14 @@
         let number = target.record_arrival(&attempt);
         if !is_exempt(&attempt) && target.rejects(number) {
             let signals = target.header_lines() + &target.load_line();
-            return Answer { attempt, signals, is_rejected: true, ..Answer::default() };
+            let is_repeated = target.repeats(number);
+            return Answer {
+                attempt,
+                signals,
+                is_rejected: true,
+                is_repeated,
+                ..Answer::default()
+            };
         }
         let mut runs = all_runs.lock().unwrap();
         let record = runs.entry(attempt.clone()).or_default();
@@ -125,7 +137,8 @@
         thread::sleep(service_time(&attempt) * target.slowness_percent() as u32 / 100);
         let body = format!("{signature} {attempt}");
         let signals = target.header_lines() + &target.load_line();
-        Answer { attempt, body, signals, is_rejected: false }
+        let is_repeated = !is_exempt(&attempt) && target.repeats(number);
+        Answer { attempt, body, signals, is_rejected: false, is_repeated }
     });
 }
 
--- a/tests/platform/target.rs
+++ b/tests/platform/target.rs
@@ -32,6 +32,8 @@
     pub signals: String,
     /// Whether the target rejects the request without running it.
     pub is_rejected: bool,
+    /// Whether it is sent again in front of the next answer on the connection.
+    pub is_repeated: bool,
 }
 
 /// Serves requests at `address`, one at a time on each connection, and signs the answers with `name`. `run` gets
@@ -81,12 +83,18 @@
         thread::spawn(move || {
             let mut writer = stream.try_clone().unwrap();
             let mut reader = BufReader::new(stream);
+            let mut copy = String::new();
             while let Some((path, _)) = read_request(&mut reader) {
                 let answer = run(&path);
                 if path.contains(CRASH_PATH) {
                     return incarnation.end(address);
                 }
-                drop(writer.write_all(response_text(&answer, &name).as_bytes()));
+                let text = response_text(&answer, &name);
+                let written = std::mem::take(&mut copy) + &text;
+                drop(writer.write_all(written.as_bytes()));
+                if answer.is_repeated {
+                    copy = text;
+                }
             }
             incarnation.remove(number);
         });
@@ -136,7 +144,7 @@
 
 /// The complete answer of a target.
 fn response_text(answer: &Answer, name: &str) -> String {
-    let Answer { attempt, body, signals, is_rejected } = answer;
+    let Answer { attempt, body, signals, is_rejected, .. } = answer;
     if *is_rejected {
         return format!(
             "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: {attempt}\r\nNot-Executed: 1\r\n{signals}\
