Pause after a conflict on the row of departures

Cause: a store that answers a write with a conflict again and again would be asked without a pause. Change: 20 ms between the attempts.

--- a/src/platform/departures.rs
+++ b/src/platform/departures.rs
@@ -24,6 +24,8 @@
 const READ_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// The average pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// The pause after a conflict with another writer.
+const CONFLICT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Reads the saved departures and applies them. Returns the version of the row; 0 if there is none.
 pub async fn restore(node: &Node, store: &mut Store) -> eyre::Result<u64> {
@@ -80,7 +82,10 @@
                 node.departures.record_saved(departed);
                 version = Some(written);
             }
-            Ok(Written::Conflict) => version = None,
+            Ok(Written::Conflict) => {
+                version = None;
+                sleep(CONFLICT_PAUSE).await;
+            }
             Err(_) => {
                 version = None;
                 pause().await;
