Share what the departures wrote again, and drop state that can be derived

Cause: the randomized pause before a repeated call and the timeout of a read stood twice in the adapter, whether departures were restored was kept twice, and a setter had two names. The test of the quarantine and the soak had loops of their own. Change: store::pause and store::READ_TIMEOUT, Departures::awaits_restore in place of a flag in join, one record_saved, one kill_all in the process tests (which now kills all nodes at once there, as the test's name says) and one StateLog::present. No decision and no call to the store changes.

--- a/src/mesh/departures.rs
+++ b/src/mesh/departures.rs
@@ -41,6 +41,11 @@
         self.awaits_restore.set(true);
     }
 
+    /// Whether the departures saved by earlier processes are still to be read.
+    pub fn awaits_restore(&self) -> bool {
+        self.awaits_restore.get()
+    }
+
     /// Whether the target may get work, as far as its departures are concerned.
     pub fn is_settled(&self, has_configuration: bool) -> bool {
         if !self.awaits_restore.get() {
@@ -49,16 +54,15 @@
         if !has_configuration {
             return false;
         }
-        if self.configured_at.get().is_none() {
-            self.configured_at.set(Some(Instant::now()));
-        }
-        self.configured_at.get().is_some_and(|at| at.elapsed() >= RESTORE_MAX)
+        let configured_at = self.configured_at.get().unwrap_or_else(Instant::now);
+        self.configured_at.set(Some(configured_at));
+        configured_at.elapsed() >= RESTORE_MAX
     }
 
     /// Replaces the saved departures by those that are saved now, oldest first.
     pub fn restore(&self, saved: Vec<Incarnation>) {
         self.awaits_restore.set(false);
-        self.set_saved(saved);
+        self.record_saved(saved);
     }
 
     /// Requests that a departure is saved, unless it is already.
@@ -84,9 +88,11 @@
         Some(next)
     }
 
-    /// Records that the departures returned by `next_to_save` have been saved.
+    /// Records that these departures are saved, oldest first, such as those returned by `next_to_save`.
     pub fn record_saved(&self, saved: Vec<Incarnation>) {
-        self.set_saved(saved);
+        self.unsaved.borrow_mut().retain(|new| !saved.iter().any(|known| known.ends(new)));
+        self.saved.replace(saved);
+        self.saved_changed.notify_waiters();
     }
 
     /// Waits until a departure is saved. Returns whether it was within `time_limit`.
@@ -102,10 +108,4 @@
     fn is_saved(&self, incarnation: &Incarnation) -> bool {
         self.saved.borrow().iter().any(|known| known.ends(incarnation))
     }
-
-    fn set_saved(&self, saved: Vec<Incarnation>) {
-        self.unsaved.borrow_mut().retain(|new| !saved.iter().any(|known| known.ends(new)));
-        self.saved.replace(saved);
-        self.saved_changed.notify_waiters();
-    }
 }
--- a/src/platform/departures.rs
+++ b/src/platform/departures.rs
@@ -8,10 +8,9 @@
 use std::time::Duration;
 
 use eyre::WrapErr;
-use rand::Rng;
 use tokio::time::sleep;
 
-use super::store::{Place, Store, Written};
+use super::store::{Place, Store, Written, pause};
 use crate::event::LogEvent;
 use crate::mesh::incarnation::Incarnation;
 use crate::mesh::node::Node;
@@ -20,8 +19,6 @@
 const TABLE: &str = "departures";
 /// The key of the row.
 const KEY: &str = "target";
-/// The timeout of a read.
-const READ_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// The average pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 /// The pause after a conflict with another writer.
@@ -30,7 +27,7 @@
 /// Reads the saved departures and applies them. Returns the version of the row; 0 if there is none.
 pub async fn restore(node: &Node, store: &mut Store) -> eyre::Result<u64> {
     let part = node.settings.listen.peers.to_string();
-    let Some(row) = store.row(&place(&part), READ_TIMEOUT).await? else {
+    let Some(row) = store.row(&place(&part)).await? else {
         node.departures.restore(Vec::new());
         return Ok(0);
     };
@@ -72,7 +69,7 @@
         let Some(expected) = version else {
             match restore(&node, &mut store).await {
                 Ok(found) => version = Some(found),
-                Err(_) => pause().await,
+                Err(_) => pause(RETRY_PAUSE).await,
             }
             continue;
         };
@@ -88,7 +85,7 @@
             }
             Err(_) => {
                 version = None;
-                pause().await;
+                pause(RETRY_PAUSE).await;
             }
         }
     }
@@ -97,8 +94,3 @@
 fn place(part: &str) -> Place<'_> {
     Place { table: TABLE, part, key: KEY }
 }
-
-async fn pause() {
-    let jitter = rand::rng().random_range(0.5..1.5);
-    sleep(RETRY_PAUSE.mul_f64(jitter)).await;
-}
--- a/src/platform/members.rs
+++ b/src/platform/members.rs
@@ -15,7 +15,7 @@
 
 use super::departures;
 use super::quarantine;
-use super::store::{Row, Store};
+use super::store::{READ_TIMEOUT, Row, Store};
 use crate::event::LogEvent;
 use crate::mesh::crash_reports;
 use crate::mesh::node::Node;
@@ -24,8 +24,6 @@
 /// The table of nodes: the key is a node's address, the value its failure domain. Also contains the rows of
 /// the module `quarantine`.
 pub const TABLE: &str = "nodes";
-/// The timeout of a read of rows.
-const READ_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// The initial retry interval.
 const BACKOFF_MIN: Duration = Duration::from_millis(100);
 /// The maximum retry interval. Counted from the start of the failed call, so that a node that starts while the
@@ -41,10 +39,9 @@
 pub async fn join(node: Rc<Node>, address: SocketAddr) {
     let started = Instant::now();
     let mut store = Store::new(address);
-    let mut has_restored = false;
     let mut backoff = BACKOFF_MIN;
     let mut attempted_at = started;
-    while let Err(error) = restore_and_register(&node, &mut store, &mut has_restored).await {
+    while let Err(error) = restore_and_register(&node, &mut store, address).await {
         let detail = format!("cannot register in the list of nodes or read it: {error:#}");
         let asked_ms = attempted_at.elapsed().as_millis() as u64;
         node.log.emit(&LogEvent::StoreAway { store: "table", detail, asked_ms });
@@ -64,12 +61,11 @@
 async fn restore_and_register(
     node: &Rc<Node>,
     store: &mut Store,
-    has_restored: &mut bool,
+    address: SocketAddr,
 ) -> eyre::Result<()> {
-    if !*has_restored {
+    if node.departures.awaits_restore() {
         let version = departures::restore(node, store).await?;
-        spawn_local(departures::persist(Rc::clone(node), store.address(), version));
-        *has_restored = true;
+        spawn_local(departures::persist(Rc::clone(node), address, version));
     }
     register_and_read(node, store).await
 }
--- a/src/platform/quarantine.rs
+++ b/src/platform/quarantine.rs
@@ -7,11 +7,9 @@
 use std::time::Duration;
 
 use eyre::{OptionExt, WrapErr};
-use rand::Rng;
-use tokio::time::sleep;
 
 use super::members::TABLE;
-use super::store::{Row, Store};
+use super::store::{Row, Store, pause};
 use crate::mesh::fingerprint::Fingerprint;
 use crate::mesh::frame::Suspicion;
 use crate::mesh::node::Node;
@@ -30,8 +28,7 @@
             continue;
         };
         if write(&mut store, fingerprint, count).await.is_err() {
-            let jitter = rand::rng().random_range(0.5..1.5);
-            sleep(RETRY_PAUSE.mul_f64(jitter)).await;
+            pause(RETRY_PAUSE).await;
             continue;
         }
         node.quarantine.record_saved();
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -7,13 +7,16 @@
 use base64::engine::general_purpose::STANDARD;
 use eyre::{WrapErr, bail, eyre};
 use http::Method;
+use rand::Rng;
 use serde::{Deserialize, Deserializer, Serialize};
 use serde_json::{Value, json};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::mesh::http1::{Connection, ExchangeError, Reply};
 use crate::mesh::polling::LongPoll;
 
+/// The timeout of a read that does not wait for changes.
+pub const READ_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// The timeout of a write.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(2_500);
 
@@ -125,11 +128,6 @@
         Self { address, connection: None }
     }
 
-    /// The address of the store.
-    pub fn address(&self) -> SocketAddr {
-        self.address
-    }
-
     /// The rows of a table from key `from` on, at most 500. Fails after `time_limit`.
     pub async fn rows(
         &mut self,
@@ -143,16 +141,12 @@
         Ok(serde_json::from_slice(&reply.body)?)
     }
 
-    /// The row at `place`, if it exists. Fails after `time_limit`.
-    pub async fn row(
-        &mut self,
-        place: &Place<'_>,
-        time_limit: Duration,
-    ) -> eyre::Result<Option<Row>> {
+    /// The row at `place`, if it exists.
+    pub async fn row(&mut self, place: &Place<'_>) -> eyre::Result<Option<Row>> {
         let Place { table, part, key } = place;
         let path =
             format!("/aspenspring/rows-get?table={table}&part={part}&rangeStart={key}&limit=1");
-        let reply = self.send_request(&Method::GET, &path, b"", time_limit).await?;
+        let reply = self.send_request(&Method::GET, &path, b"", READ_TIMEOUT).await?;
         expect_ok(&reply)?;
         let found: Rows = serde_json::from_slice(&reply.body)?;
         for row in found.rows {
@@ -255,6 +249,12 @@
     }
 }
 
+/// Pauses before a failed call is repeated. Randomized, so that the nodes whose calls failed together do not repeat
+/// them together.
+pub async fn pause(average: Duration) {
+    sleep(average.mul_f64(rand::rng().random_range(0.5..1.5))).await;
+}
+
 fn expect_ok(reply: &Reply) -> eyre::Result<()> {
     if reply.status != http::StatusCode::OK.as_u16() {
         bail!("the store answered with status {}", reply.status);
--- a/tests/platform/process.rs
+++ b/tests/platform/process.rs
@@ -355,11 +355,7 @@
     let running: Vec<usize> =
         (0..nodes.len()).filter(|number| target_runs(&nodes[*number])).collect();
     assert_eq!(running.len(), 1, "three crashes quarantine a request");
-    for node in &mut nodes {
-        node.signal(libc::SIGKILL);
-        node.wait();
-        node.start();
-    }
+    kill_all(&mut nodes);
     for node in &nodes {
         wait_for(|| node.is_ready());
     }
--- a/tests/platform/soak/signals.rs
+++ b/tests/platform/soak/signals.rs
@@ -74,11 +74,19 @@
     arrivals: Vec<(Instant, String)>,
 }
 
+impl StateLog {
+    /// What the target states now.
+    fn present(&self) -> Option<Signal> {
+        let present = self.periods.iter().find(|period| period.until.is_none());
+        present.map(|period| period.signal)
+    }
+}
+
 impl TargetState {
     /// Starts to state something. Returns whether it did: a target that leaves states nothing else.
     pub fn begin(&self, signal: Signal) -> bool {
         let mut log = self.0.lock().unwrap();
-        if log.periods.iter().any(|period| period.until.is_none()) {
+        if log.present().is_some() {
             return false;
         }
         let from = Instant::now();
@@ -95,9 +103,7 @@
 
     /// Whether the target has departed, and its next incarnation has not taken over yet.
     pub fn has_departed(&self) -> bool {
-        let log = self.0.lock().unwrap();
-        let mut open = log.periods.iter().filter(|period| period.until.is_none());
-        open.any(|period| period.signal == Signal::Departed)
+        self.0.lock().unwrap().present() == Some(Signal::Departed)
     }
 
     /// Ends what the target states. The next incarnation takes over from one that left.
@@ -110,9 +116,8 @@
 
     /// The header lines of an answer that count as signals.
     pub fn header_lines(&self) -> String {
-        let log = self.0.lock().unwrap();
-        let present = log.periods.iter().find(|period| period.until.is_none());
-        present.map(|period| period.signal.to_string()).unwrap_or_default()
+        let present = self.0.lock().unwrap().present();
+        present.map(|signal| signal.to_string()).unwrap_or_default()
     }
 
     /// The extended load report of an answer.
