--- a/tests/mesh/teams.rs
+++ b/tests/mesh/teams.rs
@@ -277,7 +277,7 @@
     });
 }
 
-/// Guards against the same abort of a node that is alone, and of one whose only peer is down.
+/// Guards against the same abort of a node that is alone.
 #[test]
 fn a_stopping_node_without_peers_admits_by_quota() {
     run(async {
