Wait in the demo until each node reaches the service that its target calls

The page and the order that showed the demo ready may take one of two nodes of the stock, and the next request the other. In a failed run with its logs kept (1 of 48, six at a time) stock-b learnt of the ledger at 34.815, stock-a at 35.858; the page asked for at 35.0 by way of stock-a was answered 503.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -97,8 +97,11 @@
     done
 }
 
-# node SERVICE NAME DOMAIN SERVICE_MS [CALLS]: starts a node and its target.
 next_port=$((port + 10))
+# URLs by which the nodes reach the services that their targets call.
+called_urls=()
+
+# node SERVICE NAME DOMAIN SERVICE_MS [CALLS]: starts a node and its target.
 node() {
     local service=$1 name=$2 domain=$3 service_ms=$4 calls=${5:-}
     local at=$next_port
@@ -121,6 +124,9 @@
     start "target-$name" standin target --service "$service" --name "$name" \
         --listen "127.0.0.1:$((at + 4))" --node "127.0.0.1:$((at + 1))" \
         --service-ms "$service_ms" --seed "$at" --calls "$calls"
+    if [ -n "$calls" ]; then
+        called_urls+=("http://127.0.0.1:$at/$calls/items/1")
+    fi
 }
 
 sed "s/:21000/:$port/; s/:21001/:$((port + 1))/" scripts/demo/site.json >"$work/site.json"
@@ -148,11 +154,20 @@
     "$program" standin fetch --url "http://$entry/souq-orders/orders/7" --depth 3
 }
 
+# Fails unless each node reaches the service that its target calls.
+fetch_called() {
+    local url
+    for url in "${called_urls[@]}"; do
+        "$program" standin fetch --url "$url" || return 1
+    done
+}
+
 echo "Waiting until ${#pids[@]} processes are ready .."
 tenths=0
-# Nodes discover each other one by one, so an answered page does not show that the node of the orders
-# is ready. If the target of the orders cannot make its calls yet, a confirmation fails after it has run.
-until { fetch_page && fetch_order; } >"$work/fetch.log" 2>&1; do
+# Nodes discover each other one by one, and a page or an order takes one of several ways, so that an
+# answer does not show that the next request is answered. If the target of the orders cannot make its
+# calls yet, a confirmation fails after it has run.
+until { fetch_called && fetch_page && fetch_order; } >"$work/fetch.log" 2>&1; do
     check_running
     tenths=$((tenths + 1))
     if [ "$tenths" -ge "$START_TENTHS" ]; then
