Let spare substitutes follow the store while followers do not reach it

The only node of its failure domain that followed the store then was a substitute that did not reach it either: a node that does not follow the store has not asked it, and counted as one that reaches it. Now up to two more nodes substitute, as many as nodes before them have reported the store as unreachable.

The test failed before.

--- a/src/mesh/follower.rs
+++ b/src/mesh/follower.rs
@@ -14,6 +14,11 @@
 /// changes while the connection of the other is dead but not yet detected as such.
 const FOLLOWERS_PER_DOMAIN: usize = 2;
 
+/// Maximum number of additional substitutes. A node that does not follow the store does not know
+/// whether it can reach it, so an outage that cuts off some followers may have cut off their
+/// substitutes as well.
+const SPARE_SUBSTITUTES_MAX: usize = 2;
+
 /// How a node receives configuration changes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Role {
@@ -28,11 +33,13 @@
 
 impl Role {
     /// The role of a node by the number of nodes before it in the address order of its failure
-    /// domain: those that reach the store, and all.
+    /// domain: those that have not reported the store as unreachable, and all.
     pub fn of(before_with_store: usize, before: usize) -> Self {
+        let unreachable = before - before_with_store;
+        let followers = FOLLOWERS_PER_DOMAIN + unreachable.min(SPARE_SUBSTITUTES_MAX);
         if before < FOLLOWERS_PER_DOMAIN {
             Self::Follower
-        } else if before_with_store < FOLLOWERS_PER_DOMAIN {
+        } else if before_with_store < followers {
             Self::Substitute
         } else {
             Self::Informed
@@ -88,7 +95,7 @@
     }
 
     /// Updates the role from the number of nodes before this one in the address order of its
-    /// failure domain: those that reach the store, and all. Returns whether the role or `is_first`
+    /// failure domain: those that have not reported the store as unreachable, and all. Returns whether the role or `is_first`
     /// has changed.
     pub fn update_role(&self, before_with_store: usize, before: usize) -> bool {
         let (role, is_first) = (Role::of(before_with_store, before), before_with_store == 0);
--- a/tests/mesh/links.rs
+++ b/tests/mesh/links.rs
@@ -139,6 +139,19 @@
     }
 }
 
+/// In an outage of the store, nodes that do not follow it may be cut off as well without knowing.
+#[test]
+fn more_nodes_follow_the_store_than_the_last_that_became_unreachable() {
+    use Role::{Follower, Informed, Substitute};
+    let expected = [Follower, Follower, Substitute, Substitute, Informed];
+    assert_eq!(roles(&[false, true, true, true, true]), expected);
+    let mut reach = vec![false; 480];
+    reach.extend([true; 4]);
+    reach.push(true);
+    let roles = roles(&reach);
+    assert_eq!(roles[480..], [Substitute, Substitute, Substitute, Substitute, Informed]);
+}
+
 #[test]
 fn a_node_learns_of_all_others_from_the_first_it_links_with() {
     run(async {
