Count cancelled calls as running when their target crashes

A node cancels a call by closing its connection; the target may go on with it and crash later, and the report then named only the calls whose connection broke.

A call that ends without an answer now counts as running for one more second. If nothing else ran, the crash is noticed by the next refused connection.

The test failed before, with callers that leave and with calls that time out: 12 crashes of 12.

--- a/src/event.rs
+++ b/src/event.rs
@@ -406,7 +406,8 @@
         instance: String,
         /// Its service.
         service: String,
-        /// How many distinct requests it was running.
+        /// How many distinct requests it was running, with those whose calls ended within the last
+        /// second without an answer.
         running: u32,
         /// How many requests are suspects: two or more targets crashed while running them, so each
         /// runs with no other suspect on the same target.
--- a/src/mesh/receiver.rs
+++ b/src/mesh/receiver.rs
@@ -16,7 +16,7 @@
 
 use crate::event::LogEvent;
 
-use super::crash::{self, record_interrupted};
+use super::crash::{self, RunGuard, record_interrupted, record_refused};
 use super::crash_reports;
 use super::fingerprint;
 use super::frame::{Call, CallEnd, Doubt, Header, NotRun, TargetAnswer};
@@ -190,9 +190,10 @@
 }
 
 /// The result of a call when no connection to the target could be opened.
-fn connection_failed(node: &Node, instance: &Instance, error: &ExchangeError) -> CallResult {
+fn connection_failed(node: &Rc<Node>, instance: &Instance, error: &ExchangeError) -> CallResult {
     if error.is_refused() && node.target.mark_unavailable(&instance.incarnation) {
         node.target_changed("refused_connection");
+        record_refused(node, instance);
     }
     CallResult { end: CallEnd::NotRun(NotRun::Unreachable), detail: error.to_string() }
 }
@@ -232,11 +233,13 @@
     };
     node.metrics.record_target_request(call.is_repeat);
     connection.record_attempt(&call.attempt_id);
+    let run_guard = RunGuard::new(node, call);
     let exchanged = connection.exchange(&method, &head, &call.body, accepts);
     let reply = match timeout_at(deadline, exchanged).await {
         Ok(Ok(reply)) => reply,
         Ok(Err(error)) => {
             if matches!(error, ExchangeError::Broken(_)) {
+                run_guard.finish();
                 record_interrupted(node, instance, call);
                 if is_retryable(node, call) {
                     crash::wait_for_check(node).await;
@@ -247,6 +250,7 @@
         Err(_) => return CallEnd::MayHaveRun(Doubt::Timeout).into(),
     };
     running.finish();
+    run_guard.finish();
     let is_current = |now: Rc<Instance>| now.incarnation == instance.incarnation;
     if reply.is_reusable && node.target.current().is_some_and(is_current) {
         node.target.keep(connection);
--- a/tests/mesh/crashes.rs
+++ b/tests/mesh/crashes.rs
@@ -6,10 +6,13 @@
 use aspenspring::mesh::fingerprint::Fingerprint;
 use aspenspring::mesh::frame::{Crash, Header};
 use aspenspring::mesh::quarantine::Standing;
+use tokio::io::AsyncWriteExt;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
-use super::support::{CRASHES, Reaction, TestNode, ask, link_nodes, request, run, start, status};
+use super::support::{
+    CRASHES, Reaction, TestNode, ask, connect, link_nodes, request, run, start, status,
+};
 
 /// A target that crashes 15 ms after the start of a crashing request; other requests take 5 ms.
 const CRASHABLE: Reaction = Reaction::CrashOn(15, 5);
@@ -73,6 +76,62 @@
     });
 }
 
+/// How the call of a crashing request ends before the target crashes.
+#[derive(Clone, Copy, Debug)]
+enum EarlyEnd {
+    Disconnect,
+    Timeout,
+}
+
+/// Sends the crashing request twelve times, with `beside` other requests at the same time. Returns
+/// how often it has reached targets.
+async fn crash_after_the_end(end: EarlyEnd, beside: usize) -> usize {
+    let nodes = start_linked(&["stock-1", "stock-2", "stock-3", "stock-4"]).await;
+    for attempt in 0..ATTEMPTS {
+        let mut running = Vec::new();
+        for number in 0..beside {
+            let entry = nodes[number % nodes.len()].clone();
+            let text = concurrent(number, &format!("b{attempt}-{number}"));
+            running.push(spawn_local(async move { ask(&entry, &text).await }));
+        }
+        let entry = &nodes[attempt % nodes.len()];
+        match end {
+            EarlyEnd::Disconnect => {
+                let mut caller = connect(entry).await;
+                caller.write_all(crashing(attempt).as_bytes()).await.unwrap();
+                sleep(Duration::from_millis(8)).await;
+            }
+            EarlyEnd::Timeout => {
+                let text = crashing(attempt).replace("host:", "x-deadline: 10\r\nhost:");
+                ask(entry, &text).await;
+            }
+        }
+        sleep(Duration::from_millis(30)).await;
+        // Meets the crashed target, which is down for 150 ms.
+        for (number, entry) in nodes.iter().enumerate() {
+            ask(entry, &request("read", &format!("a{attempt}-{number}"))).await;
+        }
+        sleep(Duration::from_millis(200)).await;
+        for request in running {
+            request.await.unwrap();
+        }
+    }
+    arrivals(&nodes, CRASHES)
+}
+
+/// The callers of a request left before the targets crashed that were running it. Their nodes had
+/// cancelled it by then, did not count it as running, and sent it to one target after another.
+#[test]
+fn a_cancelled_request_that_crashes_targets_is_quarantined() {
+    run(async {
+        let allowed = QUARANTINED_AFTER + RETRIES_MAX;
+        for (end, beside) in [(EarlyEnd::Disconnect, 0), (EarlyEnd::Timeout, 4)] {
+            let crashed = crash_after_the_end(end, beside).await;
+            assert!(crashed <= allowed, "{end:?}, {beside} beside: {crashed} crashes");
+        }
+    });
+}
+
 /// A request that runs at the same time as the crashing one.
 fn concurrent(number: usize, attempt: &str) -> String {
     format!(
