Wait in the quota test until the fleet of the stopping nodes is settled

Nodes learn at their next update that the other is stopping, too, which can change the owner of the quota, and a new owner begins with part of the burst.

It now waits until both nodes know, and from then on until the burst has accrued. Its bounds are the same.

--- a/tests/mesh/teams.rs
+++ b/tests/mesh/teams.rs
@@ -259,6 +259,19 @@
     admitted
 }
 
+/// Waits until a stopping node knows that its peer is stopping, too, and no longer changes its fleet.
+async fn wait_for_stopping_fleet(at: &TestNode, peer: &TestNode) {
+    let address = peer.node.settings.listen.peers;
+    let is_settled = || {
+        let known = at.node.directory.get(address);
+        known.is_some_and(|known| known.status.borrow().stopping)
+            && *at.node.quotas.fleet() == at.node.directory.fleet(true)
+    };
+    while !is_settled() {
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
 /// Guards against nodes that abort on requests of teams with quotas once all other nodes are stopping or down: no
 /// node owned the quota, and the time until the next token overflowed.
 #[test]
@@ -269,7 +282,9 @@
         for node in [&first, &second] {
             node.node.stop();
         }
-        // Until both know of each other that they are stopping.
+        wait_for_stopping_fleet(&first, &second).await;
+        wait_for_stopping_fleet(&second, &first).await;
+        // Until an owner that has just changed has the whole burst.
         sleep(Duration::from_millis(250)).await;
         let admitted = admitted_while_stopping(&[&first, &second], 60).await;
         // The burst, and what accrues in the second that 60 requests take at most.
