Add review case 8: a backend that leaves goes on getting requests

Boots of one id are ordered by their time of start. After the time of day has jumped back, a restarted backend counts as the older boot: its draining check-in is acknowledged and ends nothing.

--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -2,6 +2,7 @@
 //!
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
 
+mod clock_back;
 mod http;
 mod json;
 mod node;
@@ -30,6 +31,7 @@
     };
     let record = std::sync::Arc::new(record::Record::create(Path::new(folder)));
     let verdict = match case.as_str() {
+        "clock-back" => clock_back::run(&record),
         "slow-answer" => slow_answer::run(&record),
         "slow-body" => slow_body::run(&record),
         "quota-restart" => quota_restart::run(&record),
--- a/review/standin-2/src/node.rs
+++ b/review/standin-2/src/node.rs
@@ -145,8 +145,21 @@
 
     /// Sends a check-in of the backend beside the node; the status of the answer.
     pub fn check_in(&self, id: &str, service: &str, state: &str, sequence: u64) -> u16 {
+        self.check_in_born(id, service, state, sequence, None)
+    }
+
+    /// Like `check_in`, with the millisecond of the backend's start.
+    pub fn check_in_born(
+        &self,
+        id: &str,
+        service: &str,
+        state: &str,
+        sequence: u64,
+        born: Option<u64>,
+    ) -> u16 {
+        let born = born.map_or_else(String::new, |born| format!("\"born\":{born},"));
         let body = format!(
-            "{{\"address\":\"{}\",\"information\":{{\"service\":\"{service}\",\"version\":\"v1\",\"zone\":\"a\",\"slots\":200}},\"status\":{{\"state\":\"{state}\",\"sequence\":{sequence},\"coldRemainingMs\":0}}}}",
+            "{{{born}\"address\":\"{}\",\"information\":{{\"service\":\"{service}\",\"version\":\"v1\",\"zone\":\"a\",\"slots\":200}},\"status\":{{\"state\":\"{state}\",\"sequence\":{sequence},\"coldRemainingMs\":0}}}}",
             self.target
         );
         let request = format!(
