Add review case 7: a queued request is dropped at a planned stop

A request that still waits for a slot at a peer when the process ends gets no answer, though it has not run and could be refused.

--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -6,6 +6,7 @@
 mod http;
 mod json;
 mod node;
+mod queued;
 mod quota_restart;
 mod record;
 mod site;
@@ -34,6 +35,7 @@
         "clock-back" => clock_back::run(&record),
         "slow-answer" => slow_answer::run(&record),
         "slow-body" => slow_body::run(&record),
+        "queued" => queued::run(&record),
         "quota-restart" => quota_restart::run(&record),
         _ => {
             eprintln!("no such case");
--- a/review/standin-2/src/node.rs
+++ b/review/standin-2/src/node.rs
@@ -156,10 +156,23 @@
         state: &str,
         sequence: u64,
         born: Option<u64>,
+    ) -> u16 {
+        self.check_in_with(id, service, state, sequence, born, 200)
+    }
+
+    /// Like `check_in_born`, with the number of slots.
+    pub fn check_in_with(
+        &self,
+        id: &str,
+        service: &str,
+        state: &str,
+        sequence: u64,
+        born: Option<u64>,
+        slots: u32,
     ) -> u16 {
         let born = born.map_or_else(String::new, |born| format!("\"born\":{born},"));
         let body = format!(
-            "{{{born}\"address\":\"{}\",\"information\":{{\"service\":\"{service}\",\"version\":\"v1\",\"zone\":\"a\",\"slots\":200}},\"status\":{{\"state\":\"{state}\",\"sequence\":{sequence},\"coldRemainingMs\":0}}}}",
+            "{{{born}\"address\":\"{}\",\"information\":{{\"service\":\"{service}\",\"version\":\"v1\",\"zone\":\"a\",\"slots\":{slots}}},\"status\":{{\"state\":\"{state}\",\"sequence\":{sequence},\"coldRemainingMs\":0}}}}",
             self.target
         );
         let request = format!(
