--- a/review/standin-2/src/memory.rs
+++ b/review/standin-2/src/memory.rs
@@ -60,7 +60,8 @@
     if files.check_in("i-1", "files", "ready", 1) != 200 {
         return Verdict::NotRun;
     }
-    thread::sleep(Duration::from_millis(1_000));
+    // Longer than `contactMs`: the machines are in touch from here on.
+    thread::sleep(Duration::from_millis(3_500));
     let (is_over, most_kb) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
     for node in [&pages, &files] {
         watch_memory(node, &is_over, &most_kb, record);
@@ -135,6 +136,7 @@
         let request = format!(
             "POST /orders/{part} HTTP/1.1\r\nHost: shop.test\r\nAttempt-Id: {id}\r\nDeadline-Milliseconds: {DEADLINE_MS}\r\nContent-Length: 0\r\n\r\n"
         );
+        record.note(&format!("{id} is sent"));
         (&stream).write_all(request.as_bytes()).ok()?;
         let answer = http::read_message(&mut reader).ok().flatten();
         let got = answer.as_ref().map_or("no answer", |answer| answer.first.as_str());
@@ -157,6 +159,7 @@
     let head = format!(
         "POST /files/1 HTTP/1.1\r\nHost: shop.test\r\nAttempt-Id: u{number}\r\nDeadline-Milliseconds: {DEADLINE_MS}\r\nContent-Length: {BODY_BYTES}\r\n\r\n"
     );
+    record.note(&format!("u{number} is sent, {BODY_BYTES} bytes"));
     let _ = (&stream).write_all(head.as_bytes());
     let _ = (&stream).write_all(&vec![b'x'; BODY_BYTES]);
     let answer = http::read_message(&mut BufReader::new(&stream)).ok().flatten();
