--- a/review/standin-2/src/queued.rs
+++ b/review/standin-2/src/queued.rs
@@ -61,8 +61,8 @@
     if orders.check_in_with("i-1", "orders", "ready", 1, None, SLOTS) != 200 {
         return Verdict::NotRun;
     }
-    // The nodes tell each other of the backend.
-    thread::sleep(Duration::from_millis(1_000));
+    // Longer than `contactMs`; the nodes tell each other of the backend meanwhile.
+    thread::sleep(Duration::from_millis(3_500));
     if site::has_trouble() {
         pages.signal("TERM");
         record.note("the node 'pages' gets SIGTERM");
