--- a/review/standin-2/src/slow_body.rs
+++ b/review/standin-2/src/slow_body.rs
@@ -16,7 +16,7 @@
 
 /// The body that the client sends; the configuration allows 64 MiB.
 const BODY_BYTES: usize = 24 * 1024 * 1024;
-/// For how long the backend does not read.
+/// For how long the backend does not read; without the disruption, for how long it works after it has read all.
 const PAUSE: Duration = Duration::from_millis(2_800);
 /// The client's deadline, and the route's timeout.
 const DEADLINE_MS: u32 = 5_000;
@@ -36,11 +36,11 @@
     let mut node = Node::prepare(work, store.address, "one", "a", "files", DWK);
     let Ok(listener) = TcpListener::bind(node.target) else { return Verdict::NotRun };
     let backend_record = Arc::clone(record);
-    let pause = if site::has_trouble() { PAUSE } else { Duration::ZERO };
+    let reads_late = site::has_trouble();
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let record = Arc::clone(&backend_record);
-            thread::spawn(move || serve(stream, pause, &record));
+            thread::spawn(move || serve(stream, reads_late, &record));
         }
     });
     node.start();
@@ -48,6 +48,8 @@
     if !is_up || node.check_in("i-1", "files", "ready", 1) != 200 {
         return Verdict::NotRun;
     }
+    // Longer than `contactMs`.
+    thread::sleep(Duration::from_millis(3_500));
     let Ok(stream) = TcpStream::connect(node.callers) else { return Verdict::NotRun };
     let _ = stream.set_read_timeout(Some(Duration::from_secs(10)));
     let _ = stream.set_write_timeout(Some(Duration::from_secs(10)));
@@ -83,14 +85,16 @@
     if is_excused { Verdict::NotRun } else { Verdict::Broken }
 }
 
-/// The backend: begins its work with the head, pauses, reads the body, and answers.
-fn serve(mut stream: TcpStream, pause: Duration, record: &Record) {
+/// The backend: begins its work with the head, reads the body late or at once, and answers.
+fn serve(mut stream: TcpStream, reads_late: bool, record: &Record) {
     let Ok(copy) = stream.try_clone() else { return };
     let mut reader = BufReader::new(copy);
     while let Ok(Some(request)) = http::read_head(&mut reader) {
         let id = request.header("Attempt-Id").unwrap_or("").to_owned();
         record.note(&format!("the backend begins to work on {id}"));
-        thread::sleep(pause);
+        if reads_late {
+            thread::sleep(PAUSE);
+        }
         let mut body = vec![0; request.length()];
         if let Err(error) = reader.read_exact(&mut body) {
             record.note(&format!("the backend reads on and finds {id} broken off: {error}"));
@@ -99,6 +103,10 @@
         let answer = format!(
             "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Signature: s1\r\nContent-Length: 2\r\n\r\nok"
         );
+        if !reads_late {
+            record.note(&format!("the backend has read all of {id} and goes on working"));
+            thread::sleep(PAUSE);
+        }
         record.note(&format!("the backend has read all of {id} and answers"));
         if stream.write_all(answer.as_bytes()).is_err() {
             return;
