Bound every part of an answer that is read

Two chunk extensions without an end took 263 MiB and held other requests up for 650 ms; interim answers and trailers held the processor until the timeout of the route.

Cause: three loops of the reader were bounded by the deadline only, a chunk's line was parsed from its start after each read, and the reader went on as long as bytes were available.

Each loop has a bound in bytes and in number, beyond which the connection is closed; the reader yields to other tasks after 32 KiB.

--- a/src/mesh/http1.rs
+++ b/src/mesh/http1.rs
@@ -16,6 +16,7 @@
 use thiserror::Error;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::task::yield_now;
 use tokio::time::Instant;
 
 use super::memory::{MemoryBudget, Reservation, Stage};
@@ -27,8 +28,18 @@
 const HEAD_MAX_BYTES: usize = 64 * 1024;
 /// Maximum size of an answer's body, in bytes: a node buffers whole answers.
 const BODY_MAX_BYTES: usize = 32 * 1024 * 1024;
+/// Maximum size of all answers of an exchange together, in bytes.
+const EXCHANGE_MAX_BYTES: usize = 2 * BODY_MAX_BYTES;
+/// Maximum number of interim answers before the final one.
+const INTERIM_MAX: usize = 16;
+/// Maximum length of the line with the size and the extensions of a chunk, in bytes.
+const CHUNK_LINE_MAX_BYTES: usize = 4 * 1024;
+/// Maximum number of chunks in a body.
+const CHUNKS_MAX: usize = 256 * 1024;
 /// Size of a read, in bytes.
 const READ_BYTES: usize = 16 * 1024;
+/// Number of bytes after which a reader lets other tasks run.
+const YIELD_BYTES: usize = 32 * 1024;
 /// Step by which the reservation for a body of unknown length grows, in bytes.
 const RESERVATION_STEP_BYTES: usize = 64 * 1024;
 /// How long before the announced keep-alive timeout a connection counts as closed.
@@ -216,16 +227,21 @@
     })
 }
 
-/// Reads the answers of one exchange.
+/// Reads the answers of one exchange. All that a peer may send is bounded in size and number, and
+/// other tasks run while it is read.
 struct AnswerReader<'a, R> {
     stream: &'a mut R,
     buffer: &'a mut BytesMut,
     memory: &'a MemoryBudget,
+    /// Bytes read in this exchange.
+    read_bytes: usize,
+    /// Bytes read since other tasks could last run.
+    unyielded_bytes: usize,
 }
 
 impl<'a, R: AsyncReadExt + Unpin> AnswerReader<'a, R> {
     fn new(stream: &'a mut R, buffer: &'a mut BytesMut, memory: &'a MemoryBudget) -> Self {
-        Self { stream, buffer, memory }
+        Self { stream, buffer, memory, read_bytes: 0, unyielded_bytes: 0 }
     }
 
     /// Reads answers until `accepts` accepts one.
@@ -250,12 +266,13 @@
 
     /// Reads the head of an answer, skipping interim ones.
     async fn read_final_head(&mut self) -> Result<Reply, ExchangeError> {
-        loop {
+        for _ in 0..=INTERIM_MAX {
             let reply = self.read_head().await?;
             if !(100..200).contains(&reply.status) {
                 return Ok(reply);
             }
         }
+        Err(ExchangeError::Malformed("too many interim answers"))
     }
 
     async fn read_head(&mut self) -> Result<Reply, ExchangeError> {
@@ -304,14 +321,14 @@
         while body.len() < length {
             let missing = length - body.len();
             let read = self.stream.read_buf(&mut (&mut body).limit(missing)).await;
-            self.record_read(read, false)?;
+            self.record_read(read, false).await?;
         }
         Ok(reservation.attach(body))
     }
 
     async fn read_chunks(&mut self) -> Result<Bytes, ExchangeError> {
         let mut body = GrowingBody::new(self.memory)?;
-        loop {
+        for _ in 0..CHUNKS_MAX {
             let size = self.read_chunk_size().await?;
             if size == 0 {
                 return self.read_trailers().await.map(|()| body.finish());
@@ -338,16 +355,23 @@
             }
             self.buffer.advance(2);
         }
+        Err(ExchangeError::Malformed("too many chunks"))
     }
 
     async fn read_chunk_size(&mut self) -> Result<u64, ExchangeError> {
         loop {
-            match httparse::parse_chunk_size(self.buffer) {
+            let line = &self.buffer[..self.buffer.len().min(CHUNK_LINE_MAX_BYTES)];
+            match httparse::parse_chunk_size(line) {
                 Ok(httparse::Status::Complete((length, size))) => {
                     self.buffer.advance(length);
                     return Ok(size);
                 }
-                Ok(httparse::Status::Partial) => self.fill_buffer().await?,
+                Ok(httparse::Status::Partial) if line.len() < CHUNK_LINE_MAX_BYTES => {
+                    self.fill_buffer().await?;
+                }
+                Ok(httparse::Status::Partial) => {
+                    return Err(ExchangeError::Malformed("chunk extension too long"));
+                }
                 Err(_) => return Err(ExchangeError::Malformed("invalid chunk size")),
             }
         }
@@ -355,12 +379,18 @@
 
     /// Reads and discards the trailers of a chunked body.
     async fn read_trailers(&mut self) -> Result<(), ExchangeError> {
+        let (mut count, mut length) = (0, 0);
         loop {
             while let Some(end) = self.buffer.windows(2).position(|pair| pair == b"\r\n") {
                 self.buffer.advance(end + 2);
                 if end == 0 {
                     return Ok(());
                 }
+                count += 1;
+                length += end;
+                if count > HEADERS_MAX || length > HEAD_MAX_BYTES {
+                    return Err(ExchangeError::Malformed("too many trailers"));
+                }
             }
             if self.buffer.len() > HEAD_MAX_BYTES {
                 return Err(ExchangeError::Malformed("trailers too long"));
@@ -380,7 +410,7 @@
             body.reserve(READ_BYTES)?;
             body.bytes.reserve(READ_BYTES);
             let read = self.stream.read_buf(&mut (&mut body.bytes).limit(READ_BYTES)).await;
-            if self.record_read(read, true)? == 0 {
+            if self.record_read(read, true).await? == 0 {
                 return Ok(body.finish());
             }
         }
@@ -391,11 +421,12 @@
             self.buffer.reserve(READ_BYTES);
         }
         let read = self.stream.read_buf(self.buffer).await;
-        self.record_read(read, false).map(|_| ())
+        self.record_read(read, false).await.map(|_| ())
     }
 
-    /// Checks a read. The end of the stream is an error unless the body may end there.
-    fn record_read(
+    /// Counts the bytes of a read, and lets other tasks run now and then. The end of the stream is
+    /// an error unless the body may end there.
+    async fn record_read(
         &mut self,
         read: io::Result<usize>,
         may_end: bool,
@@ -404,6 +435,15 @@
         if length == 0 && !may_end {
             return Err(ExchangeError::Broken(io::ErrorKind::UnexpectedEof.into()));
         }
+        self.read_bytes += length;
+        if self.read_bytes > EXCHANGE_MAX_BYTES {
+            return Err(ExchangeError::Malformed("too many bytes"));
+        }
+        self.unyielded_bytes += length;
+        if self.unyielded_bytes > YIELD_BYTES {
+            self.unyielded_bytes = 0;
+            yield_now().await;
+        }
         Ok(length)
     }
 }
--- a/tests/mesh/exchange.rs
+++ b/tests/mesh/exchange.rs
@@ -1,12 +1,16 @@
 //! The HTTP client with answers that are truncated, malformed, late or duplicated.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
 
 use aspenspring::mesh::http1::{Connection, ExchangeError, Reply, write_and_read};
 use http::Method;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
-use tokio::task::spawn_local;
+use tokio::task::{JoinSet, spawn_local};
+use tokio::time::timeout;
 
 use super::support::{memory, run};
 
@@ -169,6 +173,139 @@
     });
 }
 
+/// A server that sends `start`, and then `part` until the connection is closed. Also returns the
+/// number of bytes sent.
+async fn serve_without_end(
+    start: &'static str,
+    part: &'static str,
+) -> (SocketAddr, Rc<Cell<usize>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let sent = Rc::new(Cell::new(0));
+    let counted = Rc::clone(&sent);
+    spawn_local(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        stream.write_all(start.as_bytes()).await.unwrap();
+        let block = part.repeat(64 * 1024 / part.len());
+        while stream.write_all(block.as_bytes()).await.is_ok() {
+            counted.set(counted.get() + block.len());
+        }
+    });
+    (address, sent)
+}
+
+/// Starts `count` exchanges at once whose answers have no end, until each has failed. `bytes_max` is
+/// what a client may read, `held_max` what it may keep.
+async fn expect_refused(
+    count: usize,
+    start: &'static str,
+    part: &'static str,
+    bytes_max: usize,
+    held_max: usize,
+) {
+    /// Upper bound on what the kernel buffers for a connection.
+    const SOCKET_BYTES: usize = 16 * 1024 * 1024;
+    let memory = memory();
+    let mut exchanges = JoinSet::new();
+    let mut servers = Vec::new();
+    for _ in 0..count {
+        let (address, sent) = serve_without_end(start, part).await;
+        let memory = memory.clone();
+        exchanges.spawn_local(async move {
+            let mut connection = Connection::open(address, &memory).await.unwrap();
+            exchange(&mut connection, "1").await
+        });
+        servers.push(sent);
+    }
+    let mut held = 0;
+    while !exchanges.is_empty() {
+        held = held.max(memory.held_bytes());
+        let Ok(ended) = timeout(Duration::from_millis(1), exchanges.join_next()).await else {
+            continue;
+        };
+        let error = ended.unwrap().unwrap().unwrap_err();
+        assert!(!matches!(error, ExchangeError::Broken(_)), "{start:?}: {error}");
+    }
+    for sent in servers {
+        assert!(sent.get() <= bytes_max + SOCKET_BYTES, "{start:?}: {} bytes", sent.get());
+    }
+    assert!(held <= held_max, "{start:?}: {held} bytes held");
+    assert_eq!(memory.held_bytes(), 0);
+}
+
+const UNTIL_CLOSE: &str = "HTTP/1.1 200 OK\r\nx-attempt: 1\r\n\r\n";
+const CHUNKED: &str = "HTTP/1.1 200 OK\r\nx-attempt: 1\r\ntransfer-encoding: chunked\r\n\r\n";
+
+/// Guards against an exchange that reads a chunk extension into memory without a limit.
+#[test]
+fn a_chunk_extension_without_an_end_is_refused() {
+    run(expect_refused(
+        8,
+        "HTTP/1.1 200 OK\r\nx-attempt: 1\r\ntransfer-encoding: chunked\r\n\r\n5;x=",
+        "a",
+        64 * 1024,
+        1024 * 1024,
+    ));
+}
+
+/// Guards against an exchange that skips interim answers until its deadline.
+#[test]
+fn interim_answers_without_an_end_are_refused() {
+    run(expect_refused(8, "HTTP/1.1 102 P\r\n\r\n", "HTTP/1.1 102 P\r\n\r\n", 64 * 1024, 0));
+}
+
+/// Guards against an exchange that discards trailers until its deadline.
+#[test]
+fn trailers_without_an_end_are_refused() {
+    let start = "HTTP/1.1 200 OK\r\nx-attempt: 1\r\ntransfer-encoding: chunked\r\n\r\n0\r\n";
+    run(expect_refused(8, start, "x-a: b\r\n", 128 * 1024, 1024 * 1024));
+}
+
+/// Guards against a body of tiny chunks, of which each takes little memory but much time.
+#[test]
+fn tiny_chunks_without_an_end_are_refused() {
+    run(expect_refused(8, CHUNKED, "1\r\na\r\n", 2 * 1024 * 1024, 8 * 1024 * 1024));
+}
+
+/// Guards against bodies that exceed the memory of the process together.
+#[test]
+fn bodies_without_an_end_stay_within_the_memory_together() {
+    let held_max = 256 * 1024 * 1024 / 10 * 6;
+    let length = 32 * 1024 * 1024;
+    run(expect_refused(12, UNTIL_CLOSE, "a", length, held_max));
+    let chunk = concat!("8\r\n", "abcdefgh", "\r\n");
+    run(expect_refused(12, CHUNKED, chunk, length, held_max));
+}
+
+/// Guards against other requests that wait while answers without an end are read.
+#[test]
+fn other_exchanges_go_on_while_bodies_without_an_end_are_read() {
+    run(async {
+        let memory = memory();
+        let mut endless = JoinSet::new();
+        for _ in 0..8 {
+            let (address, _) = serve_without_end(UNTIL_CLOSE, "a").await;
+            let memory = memory.clone();
+            endless.spawn_local(async move {
+                let mut connection = Connection::open(address, &memory).await.unwrap();
+                exchange(&mut connection, "1").await.unwrap_err();
+            });
+        }
+        let mut completed = 0;
+        while !endless.is_empty() {
+            let answer = b"HTTP/1.1 200 OK\r\nx-attempt: 1\r\ncontent-length: 2\r\n\r\nok";
+            tokio::select! {
+                reply = first(answer) => {
+                    reply.unwrap();
+                    completed += 1;
+                }
+                Some(ended) = endless.join_next() => ended.unwrap(),
+            }
+        }
+        assert!(completed >= 20, "{completed} other exchanges were completed meanwhile");
+    });
+}
+
 /// Guards against a head that is complete but not recognised, as it arrives in small parts.
 #[test]
 fn a_head_in_small_parts_is_read() {
