Order incarnations of a target by arrival, not by start time

Cause: a lower start time was taken for an earlier incarnation, so that its heartbeats were dropped and its departure was recorded for an incarnation that was not the current one. Ruled out: a late heartbeat that brings the target back, and a departure that other nodes miss (its own node passed the requests on).

Start times tell incarnations apart; the arrival of their heartbeats orders them. One that starts before one that has left, by its clock, gets work once its heartbeats have come for a second. This also mends a target that got no work for as long as it ran.

--- a/src/mesh/departures.rs
+++ b/src/mesh/departures.rs
@@ -68,7 +68,7 @@
     /// Requests that a departure is saved, unless it is already.
     pub fn request_save(&self, incarnation: &Incarnation) {
         let mut unsaved = self.unsaved.borrow_mut();
-        if self.is_saved(incarnation) || unsaved.iter().any(|known| known.ends(incarnation)) {
+        if self.is_saved(incarnation) || unsaved.iter().any(|known| known.matches(incarnation)) {
             return;
         }
         unsaved.push(incarnation.clone());
@@ -82,7 +82,7 @@
             return None;
         }
         let mut next = self.saved.borrow().clone();
-        next.retain(|known| !unsaved.iter().any(|new| new.ends(known)));
+        next.retain(|known| !unsaved.iter().any(|new| new.matches(known)));
         next.extend_from_slice(&unsaved);
         next.drain(..next.len().saturating_sub(SAVED_MAX));
         Some(next)
@@ -90,7 +90,7 @@
 
     /// Records that these departures are saved, oldest first, such as those returned by `next_to_save`.
     pub fn record_saved(&self, saved: Vec<Incarnation>) {
-        self.unsaved.borrow_mut().retain(|new| !saved.iter().any(|known| known.ends(new)));
+        self.unsaved.borrow_mut().retain(|new| !saved.iter().any(|known| known.matches(new)));
         self.saved.replace(saved);
         self.saved_changed.notify_waiters();
     }
@@ -106,6 +106,6 @@
     }
 
     fn is_saved(&self, incarnation: &Incarnation) -> bool {
-        self.saved.borrow().iter().any(|known| known.ends(incarnation))
+        self.saved.borrow().iter().any(|known| known.matches(incarnation))
     }
 }
--- a/src/mesh/incarnation.rs
+++ b/src/mesh/incarnation.rs
@@ -15,10 +15,10 @@
 }
 
 impl Incarnation {
-    /// Whether the end of this incarnation implies the end of `other`: they are the same, `other`
-    /// is an earlier incarnation of the same target, or the start time of the ended one is unknown.
-    pub fn ends(&self, other: &Self) -> bool {
-        self.id == other.id
-            && (self.started_unix_ms == 0 || other.started_unix_ms <= self.started_unix_ms)
+    /// Whether both are the same incarnation, as far as their start times are known. Start times of
+    /// one target don't tell which of two incarnations is the later one: its clock may be set back.
+    pub fn matches(&self, other: &Self) -> bool {
+        let starts = (self.started_unix_ms, other.started_unix_ms);
+        self.id == other.id && (starts.0 == starts.1 || starts.0 == 0 || starts.1 == 0)
     }
 }
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -28,6 +28,7 @@
 pub mod limit_reports;
 pub mod linger;
 pub mod link;
+pub mod lives;
 pub mod memory;
 pub mod metrics;
 pub mod named_limit;
--- a/src/mesh/target.rs
+++ b/src/mesh/target.rs
@@ -15,11 +15,12 @@
 use super::gate::Gate;
 use super::http1::Connection;
 use super::incarnation::Incarnation;
+use super::lives::Lives;
 use super::named_limit::{NamedLimit, NamedLimits};
 
 /// Maximum number of remembered incarnations that have left.
 const LEFT_MAX: usize = 64;
-/// Maximum number of incarnations whose last heartbeat is kept.
+/// Maximum number of ids whose incarnations are tracked.
 const TRACKED_MAX: usize = 64;
 /// Maximum number of idle connections to the target.
 const IDLE_MAX: usize = 64;
@@ -61,14 +62,6 @@
     pub is_cold: bool,
 }
 
-/// The last heartbeat of an incarnation.
-#[derive(Debug)]
-struct LastHeartbeat {
-    sequence: u64,
-    slots: u32,
-    instance: Rc<Instance>,
-}
-
 /// The local target.
 #[derive(Debug)]
 pub struct Target {
@@ -84,9 +77,9 @@
     /// The requests whose connection to the target broke recently.
     pub interrupted: InterruptedRequests,
     current: RefCell<Option<Rc<Instance>>>,
-    /// The last heartbeat of each target that has not left, by its id.
-    last_heartbeats: RefCell<HashMap<String, LastHeartbeat>>,
-    /// Incarnations that are draining, have left or were replaced, oldest first.
+    /// The incarnations that have not left, by their id.
+    lives: RefCell<HashMap<String, Lives>>,
+    /// Incarnations that are draining, have left or were replaced by one that has, oldest first.
     left: RefCell<Vec<Incarnation>>,
     idle: RefCell<Vec<Connection>>,
     /// The limits that its incarnations have named.
@@ -103,7 +96,7 @@
             conditions: ConditionTracker::default(),
             interrupted: InterruptedRequests::default(),
             current: RefCell::default(),
-            last_heartbeats: RefCell::default(),
+            lives: RefCell::default(),
             left: RefCell::default(),
             idle: RefCell::default(),
             limits: NamedLimits::default(),
@@ -118,38 +111,34 @@
     /// Applies a heartbeat. Returns whether the state has changed.
     ///
     /// Ignores heartbeats that arrive out of order, and those of an incarnation that has left or
-    /// was replaced by a later one with the same id.
+    /// was replaced by a later one with the same id (see `lives`).
     pub fn apply_heartbeat(&self, heartbeat: &Heartbeat) -> bool {
         let incarnation = &heartbeat.incarnation;
         if heartbeat.state == TargetState::Draining {
             return self.mark_left(incarnation);
         }
-        if self.has_left(incarnation) || self.is_outdated(heartbeat) {
+        if self.has_left(incarnation) {
             return false;
         }
-        let instance = Rc::new(Instance {
-            incarnation: incarnation.clone(),
-            service: heartbeat.service.clone(),
-            is_cold: heartbeat.cold_ms > 0,
-        });
-        let mut last_heartbeats = self.last_heartbeats.borrow_mut();
-        if last_heartbeats.len() >= TRACKED_MAX {
-            last_heartbeats.clear();
+        let left = self.left_starts(&incarnation.id);
+        let mut lives = self.lives.borrow_mut();
+        if lives.len() >= TRACKED_MAX && !lives.contains_key(&incarnation.id) {
+            lives.clear();
+        }
+        let lives_of_id = lives.entry(incarnation.id.clone()).or_default();
+        if !lives_of_id.apply(heartbeat, &left, Instant::now()) {
+            return false;
         }
-        let (sequence, slots) = (heartbeat.sequence, heartbeat.slots);
-        let entry = LastHeartbeat { sequence, slots, instance: Rc::clone(&instance) };
-        last_heartbeats.insert(incarnation.id.clone(), entry);
-        drop(last_heartbeats);
+        let Some((instance, slots)) = lives_of_id.current() else { return false };
+        let instance = Rc::clone(instance);
+        drop(lives);
         self.set_current(instance, slots)
     }
 
-    /// Whether a later heartbeat with the same id is known, of this incarnation or a later one.
-    fn is_outdated(&self, heartbeat: &Heartbeat) -> bool {
-        let last_heartbeats = self.last_heartbeats.borrow();
-        let Some(known) = last_heartbeats.get(&heartbeat.incarnation.id) else { return false };
-        let known_start = known.instance.incarnation.started_unix_ms;
-        let start = heartbeat.incarnation.started_unix_ms;
-        (start, heartbeat.sequence) <= (known_start, known.sequence)
+    /// The start times of the incarnations with this id that have left.
+    fn left_starts(&self, id: &str) -> Vec<u64> {
+        let left = self.left.borrow();
+        left.iter().filter(|left| left.id == id).map(|left| left.started_unix_ms).collect()
     }
 
     /// Records that the incarnation `id` has answered at the target's address. Returns whether the
@@ -158,52 +147,69 @@
     /// A delayed heartbeat may name an incarnation that is gone. The one that answers then becomes
     /// the current one, if a heartbeat of it is known; otherwise there is no current one.
     pub fn observe_instance(&self, id: &str) -> bool {
-        let last_heartbeats = self.last_heartbeats.borrow();
-        let Some(known) = last_heartbeats.get(id) else {
-            drop(last_heartbeats);
+        let lives = self.lives.borrow();
+        let Some((instance, slots)) = lives.get(id).and_then(Lives::current) else {
+            drop(lives);
             let current = self.current();
             return current.is_some_and(|current| self.mark_unavailable(&current.incarnation));
         };
-        let (instance, slots) = (Rc::clone(&known.instance), known.slots);
-        drop(last_heartbeats);
+        let instance = Rc::clone(instance);
+        drop(lives);
         self.set_current(instance, slots)
     }
 
     /// The latest known incarnation with the given id.
     pub fn incarnation(&self, id: &str) -> Incarnation {
-        let last_heartbeats = self.last_heartbeats.borrow();
-        let known = last_heartbeats.get(id).map(|known| known.instance.incarnation.clone());
+        let lives = self.lives.borrow();
+        let known = lives.get(id).and_then(Lives::latest).cloned();
         known.unwrap_or_else(|| Incarnation { id: id.to_owned(), started_unix_ms: 0 })
     }
 
-    /// Permanently stops giving work to an incarnation and to earlier ones with the same id.
-    /// Returns whether the state has changed.
+    /// Permanently stops giving work to an incarnation and to those with the same id that it has
+    /// replaced. Returns whether the state has changed.
     pub fn mark_left(&self, incarnation: &Incarnation) -> bool {
         let mut incarnation = incarnation.clone();
-        if let Some(known) = self.last_heartbeats.borrow().get(&incarnation.id) {
-            if incarnation.started_unix_ms == 0 {
-                incarnation = known.instance.incarnation.clone();
-            }
+        if incarnation.started_unix_ms == 0 {
+            incarnation = self.incarnation(&incarnation.id);
         }
-        self.last_heartbeats
-            .borrow_mut()
-            .retain(|_, known| !incarnation.ends(&known.instance.incarnation));
-        if !self.has_left(&incarnation) {
-            let mut left = self.left.borrow_mut();
-            left.retain(|known| !incarnation.ends(known));
-            if left.len() >= LEFT_MAX {
-                left.remove(0);
-            }
-            left.push(incarnation.clone());
+        if self.has_left(&incarnation) {
+            return self.mark_unavailable(&incarnation);
+        }
+        let mut lives = self.lives.borrow_mut();
+        let lives_of_id = lives.get_mut(&incarnation.id);
+        let (left, has_current) = match lives_of_id {
+            Some(lives) => (lives.remove(&incarnation, Instant::now()), lives.current().is_some()),
+            None => (vec![incarnation.clone()], false),
+        };
+        drop(lives);
+        for left in left {
+            self.record_left(left);
+        }
+        let current = self.current();
+        let is_ended =
+            current.is_some_and(|now| now.incarnation.id == incarnation.id) && !has_current;
+        if is_ended {
+            self.clear_current();
+        }
+        is_ended
+    }
+
+    fn record_left(&self, incarnation: Incarnation) {
+        let mut left = self.left.borrow_mut();
+        if left.iter().any(|known| known.matches(&incarnation)) {
+            return;
+        }
+        if left.len() >= LEFT_MAX {
+            left.remove(0);
         }
-        self.mark_unavailable(&incarnation)
+        left.push(incarnation);
     }
 
     /// The incarnation that has left according to a report about `incarnation`, which may lack the
     /// start time.
     pub fn departure(&self, incarnation: &Incarnation) -> Incarnation {
         let left = self.left.borrow();
-        let found = left.iter().rev().find(|left| left.ends(incarnation));
+        let found = left.iter().rev().find(|left| left.matches(incarnation));
         found.unwrap_or(incarnation).clone()
     }
 
@@ -211,7 +217,7 @@
     /// changed.
     pub fn mark_unavailable(&self, incarnation: &Incarnation) -> bool {
         let current = self.current();
-        let is_current = current.is_some_and(|current| incarnation.ends(&current.incarnation));
+        let is_current = current.is_some_and(|current| incarnation.matches(&current.incarnation));
         if is_current {
             self.clear_current();
         }
@@ -309,7 +315,7 @@
 
     /// Whether an incarnation is draining, has left or was replaced.
     pub fn has_left(&self, incarnation: &Incarnation) -> bool {
-        self.left.borrow().iter().any(|left| left.ends(incarnation))
+        self.left.borrow().iter().any(|left| left.matches(incarnation))
     }
 
     fn clear_current(&self) {
