Grant no quota before the other nodes are known

Cause: a node began with a fleet of itself, so that an empty list of peers meant both that there are none and that they are not known yet.

A node grants nothing and has no equal share until it has joined and has read the list, or is linked to a node that knows it. Requests of teams with quotas wait up to 1 s for that, then get 503. No calls to the store are added.

On the related path: the simulation looked up the owner before the fleet was set, so the owner never failed.

--- a/src/mesh/frame.rs
+++ b/src/mesh/frame.rs
@@ -517,6 +517,9 @@
     Unlikely,
     /// The entry node shed the request because its team uses more than its share.
     OverShare,
+    /// The entry node does not know the other nodes yet, so it cannot apply the quota of the team.
+    /// Never sent to other nodes.
+    FleetUnknown,
 }
 
 impl NotRun {
@@ -544,6 +547,7 @@
             Self::Limited => "target-limited",
             Self::Unlikely => "unlikely-to-finish",
             Self::OverShare => "over-share",
+            Self::FleetUnknown => "fleet-unknown",
         }
     }
 }
--- a/src/mesh/ingress.rs
+++ b/src/mesh/ingress.rs
@@ -29,12 +29,13 @@
 use super::running_requests::ParentRequest;
 use super::sender::{self, Outcome, RETRY_AFTER_CLOSING_MS, Request};
 use super::site::{Route, Site};
-use super::teams::admission::{self, Identity, OverQuota, Unauthenticated};
+use super::teams::admission::{self, Identity, OverQuota, QuotaRefusal, Unauthenticated};
 use super::teams::share::Entitlement;
 
 /// Buffer size of a connection, in bytes; must hold the longest head.
 const BUFFER_BYTES: usize = 64 * 1024;
-/// `Retry-After` while the node has no configuration yet, in milliseconds.
+/// `Retry-After` while the node has no configuration or does not know the other nodes yet, in
+/// milliseconds.
 const RETRY_AFTER_NOT_READY_MS: u64 = 500;
 /// `Retry-After` when a body does not fit into memory, in milliseconds.
 const RETRY_AFTER_NO_MEMORY_MS: u64 = 1_000;
@@ -391,9 +392,12 @@
         return Err(Rejection::new(NotRun::Unlikely, retry_after_ms, team));
     }
     if let Identity::Team(team) = &holder {
-        admission::admit(node, team)
-            .await
-            .map_err(|over| Rejection::over_quota(over, &team.name))?;
+        admission::admit(node, team).await.map_err(|refusal| match refusal {
+            QuotaRefusal::Over(over) => Rejection::over_quota(over, &team.name),
+            QuotaRefusal::FleetUnknown => {
+                Rejection::new(NotRun::FleetUnknown, RETRY_AFTER_NOT_READY_MS, &team.name)
+            }
+        })?;
     }
     let tree = node.completion.begin_tree(&route.name, rank);
     node.returns.record_admitted(route);
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -274,6 +274,12 @@
         !self.is_stopping() && self.has_joined.get() && self.site_version() > 0
     }
 
+    /// Whether the node has had the time to learn of all other nodes. One that has not reached the store
+    /// has to be linked to another node, which knows them.
+    fn knows_fleet(&self) -> bool {
+        self.has_joined.get() && (self.has_read_nodes.get() || self.directory.linked() > 0)
+    }
+
     /// Whether the node is stopping.
     pub fn is_stopping(&self) -> bool {
         self.stopping_since.get().is_some()
@@ -411,7 +417,11 @@
         let Some(site) = self.site() else { return };
         if !site.teams.is_empty() {
             let fleet = self.directory.fleet(self.is_stopping());
-            self.quotas.set_fleet(fleet, Instant::now());
+            if self.quotas.is_fleet_known() || self.knows_fleet() {
+                self.quotas.set_fleet(fleet, Instant::now());
+            } else {
+                self.quotas.set_partial_fleet(fleet, Instant::now());
+            }
             admission::return_expired_tokens(self);
         }
         limit_reports::send_due(self, all + 1);
--- a/src/mesh/sender.rs
+++ b/src/mesh/sender.rs
@@ -580,6 +580,7 @@
         | NotRun::Declined
         | NotRun::NoKey
         | NotRun::OverQuota
+        | NotRun::FleetUnknown
         | NotRun::Orphaned
         | NotRun::Quarantined => RETRY_AFTER_BUSY_MS,
     }
--- a/src/mesh/teams/admission.rs
+++ b/src/mesh/teams/admission.rs
@@ -15,7 +15,7 @@
 
 use super::lease::{Decision, OWNER_TIMEOUT, Step};
 use super::owner::Grant;
-use super::quota::{QuotaPolicy, TeamLease};
+use super::quota::{Owner, QuotaPolicy, TeamLease};
 use super::roster::{Quota, Team};
 
 /// The pause before the owner is looked up again, if the node that was asked cannot be reached or does not own the
@@ -23,6 +23,8 @@
 const LOOKUP_PAUSE: Duration = Duration::from_millis(50);
 /// The maximum number of look-ups of the owner for one request.
 const LOOKUPS_MAX: usize = 4;
+/// How long a request waits at a node that has just started, until the node knows the other nodes.
+const FLEET_WAIT_MAX: Duration = Duration::from_secs(1);
 
 /// The team that a request is attributed to.
 #[derive(Clone, Debug)]
@@ -61,6 +63,15 @@
     }
 }
 
+/// Why a request was not admitted by the quota of its team.
+#[derive(Clone, Debug, PartialEq)]
+pub enum QuotaRefusal {
+    /// The quota is used up.
+    Over(OverQuota),
+    /// This node has just started and does not know the other nodes yet.
+    FleetUnknown,
+}
+
 /// A request beyond its team's quota.
 #[derive(Clone, Debug, PartialEq)]
 pub struct OverQuota {
@@ -94,7 +105,7 @@
 }
 
 /// Admits a request by the quota of its team. Requests tokens from the owner if the node has none.
-pub async fn admit(node: &Rc<Node>, team: &Team) -> Result<(), OverQuota> {
+pub async fn admit(node: &Rc<Node>, team: &Team) -> Result<(), QuotaRefusal> {
     let Some(quota) = team.quota else { return Ok(()) };
     let now = Instant::now();
     let team_lease = node.quotas.lease(&team.name, now);
@@ -102,16 +113,22 @@
     if node.quotas.policy == QuotaPolicy::Equal {
         return admit_by_equal_share(node, quota, &team_lease);
     }
+    let owner_known = node.quotas.wait_for_owner(&team.name);
+    if timeout(FLEET_WAIT_MAX, owner_known).await.is_err() {
+        return Err(QuotaRefusal::FleetUnknown);
+    }
     for _ in 0..LOOKUPS_MAX {
-        let Some(owner) = node.quotas.owner(&team.name) else {
-            return admit_as_owner(node, team, quota, &team_lease);
+        let owner = match node.quotas.owner(&team.name) {
+            Owner::This => return admit_as_owner(node, team, quota, &team_lease),
+            Owner::Other(owner) => owner,
+            Owner::Unknown => break,
         };
         let Some(link) = node.directory.get(owner).and_then(|peer| peer.open_link()) else {
             sleep(LOOKUP_PAUSE).await;
             continue;
         };
         let _guard = WaitingGuard::new(&team_lease);
-        let step = team_lease.lease.borrow_mut().next_step(Instant::now());
+        let step = team_lease.next_step(owner, Instant::now());
         match step {
             Step::Decided(decision) => return into_result(decision, quota, &team_lease),
             Step::UseEqualShare => break,
@@ -138,7 +155,7 @@
     team: &Team,
     quota: Quota,
     team_lease: &TeamLease,
-) -> Result<(), OverQuota> {
+) -> Result<(), QuotaRefusal> {
     let now = Instant::now();
     let mut lease = team_lease.lease.borrow_mut();
     let mut decision = lease.try_take(now);
@@ -173,7 +190,10 @@
     node: &Node,
     quota: Quota,
     team_lease: &TeamLease,
-) -> Result<(), OverQuota> {
+) -> Result<(), QuotaRefusal> {
+    if !node.quotas.is_fleet_known() {
+        return Err(QuotaRefusal::FleetUnknown);
+    }
     let initial_tokens = match node.quotas.policy {
         QuotaPolicy::Leased => node.quotas.tolerance.initial_tokens(quota),
         QuotaPolicy::Equal => quota.burst,
@@ -190,10 +210,14 @@
     into_result(decision, quota, team_lease)
 }
 
-fn into_result(decision: Decision, quota: Quota, team_lease: &TeamLease) -> Result<(), OverQuota> {
+fn into_result(
+    decision: Decision,
+    quota: Quota,
+    team_lease: &TeamLease,
+) -> Result<(), QuotaRefusal> {
     let Decision::Refused { retry_after } = decision else { return Ok(()) };
     let used = team_lease.lease.borrow().used(Instant::now());
-    Err(OverQuota { retry_after, state: QuotaState { quota, used } })
+    Err(QuotaRefusal::Over(OverQuota { retry_after, state: QuotaState { quota, used } }))
 }
 
 /// Answers an entry node that requests tokens of a team's quota; without a grant if this node is not the owner.
@@ -239,9 +263,13 @@
 pub fn return_expired_tokens(node: &Node) {
     let now = Instant::now();
     for (team, tokens) in node.quotas.take_expired(now) {
-        let Some(owner) = node.quotas.owner(&team) else {
-            node.quotas.put_back(&team, tokens, now);
-            continue;
+        let owner = match node.quotas.owner(&team) {
+            Owner::This => {
+                node.quotas.put_back(&team, tokens, now);
+                continue;
+            }
+            Owner::Other(owner) => owner,
+            Owner::Unknown => continue,
         };
         if let Some(link) = node.directory.get(owner).and_then(|peer| peer.open_link()) {
             link.send(&Frame::QuotaReturned { team: team.to_string(), tokens });
--- a/src/mesh/teams/lease.rs
+++ b/src/mesh/teams/lease.rs
@@ -131,6 +131,11 @@
         }
     }
 
+    /// Stops waiting for the answer to the pending request for tokens.
+    pub fn forget_request(&mut self) {
+        self.pending_request = None;
+    }
+
     /// Handles the answer to a request for tokens; none if the node does not own the quota. Returns the number of
     /// tokens that arrived too late and have to be returned, as requests may have been admitted by the equal share
     /// in their place.
--- a/src/mesh/teams/quota.rs
+++ b/src/mesh/teams/quota.rs
@@ -11,7 +11,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use super::lease::Lease;
+use super::lease::{Lease, Step};
 use super::owner::{Grant, OwnedQuota, Tolerance};
 use super::roster::Quota;
 
@@ -53,6 +53,17 @@
     }
 }
 
+/// The owner of a team's quota.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Owner {
+    /// This node.
+    This,
+    /// Another node.
+    Other(SocketAddr),
+    /// This node does not know the other nodes yet.
+    Unknown,
+}
+
 /// An entry node's lease of a team's quota, and a signal to the requests that wait for tokens.
 #[derive(Debug)]
 pub struct TeamLease {
@@ -62,6 +73,21 @@
     pub answered: Notify,
     /// Whether the node that answered last does not own the quota.
     pub asked_wrong_node: Cell<bool>,
+    /// The node that was asked last.
+    asked: Cell<Option<SocketAddr>>,
+}
+
+impl TeamLease {
+    /// The next step for a request, if `owner` owns the quota. A request to the previous owner counts
+    /// as lost: while it is awaited, tokens accrue at the new owner besides those that the equal share
+    /// admits.
+    pub fn next_step(&self, owner: SocketAddr, now: Instant) -> Step {
+        let mut lease = self.lease.borrow_mut();
+        if self.asked.replace(Some(owner)) != Some(owner) {
+            lease.forget_request();
+        }
+        lease.next_step(now)
+    }
 }
 
 /// A node's state for the quotas of all teams.
@@ -73,21 +99,28 @@
     /// How quotas are distributed among nodes.
     pub policy: QuotaPolicy,
     fleet: RefCell<Fleet>,
+    /// Whether this node knows all nodes of the fleet. Before that it grants nothing: all nodes that
+    /// start at the same time would own each quota.
+    is_fleet_known: Cell<bool>,
     fleet_changed_at: Cell<Instant>,
-    owners: RefCell<HashMap<Rc<str>, SocketAddr>>,
+    /// Wakes the requests that wait for the fleet to be known.
+    fleet_changed: Notify,
+    owners: RefCell<HashMap<Rc<str>, Owner>>,
     leases: RefCell<HashMap<Rc<str>, Rc<TeamLease>>>,
     owned: RefCell<HashMap<Rc<str>, OwnedQuota>>,
 }
 
 impl Quotas {
-    /// The state at the start of a node: no quota is in use, and no other node is known.
+    /// The state at the start of a node: no quota is in use, and the fleet is not known.
     pub fn new(own_address: SocketAddr, policy: QuotaPolicy, tolerance: Tolerance) -> Self {
         Self {
             own_address,
             tolerance,
             policy,
             fleet: RefCell::new(Fleet { members: vec![own_address], known: 1 }),
+            is_fleet_known: Cell::default(),
             fleet_changed_at: Cell::new(Instant::now()),
+            fleet_changed: Notify::new(),
             owners: RefCell::default(),
             leases: RefCell::default(),
             owned: RefCell::default(),
@@ -99,30 +132,67 @@
         self.fleet.borrow()
     }
 
+    /// Whether this node knows all nodes of the fleet.
+    pub fn is_fleet_known(&self) -> bool {
+        self.is_fleet_known.get()
+    }
+
     /// Updates the fleet. Drops the state of quotas that another node owns now, as it would be out of date if
     /// this node became their owner again.
     pub fn set_fleet(&self, fleet: Fleet, now: Instant) {
-        if *self.fleet.borrow() == fleet {
+        self.update_fleet(fleet, true, now);
+    }
+
+    /// Updates the part of the fleet that is known so far, while the node is starting.
+    pub fn set_partial_fleet(&self, fleet: Fleet, now: Instant) {
+        self.update_fleet(fleet, false, now);
+    }
+
+    fn update_fleet(&self, fleet: Fleet, is_known: bool, now: Instant) {
+        let was_known = self.is_fleet_known.replace(is_known);
+        if *self.fleet.borrow() == fleet && was_known == is_known {
             return;
         }
         self.owners.borrow_mut().clear();
         self.fleet_changed_at.set(now);
         self.owned.borrow_mut().retain(|team, _| fleet.owner(team) == Some(self.own_address));
         self.fleet.replace(fleet);
+        self.fleet_changed.notify_waiters();
     }
 
-    /// The address of the node that owns a team's quota; none if this node does.
-    pub fn owner(&self, team: &Rc<str>) -> Option<SocketAddr> {
+    /// The node that owns a team's quota. While the fleet is not known, it is the most likely one of the
+    /// others; a node that does not own the quota does not grant it.
+    pub fn owner(&self, team: &Rc<str>) -> Owner {
         let mut owners = self.owners.borrow_mut();
-        let owner = owners
-            .entry(Rc::clone(team))
-            .or_insert_with(|| self.fleet.borrow().owner(team).unwrap_or(self.own_address));
-        (*owner != self.own_address).then_some(*owner)
+        *owners.entry(Rc::clone(team)).or_insert_with(|| self.find_owner(team))
+    }
+
+    fn find_owner(&self, team: &str) -> Owner {
+        let fleet = self.fleet.borrow();
+        if self.is_fleet_known() {
+            let owner = fleet.owner(team).filter(|owner| *owner != self.own_address);
+            return owner.map_or(Owner::This, Owner::Other);
+        }
+        let is_other = |member: &SocketAddr| *member != self.own_address;
+        let members = fleet.members.iter().copied().filter(is_other).collect();
+        let owner = Fleet { members, known: fleet.known }.owner(team);
+        owner.map_or(Owner::Unknown, Owner::Other)
+    }
+
+    /// Waits until an owner of a team's quota is known.
+    pub async fn wait_for_owner(&self, team: &Rc<str>) {
+        loop {
+            let fleet_changed = self.fleet_changed.notified();
+            if self.owner(team) != Owner::Unknown {
+                return;
+            }
+            fleet_changed.await;
+        }
     }
 
-    /// Grants up to `wanted` tokens of a team's quota; none if another node owns it.
+    /// Grants up to `wanted` tokens of a team's quota; none if this node does not own it or does not know that.
     pub fn grant(&self, team: &Rc<str>, quota: Quota, wanted: u32, now: Instant) -> Option<Grant> {
-        if self.owner(team).is_some() {
+        if self.owner(team) != Owner::This {
             return None;
         }
         let share = self.fleet.borrow().share();
@@ -145,7 +215,8 @@
         let mut leases = self.leases.borrow_mut();
         let lease = leases.entry(Rc::clone(team)).or_insert_with(|| {
             let lease = RefCell::new(Lease::new(now));
-            Rc::new(TeamLease { lease, answered: Notify::new(), asked_wrong_node: Cell::default() })
+            let (answered, asked_wrong_node) = (Notify::new(), Cell::default());
+            Rc::new(TeamLease { lease, answered, asked_wrong_node, asked: Cell::default() })
         });
         Rc::clone(lease)
     }
--- a/tests/mesh/quotas.rs
+++ b/tests/mesh/quotas.rs
@@ -8,7 +8,7 @@
 
 use aspenspring::mesh::teams::lease::{Decision, Lease, Step};
 use aspenspring::mesh::teams::owner::{Grant, OwnedQuota, Tolerance};
-use aspenspring::mesh::teams::quota::{Fleet, QuotaPolicy, Quotas};
+use aspenspring::mesh::teams::quota::{Fleet, Owner, QuotaPolicy, Quotas};
 use aspenspring::mesh::teams::roster::Quota;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -216,8 +216,10 @@
     fn next_step(&mut self, node: usize, now: Instant) -> Step {
         let quotas = &self.nodes[node].quotas;
         let team_lease = quotas.lease(&self.team, now);
-        if quotas.owner(&self.team).is_some() {
-            return team_lease.lease.borrow_mut().next_step(now);
+        match quotas.owner(&self.team) {
+            Owner::This => {}
+            Owner::Other(owner) => return team_lease.next_step(owner, now),
+            Owner::Unknown => return Step::Wait,
         }
         let mut lease = team_lease.lease.borrow_mut();
         let decision = lease.try_take(now);
@@ -229,7 +231,7 @@
     }
 
     fn send_to_owner(&mut self, node: usize, message: Message) {
-        if let Some(owner) = self.nodes[node].quotas.owner(&self.team) {
+        if let Owner::Other(owner) = self.nodes[node].quotas.owner(&self.team) {
             let owner = index(owner);
             self.messages.push_back((self.step + DELAY_STEPS, node, owner, message));
         } else if let Message::Returned(tokens) = message {
@@ -365,8 +367,8 @@
             }
             let mut simulation = Simulation::new(nodes, quota, seed as u64);
             let mut rng = SmallRng::seed_from_u64(seed as u64);
-            let owner = simulation.nodes[0].quotas.owner(&simulation.team);
-            let owner = owner.map(index);
+            let fleet = Fleet { members: (0..nodes).map(address).collect(), known: nodes };
+            let owner = fleet.owner(&simulation.team).map(index);
             for node in 0..nodes {
                 // The owner always has a fault; with every other seed, so has each other node with probability 1/2.
                 let has_fault = Some(node) == owner || seed % 2 == 0 && rng.random::<f64>() < 0.5;
--- a/tests/mesh/teams.rs
+++ b/tests/mesh/teams.rs
@@ -297,6 +297,7 @@
 fn a_stopping_node_without_peers_admits_by_quota() {
     run(async {
         let alone = start("stock-1", "stock", vec![FAST]).await;
+        alone.node.has_read_nodes.set(true);
         assert!(alone.node.apply_document(&"2 growers:green-key:2:20".into(), "test").unwrap());
         sleep(Duration::from_millis(400)).await;
         alone.node.stop();
@@ -305,3 +306,32 @@
         assert!(admitted < 60, "the quota still holds");
     });
 }
+
+/// Guards against nodes that each own every quota after all of them have been restarted, until they know
+/// each other.
+#[test]
+fn a_node_that_does_not_know_the_others_grants_no_tokens() {
+    run(async {
+        let (first, second) = entry_and_target("2 growers:green-key:100:50", FAST).await;
+        let alone = start("stock-2", "stock", vec![FAST]).await;
+        assert!(alone.node.apply_document(&"2 growers:green-key:100:50".into(), "test").unwrap());
+        sleep(Duration::from_millis(400)).await;
+        assert_eq!(status(&ask(&first, &keyed("a1", "green-key")).await), 200);
+        alone.node.has_joined.set(false);
+        let refused = ask(&alone, &keyed("a1", "green-key")).await;
+        assert_eq!(status(&refused), 503);
+        assert!(header(&refused, "retry-after").is_some());
+        assert_eq!(alone.target.arrivals(), 0);
+        // A request that waits is decided by the quota as soon as the others are known.
+        let request = keyed("a2", "green-key");
+        let (decided, ()) = tokio::join!(ask(&alone, &request), async {
+            for node in [&first, &second] {
+                link_nodes(&alone, node).await;
+            }
+            alone.node.has_joined.set(true);
+        });
+        assert!(matches!(status(&decided), 200 | 429), "{decided}");
+        sleep(Duration::from_millis(250)).await;
+        assert_eq!(status(&ask(&alone, &request).await), 200);
+    });
+}
