--- a/src/mesh/frame.rs
+++ b/src/mesh/frame.rs
@@ -92,10 +92,20 @@
     },
     /// How the teams use the sender's target.
     TeamUse(TeamUse),
+    /// The sender is about to exit. Calls of it that wait have to begin in time or end as not run.
+    /// Sent only to nodes that have announced `FEATURE_CALLER_END`.
+    CallerEnd {
+        /// Time until which a waiting call may begin, in milliseconds.
+        begin_ms: u32,
+        /// Time until the sender exits, in milliseconds.
+        ends_ms: u32,
+    },
 }
 
 /// Feature bit of a node that reads `Condition`, `TreeCalls` and `TeamUse`.
 pub const FEATURE_CONDITION: u32 = 1;
+/// Feature bit of a node that reads `CallerEnd`.
+pub const FEATURE_CALLER_END: u32 = 2;
 
 /// The condition of a target.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -481,7 +491,7 @@
     Leaving,
     /// The entry node shed the request under overload.
     Shed,
-    /// The entry node is about to exit.
+    /// The entry node is about to exit, and the request would most likely not end before.
     Closing,
     /// The queue was full, or the memory for bodies.
     QueueFull,
--- a/src/mesh/ingress.rs
+++ b/src/mesh/ingress.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::future::pending;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -26,7 +27,7 @@
 use super::request_log::{AnswerGuard, EndedRequest, RequestSummary, record_end};
 use super::returns::RefusedRequest;
 use super::running_requests::ParentRequest;
-use super::sender::{self, Outcome, Request};
+use super::sender::{self, Outcome, RETRY_AFTER_CLOSING_MS, Request};
 use super::site::{Route, Site};
 use super::teams::admission::{self, Identity, OverQuota, Unauthenticated};
 use super::teams::share::Entitlement;
@@ -35,8 +36,6 @@
 const BUFFER_BYTES: usize = 64 * 1024;
 /// `Retry-After` while the node has no configuration yet, in milliseconds.
 const RETRY_AFTER_NOT_READY_MS: u64 = 500;
-/// `Retry-After` of a node that is about to exit, in milliseconds.
-const RETRY_AFTER_CLOSING_MS: u64 = 300;
 /// `Retry-After` when a body does not fit into memory, in milliseconds.
 const RETRY_AFTER_NO_MEMORY_MS: u64 = 1_000;
 /// How long a body whose length is known may wait for memory. The caller's bytes stay in the socket.
@@ -170,7 +169,7 @@
     let admitted = match admitted {
         Ok(admitted) => admitted,
         Err(Rejection { outcome, summary }) => {
-            let response = response_to(&outcome);
+            let response = response_to(node, &outcome);
             let status = response.status().as_u16();
             let ended = EndedRequest { attempt_id, route: &route, root: &root, arrived, status };
             record_end(node, &ended, &outcome, &summary);
@@ -223,7 +222,7 @@
             parent.has_failed_below.set(true);
         }
     }
-    let mut response = response_to(&outcome);
+    let mut response = response_to(node, &outcome);
     if let (Outcome::Answered(_), Ok(id)) = (&outcome, HeaderValue::from_str(attempt_id)) {
         response.headers_mut().insert(node.header_names.attempt_id.clone(), id);
     }
@@ -234,7 +233,8 @@
     response
 }
 
-/// Sends a request until it has a final result, or until its parent request ends without one.
+/// Sends a request until it has a final result, its parent request ends without one, or the process
+/// is about to exit.
 async fn send(
     node: &Rc<Node>,
     route: &Route,
@@ -242,14 +242,19 @@
     parent: Option<&ParentRequest>,
 ) -> (Outcome, RequestSummary) {
     let sent = sender::send(node, route, request);
-    let Some(parent) = parent else { return sent.await };
+    let parent_ended = async {
+        match parent {
+            Some(parent) => parent.withdrawn.cancelled().await,
+            None => pending().await,
+        }
+    };
     tokio::select! {
         biased;
-        () = parent.withdrawn.cancelled() => {
-            (Outcome::MayHaveRun(Doubt::Withdrawn), RequestSummary::default())
-        }
-        sent = sent => sent,
+        () = parent_ended => {}
+        sent = sent => return sent,
+        () = node.ending.cancelled() => {}
     }
+    (Outcome::MayHaveRun(Doubt::Withdrawn), RequestSummary::default())
 }
 
 /// An admitted request.
@@ -396,9 +401,9 @@
 }
 
 /// Converts an outcome into a response.
-fn response_to(outcome: &Outcome) -> Response {
+fn response_to(node: &Node, outcome: &Outcome) -> Response {
     match outcome {
-        Outcome::Answered(answer) => target_answer(answer),
+        Outcome::Answered(answer) => target_answer(node, answer),
         Outcome::NotRun { reason: NotRun::NoKey, .. } => empty_response(StatusCode::UNAUTHORIZED),
         Outcome::NotRun { reason: NotRun::OverQuota, retry_after_ms } => {
             not_run_response(StatusCode::TOO_MANY_REQUESTS, *retry_after_ms)
@@ -451,10 +456,16 @@
         }
         Ok(())
     };
-    let Ok(result) = timeout_at(deadline, read_all).await else {
-        return Err(not_run_response(StatusCode::REQUEST_TIMEOUT, 0));
-    };
-    result?;
+    tokio::select! {
+        biased;
+        result = timeout_at(deadline, read_all) => match result {
+            Ok(result) => result?,
+            Err(_) => return Err(not_run_response(StatusCode::REQUEST_TIMEOUT, 0)),
+        },
+        () = node.ending.cancelled() => {
+            return Err(not_run_response(StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER_CLOSING_MS));
+        }
+    }
     Ok(reservation.attach(read))
 }
 
@@ -521,13 +532,13 @@
 }
 
 /// Converts the target's answer into a response to the caller.
-fn target_answer(answer: &TargetAnswer) -> Response {
+fn target_answer(node: &Node, answer: &TargetAnswer) -> Response {
     if promises_not_run(answer.status) {
         // The target has run the request, but the caller would take this status as a promise that
         // it has not.
         return empty_response(StatusCode::BAD_GATEWAY);
     }
-    let mut response = http::Response::new(Full::new(answer.body.clone()));
+    let mut response = http::Response::new(Full::new(node.unsent_answers.track(&answer.body)));
     let status = StatusCode::from_u16(answer.status);
     *response.status_mut() = status.unwrap_or(StatusCode::BAD_GATEWAY);
     let headers = response.headers_mut();
--- a/src/mesh/launch.rs
+++ b/src/mesh/launch.rs
@@ -25,8 +25,10 @@
 /// How long a stopping node still accepts requests. Callers check readiness once a second and stop
 /// sending after the second negative answer.
 const STOP_ACCEPT_PERIOD: Duration = Duration::from_millis(2_600);
-/// How long before the end of the grace period a stopping node exits.
-const STOP_MARGIN: Duration = Duration::from_millis(300);
+/// How long a node that is about to exit waits until callers have their last answers.
+const LAST_ANSWERS_MAX: Duration = Duration::from_millis(200);
+/// Time for writing small answers, which are not counted as unsent.
+const LAST_WRITES_TIME: Duration = Duration::from_millis(20);
 /// Interval at which a stopping node checks whether all work is done.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -109,18 +111,29 @@
     let stop_requested_at = Instant::now();
     let in_flight = node.in_flight.get() as u64;
     node.log.emit(&LogEvent::LeavingStarted { asked_by: "signal", in_flight });
-    node.stop();
-    let grace = Duration::from_millis(node.settings.timing.stop_grace_ms);
-    let end = stop_requested_at + grace.saturating_sub(STOP_MARGIN);
+    let end = node.stop();
     while Instant::now() < end {
-        let is_idle = node.in_flight.get() == 0 && node.serving.get() == 0;
+        let is_idle = node.serving.get() == 0 && is_answered(node);
         if is_idle && stop_requested_at.elapsed() >= STOP_ACCEPT_PERIOD {
             break;
         }
         sleep(STOP_CHECK_INTERVAL).await;
     }
-    let took_ms = stop_requested_at.elapsed().as_millis() as u64;
     let cut_off = (node.in_flight.get() + node.serving.get()) as u64;
+    node.ending.cancel();
+    let exit_at = Instant::now() + LAST_ANSWERS_MAX;
+    while Instant::now() < exit_at {
+        sleep(LAST_WRITES_TIME).await;
+        if is_answered(node) {
+            break;
+        }
+    }
+    let took_ms = stop_requested_at.elapsed().as_millis() as u64;
     node.log.emit(&LogEvent::LeavingFinished { took_ms, cut_off });
     Ok(())
 }
+
+/// Whether all callers have their answers.
+fn is_answered(node: &Node) -> bool {
+    node.in_flight.get() == 0 && node.unsent_answers.count() == 0
+}
--- a/src/mesh/link.rs
+++ b/src/mesh/link.rs
@@ -13,10 +13,12 @@
 use tokio::sync::{Notify, oneshot};
 use tokio::time::Instant;
 
+use super::caller_end::EndTimes;
 use super::codec::{Decoder, Encoder, Received};
 use super::condition;
 use super::frame::{
-    Call, CallEnd, Condition, Doubt, FEATURE_CONDITION, Frame, NotRun, ServiceCalls,
+    Call, CallEnd, Condition, Doubt, FEATURE_CALLER_END, FEATURE_CONDITION, Frame, NotRun,
+    ServiceCalls,
 };
 use super::memory::MemoryBudget;
 
@@ -206,6 +208,17 @@
         self.peer_features.get() & FEATURE_CONDITION != 0
     }
 
+    /// Announces the end of this process, if the other node reads that.
+    pub fn announce_end(&self, times: EndTimes) {
+        if self.peer_features.get() & FEATURE_CALLER_END == 0 {
+            return;
+        }
+        let now = Instant::now();
+        let left_ms = |until: Instant| until.saturating_duration_since(now).as_millis() as u32;
+        let EndTimes { begin_by, ends_at } = times;
+        self.send(&Frame::CallerEnd { begin_ms: left_ms(begin_by), ends_ms: left_ms(ends_at) });
+    }
+
     /// Sends the condition of the local target if the other node reads it and it has changed.
     /// Returns whether it was sent.
     pub fn send_condition(&self, condition: Option<Condition>) -> bool {
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -5,6 +5,7 @@
 //! costs more than a whole routing decision. docs/DESIGN-platform.md has the figures.
 
 pub mod budget;
+pub mod caller_end;
 pub mod codec;
 pub mod completion;
 pub mod condition;
@@ -53,5 +54,6 @@
 pub mod target;
 pub mod teams;
 pub mod tree_calls;
+pub mod unsent_answers;
 pub mod window;
 pub mod words;
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -10,15 +10,19 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 use crate::event::{EventLog, LogEvent};
 
 use super::budget::RetryBudgets;
+use super::caller_end::{CallerEnd, EndTimes};
 use super::completion::{Completion, TargetOffers};
 use super::departures::Departures;
 use super::directory::Directory;
 use super::follower::StoreWatch;
-use super::frame::{Condition, FEATURE_CONDITION, Frame, Hello, RootWork, Status};
+use super::frame::{
+    Condition, FEATURE_CALLER_END, FEATURE_CONDITION, Frame, Hello, RootWork, Status,
+};
 use super::header_names::HeaderNames;
 use super::inbound::InboundLinks;
 use super::incarnation::Incarnation;
@@ -38,6 +42,7 @@
 use super::teams::quota::Quotas;
 use super::teams::share::{self, TeamShares};
 use super::teams::use_report::{self, UseMeter};
+use super::unsent_answers::UnsentAnswers;
 
 /// How long a root route is reported to peers after its last request has reached the target.
 const ROOT_TTL: Duration = Duration::from_secs(20);
@@ -50,6 +55,12 @@
 /// target. The longest runs take half of the grace period, so the last ones accepted finish within
 /// it.
 const STOP_ACCEPT_SHARE: f64 = 1.0 / 3.0;
+/// Fraction of the stop grace period before the end of the node after which waiting requests no
+/// longer begin.
+const STOP_RUN_SHARE: f64 = 0.25;
+/// How long before the end of the grace period a stopping node gives up the requests that are still
+/// running.
+const STOP_MARGIN: Duration = Duration::from_millis(400);
 /// Step to which the failure share is rounded down in the status sent to peers. The exact share
 /// decays continuously and would change every status; shares below a tenth have no effect.
 const FAILING_STEP_PERCENT: u8 = 5;
@@ -138,6 +149,13 @@
     read_site: ReadSite,
     /// When the node began to stop.
     stopping_since: Cell<Option<Instant>>,
+    /// The end of this process, known once it is stopping.
+    pub own_end: CallerEnd,
+    /// Cancelled when the process is about to exit; requests that are still running then are answered
+    /// without their result.
+    pub ending: CancellationToken,
+    /// Answers that callers have not read completely.
+    pub unsent_answers: UnsentAnswers,
     /// The links on which peers call this node, with the status and load last sent on them.
     pub inbound: InboundLinks,
     /// The links that this node has dialled.
@@ -189,6 +207,9 @@
             active_site: RefCell::default(),
             read_site,
             stopping_since: Cell::default(),
+            own_end: CallerEnd::default(),
+            ending: CancellationToken::new(),
+            unsent_answers: UnsentAnswers::default(),
             inbound: InboundLinks::new(&settings.node.failure_domain, settings.overload.policy),
             dialled: RefCell::default(),
             settings,
@@ -283,10 +304,20 @@
     }
 
     /// Begins to stop. From then on, `is_ready`, `accepts_calls` and `is_closing` determine which
-    /// requests are still accepted.
-    pub fn stop(&self) {
-        self.stopping_since.set(Some(Instant::now()));
+    /// requests are still accepted. Returns when the requests that are still running are given up.
+    pub fn stop(&self) -> Instant {
+        let now = Instant::now();
+        let grace = Duration::from_millis(self.settings.timing.stop_grace_ms);
+        let ends_at = now + grace.saturating_sub(STOP_MARGIN);
+        let begin_by = ends_at.checked_sub(grace.mul_f64(STOP_RUN_SHARE)).unwrap_or(now);
+        self.stopping_since.set(Some(now));
+        let times = EndTimes { begin_by, ends_at };
+        self.own_end.announce(times);
         self.broadcast_status();
+        for link in self.dialled() {
+            link.announce_end(times);
+        }
+        ends_at
     }
 
     /// The service of the local target.
@@ -551,7 +582,7 @@
             failure_domain: self.settings.node.failure_domain.clone(),
             status: self.status(),
             left_incarnations,
-            features: FEATURE_CONDITION,
+            features: FEATURE_CONDITION | FEATURE_CALLER_END,
         }
     }
 
--- a/src/mesh/peers.rs
+++ b/src/mesh/peers.rs
@@ -13,6 +13,7 @@
 
 use crate::event::{EventLog, LogEvent};
 
+use super::caller_end::{CallerEnd, EndTimes};
 use super::codec::Received;
 use super::crash_reports;
 use super::directory::Peer;
@@ -90,6 +91,9 @@
     let on_frame = |frame| match frame {
         Frame::Hello(hello) => {
             link.set_peer_features(hello.features);
+            if let Some(times) = node.own_end.times() {
+                link.announce_end(times);
+            }
             node.directory.update_from_hello(&hello);
             peer.link.replace(Some(Rc::clone(&link)));
             peer.was_linked.set(true);
@@ -146,6 +150,7 @@
         | Frame::SiteWanted
         | Frame::QuotaWanted { .. }
         | Frame::QuotaReturned { .. }
+        | Frame::CallerEnd { .. }
         | Frame::Unmet => {}
     };
     let on_received = |received| match received {
@@ -215,6 +220,7 @@
 async fn serve_link(node: Rc<Node>, stream: TcpStream) {
     let (link, reader) = Link::start(stream);
     let running: Rc<RefCell<HashMap<u64, AbortHandle>>> = Rc::default();
+    let caller_end: Rc<CallerEnd> = Rc::default();
     let on_frame = |frame| match frame {
         Frame::Hello(hello) => {
             link.set_peer_features(hello.features);
@@ -238,10 +244,19 @@
         }
         Frame::Call(call) => {
             let id = call.id;
-            let task = serve_call(Rc::clone(&node), Rc::clone(&link), Rc::clone(&running), call);
-            let handle = spawn_local(task).abort_handle();
+            let call = ReceivedCall {
+                call,
+                link: Rc::clone(&link),
+                running: Rc::clone(&running),
+                caller_end: Rc::clone(&caller_end),
+            };
+            let handle = spawn_local(serve_call(Rc::clone(&node), call)).abort_handle();
             running.borrow_mut().insert(id, handle);
         }
+        Frame::CallerEnd { begin_ms, ends_ms } => {
+            let after = |ms: u32| Instant::now() + Duration::from_millis(ms.into());
+            caller_end.announce(EndTimes { begin_by: after(begin_ms), ends_at: after(ends_ms) });
+        }
         Frame::Cancel { id } => {
             if let Some(call) = running.borrow_mut().remove(&id) {
                 call.abort();
@@ -292,16 +307,22 @@
     node.inbound.remove(&link);
 }
 
-/// Runs one call and sends its answer.
-async fn serve_call(
-    node: Rc<Node>,
+/// A call that a peer has sent.
+struct ReceivedCall {
+    call: Call,
     link: Rc<Link>,
+    /// The calls of the link that are being served.
     running: Rc<RefCell<HashMap<u64, AbortHandle>>>,
-    call: Call,
-) {
+    /// The end of the peer.
+    caller_end: Rc<CallerEnd>,
+}
+
+/// Runs one call and sends its answer.
+async fn serve_call(node: Rc<Node>, received: ReceivedCall) {
+    let ReceivedCall { call, link, running, caller_end } = received;
     let deadline = Instant::now() + Duration::from_millis(call.remaining_ms.into());
     let calls = Rc::new(TreeCalls::default());
-    let mut end = receiver::serve(&node, &call, deadline, &calls).await;
+    let mut end = receiver::serve(&node, &call, &caller_end, deadline, &calls).await;
     if end == CallEnd::MayHaveRun(Doubt::AnswerUnread) {
         // Nodes of earlier versions don't know this reason.
         end = CallEnd::MayHaveRun(Doubt::TargetBroke);
--- a/src/mesh/receiver.rs
+++ b/src/mesh/receiver.rs
@@ -16,6 +16,7 @@
 
 use crate::event::LogEvent;
 
+use super::caller_end::CallerEnd;
 use super::crash::{self, RunGuard, record_interrupted, record_refused};
 use super::crash_reports;
 use super::fingerprint;
@@ -66,16 +67,17 @@
     }
 }
 
-/// Runs a call on the target, and adds the calls made for it to `calls`. Dropping the future cancels
-/// the call.
+/// Runs a call on the target, and adds the calls made for it to `calls`. `caller_end` is the end of
+/// the node that has accepted the request. Dropping the future cancels the call.
 pub async fn serve(
     node: &Rc<Node>,
     call: &Call,
+    caller_end: &CallerEnd,
     deadline: Instant,
     calls: &Rc<TreeCalls>,
 ) -> CallEnd {
     let began = Instant::now();
-    let CallResult { end, detail } = admit_and_run(node, call, deadline, calls).await;
+    let CallResult { end, detail } = admit_and_run(node, call, caller_end, deadline, calls).await;
     node.metrics.record_call(end.reason());
     if end.has_arrived() {
         node.target.failing.record(end.counts_as_target_failure());
@@ -125,6 +127,7 @@
 async fn admit_and_run(
     node: &Rc<Node>,
     call: &Call,
+    caller_end: &CallerEnd,
     deadline: Instant,
     calls: &Rc<TreeCalls>,
 ) -> CallResult {
@@ -143,20 +146,29 @@
     let begin_by = deadline - REMAINING_MIN.max(gate.mean_run() / 2);
     let quarantine = &node.quarantine;
     let fingerprint = (!quarantine.is_empty()).then(|| call.fingerprint());
-    let mut _isolation = None;
-    if let Some(fingerprint) = fingerprint {
-        match timeout_at(begin_by, quarantine.admit(fingerprint)).await {
-            Ok(Some(isolation)) => _isolation = isolation,
-            Ok(None) => return NotRun::Quarantined.into(),
-            Err(_) => return NotRun::Expired.into(),
+    let entered = async {
+        let isolation = match fingerprint {
+            Some(fingerprint) => quarantine.admit(fingerprint).await.ok_or(NotRun::Quarantined)?,
+            None => None,
+        };
+        match gate.enter(call.rank).await {
+            Ok(slot) => Ok((slot, isolation)),
+            Err(GateError::Full) => Err(NotRun::QueueFull),
+            Err(GateError::Closed) => Err(NotRun::Leaving),
+            Err(GateError::Limited) => Err(NotRun::Limited),
         }
-    }
-    let _slot = match timeout_at(begin_by, gate.enter(call.rank)).await {
-        Ok(Ok(slot)) => slot,
-        Ok(Err(GateError::Full)) => return NotRun::QueueFull.into(),
-        Ok(Err(GateError::Closed)) => return NotRun::Leaving.into(),
-        Ok(Err(GateError::Limited)) => return NotRun::Limited.into(),
-        Err(_) => return NotRun::Expired.into(),
+    };
+    let entered = tokio::select! {
+        // A call that need not wait runs in any case.
+        biased;
+        entered = timeout_at(begin_by, entered) => entered.unwrap_or(Err(NotRun::Expired)),
+        () = caller_end.is_too_late(gate.mean_run()) => Err(NotRun::Closing),
+        // Another node can still complete the call.
+        () = node.own_end.is_too_late(gate.mean_run()) => Err(NotRun::Leaving),
+    };
+    let (_slot, _isolation) = match entered {
+        Ok(entered) => entered,
+        Err(reason) => return reason.into(),
     };
     let entered_at = Instant::now();
     let connection = match node.target.take_idle(&call.attempt_id) {
--- a/src/mesh/sender.rs
+++ b/src/mesh/sender.rs
@@ -46,6 +46,9 @@
 /// `Retry-After` when all targets were busy, in milliseconds.
 const RETRY_AFTER_BUSY_MS: u64 = 1_000;
 
+/// `Retry-After` of a node that is about to exit, in milliseconds.
+pub const RETRY_AFTER_CLOSING_MS: u64 = 300;
+
 /// A request that has been read completely.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -425,7 +428,9 @@
             return false;
         }
         let is_allowed = match end {
-            CallEnd::NotRun(reason) => !matches!(reason, NotRun::Expired | NotRun::Quarantined),
+            CallEnd::NotRun(reason) => {
+                !matches!(reason, NotRun::Expired | NotRun::Quarantined | NotRun::Closing)
+            }
             CallEnd::MayHaveRun(doubt) => {
                 let may_crash = *doubt == Doubt::TargetBroke && self.may_crash_next_target();
                 self.route.kind == RouteKind::Idempotent && !may_crash
@@ -464,7 +469,9 @@
                 self.tried_local = true;
                 self.summary.offered.push(None);
                 let call = self.call();
-                receiver::serve(self.node, &call, self.request.deadline, &self.calls).await
+                let caller_end = &self.node.own_end;
+                receiver::serve(self.node, &call, caller_end, self.request.deadline, &self.calls)
+                    .await
             }
             Destination::Peer(peer) => {
                 self.tried.push(peer.address);
@@ -549,7 +556,11 @@
         CallEnd::MayHaveRun(Doubt::LinkLost) => true,
         CallEnd::NotRun(reason) => !matches!(
             reason,
-            NotRun::Declined | NotRun::Expired | NotRun::Quarantined | NotRun::Limited
+            NotRun::Declined
+                | NotRun::Expired
+                | NotRun::Quarantined
+                | NotRun::Limited
+                | NotRun::Closing
         ),
     }
 }
@@ -563,8 +574,8 @@
         NotRun::NoTarget | NotRun::Leaving | NotRun::Unreachable | NotRun::Unsent => {
             RETRY_AFTER_NO_TARGET_MS
         }
-        NotRun::Closing
-        | NotRun::QueueFull
+        NotRun::Closing => RETRY_AFTER_CLOSING_MS,
+        NotRun::QueueFull
         | NotRun::Expired
         | NotRun::Declined
         | NotRun::NoKey
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -4,6 +4,7 @@
 mod node;
 mod process;
 mod soak;
+mod stop;
 mod store;
 mod target;
 
