Refuse answers with a status that HTTP does not define

Callers got answers of a target with status 000, 001 or 099 as a 502 with the body and the signature of the target, and with status 600 or 999 as they were.

Cause: httparse accepts any three digits, and `StatusCode` refuses less than 100 only, after which headers and body still went out.

The reader of answers accepts 100 to 599, and an answer whose status cannot be represented is replaced whole. The exchange fails as it does for any other malformed head, so callers get an empty 502.

`answers::answers_with_an_invalid_status_are_refused` plays one node and two and failed before with the five codes at both; it passes now. Two or four digits, other characters, other versions and control bytes were refused already.

--- a/src/mesh/http1.rs
+++ b/src/mesh/http1.rs
@@ -9,6 +9,7 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
@@ -22,6 +23,8 @@
 use super::memory::{MemoryBudget, Reservation, Stage};
 use super::socket;
 
+/// The status codes that HTTP defines, by their first digit.
+const STATUS_RANGE: RangeInclusive<u16> = 100..=599;
 /// Maximum number of headers in an answer.
 const HEADERS_MAX: usize = 96;
 /// Maximum size of an answer's head, in bytes.
@@ -490,7 +493,9 @@
     let mut head = httparse::Response::new(&mut headers);
     let parsed = head.parse(buffer).map_err(|_| ExchangeError::Malformed("invalid head"))?;
     let httparse::Status::Complete(length) = parsed else { return Ok(None) };
-    let status = head.code.unwrap_or(0);
+    // `httparse` accepts any three digits.
+    let status = head.code.filter(|status| STATUS_RANGE.contains(status));
+    let status = status.ok_or(ExchangeError::Malformed("invalid status code"))?;
     let is_http_11 = head.version == Some(1);
     // The head is copied once; names and values are slices of the copy.
     let bytes = Bytes::copy_from_slice(&buffer[..length]);
--- a/src/mesh/ingress.rs
+++ b/src/mesh/ingress.rs
@@ -542,9 +542,11 @@
         // it has not.
         return empty_response(StatusCode::BAD_GATEWAY);
     }
+    let Ok(status) = StatusCode::from_u16(answer.status) else {
+        return empty_response(StatusCode::BAD_GATEWAY);
+    };
     let mut response = http::Response::new(Full::new(node.unsent_answers.track(&answer.body)));
-    let status = StatusCode::from_u16(answer.status);
-    *response.status_mut() = status.unwrap_or(StatusCode::BAD_GATEWAY);
+    *response.status_mut() = status;
     let headers = response.headers_mut();
     for header in &answer.headers {
         let name = HeaderName::from_bytes(&header.name);
--- /dev/null
+++ b/tests/platform/answers.rs
@@ -0,0 +1,137 @@
+//! Answers of targets that break the protocol, as callers get them through one node or two.
+
+use std::io::{BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use super::node::{CALLERS_PORT, NodeSpec, Process};
+use super::process::{register_target, wait_for};
+use super::store::{Store, read_request};
+
+/// The start of the head of a successful answer.
+const HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nResponse-Signature: s\r\n";
+
+/// Two nodes, of which one has a target that sends the given bytes and closes the connection.
+struct Site {
+    entry: Process,
+    other: Process,
+    answer: Arc<Mutex<Vec<u8>>>,
+}
+
+impl Site {
+    fn start() -> Self {
+        let store = Store::start();
+        let document = serde_json::json!({ "version": "r4", "resources": [{
+            "resourceKind": "routes", "metadata": { "name": "book" },
+            "specification": {
+                "host": "shop.test", "prefix": "/book/", "kind": "non_idempotent",
+                "timeoutMs": 5_000, "targetLatencyMs": 500, "service": "stock", "attempts": 2,
+            },
+        }]});
+        store.put("op", "config", document.to_string().as_bytes());
+        let prepare = |name| {
+            Process::prepare(&store, &NodeSpec { name, failure_domain: "a", service: "stock" })
+        };
+        let (mut entry, mut other) = (prepare("entry"), prepare("other"));
+        let answer = Arc::new(Mutex::new([HEAD, b"Content-Length: 2\r\n\r\nok"].concat()));
+        serve_bytes(other.target_address(), &answer);
+        entry.start();
+        other.start();
+        wait_for(|| other.is_ready() && entry.is_ready());
+        register_target(&other, "i-1", 1);
+        let site = Self { entry, other, answer };
+        wait_for(|| is_served(&ask(&site.entry), b"ok"));
+        site
+    }
+
+    /// What callers get, through the node of the target and through the other one, when the target
+    /// sends `answer`.
+    fn play(&self, answer: &[u8]) -> [Vec<u8>; 2] {
+        *self.answer.lock().unwrap() = answer.to_vec();
+        [ask(&self.other), ask(&self.entry)]
+    }
+
+    /// Expects an empty answer of the node in place of each of `answers`.
+    fn expect_refused(&self, answers: impl IntoIterator<Item = Vec<u8>>) {
+        let mut passed_on = Vec::new();
+        for answer in answers {
+            for received in self.play(&answer) {
+                if !is_refused(&received) {
+                    passed_on.push((text(&answer), text(&received)));
+                }
+            }
+        }
+        assert!(passed_on.is_empty(), "passed on: {passed_on:#?}");
+    }
+
+    /// Expects that callers get a success with this body.
+    fn expect_served(&self, answer: &[u8], body: &[u8]) {
+        for received in self.play(answer) {
+            assert!(is_served(&received, body), "{} as {}", text(answer), text(&received));
+        }
+    }
+}
+
+/// Sends `answer` to each request, and closes its connection.
+fn serve_bytes(address: SocketAddr, answer: &Arc<Mutex<Vec<u8>>>) {
+    let listener = TcpListener::bind(address).unwrap();
+    let answer = Arc::clone(answer);
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (stream, answer) = (stream.unwrap(), Arc::clone(&answer));
+            thread::spawn(move || {
+                let mut reader = BufReader::new(stream);
+                if read_request(&mut reader).is_some() {
+                    let answer = answer.lock().unwrap().clone();
+                    drop(reader.get_mut().write_all(&answer));
+                }
+            });
+        }
+    });
+}
+
+/// Sends a request that may run at most once; returns the bytes of the answer.
+fn ask(node: &Process) -> Vec<u8> {
+    let mut stream = TcpStream::connect((node.ip, CALLERS_PORT)).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+    let request =
+        b"GET /book/1 HTTP/1.1\r\nHost: shop.test\r\nAttempt-Id: a1\r\nConnection: close\r\n\r\n";
+    stream.write_all(request).unwrap();
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).unwrap();
+    answer
+}
+
+fn is_refused(received: &[u8]) -> bool {
+    let received = text(received).to_ascii_lowercase();
+    received.starts_with("http/1.1 502 ")
+        && received.ends_with("\r\n\r\n")
+        && received.contains("content-length: 0\r\n")
+        && !received.contains("response-signature")
+}
+
+fn is_served(received: &[u8], body: &[u8]) -> bool {
+    let end = [b"\r\n\r\n", body].concat();
+    received.starts_with(b"HTTP/1.1 200 ") && received.ends_with(&end)
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+/// Answers with this status line, and else whole.
+fn with_status_line(line: &str) -> Vec<u8> {
+    let rest = "Attempt-Id: a1\r\nResponse-Signature: s\r\nContent-Length: 5\r\n\r\nhello";
+    format!("{line}\r\n{rest}").into_bytes()
+}
+
+#[test]
+fn answers_with_an_invalid_status_are_refused() {
+    let statuses = ["000", "001", "099", "101", "600", "999", "20", "2000", "2O0", "+20", ""];
+    let lines = statuses.iter().map(|status| format!("HTTP/1.1 {status} X"));
+    let others = ["HTTP/1.2 200 OK", "HTTP/2.0 200 OK", "http/1.1 200 OK", "HTTP/1.1 200 O\u{1}K"];
+    let lines = lines.chain(others.map(str::to_owned));
+    Site::start().expect_refused(lines.map(|line| with_status_line(&line)));
+}
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -1,5 +1,6 @@
 //! The adapter to the users' platform: parsing of its input, and nodes as real processes.
 
+mod answers;
 mod memory;
 mod node;
 mod process;
