Refuse answers whose length or coding is not text

Callers got an answer with `Content-Length: 5\xff` as a success that lasted until the connection ended, and one with `Transfer-Encoding: chunked\xff` with the chunk sizes in its body.

Cause: `Reply::header` returns nothing for a value that is not UTF-8, and a missing length means that the body ends with the connection.

`Framing` decides about the end of a body by the bytes of the fields, and a field that is present is valid or an error. The fields of an answer without a body are checked too.

`answers::answers_with_bytes_that_are_no_text_in_a_length_or_a_coding_are_refused` failed before with four of its five answers at one node and at two, and passes.

--- /dev/null
+++ b/src/framing.rs
@@ -0,0 +1,60 @@
+//! How the end of an HTTP/1.1 answer's body is determined (RFC 9112, section 6.3).
+
+use thiserror::Error;
+
+/// How the end of a body is determined. Answers without a body are not considered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// The body has this length, in bytes.
+    Length(u64),
+    /// The body is sent in chunks.
+    Chunked,
+    /// The body ends with the connection.
+    UntilClose,
+}
+
+/// The header fields of an answer do not determine the end of its body.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum FramingError {
+    /// The length is not a decimal number.
+    #[error("invalid Content-Length {0:?}")]
+    InvalidLength(String),
+    /// The transfer coding is not `chunked` alone.
+    #[error("unsupported Transfer-Encoding {0:?}")]
+    UnsupportedCoding(String),
+}
+
+impl Framing {
+    /// Determines the framing from the header fields of an answer, as pairs of name and value.
+    ///
+    /// # Errors
+    ///
+    /// A field about the length of the body is present and invalid. It never counts as absent, as
+    /// an answer without such a field lasts until the connection ends.
+    pub fn of<'a>(
+        fields: impl IntoIterator<Item = (&'a [u8], &'a [u8])>,
+    ) -> Result<Self, FramingError> {
+        let (mut length, mut is_chunked) = (None, false);
+        for (name, value) in fields {
+            if name.eq_ignore_ascii_case(b"content-length") && length.is_none() {
+                let stated = std::str::from_utf8(value).ok().and_then(|text| text.parse().ok());
+                length = Some(stated.ok_or_else(|| FramingError::InvalidLength(text(value)))?);
+            } else if name.eq_ignore_ascii_case(b"transfer-encoding") && !is_chunked {
+                is_chunked = value.eq_ignore_ascii_case(b"chunked");
+                if !is_chunked {
+                    return Err(FramingError::UnsupportedCoding(text(value)));
+                }
+            }
+        }
+        Ok(match (is_chunked, length) {
+            (true, _) => Self::Chunked,
+            (false, Some(length)) => Self::Length(length),
+            (false, None) => Self::UntilClose,
+        })
+    }
+}
+
+/// A value for an error message.
+fn text(value: &[u8]) -> String {
+    String::from_utf8_lossy(value).into_owned()
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod duty;
 pub mod event;
 pub mod explain;
+pub mod framing;
 pub mod logging;
 pub mod membership;
 pub mod mesh;
--- a/src/mesh/http1.rs
+++ b/src/mesh/http1.rs
@@ -20,6 +20,8 @@
 use tokio::task::yield_now;
 use tokio::time::Instant;
 
+use crate::framing::{Framing, FramingError};
+
 use super::memory::{MemoryBudget, Reservation, Stage};
 use super::socket;
 
@@ -69,6 +71,9 @@
     /// The bytes are not a valid HTTP/1.1 answer.
     #[error("invalid HTTP response: {0}")]
     Malformed(&'static str),
+    /// The answer does not tell where its body ends.
+    #[error("invalid HTTP response: {0}")]
+    Framing(#[from] FramingError),
     /// The body of the answer does not fit into memory.
     #[error("no memory for the body of the HTTP response")]
     NoMemory,
@@ -114,13 +119,6 @@
     }
 }
 
-/// How the end of a body is determined.
-enum Framing {
-    Length(usize),
-    Chunked,
-    UntilClose,
-}
-
 impl Connection {
     /// Connects to `address`. The bodies of answers are reserved in `memory`.
     pub async fn open(address: SocketAddr, memory: &MemoryBudget) -> Result<Self, ExchangeError> {
@@ -308,7 +306,11 @@
         reply.is_reusable &= !matches!(framing, Framing::UntilClose);
         reply.body = match framing {
             Framing::Length(0) => Bytes::new(),
-            Framing::Length(length) => self.read_fixed(length).await?,
+            Framing::Length(length) => {
+                let length =
+                    usize::try_from(length).ok().filter(|length| *length <= BODY_MAX_BYTES);
+                self.read_fixed(length.ok_or(ExchangeError::Malformed("body too long"))?).await?
+            }
             Framing::Chunked => self.read_chunks().await?,
             Framing::UntilClose => self.read_to_end().await?,
         };
@@ -518,22 +520,9 @@
     Ok(Some(reply))
 }
 
+/// How the end of an answer's body is determined. The fields are checked even if the answer has no body.
 fn framing(reply: &Reply, method: &Method) -> Result<Framing, ExchangeError> {
-    if method == Method::HEAD || matches!(reply.status, 204 | 304) {
-        return Ok(Framing::Length(0));
-    }
-    if let Some(coding) = reply.header("transfer-encoding") {
-        let is_chunked = coding.trim().eq_ignore_ascii_case("chunked");
-        return if is_chunked {
-            Ok(Framing::Chunked)
-        } else {
-            Err(ExchangeError::Malformed("unknown transfer coding"))
-        };
-    }
-    let Some(length) = reply.header("content-length") else { return Ok(Framing::UntilClose) };
-    let length = length.trim().parse::<usize>();
-    match length {
-        Ok(length) if length <= BODY_MAX_BYTES => Ok(Framing::Length(length)),
-        _ => Err(ExchangeError::Malformed("invalid or too large content length")),
-    }
+    let framing = Framing::of(reply.headers.iter().map(|(name, value)| (&name[..], &value[..])))?;
+    let has_no_body = method == Method::HEAD || matches!(reply.status, 204 | 304);
+    Ok(if has_no_body { Framing::Length(0) } else { framing })
 }
--- a/tests/platform/answers.rs
+++ b/tests/platform/answers.rs
@@ -135,3 +135,20 @@
     let lines = lines.chain(others.map(str::to_owned));
     Site::start().expect_refused(lines.map(|line| with_status_line(&line)));
 }
+
+/// Successful answers with each of `rests` behind their first fields.
+fn with_rests<'a>(rests: &'a [&'a [u8]]) -> impl Iterator<Item = Vec<u8>> + 'a {
+    rests.iter().map(|rest| [HEAD, rest].concat())
+}
+
+/// Guards against a length that isn't text and counts as absent.
+#[test]
+fn answers_with_bytes_that_are_no_text_in_a_length_or_a_coding_are_refused() {
+    Site::start().expect_refused(with_rests(&[
+        b"Content-Length: 5\xff\r\n\r\nhello",
+        b"Content-Length: \xff5\r\n\r\nhello",
+        b"Content-Length: \xc3\xa9\r\n\r\nhello",
+        b"Transfer-Encoding: chunked\xff\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+        b"Transfer-Encoding: chunked\xff\r\nContent-Length: 5\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+    ]));
+}
