Refuse answers whose length has a sign

Callers got an answer with `Content-Length: +5` as a success.

Cause: the parser of the language accepts a sign, the protocol digits only.

Lengths, keep-alive times and load reports are parsed by `parse_decimal`.

`answers::answers_with_a_length_that_is_no_decimal_number_are_refused` failed before with `+5` at one node and at two, and the test of load reports with `3,0,+8`; both pass. Negative, empty, hexadecimal and too large lengths, lists and words were refused already; leading zeros and blanks stay accepted.

--- a/src/framing.rs
+++ b/src/framing.rs
@@ -37,8 +37,9 @@
         let (mut length, mut is_chunked) = (None, false);
         for (name, value) in fields {
             if name.eq_ignore_ascii_case(b"content-length") && length.is_none() {
-                let stated = std::str::from_utf8(value).ok().and_then(|text| text.parse().ok());
-                length = Some(stated.ok_or_else(|| FramingError::InvalidLength(text(value)))?);
+                length = Some(
+                    parse_decimal(value).ok_or_else(|| FramingError::InvalidLength(text(value)))?,
+                );
             } else if name.eq_ignore_ascii_case(b"transfer-encoding") && !is_chunked {
                 is_chunked = value.eq_ignore_ascii_case(b"chunked");
                 if !is_chunked {
@@ -54,6 +55,12 @@
     }
 }
 
+/// Parses a number that consists of digits only; `FromStr` accepts a sign too.
+pub fn parse_decimal(digits: &[u8]) -> Option<u64> {
+    let is_decimal = digits.iter().all(u8::is_ascii_digit);
+    std::str::from_utf8(digits).ok().filter(|_| is_decimal)?.parse().ok()
+}
+
 /// A value for an error message.
 fn text(value: &[u8]) -> String {
     String::from_utf8_lossy(value).into_owned()
--- a/src/mesh/condition.rs
+++ b/src/mesh/condition.rs
@@ -10,6 +10,8 @@
 use thiserror::Error;
 use tokio::time::Instant;
 
+use crate::framing::parse_decimal;
+
 use super::frame::Condition;
 
 /// The slowness of a machine on which work takes the usual time, in percent.
@@ -50,7 +52,8 @@
     let mut count = 0;
     for figure in report.split(',') {
         let slot = figures.get_mut(count).ok_or_else(invalid)?;
-        *slot = figure.trim().parse().map_err(|_| invalid())?;
+        let parsed = parse_decimal(figure.trim().as_bytes());
+        *slot = parsed.and_then(|figure| u32::try_from(figure).ok()).ok_or_else(invalid)?;
         count += 1;
     }
     match count {
--- a/src/mesh/http1.rs
+++ b/src/mesh/http1.rs
@@ -20,7 +20,7 @@
 use tokio::task::yield_now;
 use tokio::time::Instant;
 
-use crate::framing::{Framing, FramingError};
+use crate::framing::{Framing, FramingError, parse_decimal};
 
 use super::memory::{MemoryBudget, Reservation, Stage};
 use super::socket;
@@ -222,7 +222,7 @@
     let parameters = text.split(',');
     let timeout_s = parameters
         .filter_map(|parameter| parameter.trim().strip_prefix("timeout="))
-        .find_map(|value| value.trim().parse::<u64>().ok());
+        .find_map(|value| parse_decimal(value.trim().as_bytes()));
     timeout_s.map_or(KEEP_ALIVE_DEFAULT, |seconds| {
         Duration::from_secs(seconds).saturating_sub(KEEP_ALIVE_MARGIN).min(KEEP_ALIVE_MAX)
     })
--- a/tests/mesh/conditions.rs
+++ b/tests/mesh/conditions.rs
@@ -15,7 +15,9 @@
     assert_eq!(condition::read_slowness(" 3, 0, 8, 0 "), Ok(Some(10)));
     assert_eq!(condition::read_slowness("3,0,8,4000000000"), Ok(Some(2_000)));
     assert_eq!(condition::read_slowness("3,0,8"), Ok(None));
-    for invalid in ["", "3", "3,0,8,", "3,0,8,x", "3,0,8,-1", "3,0,8,100,1", "3,0,8,99999999999"] {
+    for invalid in
+        ["", "3", "3,0,8,", "3,0,8,x", "3,0,8,-1", "3,0,8,100,1", "3,0,8,99999999999", "3,0,+8"]
+    {
         assert!(condition::read_slowness(invalid).is_err(), "{invalid:?}");
     }
 }
--- a/tests/platform/answers.rs
+++ b/tests/platform/answers.rs
@@ -137,18 +137,29 @@
 }
 
 /// Successful answers with each of `rests` behind their first fields.
-fn with_rests<'a>(rests: &'a [&'a [u8]]) -> impl Iterator<Item = Vec<u8>> + 'a {
-    rests.iter().map(|rest| [HEAD, rest].concat())
+fn with_rests<T: AsRef<[u8]>>(rests: impl IntoIterator<Item = T>) -> impl Iterator<Item = Vec<u8>> {
+    rests.into_iter().map(|rest| [HEAD, rest.as_ref()].concat())
 }
 
 /// Guards against a length that isn't text and counts as absent.
 #[test]
 fn answers_with_bytes_that_are_no_text_in_a_length_or_a_coding_are_refused() {
-    Site::start().expect_refused(with_rests(&[
-        b"Content-Length: 5\xff\r\n\r\nhello",
+    Site::start().expect_refused(with_rests([
+        &b"Content-Length: 5\xff\r\n\r\nhello"[..],
         b"Content-Length: \xff5\r\n\r\nhello",
         b"Content-Length: \xc3\xa9\r\n\r\nhello",
         b"Transfer-Encoding: chunked\xff\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
         b"Transfer-Encoding: chunked\xff\r\nContent-Length: 5\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
     ]));
 }
+
+/// Guards against a parser that accepts more than digits.
+#[test]
+fn answers_with_a_length_that_is_no_decimal_number_are_refused() {
+    let texts =
+        ["+5", "-5", "", "0x5", "5.0", "5 5", "5, 5", "5;", "99999999999", "18446744073709551621"];
+    let rests = texts.map(|text| format!("Content-Length: {text}\r\n\r\nhello"));
+    let site = Site::start();
+    site.expect_refused(with_rests(rests));
+    site.expect_served(&[HEAD, b"Content-Length:005 \t\r\n\r\nhello"].concat(), b"hello");
+}
