Refuse answers that state two lengths or codings

Callers got an answer with two different `Content-Length` cut to the first, and one that was coded as `gzip` behind `chunked` without that coding undone.

Cause: only the first field of a name was read.

Lengths have to be equal, and `chunked` has to be the only coding. Equal lengths in several fields stay accepted, as RFC 9110 (section 8.6) allows.

`answers::answers_with_contradictory_lengths_or_codings_are_refused` failed before with five of its eight answers at one node and at two, and passes.

--- a/src/framing.rs
+++ b/src/framing.rs
@@ -19,6 +19,9 @@
     /// The length is not a decimal number.
     #[error("invalid Content-Length {0:?}")]
     InvalidLength(String),
+    /// Two fields state different lengths.
+    #[error("Content-Length is {0} and {1}")]
+    DifferentLengths(u64, u64),
     /// The transfer coding is not `chunked` alone.
     #[error("unsupported Transfer-Encoding {0:?}")]
     UnsupportedCoding(String),
@@ -36,15 +39,21 @@
     ) -> Result<Self, FramingError> {
         let (mut length, mut is_chunked) = (None, false);
         for (name, value) in fields {
-            if name.eq_ignore_ascii_case(b"content-length") && length.is_none() {
-                length = Some(
-                    parse_decimal(value).ok_or_else(|| FramingError::InvalidLength(text(value)))?,
-                );
-            } else if name.eq_ignore_ascii_case(b"transfer-encoding") && !is_chunked {
-                is_chunked = value.eq_ignore_ascii_case(b"chunked");
-                if !is_chunked {
+            if name.eq_ignore_ascii_case(b"content-length") {
+                let invalid = || FramingError::InvalidLength(text(value));
+                let stated = parse_decimal(value).ok_or_else(invalid)?;
+                match length {
+                    Some(other) if other != stated => {
+                        return Err(FramingError::DifferentLengths(other, stated));
+                    }
+                    _ => length = Some(stated),
+                }
+            } else if name.eq_ignore_ascii_case(b"transfer-encoding") {
+                // A coding in another field applies too, and `chunked` may be applied only once.
+                if is_chunked || !value.eq_ignore_ascii_case(b"chunked") {
                     return Err(FramingError::UnsupportedCoding(text(value)));
                 }
+                is_chunked = true;
             }
         }
         Ok(match (is_chunked, length) {
--- a/tests/platform/answers.rs
+++ b/tests/platform/answers.rs
@@ -163,3 +163,21 @@
     site.expect_refused(with_rests(rests));
     site.expect_served(&[HEAD, b"Content-Length:005 \t\r\n\r\nhello"].concat(), b"hello");
 }
+
+/// Guards against a field that is read without the others of its name.
+#[test]
+fn answers_with_contradictory_lengths_or_codings_are_refused() {
+    let site = Site::start();
+    site.expect_refused(with_rests([
+        "Content-Length: 5\r\nContent-Length: 11\r\n\r\nhello world",
+        "Content-Length: 11\r\nContent-Length: 5\r\n\r\nhello world",
+        "Content-Length: 5\r\nX-Other: 1\r\ncontent-length: \r\n\r\nhello",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+        "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+        "Transfer-Encoding: chunked, chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+        "Transfer-Encoding: identity\r\n\r\nhello",
+    ]));
+    let repeated = b"Content-Length: 5\r\nContent-Length: 5\r\n\r\nhello";
+    site.expect_served(&[HEAD, repeated].concat(), b"hello");
+}
