Refuse answers that have a length and a transfer coding

Callers got an answer with `Content-Length: 15` and `Transfer-Encoding: chunked` as a success without its chunk sizes, though one of the fields is wrong, and a chunked answer of HTTP/1.0, which has no chunks.

Cause: the reader looked at the length only where there was no coding, and at the version only to decide whether the connection can be kept.

RFC 9112 forbids both, and asks that they be handled as errors.

`answers::answers_with_a_length_and_a_coding_are_refused` failed before at one node and at two, and passes.

--- a/src/framing.rs
+++ b/src/framing.rs
@@ -25,6 +25,9 @@
     /// The transfer coding is not `chunked` alone.
     #[error("unsupported Transfer-Encoding {0:?}")]
     UnsupportedCoding(String),
+    /// The body is chunked and has a length.
+    #[error("both Content-Length and Transfer-Encoding")]
+    LengthAndCoding,
 }
 
 impl Framing {
@@ -56,11 +59,12 @@
                 is_chunked = true;
             }
         }
-        Ok(match (is_chunked, length) {
-            (true, _) => Self::Chunked,
-            (false, Some(length)) => Self::Length(length),
-            (false, None) => Self::UntilClose,
-        })
+        match (is_chunked, length) {
+            (true, Some(_)) => Err(FramingError::LengthAndCoding),
+            (true, None) => Ok(Self::Chunked),
+            (false, Some(length)) => Ok(Self::Length(length)),
+            (false, None) => Ok(Self::UntilClose),
+        }
     }
 }
 
--- a/src/mesh/http1.rs
+++ b/src/mesh/http1.rs
@@ -111,6 +111,11 @@
 }
 
 impl Reply {
+    /// Whether there is a header with this name.
+    pub fn has_header(&self, name: &str) -> bool {
+        self.headers.iter().any(|(key, _)| key.eq_ignore_ascii_case(name.as_bytes()))
+    }
+
     /// The value of the first header with a name, if it is valid UTF-8.
     pub fn header(&self, name: &str) -> Option<&str> {
         let is_named = |(key, _): &&(Bytes, Bytes)| key.eq_ignore_ascii_case(name.as_bytes());
@@ -513,6 +518,9 @@
     }
     buffer.advance(length);
     let mut reply = Reply { status, headers: copied, body: Bytes::new(), is_reusable: is_http_11 };
+    if !is_http_11 && reply.has_header("transfer-encoding") {
+        return Err(ExchangeError::Malformed("transfer coding in an answer of HTTP/1.0"));
+    }
     let connection = reply.header("connection").unwrap_or("");
     if connection.split(',').any(|token| token.trim().eq_ignore_ascii_case("close")) {
         reply.is_reusable = false;
--- a/tests/platform/answers.rs
+++ b/tests/platform/answers.rs
@@ -181,3 +181,16 @@
     let repeated = b"Content-Length: 5\r\nContent-Length: 5\r\n\r\nhello";
     site.expect_served(&[HEAD, repeated].concat(), b"hello");
 }
+
+/// Guards against an answer of which it is uncertain whether its body was chunked.
+#[test]
+fn answers_with_a_length_and_a_coding_are_refused() {
+    let site = Site::start();
+    site.expect_refused(with_rests([
+        "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 15\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+    ]));
+    let fields = "Attempt-Id: a1\r\nResponse-Signature: s\r\nTransfer-Encoding: chunked";
+    let answer = format!("HTTP/1.0 200 OK\r\n{fields}\r\n\r\n5\r\nhello\r\n0\r\n\r\n");
+    site.expect_refused([answer.into_bytes()]);
+}
