Refuse an answer without a length if the request cannot be written

A target answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was being written.

Cause: a socket reports a reset once. If the write got it, the read saw the end of the stream, which ends such a body, and the result of the write only decided whether the connection could be reused.

An answer that ends with the connection is complete once the request has been written too; until then the exchange goes on, as the target may have closed its side only. Answers whose end is known count as before.

Answers with a length before a reset, and answers without one after the whole upload was read or with one side closed, are accepted before and after.

--- a/src/mesh/http1.rs
+++ b/src/mesh/http1.rs
@@ -17,6 +17,7 @@
 use thiserror::Error;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::sync::oneshot;
 use tokio::task::yield_now;
 use tokio::time::Instant;
 
@@ -169,8 +170,15 @@
         accepts: impl Fn(&Reply) -> bool,
     ) -> Result<Reply, ExchangeError> {
         let (mut reader, mut writer) = self.stream.split();
-        let write = write_request(&mut writer, head, body);
-        let mut reader = AnswerReader::new(&mut reader, &mut self.buffer, &self.memory);
+        let (report_written, written) = oneshot::channel();
+        let write = async {
+            let result = write_request(&mut writer, head, body).await;
+            // The reader needs the result only for an answer that ends with the connection.
+            let copy = result.as_ref().copied().map_err(io::Error::kind);
+            report_written.send(copy).ok();
+            result
+        };
+        let mut reader = AnswerReader::new(&mut reader, &mut self.buffer, &self.memory, written);
         let read = reader.read_answer(method, accepts);
         let reply = write_and_read(write, read).await?;
         self.usable_until = Instant::now() + keep_alive_time(&reply);
@@ -186,8 +194,8 @@
 
 /// Writes a request while its answer is read, which may arrive before the request is fully written.
 ///
-/// A peer that answers early may stop reading, so the answer counts even if writing fails. The
-/// connection is reused only if the whole request was written, as the peer could take the rest of
+/// A peer that answers early may stop reading, so an answer whose end is known counts even if writing
+/// fails. The connection is reused only if the whole request was written, as the peer could take the rest of
 /// it for another request.
 pub async fn write_and_read(
     write: impl Future<Output = io::Result<()>>,
@@ -239,6 +247,8 @@
     stream: &'a mut R,
     buffer: &'a mut BytesMut,
     memory: &'a MemoryBudget,
+    /// Receives the result of writing the request.
+    written: oneshot::Receiver<Result<(), io::ErrorKind>>,
     /// Bytes read in this exchange.
     read_bytes: usize,
     /// Bytes read since other tasks could last run.
@@ -246,8 +256,13 @@
 }
 
 impl<'a, R: AsyncReadExt + Unpin> AnswerReader<'a, R> {
-    fn new(stream: &'a mut R, buffer: &'a mut BytesMut, memory: &'a MemoryBudget) -> Self {
-        Self { stream, buffer, memory, read_bytes: 0, unyielded_bytes: 0 }
+    fn new(
+        stream: &'a mut R,
+        buffer: &'a mut BytesMut,
+        memory: &'a MemoryBudget,
+        written: oneshot::Receiver<Result<(), io::ErrorKind>>,
+    ) -> Self {
+        Self { stream, buffer, memory, written, read_bytes: 0, unyielded_bytes: 0 }
     }
 
     /// Reads answers until `accepts` accepts one.
@@ -409,6 +424,7 @@
         }
     }
 
+    /// Reads a body that ends with the connection.
     async fn read_to_end(&mut self) -> Result<Bytes, ExchangeError> {
         let mut body = GrowingBody::new(self.memory)?;
         body.reserve(self.buffer.len())?;
@@ -421,11 +437,19 @@
             body.bytes.reserve(READ_BYTES);
             let read = self.stream.read_buf(&mut (&mut body.bytes).limit(READ_BYTES)).await;
             if self.record_read(read, true).await? == 0 {
+                self.expect_written().await?;
                 return Ok(body.finish());
             }
         }
     }
 
+    /// Waits until the request has been written. A socket reports a reset once; if the write gets it,
+    /// the stream of the answer ends as if the peer had closed the connection.
+    async fn expect_written(&mut self) -> Result<(), ExchangeError> {
+        let written = (&mut self.written).await.unwrap_or(Err(io::ErrorKind::BrokenPipe));
+        written.map_err(|kind| ExchangeError::Broken(kind.into()))
+    }
+
     async fn fill_buffer(&mut self) -> Result<(), ExchangeError> {
         if self.buffer.capacity() - self.buffer.len() < READ_BYTES / 4 {
             self.buffer.reserve(READ_BYTES);
--- a/tests/mesh/exchange.rs
+++ b/tests/mesh/exchange.rs
@@ -1,12 +1,15 @@
 //! The HTTP client with answers that are truncated, malformed, late or duplicated.
 
 use std::cell::Cell;
+use std::io::{Read, Write};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::thread;
 use std::time::Duration;
 
 use aspenspring::mesh::http1::{Connection, ExchangeError, Reply, write_and_read};
 use http::Method;
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::task::{JoinSet, spawn_local};
@@ -331,3 +334,84 @@
         }
     });
 }
+
+/// How a target ends a connection.
+#[derive(Clone, Copy, Debug)]
+enum End {
+    Reset,
+    Close,
+    /// Closes its side, and reads until the peer closes the other one.
+    HalfClose,
+}
+
+/// The result of an upload to a target that answers at once, reads `read_max` bytes as fast as it can, and ends the
+/// connection.
+async fn upload(answer: &'static [u8], read_max: usize, end: End) -> Result<Reply, ExchangeError> {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let target = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        stream.write_all(answer).unwrap();
+        let mut scratch = vec![0; 64 * 1024];
+        let mut left = read_max;
+        while left > 0 {
+            let part = left.min(scratch.len());
+            match stream.read(&mut scratch[..part]) {
+                Ok(read) if read > 0 => left -= read,
+                // The peer has its answer.
+                Ok(_) | Err(_) => return,
+            }
+        }
+        match end {
+            End::Reset => SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap(),
+            End::Close => {}
+            End::HalfClose => {
+                stream.shutdown(std::net::Shutdown::Write).unwrap();
+                while stream.read(&mut scratch).is_ok_and(|read| read > 0) {}
+            }
+        }
+    });
+    let mut connection = Connection::open(address, &memory()).await.unwrap();
+    let accepts = |reply: &Reply| reply.header("x-attempt") == Some("1");
+    let body = vec![b'x'; UPLOAD_BYTES];
+    let reply = connection.exchange(&Method::POST, HEAD, &body, accepts).await;
+    drop(connection);
+    target.join().unwrap();
+    reply
+}
+
+const UPLOAD_BYTES: usize = 24 * 1024 * 1024;
+/// What the target reads of an upload that it does not read to its end.
+const PART_BYTES: usize = UPLOAD_BYTES / 3;
+
+/// Guards against an answer that counts as complete because only the write is told of a reset.
+#[test]
+fn an_answer_without_a_length_is_refused_if_the_request_cannot_be_written() {
+    let answer = UNTIL_CLOSE_ABC;
+    run(async {
+        for round in 0..40 {
+            let end = if round % 4 == 3 { End::Close } else { End::Reset };
+            let reply = upload(answer, PART_BYTES + round * 10_007, end).await;
+            assert!(matches!(reply, Err(ExchangeError::Broken(_))), "{round}, {end:?}: {reply:?}");
+        }
+    });
+}
+
+const UNTIL_CLOSE_ABC: &[u8] = b"HTTP/1.1 200 OK\r\nx-attempt: 1\r\n\r\nabc";
+
+#[test]
+fn an_answer_to_an_upload_whose_end_is_known_is_accepted() {
+    let with_length = b"HTTP/1.1 200 OK\r\nx-attempt: 1\r\ncontent-length: 3\r\n\r\nabc";
+    run(async {
+        for _ in 0..10 {
+            for (answer, read_max, end) in [
+                (&with_length[..], PART_BYTES, End::Reset),
+                (UNTIL_CLOSE_ABC, UPLOAD_BYTES + HEAD.len(), End::Close),
+                (UNTIL_CLOSE_ABC, PART_BYTES, End::HalfClose),
+            ] {
+                let reply = upload(answer, read_max, end).await.unwrap();
+                assert_eq!((&reply.body[..], reply.is_reusable), (&b"abc"[..], false), "{end:?}");
+            }
+        }
+    });
+}
