Refuse chunks without a valid size or extension

Callers got a chunked answer as a complete success that ended at a chunk whose line had no size, such as an empty line where the target had lost a part.

Cause: `httparse::parse_chunk_size` returns 0 for a line without digits, which is the size of the last chunk. It also accepts a blank without an extension behind it, and any bytes in extensions, line feeds among them.

The line is parsed by the grammar of RFC 9112, section 7.1.

Valid extensions, with blanks and quoted strings, stay accepted.

--- a/src/mesh/http1.rs
+++ b/src/mesh/http1.rs
@@ -23,6 +23,7 @@
 
 use crate::framing::{Framing, FramingError, parse_decimal};
 
+use super::chunk;
 use super::memory::{MemoryBudget, Reservation, Stage};
 use super::socket;
 
@@ -383,22 +384,19 @@
         Err(ExchangeError::Malformed("too many chunks"))
     }
 
+    /// Reads the line in front of a chunk and returns the size of the chunk.
     async fn read_chunk_size(&mut self) -> Result<u64, ExchangeError> {
         loop {
             let line = &self.buffer[..self.buffer.len().min(CHUNK_LINE_MAX_BYTES)];
-            match httparse::parse_chunk_size(line) {
-                Ok(httparse::Status::Complete((length, size))) => {
-                    self.buffer.advance(length);
-                    return Ok(size);
-                }
-                Ok(httparse::Status::Partial) if line.len() < CHUNK_LINE_MAX_BYTES => {
-                    self.fill_buffer().await?;
-                }
-                Ok(httparse::Status::Partial) => {
-                    return Err(ExchangeError::Malformed("chunk extension too long"));
-                }
-                Err(_) => return Err(ExchangeError::Malformed("invalid chunk size")),
+            if let Some(end) = line.windows(2).position(|pair| pair == b"\r\n") {
+                let size = chunk::parse_line(&line[..end]);
+                self.buffer.advance(end + 2);
+                return size.ok_or(ExchangeError::Malformed("invalid chunk size or extension"));
+            }
+            if line.len() == CHUNK_LINE_MAX_BYTES {
+                return Err(ExchangeError::Malformed("chunk extension too long"));
             }
+            self.fill_buffer().await?;
         }
     }
 
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod budget;
 pub mod caller_end;
+mod chunk;
 pub mod codec;
 pub mod completion;
 pub mod condition;
--- a/tests/mesh/exchange.rs
+++ b/tests/mesh/exchange.rs
@@ -415,3 +415,60 @@
         }
     });
 }
+
+/// A chunked answer with this behind the head.
+async fn first_chunked(rest: &[u8]) -> Result<Reply, ExchangeError> {
+    first([CHUNKED.as_bytes(), rest].concat().leak()).await
+}
+
+/// Guards against the line of a chunk that has no size and counts as the last one.
+#[test]
+fn chunks_without_a_valid_size_are_refused() {
+    run(async {
+        let mut accepted = Vec::new();
+        for line in [
+            "",
+            ";x=1",
+            " ",
+            "+5",
+            "-5",
+            "0x5",
+            "5 5",
+            " 5",
+            "5 ",
+            "5g",
+            "5\r",
+            "fffffffffffffffff",
+            "5;",
+            "5;;x",
+            "5;=1",
+            "5;x=",
+            "5;x y",
+            "5;x=\"a",
+            "5;x=a\"b\"",
+            "5;x\n",
+            "5;x=\u{1}",
+            "5;x=\u{e9}",
+            "5;x=\"\n\"",
+            "5;x=\"\\\n\"",
+            "5,x",
+            "5;x=\"a\"b",
+        ] {
+            for rest in [
+                format!("{line}\r\nhello\r\n0\r\n\r\n"),
+                format!("2\r\nok\r\n{line}\r\nhello\r\n0\r\n\r\n"),
+                format!("2\r\nok\r\n{line}\r\n\r\n"),
+            ] {
+                if first_chunked(rest.as_bytes()).await.is_ok() {
+                    accepted.push(rest);
+                }
+            }
+        }
+        assert!(accepted.is_empty(), "{accepted:?}");
+        let quoted = "5;x=\"a;\\\"\u{e9}\t\"";
+        for line in ["5", "005", "5;x", "5;x=1", "5;x=1;y", "5 ; x\t=\t1", "5;x=\"\"", quoted] {
+            let rest = format!("{line}\r\nhello\r\n0\r\n\r\n");
+            assert_eq!(&first_chunked(rest.as_bytes()).await.unwrap().body[..], b"hello", "{line}");
+        }
+    });
+}
