Refuse chunked answers with trailers that are no fields

Callers got a chunked answer as a success if something else than fields followed its last chunk, such as a line without a colon.

Cause: trailers were skipped up to the first empty line, unread.

Each line has to be a field. `exchange::trailers_that_are_no_fields_are_refused` failed before and passes.

--- a/src/mesh/chunk.rs
+++ b/src/mesh/chunk.rs
@@ -1,4 +1,4 @@
-//! The line in front of each chunk of a body (RFC 9112, section 7.1).
+//! The lines of a chunked body (RFC 9112, section 7.1): those in front of the chunks, and the trailers.
 
 /// Parses the line in front of a chunk, without its line break, and returns the size of the chunk in
 /// bytes. Its extensions are checked and ignored. `None` if the line is invalid.
@@ -10,6 +10,12 @@
     are_extensions(extensions).then_some(size)
 }
 
+/// Whether this line, without its line break, is a trailer: a field with a name and a value.
+pub fn is_trailer(line: &[u8]) -> bool {
+    let value = skip_token(line).and_then(|after_name| after_name.strip_prefix(b":"));
+    value.is_some_and(|value| value.iter().all(|byte| is_text_byte(*byte)))
+}
+
 /// Whether these are extensions: each a semicolon and a name, which may have a value. Blanks may
 /// surround the separators.
 fn are_extensions(mut rest: &[u8]) -> bool {
--- a/src/mesh/http1.rs
+++ b/src/mesh/http1.rs
@@ -405,10 +405,14 @@
         let (mut count, mut length) = (0, 0);
         loop {
             while let Some(end) = self.buffer.windows(2).position(|pair| pair == b"\r\n") {
+                let is_trailer = chunk::is_trailer(&self.buffer[..end]);
                 self.buffer.advance(end + 2);
                 if end == 0 {
                     return Ok(());
                 }
+                if !is_trailer {
+                    return Err(ExchangeError::Malformed("invalid trailer"));
+                }
                 count += 1;
                 length += end;
                 if count > HEADERS_MAX || length > HEAD_MAX_BYTES {
--- a/tests/mesh/exchange.rs
+++ b/tests/mesh/exchange.rs
@@ -472,3 +472,18 @@
         }
     });
 }
+
+/// Guards against a message that goes on behind the last chunk with something else.
+#[test]
+fn trailers_that_are_no_fields_are_refused() {
+    run(async {
+        for trailer in
+            ["garbage", "x y: 1", "x : 1", " x: 1", ": 1", "x: \u{1}", "x: 1\n", "HTTP/1.1 200 OK"]
+        {
+            let rest = format!("5\r\nhello\r\n0\r\nx-sum: 1\r\n{trailer}\r\n\r\n");
+            assert!(first_chunked(rest.as_bytes()).await.is_err(), "{trailer:?}");
+        }
+        let rest = "5\r\nhello\r\n0\r\nx-sum:\r\nx-note: \t\u{e9} \r\n\r\n";
+        assert_eq!(&first_chunked(rest.as_bytes()).await.unwrap().body[..], b"hello");
+    });
+}
