Test answers with names and lines that are no fields

Reported from other systems: a blank or a control byte in the name of a field. Empty values and bytes above 0x7f in other fields are kept.

--- a/tests/platform/answers.rs
+++ b/tests/platform/answers.rs
@@ -194,3 +194,30 @@
     let answer = format!("HTTP/1.0 200 OK\r\n{fields}\r\n\r\n5\r\nhello\r\n0\r\n\r\n");
     site.expect_refused([answer.into_bytes()]);
 }
+
+#[test]
+fn answers_with_a_line_that_is_no_field_are_refused() {
+    let lines: [&[u8]; 16] = [
+        b"X Other: 1",
+        b"X\tOther: 1",
+        b"X-Other : 1",
+        b"X-Other\t: 1",
+        b"X\x01Other: 1",
+        b"X\0Other: 1",
+        b"X\x7fOther: 1",
+        b"X\x80Other: 1",
+        b"no field",
+        b": 1",
+        b" X-Other: 1",
+        b"X-Other: 1\r\n 2",
+        b"X-Other: a\x01b",
+        b"X-Other: a\0b",
+        b"X-Other: a\rb",
+        b"X-Other: a\x7fb",
+    ];
+    let site = Site::start();
+    let fields = b"Content-Length: 5\r\n\r\nhello";
+    site.expect_refused(with_rests(lines.map(|line| [line, b"\r\n", fields].concat())));
+    let other = b"X-Empty:\r\nX-Text: \xff\xc3\xa9\r\n";
+    site.expect_served(&[HEAD, other, fields].concat(), b"hello");
+}
