Refuse answers that begin with an empty line

Callers got an answer behind stray line breaks as a success. They are not part of it, so the bytes are those of a target that has lost count.

Cause: httparse skips empty lines before the status line, which HTTP allows in front of requests only.

`answers::answers_that_begin_with_an_empty_line_are_refused` failed before at one node and at two, and passes.

--- a/src/mesh/http1.rs
+++ b/src/mesh/http1.rs
@@ -522,6 +522,10 @@
 }
 
 fn parse_head(buffer: &mut BytesMut) -> Result<Option<Reply>, ExchangeError> {
+    // `httparse` skips empty lines, which HTTP allows in front of requests only.
+    if matches!(buffer.first(), Some(b'\r' | b'\n')) {
+        return Err(ExchangeError::Malformed("empty line before the status line"));
+    }
     let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
     let mut head = httparse::Response::new(&mut headers);
     let parsed = head.parse(buffer).map_err(|_| ExchangeError::Malformed("invalid head"))?;
--- a/tests/platform/answers.rs
+++ b/tests/platform/answers.rs
@@ -221,3 +221,14 @@
     let other = b"X-Empty:\r\nX-Text: \xff\xc3\xa9\r\n";
     site.expect_served(&[HEAD, other, fields].concat(), b"hello");
 }
+
+/// Guards against an empty line that is skipped in front of the status line.
+#[test]
+fn answers_that_begin_with_an_empty_line_are_refused() {
+    let answer = [HEAD, b"Content-Length: 5\r\n\r\nhello"].concat();
+    let interim: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+    let site = Site::start();
+    site.expect_refused(["\r\n", "\n"].map(|line| [line.as_bytes(), &answer].concat()));
+    site.expect_refused([[interim, &b"\r\n"[..], &answer].concat()]);
+    site.expect_served(&[interim, interim, &answer].concat(), b"hello");
+}
