Refuse answers with two ids or signatures, or an empty one

Callers got an answer as a success that had their id and another one, or two different signatures, or a signature without a value.

Cause: only the first field of a name was read, and a signature counted by its presence.

A header whose fields differ has no value: an answer with two ids belongs to no request, and one with two signatures has none.

`answers::answers_with_two_ids_or_two_signatures_or_an_empty_one_are_refused` failed before with five of its six answers at one node and at two, and passes.

--- a/src/mesh/http1.rs
+++ b/src/mesh/http1.rs
@@ -113,16 +113,18 @@
 }
 
 impl Reply {
-    /// Whether there is a header with this name.
-    pub fn has_header(&self, name: &str) -> bool {
-        self.headers.iter().any(|(key, _)| key.eq_ignore_ascii_case(name.as_bytes()))
+    /// The value of a header, if it is valid UTF-8 and no other field of this name has another one.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let mut values = self.values(name);
+        let value = values.next()?;
+        let is_unique = values.all(|other| other == value);
+        std::str::from_utf8(value).ok().filter(|_| is_unique)
     }
 
-    /// The value of the first header with a name, if it is valid UTF-8.
-    pub fn header(&self, name: &str) -> Option<&str> {
-        let is_named = |(key, _): &&(Bytes, Bytes)| key.eq_ignore_ascii_case(name.as_bytes());
-        let (_, value) = self.headers.iter().find(is_named)?;
-        std::str::from_utf8(value).ok()
+    /// The values of all fields with a name.
+    fn values(&self, name: &str) -> impl Iterator<Item = &[u8]> {
+        let is_named = move |key: &[u8]| key.eq_ignore_ascii_case(name.as_bytes());
+        self.headers.iter().filter(move |(key, _)| is_named(key)).map(|(_, value)| &value[..])
     }
 }
 
@@ -548,7 +550,7 @@
     }
     buffer.advance(length);
     let mut reply = Reply { status, headers: copied, body: Bytes::new(), is_reusable: is_http_11 };
-    if !is_http_11 && reply.has_header("transfer-encoding") {
+    if !is_http_11 && reply.values("transfer-encoding").next().is_some() {
         return Err(ExchangeError::Malformed("transfer coding in an answer of HTTP/1.0"));
     }
     let connection = reply.header("connection").unwrap_or("");
--- a/src/mesh/receiver.rs
+++ b/src/mesh/receiver.rs
@@ -360,7 +360,7 @@
         return NotRun::Declined.into();
     }
     let is_success = (200..300).contains(&reply.status);
-    if is_success && reply.header(header_names.signature.as_str()).is_none() {
+    if is_success && reply.header(header_names.signature.as_str()).is_none_or(str::is_empty) {
         return target_broke("successful answer without a signature".to_owned());
     }
     CallEnd::Answered(TargetAnswer {
--- a/tests/platform/answers.rs
+++ b/tests/platform/answers.rs
@@ -232,3 +232,19 @@
     site.expect_refused([[interim, &b"\r\n"[..], &answer].concat()]);
     site.expect_served(&[interim, interim, &answer].concat(), b"hello");
 }
+
+/// Guards against a field that is read without the others of its name.
+#[test]
+fn answers_with_two_ids_or_two_signatures_or_an_empty_one_are_refused() {
+    let heads = [
+        "Attempt-Id: a1\r\nAttempt-Id: a2\r\nResponse-Signature: s",
+        "Attempt-Id: a2\r\nAttempt-Id: a1\r\nResponse-Signature: s",
+        "Attempt-Id: a1\r\nAttempt-Id:\r\nResponse-Signature: s",
+        "Attempt-Id: a1\r\nResponse-Signature: s\r\nResponse-Signature: t",
+        "Attempt-Id: a1\r\nResponse-Signature: s\r\nResponse-Signature: \u{e9}",
+        "Attempt-Id: a1\r\nResponse-Signature:",
+    ];
+    let answers =
+        heads.map(|head| format!("HTTP/1.1 200 OK\r\n{head}\r\nContent-Length: 5\r\n\r\nhello"));
+    Site::start().expect_refused(answers.map(String::into_bytes));
+}
