Read every Connection header of an answer

A connection was kept for the next request though its target had announced that it closes it, if `close` was not in the first `Connection` header or that header was not text. The next request could then be lost on it.

Cause: only the first field was read, and one that is not text counted as absent.

`exchange::a_connection_is_not_reused_after_any_announcement_of_its_end` failed before and passes.

--- a/src/mesh/http1.rs
+++ b/src/mesh/http1.rs
@@ -126,6 +126,13 @@
         let is_named = move |key: &[u8]| key.eq_ignore_ascii_case(name.as_bytes());
         self.headers.iter().filter(move |(key, _)| is_named(key)).map(|(_, value)| &value[..])
     }
+
+    /// Whether the peer closes the connection after this answer.
+    fn closes_connection(&self) -> bool {
+        let mut options =
+            self.values("connection").flat_map(|value| value.split(|byte| *byte == b','));
+        options.any(|option| option.trim_ascii().eq_ignore_ascii_case(b"close"))
+    }
 }
 
 impl Connection {
@@ -553,10 +560,7 @@
     if !is_http_11 && reply.values("transfer-encoding").next().is_some() {
         return Err(ExchangeError::Malformed("transfer coding in an answer of HTTP/1.0"));
     }
-    let connection = reply.header("connection").unwrap_or("");
-    if connection.split(',').any(|token| token.trim().eq_ignore_ascii_case("close")) {
-        reply.is_reusable = false;
-    }
+    reply.is_reusable &= !reply.closes_connection();
     Ok(Some(reply))
 }
 
--- a/tests/mesh/exchange.rs
+++ b/tests/mesh/exchange.rs
@@ -487,3 +487,16 @@
         assert_eq!(&first_chunked(rest.as_bytes()).await.unwrap().body[..], b"hello");
     });
 }
+
+/// Guards against a `Connection` header that is read without the others.
+#[test]
+fn a_connection_is_not_reused_after_any_announcement_of_its_end() {
+    run(async {
+        for fields in ["keep-alive\r\nconnection: close", "\u{e9}, close", "close\r\nconnection: a"]
+        {
+            let start = "HTTP/1.1 200 OK\r\nx-attempt: 1\r\ncontent-length: 0";
+            let answer = format!("{start}\r\nconnection: {fields}\r\n\r\n");
+            assert!(!first(answer.leak().as_bytes()).await.unwrap().is_reusable, "{fields}");
+        }
+    });
+}
