Refuse invalid answers that a peer passes on

A node of an earlier version beside a target passes broken answers on to the node of the caller during an upgrade: that one gave status 600 and 999, and 200 with two signatures, with an empty one or with none to callers. It left out fields with invalid names or values, and let a length or a coding of the frame through to hyper, which stops on a wrong length in a debug build.

Cause: the node of the caller took over what a frame said.

An answer in a frame is checked when it arrives; an invalid one is logged as InputRefused and counts as that of a broken target, so callers get an empty 502 and reads may be repeated.

--- a/src/mesh/frame.rs
+++ b/src/mesh/frame.rs
@@ -1,9 +1,12 @@
 //! The frames that nodes exchange.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 
 use bytes::Bytes;
+use http::{HeaderName, HeaderValue};
 use serde::{Deserialize, Serialize};
+use thiserror::Error;
 
 use super::fingerprint::Fingerprint;
 use super::incarnation::Incarnation;
@@ -102,6 +105,19 @@
     },
 }
 
+/// The status codes of final answers.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+/// Hop-by-hop and message-framing headers, which are not forwarded with an answer.
+pub const CONNECTION_HEADERS: [&str; 7] = [
+    "connection",
+    "keep-alive",
+    "transfer-encoding",
+    "content-length",
+    "trailer",
+    "upgrade",
+    "proxy-connection",
+];
+
 /// Feature bit of a node that reads `Condition`, `TreeCalls` and `TeamUse`.
 pub const FEATURE_CONDITION: u32 = 1;
 /// Feature bit of a node that reads `CallerEnd`.
@@ -466,6 +482,36 @@
 }
 
 impl TargetAnswer {
+    /// Checks an answer that a peer passes on; nodes of earlier versions accepted more from their
+    /// targets. `signature` is the name of the header that every success needs.
+    ///
+    /// # Errors
+    ///
+    /// No target can have given this answer to a caller.
+    pub fn check(&self, signature: &HeaderName) -> Result<(), InvalidAnswer> {
+        if !FINAL_STATUSES.contains(&self.status) {
+            return Err(InvalidAnswer::Status(self.status));
+        }
+        let mut signed_by: Option<&Bytes> = None;
+        for Header { name, value } in &self.headers {
+            let invalid = || InvalidAnswer::Header(String::from_utf8_lossy(name).into_owned());
+            let parsed = HeaderName::from_bytes(name).map_err(|_| invalid())?;
+            let is_valid = HeaderValue::from_maybe_shared(value.clone()).is_ok();
+            if !is_valid || CONNECTION_HEADERS.contains(&parsed.as_str()) {
+                return Err(invalid());
+            }
+            if parsed == *signature && signed_by.replace(value).is_some_and(|other| other != value)
+            {
+                return Err(invalid());
+            }
+        }
+        let is_success = (200..300).contains(&self.status);
+        if is_success && signed_by.is_none_or(Bytes::is_empty) {
+            return Err(InvalidAnswer::Unsigned);
+        }
+        Ok(())
+    }
+
     /// Whether the status reports a failure.
     pub fn is_failure(&self) -> bool {
         self.status >= 500
@@ -482,6 +528,20 @@
     }
 }
 
+/// Why an answer of a peer is not passed on.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum InvalidAnswer {
+    /// The status is not one of a final answer.
+    #[error("status {0}")]
+    Status(u16),
+    /// A header is malformed, concerns a connection, or contradicts another one.
+    #[error("header {0:?}")]
+    Header(String),
+    /// A success has no signature.
+    #[error("success without a signature")]
+    Unsigned,
+}
+
 /// Why a call was not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum NotRun {
--- a/src/mesh/peers.rs
+++ b/src/mesh/peers.rs
@@ -114,7 +114,7 @@
         }
         Frame::Answer { id, end, load } => {
             peer.update_load(load);
-            link.end_call(id, end);
+            link.end_call(id, checked_end(node, peer, end));
         }
         Frame::Status(status) => {
             node.request_newer_site(&status, &link);
@@ -178,6 +178,15 @@
     peer.team_use.clear();
 }
 
+/// The end of a call as reported by a peer. An invalid answer counts as that of a broken target.
+fn checked_end(node: &Node, peer: &Peer, end: CallEnd) -> CallEnd {
+    let CallEnd::Answered(answer) = &end else { return end };
+    let Err(error) = answer.check(&node.header_names.signature) else { return end };
+    let detail = format!("{}: {error}", peer.address);
+    node.log.emit(&LogEvent::InputRefused { input: "answer", detail });
+    CallEnd::MayHaveRun(Doubt::TargetBroke)
+}
+
 /// Pings silent links, and closes those that do not answer.
 pub async fn watch_links(node: Rc<Node>) {
     loop {
--- a/src/mesh/receiver.rs
+++ b/src/mesh/receiver.rs
@@ -20,7 +20,7 @@
 use super::crash::{self, RunGuard, record_interrupted, record_refused};
 use super::crash_reports;
 use super::fingerprint;
-use super::frame::{Call, CallEnd, Doubt, Header, NotRun, TargetAnswer};
+use super::frame::{CONNECTION_HEADERS, Call, CallEnd, Doubt, Header, NotRun, TargetAnswer};
 use super::gate::GateError;
 use super::http1::{Connection, ExchangeError, Reply};
 use super::incarnation::Incarnation;
@@ -38,16 +38,6 @@
 const CONNECT_MAX_LIMITED: Duration = Duration::from_millis(250);
 /// The initial buffer for a request head, in bytes; fits a typical one.
 const HEAD_TYPICAL_BYTES: usize = 512;
-/// Hop-by-hop and message-framing headers, which are not forwarded with an answer.
-const CONNECTION_HEADERS: [&str; 7] = [
-    "connection",
-    "keep-alive",
-    "transfer-encoding",
-    "content-length",
-    "trailer",
-    "upgrade",
-    "proxy-connection",
-];
 
 /// The result of a call, with details if the connection to the target failed or broke.
 struct CallResult {
--- a/tests/mesh/links.rs
+++ b/tests/mesh/links.rs
@@ -3,21 +3,21 @@
 
 use std::time::Duration;
 
-use aspenspring::mesh::codec::Encoder;
+use aspenspring::mesh::codec::{self, Decoder, Encoder};
 use aspenspring::mesh::follower::Role;
-use aspenspring::mesh::frame::{Frame, Hello, Load, Status};
+use aspenspring::mesh::frame::{CallEnd, Frame, Header, Hello, Load, Status, TargetAnswer};
 use aspenspring::mesh::peers;
 use aspenspring::mesh::report::LoadReport;
 use bytes::BytesMut;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
 use super::support::{
-    Reaction, ask, incarnation, link_nodes, request, run, start, status, unused_address,
+    Reaction, ask, incarnation, link_nodes, memory, request, run, start, status, unused_address,
 };
 
 /// Interval at which a node checks whether a load report is due.
@@ -225,3 +225,92 @@
         }
     });
 }
+
+/// A node that answers the calls on its first link with each of `answers` in turn.
+async fn start_answering(state: Status, answers: Vec<TargetAnswer>) -> std::net::SocketAddr {
+    let address = unused_address();
+    let listener = TcpListener::bind(address).await.unwrap();
+    spawn_local(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let hello = Hello {
+            address,
+            failure_domain: "a".to_owned(),
+            status: state,
+            left_incarnations: Vec::new(),
+            features: 0,
+        };
+        let (mut encoder, mut decoder) = (Encoder::default(), Decoder::new(memory()));
+        let (mut received, mut sent) = (BytesMut::new(), BytesMut::new());
+        assert_eq!(encoder.encode(&Frame::Hello(hello), &mut sent), None);
+        stream.write_all(&sent.split()).await.unwrap();
+        for answer in answers {
+            let id = loop {
+                match decoder.decode(&mut received).unwrap() {
+                    Some(codec::Received::Frame(Frame::Call(call))) => break call.id,
+                    Some(_) => {}
+                    None => drop(stream.read_buf(&mut received).await.unwrap()),
+                }
+            };
+            let load = Load { running: 0, waiting: 0, limit: 9 };
+            let frame = Frame::Answer { id, end: CallEnd::Answered(answer), load };
+            assert_eq!(encoder.encode(&frame, &mut sent), None);
+            stream.write_all(&sent.split()).await.unwrap();
+        }
+        std::future::pending::<()>().await;
+    });
+    address
+}
+
+/// Guards against invalid answers that nodes of earlier versions pass on.
+#[test]
+fn invalid_answers_of_a_peer_are_refused() {
+    let answer = |status, fields: &[(&'static str, &'static [u8])]| TargetAnswer {
+        status,
+        has_failed_below: false,
+        headers: fields.iter().map(|(name, value)| Header::new(name, value)).collect(),
+        body: "hello".into(),
+    };
+    let signature = ("x-signature", &b"s"[..]);
+    let mut answers: Vec<_> =
+        [0, 99, 100, 199, 600, 999, 65_535].map(|status| answer(status, &[signature])).into();
+    for field in [
+        ("x other", &b"1"[..]),
+        ("x\u{1}other", b"1"),
+        ("", b"1"),
+        ("x-other", b"a\x01b"),
+        ("x-other", b"a\r\nb: c"),
+        ("Content-Length", b"3"),
+        ("transfer-encoding", b"chunked"),
+        ("x-signature", b"t"),
+    ] {
+        answers.push(answer(200, &[signature, field]));
+    }
+    answers.push(answer(200, &[]));
+    answers.push(answer(200, &[("x-signature", b"")]));
+    let refused = answers.len();
+    let whole = answer(200, &[signature, ("x-empty", b""), ("x-other", b"\xc3\xa9")]);
+    answers.extend([whole, answer(500, &[])]);
+    run(async {
+        let entry = start("page-1", "page", vec![Reaction::Answer(200, 0)]).await;
+        let load = Load { running: 0, waiting: 0, limit: 9 };
+        let incarnation = incarnation("stock-1", 0);
+        let service = "stock".to_owned();
+        let state = Status { service, incarnation, ready: true, load, ..Status::default() };
+        peers::add_peer(&entry.node, start_answering(state, answers.clone()).await, "a");
+        while entry.node.directory.linked() == 0 {
+            sleep(Duration::from_millis(5)).await;
+        }
+        let mut passed_on = Vec::new();
+        for (index, answer) in answers.iter().enumerate() {
+            let received = ask(&entry, &request("book", &format!("a{index}"))).await;
+            let is_refused = status(&received) == 502
+                && received.ends_with("\r\n\r\n")
+                && !received.contains("x-signature");
+            let is_passed_on = status(&received) == answer.status && received.ends_with("hello");
+            if if index < refused { !is_refused } else { !is_passed_on } {
+                passed_on.push((answer, received));
+            }
+        }
+        assert!(passed_on.is_empty(), "{passed_on:#?}");
+    });
+}
