Refuse answers with an invalid status on the old path

Callers of `aspenspring node` got answers of a target with status 600, 999 and 101 as they were; the last one ends HTTP on the connection.

Cause: hyper's client accepts 100 to 999, and the status was not checked after that, neither beside the target nor at the node of the caller.

`broken_answers_of_a_target_are_not_passed_on` failed before with these three statuses and passes. Status 000, lengths that are invalid, differ or are too long, chunks without a size, and fields with invalid names were refused already.

--- a/src/duty/answer.rs
+++ b/src/duty/answer.rs
@@ -7,6 +7,7 @@
 use rocket::response::{Responder, Response};
 
 use crate::call::{Doubt, HttpAnswer, Refusal, RefusalReason, Verdict};
+use crate::framing::FINAL_STATUSES;
 use crate::node::{CallEnd, header};
 
 use super::problem::Problem;
@@ -18,7 +19,11 @@
 /// Renders the outcome of a request that the node's state machine handled.
 pub fn respond(request: &Request<'_>, end: CallEnd) -> Response<'static> {
     let mut response = match &end.verdict {
-        Verdict::Answered(answer) => forward_answer(answer),
+        Verdict::Answered(answer) if FINAL_STATUSES.contains(&answer.status) => {
+            forward_answer(answer)
+        }
+        // A node of an earlier version has passed on a broken answer.
+        Verdict::Answered(_) => render(request, may_have_run(Doubt::TargetBroke)),
         Verdict::NotRun(refusal) => render(request, not_run(refusal)),
         Verdict::MayHaveRun(doubt) => render(request, may_have_run(*doubt)),
     };
--- a/src/duty/target.rs
+++ b/src/duty/target.rs
@@ -12,6 +12,7 @@
 use crate::call::{AttemptId, HttpAnswer};
 use crate::clock::Clock;
 use crate::duty::decider::DeciderHandle;
+use crate::framing::FINAL_STATUSES;
 use crate::node::{NodeEvent, TargetCall, TargetOutcome, header};
 
 /// The time limit for the target to acknowledge a cancellation.
@@ -244,6 +245,9 @@
             return TargetOutcome::Broke;
         }
         let status = response.status().as_u16();
+        if !FINAL_STATUSES.contains(&status) {
+            return TargetOutcome::Broke;
+        }
         let headers = forwarded_headers(&response);
         let mut body = BytesMut::new();
         loop {
--- a/src/framing.rs
+++ b/src/framing.rs
@@ -1,7 +1,13 @@
-//! How the end of an HTTP/1.1 answer's body is determined (RFC 9112, section 6.3).
+//! What HTTP/1.1 allows in a final answer: its status, and how the end of its body is determined
+//! (RFC 9112, section 6.3).
+
+use std::ops::RangeInclusive;
 
 use thiserror::Error;
 
+/// The status codes of final answers.
+pub const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// How the end of a body is determined. Answers without a body are not considered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Framing {
--- a/src/mesh/frame.rs
+++ b/src/mesh/frame.rs
@@ -1,13 +1,14 @@
 //! The frames that nodes exchange.
 
 use std::net::SocketAddr;
-use std::ops::RangeInclusive;
 
 use bytes::Bytes;
 use http::{HeaderName, HeaderValue};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use crate::framing::FINAL_STATUSES;
+
 use super::fingerprint::Fingerprint;
 use super::incarnation::Incarnation;
 
@@ -105,8 +106,6 @@
     },
 }
 
-/// The status codes of final answers.
-const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 /// Hop-by-hop and message-framing headers, which are not forwarded with an answer.
 pub const CONNECTION_HEADERS: [&str; 7] = [
     "connection",
--- a/tests/process_site.rs
+++ b/tests/process_site.rs
@@ -3,6 +3,9 @@
 mod processes;
 
 use std::collections::HashMap;
+use std::io::{Read, Write};
+use std::net::TcpListener;
+use std::sync::{Arc, Mutex};
 
 use processes::{Site, loopback};
 use serde_json::Value;
@@ -106,3 +109,64 @@
         }
     }
 }
+
+/// Serves connections at `address`: reads the head of a request, sends `answer` and closes.
+fn serve_bytes(address: &str, answer: &Arc<Mutex<Vec<u8>>>) {
+    let listener = TcpListener::bind(address).expect("bind the address of the target");
+    let answer = Arc::clone(answer);
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (mut stream, answer) = (stream.expect("a connection"), Arc::clone(&answer));
+            std::thread::spawn(move || {
+                let mut request = Vec::new();
+                let mut part = [0; 4096];
+                while !request.ends_with(b"\r\n\r\n") {
+                    match stream.read(&mut part) {
+                        Ok(read) if read > 0 => request.extend_from_slice(&part[..read]),
+                        _ => return,
+                    }
+                }
+                let answer = answer.lock().unwrap().clone();
+                drop(stream.write_all(&answer));
+            });
+        }
+    });
+}
+
+/// Guards against broken answers that reach callers: an invalid status, or a body whose end is uncertain.
+#[tokio::test]
+async fn broken_answers_of_a_target_are_not_passed_on() {
+    let mut site = Site::start("broken", &["front"], 1);
+    site.wait_until_served().await;
+    let whole = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello";
+    let answer = Arc::new(Mutex::new(whole.to_vec()));
+    serve_bytes(&site.end_target(0), &answer);
+    let mut passed_on = Vec::new();
+    for (status, rest) in [
+        ("000", &b"content-length: 5\r\n\r\nhello"[..]),
+        ("600", b"content-length: 5\r\n\r\nhello"),
+        ("999", b"content-length: 5\r\n\r\nhello"),
+        ("101", b"content-length: 5\r\n\r\nhello"),
+        ("200", b"content-length: +5\r\n\r\nhello"),
+        ("200", b"content-length: 5\xff\r\n\r\nhello"),
+        ("200", b"content-length: 5\r\ncontent-length: 4\r\n\r\nhello"),
+        ("200", b"content-length: 9\r\n\r\nhello"),
+        ("200", b"transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n\r\n\r\n"),
+        ("200", b"x other: 1\r\ncontent-length: 5\r\n\r\nhello"),
+        ("200", b"\r\nhello"),
+    ] {
+        let broken = [format!("HTTP/1.1 {status} X\r\n").as_bytes(), rest].concat();
+        answer.lock().unwrap().clone_from(&broken);
+        let received = site.call(0, "POST", "/confirm/1", None).await;
+        let is_refused = received.as_ref().is_some_and(|(status, verdict, body)| {
+            *status == 502 && verdict.starts_with("may-have-run") && !body.contains("hello")
+        });
+        if !is_refused {
+            passed_on.push((String::from_utf8_lossy(&broken).into_owned(), received));
+        }
+    }
+    assert!(passed_on.is_empty(), "{passed_on:#?}");
+    answer.lock().unwrap().clone_from(&whole.to_vec());
+    let (status, _, body) = site.call(0, "POST", "/confirm/1", None).await.expect("an answer");
+    assert_eq!((status, body.as_str()), (200, "hello"));
+}
--- a/tests/processes/mod.rs
+++ b/tests/processes/mod.rs
@@ -226,6 +226,14 @@
         unsafe { libc::kill(pid, signal) };
     }
 
+    /// Ends a target; its address is free then.
+    pub fn end_target(&mut self, pair: usize) -> String {
+        let pair = &mut self.pairs[pair];
+        pair.target.kill().expect("end the target");
+        pair.target.wait().expect("wait for the target");
+        loopback(pair.target_port)
+    }
+
     /// Waits until a node has exited; returns its exit code.
     pub async fn wait_for_exit(&mut self, pair: usize) -> Option<i32> {
         for _ in 0..POLLS_MAX {
