Refuse answers with an unknown coding on the old path

Callers of `aspenspring node` got an answer coded as `gzip` without that coding named, and one whose coding was spoilt with the chunk sizes in its body, or with whatever had arrived when the connection ended.

Cause: a `Transfer-Encoding` counted as a delimiter by its presence, while hyper's client reads to the end of the connection unless the last coding is `chunked`.

Both paths determine the end of a body by the same rules.

`broken_answers_of_a_target_are_not_passed_on` failed before with five more answers and passes.

--- a/src/duty/target.rs
+++ b/src/duty/target.rs
@@ -12,7 +12,7 @@
 use crate::call::{AttemptId, HttpAnswer};
 use crate::clock::Clock;
 use crate::duty::decider::DeciderHandle;
-use crate::framing::FINAL_STATUSES;
+use crate::framing::{FINAL_STATUSES, Framing};
 use crate::node::{NodeEvent, TargetCall, TargetOutcome, header};
 
 /// The time limit for the target to acknowledge a cancellation.
@@ -278,15 +278,18 @@
     response.headers().get(header::VERDICT).is_some_and(|value| value == NOT_RUN_VERDICT)
 }
 
-/// Whether the answer delimits its body.
+/// Whether the answer delimits its body. The HTTP client reads a body to the end of the connection if
+/// it does not know the transfer coding.
 fn is_delimited(method: &str, response: &Response) -> bool {
-    let headers = response.headers();
     let is_bodiless = method == "HEAD"
         || response.status() == StatusCode::NO_CONTENT
         || response.status() == StatusCode::NOT_MODIFIED;
-    is_bodiless
-        || headers.contains_key("content-length")
-        || headers.contains_key("transfer-encoding")
+    let fields = response.headers().iter();
+    match Framing::of(fields.map(|(name, value)| (name.as_str().as_bytes(), value.as_bytes()))) {
+        Ok(Framing::Length(_) | Framing::Chunked) => true,
+        Ok(Framing::UntilClose) => is_bodiless,
+        Err(_) => false,
+    }
 }
 
 /// The headers of an answer that are forwarded.
