Do not take a conflict that is not understood for an absent row

A node of `aspenspring node` whose write the table service had refused with a body that it could not read went on as if its row did not exist.

Cause: `present` was the parsed body or nothing, and nothing stands for the empty object that the interface defines for an absent row.

Any other body is an error, and the write counts as not applied, as the status says. `a_conflict_whose_row_is_not_understood_is_an_error` failed before and passes.

--- a/src/duty/store/client.rs
+++ b/src/duty/store/client.rs
@@ -5,6 +5,7 @@
 use reqwest::header::{IF_MATCH, IF_NONE_MATCH};
 use reqwest::{Method, RequestBuilder, Response, StatusCode};
 use serde::Deserialize;
+use serde_json::{Map, Value};
 
 use super::{Certainty, Condition, Row, StoreError, StoreOperation, StoreOutcome};
 
@@ -78,7 +79,7 @@
             matches!(operation, StoreOperation::Put { .. } | StoreOperation::Delete { .. });
         if status == StatusCode::PRECONDITION_FAILED && is_conditional {
             let body = read_body(response).await?;
-            return Ok(StoreOutcome::Conflict { present: serde_json::from_slice(&body).ok() });
+            return parse_conflict(&body);
         }
         if status == StatusCode::NOT_FOUND {
             return not_found_outcome(operation);
@@ -159,6 +160,18 @@
     }
 }
 
+/// Parses the body of status 412: the current row, or an empty object if there is none.
+fn parse_conflict(body: &[u8]) -> Result<StoreOutcome, StoreError> {
+    let not_understood =
+        |error| StoreError::not_applied(format!("conflict not understood: {error}"));
+    let value: Value = serde_json::from_slice(body).map_err(not_understood)?;
+    if value.as_object().is_some_and(Map::is_empty) {
+        return Ok(StoreOutcome::Conflict { present: None });
+    }
+    let present = serde_json::from_value(value).map_err(not_understood)?;
+    Ok(StoreOutcome::Conflict { present: Some(present) })
+}
+
 /// Reads the whole body, up to `RESPONSE_MAX_BYTES`.
 async fn read_body(mut response: Response) -> Result<Vec<u8>, StoreError> {
     let mut body = Vec::new();
--- a/tests/store.rs
+++ b/tests/store.rs
@@ -273,3 +273,23 @@
     let refused = (0..10).filter(|_| store.handle.try_submit(request()).is_err()).count();
     assert!(refused >= 6, "{refused} refused");
 }
+
+/// Guards against a row that counts as absent because it cannot be parsed.
+#[test]
+fn a_conflict_whose_row_is_not_understood_is_an_error() {
+    let written = |answer: &'static str| {
+        let (url, _) = start_faulty_server(Some(answer.as_bytes()));
+        let (key, condition) = ("a".to_owned(), Condition::Version(4));
+        TestStore::start(&url).run(StoreOperation::Put { key, value: json!(1), condition })
+    };
+    for answer in [
+        "HTTP/1.1 412 X\r\ncontent-length: 12\r\n\r\n{\"key\":\"a\",\"",
+        "HTTP/1.1 412 X\r\n\r\n{\"key\":\"a\",\"ver",
+        "HTTP/1.1 412 X\r\ncontent-length: 11\r\n\r\n{\"key\":\"a\"}",
+        "HTTP/1.1 412 X\r\ntransfer-encoding: x\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+    ] {
+        assert_eq!(written(answer), Err(Certainty::NotApplied), "{answer}");
+    }
+    let without_row = "HTTP/1.1 412 X\r\ncontent-length: 2\r\n\r\n{}";
+    assert_eq!(written(without_row), Ok(StoreOutcome::Conflict { present: None }));
+}
