--- a/tests/platform/answers.rs
+++ b/tests/platform/answers.rs
@@ -1,11 +1,13 @@
 //! Answers of targets that break the protocol, as callers get them through one node or two.
 
-use std::io::{BufReader, Read, Write};
+use std::io::{self, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
+use socket2::SockRef;
+
 use super::node::{CALLERS_PORT, NodeSpec, Process};
 use super::process::{register_target, wait_for};
 use super::store::{Store, read_request};
@@ -13,11 +15,23 @@
 /// The start of the head of a successful answer.
 const HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nResponse-Signature: s\r\n";
 
-/// Two nodes, of which one has a target that sends the given bytes and closes the connection.
+/// What a target sends.
+#[derive(Clone)]
+struct Played {
+    answer: Vec<u8>,
+    /// Number of bytes of the request that it reads after its answer, before it resets the connection. Otherwise it
+    /// reads the request first, and closes the connection after its answer.
+    reset_after_bytes: Option<usize>,
+}
+
+/// The length of an upload, which the buffers of a connection cannot hold.
+const UPLOAD_BYTES: usize = 24 * 1024 * 1024;
+
+/// Two nodes, of which one has a target that sends the same bytes to all requests.
 struct Site {
     entry: Process,
     other: Process,
-    answer: Arc<Mutex<Vec<u8>>>,
+    played: Arc<Mutex<Played>>,
 }
 
 impl Site {
@@ -29,28 +43,35 @@
                 "host": "shop.test", "prefix": "/book/", "kind": "non_idempotent",
                 "timeoutMs": 5_000, "targetLatencyMs": 500, "service": "stock", "attempts": 2,
             },
+        }, {
+            "resourceKind": "limits",
+            "specification": {
+                "maxHeaderBytes": 16_384, "maxBodyBytes": UPLOAD_BYTES, "headerTimeoutMs": 3_000,
+                "idleTimeoutMs": 15_000,
+            },
         }]});
         store.put("op", "config", document.to_string().as_bytes());
         let prepare = |name| {
             Process::prepare(&store, &NodeSpec { name, failure_domain: "a", service: "stock" })
         };
         let (mut entry, mut other) = (prepare("entry"), prepare("other"));
-        let answer = Arc::new(Mutex::new([HEAD, b"Content-Length: 2\r\n\r\nok"].concat()));
-        serve_bytes(other.target_address(), &answer);
+        let answer = [HEAD, b"Content-Length: 2\r\n\r\nok"].concat();
+        let played = Arc::new(Mutex::new(Played { answer, reset_after_bytes: None }));
+        serve(other.target_address(), &played);
         entry.start();
         other.start();
         wait_for(|| other.is_ready() && entry.is_ready());
         register_target(&other, "i-1", 1);
-        let site = Self { entry, other, answer };
-        wait_for(|| is_served(&ask(&site.entry), b"ok"));
+        let site = Self { entry, other, played };
+        wait_for(|| is_served(&ask(&site.entry, 0), b"ok"));
         site
     }
 
     /// What callers get, through the node of the target and through the other one, when the target
     /// sends `answer`.
     fn play(&self, answer: &[u8]) -> [Vec<u8>; 2] {
-        *self.answer.lock().unwrap() = answer.to_vec();
-        [ask(&self.other), ask(&self.entry)]
+        self.played.lock().unwrap().answer = answer.to_vec();
+        [ask(&self.other, 0), ask(&self.entry, 0)]
     }
 
     /// Expects an empty answer of the node in place of each of `answers`.
@@ -74,31 +95,51 @@
     }
 }
 
-/// Sends `answer` to each request, and closes its connection.
-fn serve_bytes(address: SocketAddr, answer: &Arc<Mutex<Vec<u8>>>) {
+/// Serves each connection at `address` in a thread of its own.
+fn serve(address: SocketAddr, played: &Arc<Mutex<Played>>) {
     let listener = TcpListener::bind(address).unwrap();
-    let answer = Arc::clone(answer);
+    let played = Arc::clone(played);
     thread::spawn(move || {
         for stream in listener.incoming() {
-            let (stream, answer) = (stream.unwrap(), Arc::clone(&answer));
-            thread::spawn(move || {
-                let mut reader = BufReader::new(stream);
-                if read_request(&mut reader).is_some() {
-                    let answer = answer.lock().unwrap().clone();
-                    drop(reader.get_mut().write_all(&answer));
-                }
-            });
+            let (stream, played) = (stream.unwrap(), Arc::clone(&played));
+            // A node may break off a connection.
+            thread::spawn(move || drop(play(stream, &played)));
         }
     });
 }
 
-/// Sends a request that may run at most once; returns the bytes of the answer.
-fn ask(node: &Process) -> Vec<u8> {
+/// Answers one request.
+fn play(mut stream: TcpStream, played: &Mutex<Played>) -> io::Result<()> {
+    // The test may change what is played until the request arrives.
+    stream.peek(&mut [0])?;
+    let Played { answer, reset_after_bytes } = played.lock().unwrap().clone();
+    let Some(mut left) = reset_after_bytes else {
+        let mut reader = BufReader::new(stream);
+        if read_request(&mut reader).is_some() {
+            reader.get_mut().write_all(&answer)?;
+        }
+        return Ok(());
+    };
+    stream.write_all(&answer)?;
+    let mut scratch = vec![0; 64 * 1024];
+    while left > 0 {
+        let part = left.min(scratch.len());
+        stream.read_exact(&mut scratch[..part])?;
+        left -= part;
+    }
+    SockRef::from(&stream).set_linger(Some(Duration::ZERO))
+}
+
+/// Sends a request that may run at most once, with a body of this length; returns the bytes of the answer.
+fn ask(node: &Process, body_bytes: usize) -> Vec<u8> {
     let mut stream = TcpStream::connect((node.ip, CALLERS_PORT)).unwrap();
     stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
-    let request =
-        b"GET /book/1 HTTP/1.1\r\nHost: shop.test\r\nAttempt-Id: a1\r\nConnection: close\r\n\r\n";
-    stream.write_all(request).unwrap();
+    let head = format!(
+        "POST /book/1 HTTP/1.1\r\nHost: shop.test\r\nAttempt-Id: a1\r\nConnection: close\r\n\
+         Content-Length: {body_bytes}\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).unwrap();
+    stream.write_all(&vec![b'x'; body_bytes]).unwrap();
     let mut answer = Vec::new();
     stream.read_to_end(&mut answer).unwrap();
     answer
@@ -248,3 +289,23 @@
         heads.map(|head| format!("HTTP/1.1 200 OK\r\n{head}\r\nContent-Length: 5\r\n\r\nhello"));
     Site::start().expect_refused(answers.map(String::into_bytes));
 }
+
+/// Guards against a part of a body that callers get as a complete answer, as only the write is told of a reset.
+#[test]
+fn answers_without_a_length_on_a_connection_that_is_reset_are_refused() {
+    let site = Site::start();
+    let mut passed_on = Vec::new();
+    for round in 0..20 {
+        *site.played.lock().unwrap() = Played {
+            answer: [HEAD, b"\r\nabc"].concat(),
+            reset_after_bytes: Some(UPLOAD_BYTES / 3 + round * 10_007),
+        };
+        for node in [&site.other, &site.entry] {
+            let received = ask(node, UPLOAD_BYTES);
+            if !is_refused(&received) {
+                passed_on.push(text(&received));
+            }
+        }
+    }
+    assert!(passed_on.is_empty(), "{} of 40 passed on: {passed_on:#?}", passed_on.len());
+}
