Let targets of the soak send broken answers

In three periods of a seed a target sends a share of its answers with status 600, with two lengths, with a chunk that has no size or with a signed length. Callers check for answers with a status that no target may give besides.

--- a/tests/platform/soak/faults.rs
+++ b/tests/platform/soak/faults.rs
@@ -26,6 +26,11 @@
 /// Changes the seed of these periods.
 const CONDITIONS_SEED: u64 = 0xc0d1;
 
+/// The number of additional periods in which a target sends broken answers.
+const BROKEN_COUNT: usize = 3;
+/// Changes the seed of these periods.
+const BROKEN_SEED: u64 = 0xb40c;
+
 /// A fault, or an action of the operator.
 #[derive(Clone, Copy, Debug)]
 pub enum FaultKind {
@@ -58,6 +63,8 @@
     StopAll { gap_ms: u64 },
     /// A target sends a second copy of a share of its answers, in front of the next one on the connection.
     Repeat { member: usize, percent: u64, for_ms: u64 },
+    /// A share of a target's answers breaks the protocol.
+    BreakAnswers { member: usize, percent: u64, for_ms: u64 },
     /// All targets of a service reject a share of the requests without running them.
     Reject { service: &'static str, percent: u64, for_ms: u64 },
     /// The machine of a node's target takes `percent` of the usual time for its work.
@@ -138,6 +145,13 @@
         let kind = FaultKind::Repeat { member, percent: rng.random_range(3..40), for_ms };
         faults.push(Fault { at: within.mul_f64(rng.random()), kind });
     }
+    let mut rng = SmallRng::seed_from_u64(seed ^ BROKEN_SEED);
+    for _ in 0..BROKEN_COUNT {
+        let at = within.mul_f64(rng.random());
+        let (member, for_ms) = (rng.random_range(0..members), rng.random_range(1_000..6_000));
+        let kind = FaultKind::BreakAnswers { member, percent: rng.random_range(3..40), for_ms };
+        faults.push(Fault { at, kind });
+    }
     faults.sort_by_key(|fault| fault.at);
     faults
 }
--- a/tests/platform/soak/findings.rs
+++ b/tests/platform/soak/findings.rs
@@ -121,6 +121,9 @@
                 self.add(format!("answer of another request, or incomplete answer: {record:?}"));
             }
         }
+        if matches!(record.outcome, Outcome::Failed(status) if !(400..600).contains(&status)) {
+            self.add(format!("answer that no target may give: {record:?}"));
+        }
         let is_undisturbed = member.is_undisturbed(record.sent_at, record.ended_at);
         if record.outcome == Outcome::ConnectionLost && is_undisturbed && !site.is_stopped() {
             self.unexplained_losses.lock().unwrap().insert(record.attempt.clone());
--- a/tests/platform/soak/signals.rs
+++ b/tests/platform/soak/signals.rs
@@ -69,6 +69,8 @@
     slowness_percent: u64,
     /// The share of answers that the target sends twice, in percent.
     repeated_percent: u64,
+    /// The share of answers that break the protocol, in percent.
+    broken_percent: u64,
     incarnation: u32,
     periods: Vec<Period>,
     arrivals: Vec<(Instant, String)>,
@@ -148,6 +150,16 @@
         self.0.lock().unwrap().repeated_percent = percent;
     }
 
+    /// Sets the share of answers that break the protocol.
+    pub fn set_broken(&self, percent: u64) {
+        self.0.lock().unwrap().broken_percent = percent;
+    }
+
+    /// Whether the target's answer to request number `number` breaks the protocol.
+    pub fn breaks(&self, number: usize) -> bool {
+        (number as u64 * 41 % 100) < self.0.lock().unwrap().broken_percent
+    }
+
     /// Whether the target sends its answer to request number `number` twice.
     pub fn repeats(&self, number: usize) -> bool {
         (number as u64 * 29 % 100) < self.0.lock().unwrap().repeated_percent
--- a/tests/platform/soak/site.rs
+++ b/tests/platform/soak/site.rs
@@ -328,6 +328,12 @@
                 thread::sleep(Duration::from_millis(for_ms));
                 target.set_repeated(0);
             }
+            FaultKind::BreakAnswers { member, percent, for_ms } => {
+                let target = &self.members[member].target;
+                target.set_broken(percent);
+                thread::sleep(Duration::from_millis(for_ms));
+                target.set_broken(0);
+            }
             FaultKind::Reject { service, percent, for_ms } => {
                 let set_rejected = |percent| {
                     for (member, (_, other)) in self.members.iter().zip(NODES) {
--- a/tests/platform/soak/targets.rs
+++ b/tests/platform/soak/targets.rs
@@ -138,7 +138,8 @@
         let body = format!("{signature} {attempt}");
         let signals = target.header_lines() + &target.load_line();
         let is_repeated = !is_exempt(&attempt) && target.repeats(number);
-        Answer { attempt, body, signals, is_rejected: false, is_repeated }
+        let broken = Some(number).filter(|number| !is_exempt(&attempt) && target.breaks(*number));
+        Answer { attempt, body, signals, is_rejected: false, is_repeated, broken }
     });
 }
 
--- a/tests/platform/target.rs
+++ b/tests/platform/target.rs
@@ -34,6 +34,8 @@
     pub is_rejected: bool,
     /// Whether it is sent again in front of the next answer on the connection.
     pub is_repeated: bool,
+    /// Which way it breaks the protocol, as any number; none if it doesn't.
+    pub broken: Option<usize>,
 }
 
 /// Serves requests at `address`, one at a time on each connection, and signs the answers with `name`. `run` gets
@@ -151,9 +153,20 @@
              Content-Length: 0\r\n\r\n"
         );
     }
-    format!(
-        "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Signature: {name}\r\n{signals}\
-         Content-Length: {}\r\n\r\n{body}",
-        body.len()
-    )
+    let fields =
+        format!("Attempt-Id: {attempt}\r\nResponse-Signature: {name}\r\n{signals}Content-Length");
+    let length = body.len();
+    let Some(way) = answer.broken else {
+        return format!("HTTP/1.1 200 OK\r\n{fields}: {length}\r\n\r\n{body}");
+    };
+    // All but the first would reach callers cut short.
+    match way % 4 {
+        0 => format!("HTTP/1.1 600 X\r\n{fields}: {length}\r\n\r\n{body}"),
+        1 => format!("HTTP/1.1 200 OK\r\n{fields}: 3\r\nContent-Length: {length}\r\n\r\n{body}"),
+        2 => {
+            let fields = fields.replace("Content-Length", "Transfer-Encoding");
+            format!("HTTP/1.1 200 OK\r\n{fields}: chunked\r\n\r\n1\r\ns\r\n\r\n{body}\r\n\r\n")
+        }
+        _ => format!("HTTP/1.1 200 OK\r\n{fields}: +3\r\n\r\n{body}"),
+    }
 }
