Do not evaluate the head of an answer without a valid length

What a broken answer stated about its target was applied: a limit, a departure or a slowness.

Cause: the head was handed on before the fields about its length were checked.

They are checked first. `exchange::a_head_without_a_valid_length_is_not_evaluated` failed before and passes.

--- a/src/mesh/http1.rs
+++ b/src/mesh/http1.rs
@@ -204,9 +204,9 @@
 
 /// Writes a request while its answer is read, which may arrive before the request is fully written.
 ///
-/// A peer that answers early may stop reading, so an answer whose end is known counts even if writing
-/// fails. The connection is reused only if the whole request was written, as the peer could take the rest of
-/// it for another request.
+/// A peer that answers early may stop reading, so an answer whose end is known counts even if
+/// writing fails. The connection is reused only if the whole request was written, as the peer could
+/// take the rest of it for another request.
 pub async fn write_and_read(
     write: impl Future<Output = io::Result<()>>,
     read: impl Future<Output = Result<Reply, ExchangeError>>,
@@ -283,8 +283,9 @@
     ) -> Result<Reply, ExchangeError> {
         for _ in 0..=SKIPPED_MAX {
             let reply = self.read_final_head().await?;
+            let framing = framing(&reply, method)?;
             let is_accepted = accepts(&reply);
-            let reply = self.read_body(method, reply).await?;
+            let reply = self.read_body(framing, reply).await?;
             if is_accepted {
                 return Ok(reply);
             }
@@ -329,10 +330,9 @@
     /// Reads the body of the answer whose head is `reply`.
     async fn read_body(
         &mut self,
-        method: &Method,
+        framing: Framing,
         mut reply: Reply,
     ) -> Result<Reply, ExchangeError> {
-        let framing = framing(&reply, method)?;
         reply.is_reusable &= !matches!(framing, Framing::UntilClose);
         reply.body = match framing {
             Framing::Length(0) => Bytes::new(),
--- a/tests/mesh/exchange.rs
+++ b/tests/mesh/exchange.rs
@@ -500,3 +500,15 @@
         }
     });
 }
+
+/// Guards against the limit or the departure that a broken answer states.
+#[test]
+fn a_head_without_a_valid_length_is_not_evaluated() {
+    run(async {
+        let answer = b"HTTP/1.1 200 OK\r\nx-attempt: 1\r\ncontent-length: 5, 6\r\n\r\nhello";
+        let address = serve(vec![answer]).await;
+        let mut connection = Connection::open(address, &memory()).await.unwrap();
+        let accepts = |reply: &Reply| panic!("evaluated: {reply:?}");
+        connection.exchange(&Method::GET, HEAD, b"", accepts).await.unwrap_err();
+    });
+}
