--- a/tests/platform/answers.rs
+++ b/tests/platform/answers.rs
@@ -9,7 +9,7 @@
 use socket2::SockRef;
 
 use super::node::{CALLERS_PORT, NodeSpec, Process};
-use super::process::{register_target, wait_for};
+use super::process::{configured_store, document, register_target, start_ready, wait_for};
 use super::store::{Store, read_request};
 
 /// The start of the head of a successful answer.
@@ -309,3 +309,16 @@
     }
     assert!(passed_on.is_empty(), "{} of 40 passed on: {passed_on:#?}", passed_on.len());
 }
+
+#[test]
+fn broken_answers_of_the_store_are_not_applied() {
+    let store = configured_store();
+    let node = start_ready(&store, "one");
+    assert_eq!(node.site_version(), "4");
+    store.set_broken(true);
+    store.put("op", "config", &document(9, "/new/"));
+    wait_for(|| node.log().contains("\"name\":\"StoreAway\""));
+    assert_eq!(node.site_version(), "4");
+    store.set_broken(false);
+    wait_for(|| node.site_version() == "9");
+}
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -22,6 +22,7 @@
     history_dropped_to: u64,
     is_unavailable: bool,
     is_unresponsive: bool,
+    is_broken: bool,
     /// Connections on which an answer was dropped. They stay open without further answers.
     lost_answers: Vec<TcpStream>,
     /// The version given in the latest poll of the operator's table.
@@ -73,6 +74,11 @@
         self.state.0.lock().unwrap().is_unresponsive = is_unresponsive;
     }
 
+    /// Sets whether the length in each answer has a sign, which HTTP does not allow.
+    pub fn set_broken(&self, is_broken: bool) {
+        self.state.0.lock().unwrap().is_broken = is_broken;
+    }
+
     /// The number of answers dropped while unresponsive.
     pub fn lost_answers(&self) -> usize {
         self.state.0.lock().unwrap().lost_answers.len()
@@ -136,10 +142,12 @@
                 state.lost_answers.push(writer);
                 return;
             }
+            let sign = if state.is_broken { "+" } else { "" };
             drop(state);
             let text = answer.to_string();
             let length = text.len();
-            let head = format!("HTTP/1.1 {status} X\r\nContent-Length: {length}\r\n\r\n{text}");
+            let head =
+                format!("HTTP/1.1 {status} X\r\nContent-Length: {sign}{length}\r\n\r\n{text}");
             if writer.write_all(head.as_bytes()).is_err() {
                 return;
             }
