Tidy the length check of the reader and the tests of broken answers

One check in place of a conversion and a filter, the constants of a test in front of their use, and one status for both stand-ins of a peer.

--- a/src/mesh/http1.rs
+++ b/src/mesh/http1.rs
@@ -336,11 +336,10 @@
         reply.is_reusable &= !matches!(framing, Framing::UntilClose);
         reply.body = match framing {
             Framing::Length(0) => Bytes::new(),
-            Framing::Length(length) => {
-                let length =
-                    usize::try_from(length).ok().filter(|length| *length <= BODY_MAX_BYTES);
-                self.read_fixed(length.ok_or(ExchangeError::Malformed("body too long"))?).await?
+            Framing::Length(length) if length > BODY_MAX_BYTES as u64 => {
+                return Err(ExchangeError::Malformed("body too long"));
             }
+            Framing::Length(length) => self.read_fixed(length as usize).await?,
             Framing::Chunked => self.read_chunks().await?,
             Framing::UntilClose => self.read_to_end().await?,
         };
--- a/tests/mesh/exchange.rs
+++ b/tests/mesh/exchange.rs
@@ -335,6 +335,14 @@
     });
 }
 
+/// The length of an upload, which the buffers of a connection cannot hold.
+const UPLOAD_BYTES: usize = 24 * 1024 * 1024;
+/// What the target reads of an upload that it does not read to its end.
+const PART_BYTES: usize = UPLOAD_BYTES / 3;
+
+/// An answer that ends with the connection.
+const UNTIL_CLOSE_ABC: &[u8] = b"HTTP/1.1 200 OK\r\nx-attempt: 1\r\n\r\nabc";
+
 /// How a target ends a connection.
 #[derive(Clone, Copy, Debug)]
 enum End {
@@ -380,25 +388,18 @@
     reply
 }
 
-const UPLOAD_BYTES: usize = 24 * 1024 * 1024;
-/// What the target reads of an upload that it does not read to its end.
-const PART_BYTES: usize = UPLOAD_BYTES / 3;
-
 /// Guards against an answer that counts as complete because only the write is told of a reset.
 #[test]
 fn an_answer_without_a_length_is_refused_if_the_request_cannot_be_written() {
-    let answer = UNTIL_CLOSE_ABC;
     run(async {
         for round in 0..40 {
             let end = if round % 4 == 3 { End::Close } else { End::Reset };
-            let reply = upload(answer, PART_BYTES + round * 10_007, end).await;
+            let reply = upload(UNTIL_CLOSE_ABC, PART_BYTES + round * 10_007, end).await;
             assert!(matches!(reply, Err(ExchangeError::Broken(_))), "{round}, {end:?}: {reply:?}");
         }
     });
 }
 
-const UNTIL_CLOSE_ABC: &[u8] = b"HTTP/1.1 200 OK\r\nx-attempt: 1\r\n\r\nabc";
-
 #[test]
 fn an_answer_to_an_upload_whose_end_is_known_is_accepted() {
     let with_length = b"HTTP/1.1 200 OK\r\nx-attempt: 1\r\ncontent-length: 3\r\n\r\nabc";
--- a/tests/mesh/links.rs
+++ b/tests/mesh/links.rs
@@ -167,6 +167,17 @@
     });
 }
 
+/// The status of a node whose target of `stock` is ready.
+fn ready_status() -> Status {
+    Status {
+        service: "stock".to_owned(),
+        incarnation: incarnation("stock-1", 0),
+        ready: true,
+        load: Load { running: 0, waiting: 0, limit: 9 },
+        ..Status::default()
+    }
+}
+
 /// A node that sends a hello with the given status on each link, and nothing else.
 async fn start_silent(state: Status) -> std::net::SocketAddr {
     let address = unused_address();
@@ -195,11 +206,7 @@
 fn a_call_on_a_silent_link_fails_long_before_its_deadline() {
     run(async {
         let entry = start("page-1", "page", vec![Reaction::Answer(200, 0)]).await;
-        let load = Load { running: 0, waiting: 0, limit: 9 };
-        let incarnation = incarnation("stock-1", 0);
-        let service = "stock".to_owned();
-        let state = Status { service, incarnation, ready: true, load, ..Status::default() };
-        peers::add_peer(&entry.node, start_silent(state).await, "a");
+        peers::add_peer(&entry.node, start_silent(ready_status()).await, "a");
         while entry.node.directory.linked() == 0 {
             sleep(Duration::from_millis(5)).await;
         }
@@ -251,7 +258,7 @@
                     None => drop(stream.read_buf(&mut received).await.unwrap()),
                 }
             };
-            let load = Load { running: 0, waiting: 0, limit: 9 };
+            let load = ready_status().load;
             let frame = Frame::Answer { id, end: CallEnd::Answered(answer), load };
             assert_eq!(encoder.encode(&frame, &mut sent), None);
             stream.write_all(&sent.split()).await.unwrap();
@@ -292,25 +299,22 @@
     answers.extend([whole, answer(500, &[])]);
     run(async {
         let entry = start("page-1", "page", vec![Reaction::Answer(200, 0)]).await;
-        let load = Load { running: 0, waiting: 0, limit: 9 };
-        let incarnation = incarnation("stock-1", 0);
-        let service = "stock".to_owned();
-        let state = Status { service, incarnation, ready: true, load, ..Status::default() };
-        peers::add_peer(&entry.node, start_answering(state, answers.clone()).await, "a");
+        peers::add_peer(&entry.node, start_answering(ready_status(), answers.clone()).await, "a");
         while entry.node.directory.linked() == 0 {
             sleep(Duration::from_millis(5)).await;
         }
-        let mut passed_on = Vec::new();
+        let mut unexpected = Vec::new();
         for (index, answer) in answers.iter().enumerate() {
             let received = ask(&entry, &request("book", &format!("a{index}"))).await;
             let is_refused = status(&received) == 502
                 && received.ends_with("\r\n\r\n")
                 && !received.contains("x-signature");
             let is_passed_on = status(&received) == answer.status && received.ends_with("hello");
-            if if index < refused { !is_refused } else { !is_passed_on } {
-                passed_on.push((answer, received));
+            let is_expected = if index < refused { is_refused } else { is_passed_on };
+            if !is_expected {
+                unexpected.push((answer, received));
             }
         }
-        assert!(passed_on.is_empty(), "{passed_on:#?}");
+        assert!(unexpected.is_empty(), "{unexpected:#?}");
     });
 }
