Do not take a broken answer for "not run" on the old path

Callers of `aspenspring node` were told that a request had not run, and it was offered again, if a target said so in an answer with an invalid status or an unknown coding.

Cause: the verdict was read before the status and the fields were checked.

They are checked first. `broken_answers_of_a_target_are_not_passed_on` failed before with two more answers and passes. The call path of the mesh reads the claim only in answers that were read whole.

--- a/src/duty/target.rs
+++ b/src/duty/target.rs
@@ -217,10 +217,18 @@
             }
             Ok(Err(_)) | Err(_) => return TargetOutcome::Broke,
         };
+        // A broken answer does not prove that the request has not run.
+        let Some(framing) = valid_framing(&response) else { return TargetOutcome::Broke };
         if is_declined(&response) {
             return TargetOutcome::Declined;
         }
-        let read = self.read_answer(&call.request.method, response);
+        let is_delimited =
+            framing != Framing::UntilClose || is_bodiless(&call.request.method, &response);
+        if !is_delimited {
+            // The end of such a body cannot be distinguished from a lost connection.
+            return TargetOutcome::Broke;
+        }
+        let read = self.read_answer(response);
         tokio::time::timeout_at(deadline, read).await.unwrap_or(TargetOutcome::Broke)
     }
 
@@ -239,15 +247,8 @@
     }
 
     /// Reads a complete answer.
-    async fn read_answer(&self, method: &str, mut response: Response) -> TargetOutcome {
-        if !is_delimited(method, &response) {
-            // The end of such a body cannot be distinguished from a lost connection.
-            return TargetOutcome::Broke;
-        }
+    async fn read_answer(&self, mut response: Response) -> TargetOutcome {
         let status = response.status().as_u16();
-        if !FINAL_STATUSES.contains(&status) {
-            return TargetOutcome::Broke;
-        }
         let headers = forwarded_headers(&response);
         let mut body = BytesMut::new();
         loop {
@@ -278,18 +279,20 @@
     response.headers().get(header::VERDICT).is_some_and(|value| value == NOT_RUN_VERDICT)
 }
 
-/// Whether the answer delimits its body. The HTTP client reads a body to the end of the connection if
-/// it does not know the transfer coding.
-fn is_delimited(method: &str, response: &Response) -> bool {
-    let is_bodiless = method == "HEAD"
-        || response.status() == StatusCode::NO_CONTENT
-        || response.status() == StatusCode::NOT_MODIFIED;
-    let fields = response.headers().iter();
-    match Framing::of(fields.map(|(name, value)| (name.as_str().as_bytes(), value.as_bytes()))) {
-        Ok(Framing::Length(_) | Framing::Chunked) => true,
-        Ok(Framing::UntilClose) => is_bodiless,
-        Err(_) => false,
+/// The framing of an answer whose status and fields are valid. The HTTP client accepts other
+/// statuses, and reads a body to the end of the connection if it does not know the transfer coding.
+fn valid_framing(response: &Response) -> Option<Framing> {
+    if !FINAL_STATUSES.contains(&response.status().as_u16()) {
+        return None;
     }
+    let fields = response.headers().iter();
+    Framing::of(fields.map(|(name, value)| (name.as_str().as_bytes(), value.as_bytes()))).ok()
+}
+
+/// Whether the answer has no body, whatever its fields state.
+fn is_bodiless(method: &str, response: &Response) -> bool {
+    let status = response.status();
+    method == "HEAD" || status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED
 }
 
 /// The headers of an answer that are forwarded.
--- a/tests/process_site.rs
+++ b/tests/process_site.rs
@@ -147,6 +147,8 @@
         ("600", b"content-length: 5\r\n\r\nhello"),
         ("999", b"content-length: 5\r\n\r\nhello"),
         ("101", b"content-length: 5\r\n\r\nhello"),
+        ("600", b"aspenspring-verdict: not-run\r\ncontent-length: 5\r\n\r\nhello"),
+        ("503", b"aspenspring-verdict: not-run\r\ntransfer-encoding: gzip\r\n\r\nhello"),
         ("200", b"content-length: +5\r\n\r\nhello"),
         ("200", b"content-length: 5\xff\r\n\r\nhello"),
         ("200", b"content-length: 5\r\ncontent-length: 4\r\n\r\nhello"),
