Check answers of the local target like those of peers

A failure with two signatures reached callers at the node beside the target, and was refused at another node.

Cause: the rule about signatures stood in the receiver and again, in another form, in the check of frames, which also built header names that the entry builds once more for each answer.

`TargetAnswer::check` decides for both. It checks names and values by their bytes, with the functions that trailers and chunk extensions use; these are in `field.rs` now.

`answers::answers_with_two_ids_or_two_signatures_or_an_empty_one_are_refused` failed before with that failure at one node, and passes. New and passing before too: `broken_answers_never_count_as_not_run`, and a signature that is not text. The stand-in of the soak builds its broken answers without a replacement in the text of a header; what it sends is the same but for the reason phrase.

--- a/src/mesh/chunk.rs
+++ b/src/mesh/chunk.rs
@@ -1,5 +1,7 @@
 //! The lines of a chunked body (RFC 9112, section 7.1): those in front of the chunks, and the trailers.
 
+use super::field::{is_text_byte, is_token_byte, is_value};
+
 /// Parses the line in front of a chunk, without its line break, and returns the size of the chunk in
 /// bytes. Its extensions are checked and ignored. `None` if the line is invalid.
 pub fn parse_line(line: &[u8]) -> Option<u64> {
@@ -13,7 +15,7 @@
 /// Whether this line, without its line break, is a trailer: a field with a name and a value.
 pub fn is_trailer(line: &[u8]) -> bool {
     let value = skip_token(line).and_then(|after_name| after_name.strip_prefix(b":"));
-    value.is_some_and(|value| value.iter().all(|byte| is_text_byte(*byte)))
+    value.is_some_and(is_value)
 }
 
 /// Whether these are extensions: each a semicolon and a name, which may have a value. Blanks may
@@ -61,13 +63,3 @@
         };
     }
 }
-
-/// Whether a token, such as the name of a field, may contain this byte.
-fn is_token_byte(byte: u8) -> bool {
-    byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte)
-}
-
-/// Whether the value of a field or a quoted string may contain this byte.
-fn is_text_byte(byte: u8) -> bool {
-    byte == b'\t' || !byte.is_ascii_control()
-}
--- a/src/mesh/frame.rs
+++ b/src/mesh/frame.rs
@@ -3,12 +3,12 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use http::{HeaderName, HeaderValue};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 use crate::framing::FINAL_STATUSES;
 
+use super::field;
 use super::fingerprint::Fingerprint;
 use super::incarnation::Incarnation;
 
@@ -481,31 +481,33 @@
 }
 
 impl TargetAnswer {
-    /// Checks an answer that a peer passes on; nodes of earlier versions accepted more from their
-    /// targets. `signature` is the name of the header that every success needs.
+    /// Checks an answer of the local target, or one that a peer passes on: nodes of earlier versions
+    /// accepted more from their targets. `signature` is the name of the header that every success
+    /// needs.
     ///
     /// # Errors
     ///
-    /// No target can have given this answer to a caller.
-    pub fn check(&self, signature: &HeaderName) -> Result<(), InvalidAnswer> {
+    /// The answer cannot be given to a caller.
+    pub fn check(&self, signature: &str) -> Result<(), InvalidAnswer> {
         if !FINAL_STATUSES.contains(&self.status) {
             return Err(InvalidAnswer::Status(self.status));
         }
         let mut signed_by: Option<&Bytes> = None;
         for Header { name, value } in &self.headers {
-            let invalid = || InvalidAnswer::Header(String::from_utf8_lossy(name).into_owned());
-            let parsed = HeaderName::from_bytes(name).map_err(|_| invalid())?;
-            let is_valid = HeaderValue::from_maybe_shared(value.clone()).is_ok();
-            if !is_valid || CONNECTION_HEADERS.contains(&parsed.as_str()) {
-                return Err(invalid());
-            }
-            if parsed == *signature && signed_by.replace(value).is_some_and(|other| other != value)
-            {
-                return Err(invalid());
+            let is_named = |other: &str| name.eq_ignore_ascii_case(other.as_bytes());
+            let is_allowed = field::is_name(name)
+                && field::is_value(value)
+                && !CONNECTION_HEADERS.into_iter().any(is_named);
+            let contradicts =
+                is_named(signature) && signed_by.replace(value).is_some_and(|other| other != value);
+            if !is_allowed || contradicts {
+                let name = String::from_utf8_lossy(name).into_owned();
+                return Err(InvalidAnswer::Header(name));
             }
         }
         let is_success = (200..300).contains(&self.status);
-        if is_success && signed_by.is_none_or(Bytes::is_empty) {
+        let is_signature = |value: &&Bytes| !value.is_empty() && std::str::from_utf8(value).is_ok();
+        if is_success && signed_by.filter(is_signature).is_none() {
             return Err(InvalidAnswer::Unsigned);
         }
         Ok(())
@@ -527,7 +529,7 @@
     }
 }
 
-/// Why an answer of a peer is not passed on.
+/// Why an answer is not passed on.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum InvalidAnswer {
     /// The status is not one of a final answer.
@@ -536,8 +538,8 @@
     /// A header is malformed, concerns a connection, or contradicts another one.
     #[error("header {0:?}")]
     Header(String),
-    /// A success has no signature.
-    #[error("success without a signature")]
+    /// A success has no signature, or one that is empty or not text.
+    #[error("successful answer without a signature")]
     Unsigned,
 }
 
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -15,6 +15,7 @@
 pub mod departures;
 pub mod directory;
 pub mod failure_share;
+mod field;
 pub mod fingerprint;
 pub mod follower;
 pub mod frame;
--- a/src/mesh/peers.rs
+++ b/src/mesh/peers.rs
@@ -181,7 +181,7 @@
 /// The end of a call as reported by a peer. An invalid answer counts as that of a broken target.
 fn checked_end(node: &Node, peer: &Peer, end: CallEnd) -> CallEnd {
     let CallEnd::Answered(answer) = &end else { return end };
-    let Err(error) = answer.check(&node.header_names.signature) else { return end };
+    let Err(error) = answer.check(node.header_names.signature.as_str()) else { return end };
     let detail = format!("{}: {error}", peer.address);
     node.log.emit(&LogEvent::InputRefused { input: "answer", detail });
     CallEnd::MayHaveRun(Doubt::TargetBroke)
--- a/src/mesh/receiver.rs
+++ b/src/mesh/receiver.rs
@@ -349,17 +349,16 @@
     if reply.header(header_names.not_run.as_str()).is_some() {
         return NotRun::Declined.into();
     }
-    let is_success = (200..300).contains(&reply.status);
-    if is_success && reply.header(header_names.signature.as_str()).is_none_or(str::is_empty) {
-        return target_broke("successful answer without a signature".to_owned());
-    }
-    CallEnd::Answered(TargetAnswer {
+    let answer = TargetAnswer {
         status: reply.status,
         has_failed_below,
         headers: answer_headers(node, &reply),
         body: reply.body,
-    })
-    .into()
+    };
+    match answer.check(header_names.signature.as_str()) {
+        Ok(()) => CallEnd::Answered(answer).into(),
+        Err(error) => target_broke(error.to_string()),
+    }
 }
 
 /// Builds the request head for the target.
--- a/tests/platform/answers.rs
+++ b/tests/platform/answers.rs
@@ -287,7 +287,14 @@
     ];
     let answers =
         heads.map(|head| format!("HTTP/1.1 200 OK\r\n{head}\r\nContent-Length: 5\r\n\r\nhello"));
-    Site::start().expect_refused(answers.map(String::into_bytes));
+    let site = Site::start();
+    site.expect_refused(answers.map(String::into_bytes));
+    // A failure needs no signature, but has no two either.
+    let fields = "Attempt-Id: a1\r\nResponse-Signature: s\r\nResponse-Signature: t";
+    let failure = format!("HTTP/1.1 500 X\r\n{fields}\r\nContent-Length: 5\r\n\r\nhello");
+    site.expect_refused([failure.into_bytes()]);
+    let no_text = b"Attempt-Id: a1\r\nResponse-Signature: \xff\r\nContent-Length: 5\r\n\r\nhello";
+    site.expect_refused([[b"HTTP/1.1 200 OK\r\n", &no_text[..]].concat()]);
 }
 
 /// Guards against a part of a body that callers get as a complete answer, as only the write is told of a reset.
@@ -322,3 +329,16 @@
     store.set_broken(false);
     wait_for(|| node.site_version() == "9");
 }
+
+/// Guards against an answer that claims that the request has not run, in a head that is invalid.
+#[test]
+fn broken_answers_never_count_as_not_run() {
+    let site = Site::start();
+    for status in ["503", "421", "429"] {
+        site.expect_refused(["+5", "5, 5", "5\r\nContent-Length: 4"].map(|length| {
+            let fields = "Attempt-Id: a1\r\nNot-Executed: 1\r\nInstance-Id: i-2";
+            let head = format!("HTTP/1.1 {status} X\r\n{fields}\r\nContent-Length: {length}");
+            format!("{head}\r\n\r\nhello").into_bytes()
+        }));
+    }
+}
--- a/tests/platform/target.rs
+++ b/tests/platform/target.rs
@@ -153,20 +153,17 @@
              Content-Length: 0\r\n\r\n"
         );
     }
-    let fields =
-        format!("Attempt-Id: {attempt}\r\nResponse-Signature: {name}\r\n{signals}Content-Length");
+    let fields = format!("Attempt-Id: {attempt}\r\nResponse-Signature: {name}\r\n{signals}");
     let length = body.len();
     let Some(way) = answer.broken else {
-        return format!("HTTP/1.1 200 OK\r\n{fields}: {length}\r\n\r\n{body}");
+        return format!("HTTP/1.1 200 OK\r\n{fields}Content-Length: {length}\r\n\r\n{body}");
     };
-    // All but the first would reach callers cut short.
-    match way % 4 {
-        0 => format!("HTTP/1.1 600 X\r\n{fields}: {length}\r\n\r\n{body}"),
-        1 => format!("HTTP/1.1 200 OK\r\n{fields}: 3\r\nContent-Length: {length}\r\n\r\n{body}"),
-        2 => {
-            let fields = fields.replace("Content-Length", "Transfer-Encoding");
-            format!("HTTP/1.1 200 OK\r\n{fields}: chunked\r\n\r\n1\r\ns\r\n\r\n{body}\r\n\r\n")
-        }
-        _ => format!("HTTP/1.1 200 OK\r\n{fields}: +3\r\n\r\n{body}"),
-    }
+    // Callers would get all but the first cut short.
+    let (status, rest) = match way % 4 {
+        0 => (600, format!("Content-Length: {length}\r\n\r\n{body}")),
+        1 => (200, format!("Content-Length: 3\r\nContent-Length: {length}\r\n\r\n{body}")),
+        2 => (200, format!("Transfer-Encoding: chunked\r\n\r\n1\r\ns\r\n\r\n{body}\r\n\r\n")),
+        _ => (200, format!("Content-Length: +3\r\n\r\n{body}")),
+    };
+    format!("HTTP/1.1 {status} X\r\n{fields}{rest}")
 }
