Begin the waiting request of a stop test only when all slots are taken

The test sent the requests that take the slots 5 ms apart and then a1. On a busy machine the thread that sends the last of them is late, a1 gets its slot, runs on and is answered 502 at the end of the grace period, as it should be: a call that finds a free slot runs.

The test now waits until the target has begun as many requests as it has slots, and also checks that it never began a1.

--- a/tests/platform/stop.rs
+++ b/tests/platform/stop.rs
@@ -2,6 +2,7 @@
 
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
@@ -55,12 +56,16 @@
 #[test]
 fn requests_at_other_nodes_are_answered_before_the_node_exits() {
     let store = configured_store();
-    let (mut entry, other) = start_pair(&store, |path| {
-        let work_ms = match path.rsplit('/').next().unwrap_or_default() {
-            "first" => 0,
+    let begun = Arc::new(Mutex::new(Vec::new()));
+    let begun_at_target = Arc::clone(&begun);
+    let (mut entry, other) = start_pair(&store, move |path| {
+        let id = path.rsplit('/').next().unwrap_or_default();
+        let work_ms = match id {
+            "first" => return (Duration::ZERO, String::new()),
             "long" => 20_000,
             _ => 4_800,
         };
+        begun_at_target.lock().unwrap().push(id.to_owned());
         (Duration::from_millis(work_ms), "done".to_owned())
     });
     entry.signal(libc::SIGTERM);
@@ -71,8 +76,9 @@
     let mut others = Vec::new();
     for number in 1..SLOTS {
         others.push(ask(other.ip, &format!("b{number}")));
-        thread::sleep(Duration::from_millis(5));
     }
+    // Under load, `a1` could otherwise take the slot of a request that was sent before it.
+    wait_for(|| begun.lock().unwrap().len() == SLOTS);
     let waiting = ask(entry.ip, "a1").join().unwrap();
     assert!(waiting.contains(" 503 ") && waiting.contains("retry-after"), "{waiting:?}");
     assert!(stopped_at.elapsed() < GRACE - Duration::from_secs(1), "{:?}", stopped_at.elapsed());
@@ -84,6 +90,7 @@
         let answer = other.join().unwrap();
         assert!(answer.contains(" 200 "), "{answer:?}");
     }
+    assert_eq!(begun.lock().unwrap().len(), SLOTS, "{begun:?}");
 }
 
 /// Guards against a node that exits while a caller still reads its answer.
