Do not take one of two verdicts for "not run" on the old path

A target of aspenspring node that answered with the verdicts not-run and answered was taken at the first one: callers got 503 and not-run for a request that may have run, and the node could run it again. Cause: only the first field of the name was read.

Answers whose verdicts differ are broken now, as their claim proves nothing: 502 and may-have-run. The new case of broken_answers_of_a_target_are_not_passed_on failed before (503, not-run; reason=target-declined) and passes.

--- a/src/duty/target.rs
+++ b/src/duty/target.rs
@@ -219,7 +219,8 @@
         };
         // A broken answer does not prove that the request has not run.
         let Some(framing) = valid_framing(&response) else { return TargetOutcome::Broke };
-        if is_declined(&response) {
+        let Some(is_declined) = is_declined(&response) else { return TargetOutcome::Broke };
+        if is_declined {
             return TargetOutcome::Declined;
         }
         let is_delimited =
@@ -274,9 +275,11 @@
     }
 }
 
-/// Whether the target states that it did not run the request.
-fn is_declined(response: &Response) -> bool {
-    response.headers().get(header::VERDICT).is_some_and(|value| value == NOT_RUN_VERDICT)
+/// Whether the target states that it did not run the request; `None` if its verdicts differ.
+fn is_declined(response: &Response) -> Option<bool> {
+    let mut verdicts = response.headers().get_all(header::VERDICT).iter();
+    let Some(verdict) = verdicts.next() else { return Some(false) };
+    verdicts.all(|other| other == verdict).then(|| verdict == NOT_RUN_VERDICT)
 }
 
 /// The framing of an answer whose status and fields are valid. The HTTP client accepts other
--- a/tests/process_site.rs
+++ b/tests/process_site.rs
@@ -4,7 +4,7 @@
 
 use std::collections::HashMap;
 use std::io::{Read, Write};
-use std::net::TcpListener;
+use std::net::{TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 
 use processes::{Site, loopback};
@@ -118,21 +118,28 @@
         for stream in listener.incoming() {
             let (mut stream, answer) = (stream.expect("a connection"), Arc::clone(&answer));
             std::thread::spawn(move || {
-                let mut request = Vec::new();
-                let mut part = [0; 4096];
-                while !request.ends_with(b"\r\n\r\n") {
-                    match stream.read(&mut part) {
-                        Ok(read) if read > 0 => request.extend_from_slice(&part[..read]),
-                        _ => return,
-                    }
+                if read_head(&mut stream) {
+                    let answer = answer.lock().unwrap().clone();
+                    drop(stream.write_all(&answer));
                 }
-                let answer = answer.lock().unwrap().clone();
-                drop(stream.write_all(&answer));
             });
         }
     });
 }
 
+/// Reads the head of a request; false if the connection ends before.
+fn read_head(stream: &mut TcpStream) -> bool {
+    let mut request = Vec::new();
+    let mut part = [0; 4096];
+    while !request.ends_with(b"\r\n\r\n") {
+        match stream.read(&mut part) {
+            Ok(read) if read > 0 => request.extend_from_slice(&part[..read]),
+            _ => return false,
+        }
+    }
+    true
+}
+
 /// Guards against broken answers that reach callers: an invalid status, or a body whose end is uncertain.
 #[tokio::test]
 async fn broken_answers_of_a_target_are_not_passed_on() {
@@ -149,6 +156,11 @@
         ("101", b"content-length: 5\r\n\r\nhello"),
         ("600", b"aspenspring-verdict: not-run\r\ncontent-length: 5\r\n\r\nhello"),
         ("503", b"aspenspring-verdict: not-run\r\ntransfer-encoding: gzip\r\n\r\nhello"),
+        (
+            "503",
+            b"aspenspring-verdict: not-run\r\naspenspring-verdict: answered\r\n\
+              content-length: 5\r\n\r\nhello",
+        ),
         ("200", b"content-length: +5\r\n\r\nhello"),
         ("200", b"content-length: 5\xff\r\n\r\nhello"),
         ("200", b"content-length: 5\r\ncontent-length: 4\r\n\r\nhello"),
