Close the connections to a target after a broken answer on the old path

What callers saw: nothing. Seen by a test: after a status of 600 with a whole or an empty body, and after a length beside chunks, aspenspring node sent the next request on the same connection (3 of 3). RFC 9112, section 6.3, asks a proxy to close it, as what follows need not be the next answer. Cause: the HTTP client accepts these answers, so it keeps the connection.

The client is replaced after a broken answer, which closes its connections once they are idle. a_connection_is_not_reused_after_a_broken_answer failed before for all three answers and passes; it also checks that a connection is kept after a valid answer.

--- a/src/duty/target.rs
+++ b/src/duty/target.rs
@@ -1,6 +1,7 @@
 //! The thread that sends requests to the node's own target over HTTP.
 
 use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
@@ -96,7 +97,7 @@
     decider: DeciderHandle,
     body_max_bytes: usize,
 ) -> eyre::Result<JoinHandle<()>> {
-    let client = client()?;
+    let client = Arc::new(Mutex::new(new_client()?));
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let thread = std::thread::Builder::new().name("target".to_owned()).spawn(move || {
         let worker = TargetWorker { client, clock, decider, body_max_bytes };
@@ -107,7 +108,7 @@
 
 /// Creates a client that neither retries nor follows redirects, and ignores proxy settings from the
 /// environment.
-fn client() -> reqwest::Result<Client> {
+fn new_client() -> reqwest::Result<Client> {
     Client::builder()
         .no_proxy()
         .redirect(reqwest::redirect::Policy::none())
@@ -123,8 +124,8 @@
 /// The shared state of the target thread's tasks.
 #[derive(Clone)]
 struct TargetWorker {
-    /// The HTTP client.
-    client: Client,
+    /// The HTTP client, replaced after a broken answer.
+    client: Arc<Mutex<Client>>,
     /// Converts deadlines to instants.
     clock: Clock,
     /// Receives outcomes.
@@ -205,6 +206,19 @@
         }
     }
 
+    /// The current HTTP client.
+    fn client(&self) -> Client {
+        self.client.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Closes all connections once they are idle. An answer that the HTTP client accepts does not
+    /// end its connection, though what follows a broken one need not be the next answer.
+    fn close_connections(&self) {
+        // Creating a client fails only for invalid settings, and these are constant.
+        let Ok(client) = new_client() else { return };
+        *self.client.lock().unwrap_or_else(PoisonError::into_inner) = client;
+    }
+
     /// Sends one request and reads its answer, until the request's deadline.
     async fn exchange(&self, call: TargetCall) -> TargetOutcome {
         let deadline = self.clock.instant(call.deadline_us);
@@ -217,9 +231,12 @@
             }
             Ok(Err(_)) | Err(_) => return TargetOutcome::Broke,
         };
-        // A broken answer does not prove that the request has not run.
-        let Some(framing) = valid_framing(&response) else { return TargetOutcome::Broke };
-        let Some(is_declined) = is_declined(&response) else { return TargetOutcome::Broke };
+        let (Some(framing), Some(is_declined)) = (valid_framing(&response), is_declined(&response))
+        else {
+            self.close_connections();
+            // A broken answer does not prove that the request has not run.
+            return TargetOutcome::Broke;
+        };
         if is_declined {
             return TargetOutcome::Declined;
         }
@@ -237,7 +254,7 @@
     fn build_request(&self, call: &TargetCall) -> Option<reqwest::RequestBuilder> {
         let method = Method::from_bytes(call.request.method.as_bytes()).ok()?;
         let url = format!("{}{}", call.url.trim_end_matches('/'), call.request.path);
-        let mut request = self.client.request(method, url);
+        let mut request = self.client().request(method, url);
         for (name, value) in &call.request.headers {
             request = request.header(name, value);
         }
@@ -269,7 +286,7 @@
     /// Sends the target a cancellation of a request whose result is no longer needed.
     async fn cancel(&self, url: &str, token: &str) {
         let url = format!("{}{CANCEL_PATH}", url.trim_end_matches('/'));
-        let request = self.client.post(url).header(header::CALL, token).timeout(CANCEL_TIMEOUT);
+        let request = self.client().post(url).header(header::CALL, token).timeout(CANCEL_TIMEOUT);
         // A target that does not support cancellation stops at the request's deadline.
         let _ = request.send().await;
     }
--- a/tests/process_site.rs
+++ b/tests/process_site.rs
@@ -127,6 +127,29 @@
     });
 }
 
+/// Serves connections at `address` and keeps them open: sends `answer` after the head of each request.
+/// Returns the number of the connection on which each request has come.
+fn serve_kept_open(address: &str, answer: &Arc<Mutex<Vec<u8>>>) -> Arc<Mutex<Vec<usize>>> {
+    let listener = TcpListener::bind(address).expect("bind the address of the target");
+    let answer = Arc::clone(answer);
+    let requests: Arc<Mutex<Vec<usize>>> = Arc::default();
+    let received = Arc::clone(&requests);
+    std::thread::spawn(move || {
+        for (number, stream) in listener.incoming().enumerate() {
+            let mut stream = stream.expect("a connection");
+            let (answer, received) = (Arc::clone(&answer), Arc::clone(&received));
+            std::thread::spawn(move || {
+                while read_head(&mut stream) {
+                    received.lock().unwrap().push(number);
+                    let answer = answer.lock().unwrap().clone();
+                    drop(stream.write_all(&answer));
+                }
+            });
+        }
+    });
+    requests
+}
+
 /// Reads the head of a request; false if the connection ends before.
 fn read_head(stream: &mut TcpStream) -> bool {
     let mut request = Vec::new();
@@ -192,3 +215,38 @@
     let (status, _, body) = site.call(0, "POST", "/confirm/1", None).await.expect("an answer");
     assert_eq!((status, body.as_str()), (200, "hello"));
 }
+
+/// Guards against connections that are used again after a broken answer: what follows on them is not
+/// known to begin with an answer.
+#[tokio::test]
+async fn a_connection_is_not_reused_after_a_broken_answer() {
+    let mut site = Site::start("reuse", &["front"], 1);
+    site.wait_until_served().await;
+    let whole = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello";
+    let answer = Arc::new(Mutex::new(whole.to_vec()));
+    let requests = serve_kept_open(&site.end_target(0), &answer);
+    let mut reused = Vec::new();
+    for broken in [
+        &b"HTTP/1.1 600 X\r\ncontent-length: 5\r\n\r\nhello"[..],
+        b"HTTP/1.1 600 X\r\ncontent-length: 0\r\n\r\n",
+        b"HTTP/1.1 200 X\r\ntransfer-encoding: chunked\r\ncontent-length: 4\r\n\r\n\
+          5\r\nhello\r\n0\r\n\r\n",
+    ] {
+        answer.lock().unwrap().clone_from(&broken.to_vec());
+        let (status, ..) = site.call(0, "POST", "/confirm/1", None).await.expect("an answer");
+        assert_eq!(status, 502);
+        let connection = *requests.lock().unwrap().last().expect("a request");
+        answer.lock().unwrap().clone_from(&whole.to_vec());
+        let (status, ..) = site.call(0, "POST", "/confirm/1", None).await.expect("an answer");
+        assert_eq!(status, 200);
+        if requests.lock().unwrap().last() == Some(&connection) {
+            reused.push(String::from_utf8_lossy(broken));
+        }
+    }
+    assert!(reused.is_empty(), "{reused:#?}");
+    let (status, ..) = site.call(0, "POST", "/confirm/1", None).await.expect("an answer");
+    assert_eq!(status, 200);
+    let requests = requests.lock().unwrap();
+    let [.., previous, last] = requests.as_slice() else { unreachable!("more than two requests") };
+    assert_eq!(previous, last, "a connection is kept after a valid answer");
+}
