Refuse answers after a switch of protocols

A target that sent 101 and then an answer was taken at its word: callers got the answer (200 with body and signature, through one node and through two). Cause: 101 was skipped like other interim answers, though what follows it is of the protocol switched to. Requests never ask for one: Upgrade is not forwarded.

Such an answer is an empty 502 now. answers_after_a_switch_of_protocols_are_refused failed before (4 of 4 passed on) and passes; other interim answers are skipped as before.

--- a/src/mesh/http1.rs
+++ b/src/mesh/http1.rs
@@ -300,8 +300,11 @@
     async fn read_final_head(&mut self) -> Result<Reply, ExchangeError> {
         for _ in 0..=INTERIM_MAX {
             let reply = self.read_head().await?;
-            if !(100..200).contains(&reply.status) {
-                return Ok(reply);
+            match reply.status {
+                // What follows is of another protocol. No request asks for one.
+                101 => return Err(ExchangeError::Malformed("unsolicited switch of protocols")),
+                100..200 => {}
+                _ => return Ok(reply),
             }
         }
         Err(ExchangeError::Malformed("too many interim answers"))
--- a/tests/platform/answers.rs
+++ b/tests/platform/answers.rs
@@ -205,6 +205,17 @@
     site.expect_served(&[HEAD, b"Content-Length:005 \t\r\n\r\nhello"].concat(), b"hello");
 }
 
+/// Guards against bytes of another protocol that are read as an answer. Nodes never ask for one.
+#[test]
+fn answers_after_a_switch_of_protocols_are_refused() {
+    let answer = [HEAD, b"Content-Length: 5\r\n\r\nhello"].concat();
+    let site = Site::start();
+    site.expect_refused(["", "Connection: upgrade\r\nUpgrade: x\r\n"].map(|fields| {
+        let switch = format!("HTTP/1.1 101 Switching Protocols\r\n{fields}\r\n");
+        [switch.as_bytes(), &answer].concat()
+    }));
+}
+
 /// Guards against a field that is read without the others of its name.
 #[test]
 fn answers_with_contradictory_lengths_or_codings_are_refused() {
