Refuse answers with a single line feed in the head

A line feed in front of a field or at the end of a value ended the head there: callers got 200 with the rest of the head as the body, up to the end of the connection or cut to a length that stood before it ("X-Oth" in place of "hello"). Cause: httparse accepts a single line feed as a line break, as RFC 9112, section 2.2, allows.

All lines of a head have to end with CRLF now, as those of chunks and trailers do. answers_with_a_single_line_feed_in_the_head_are_refused failed before (all 5 answers of its first part were passed on, through one node and through two; it ended there) and passes.

--- a/src/mesh/http1.rs
+++ b/src/mesh/http1.rs
@@ -532,6 +532,12 @@
     bytes.windows(2).any(|pair| pair == b"\n\n") || bytes.windows(3).any(|part| part == b"\n\r\n")
 }
 
+/// Whether a line ends with a line feed alone. RFC 9112, section 2.2, allows to accept it, but a stray
+/// one may end a head early, and the rest of the head would be the body.
+fn has_single_line_feed(head: &[u8]) -> bool {
+    head.starts_with(b"\n") || head.windows(2).any(|pair| pair[1] == b'\n' && pair[0] != b'\r')
+}
+
 fn parse_head(buffer: &mut BytesMut) -> Result<Option<Reply>, ExchangeError> {
     // `httparse` skips empty lines, which HTTP allows in front of requests only.
     if matches!(buffer.first(), Some(b'\r' | b'\n')) {
@@ -541,6 +547,9 @@
     let mut head = httparse::Response::new(&mut headers);
     let parsed = head.parse(buffer).map_err(|_| ExchangeError::Malformed("invalid head"))?;
     let httparse::Status::Complete(length) = parsed else { return Ok(None) };
+    if has_single_line_feed(&buffer[..length]) {
+        return Err(ExchangeError::Malformed("line feed without a carriage return"));
+    }
     // `httparse` accepts any three digits.
     let status = head.code.filter(|status| STATUS_RANGE.contains(status));
     let status = status.ok_or(ExchangeError::Malformed("invalid status code"))?;
--- a/tests/platform/answers.rs
+++ b/tests/platform/answers.rs
@@ -274,6 +274,23 @@
     site.expect_served(&[HEAD, other, fields].concat(), b"hello");
 }
 
+/// Guards against a head that ends at a stray line feed, so that the rest of it becomes the body.
+#[test]
+fn answers_with_a_single_line_feed_in_the_head_are_refused() {
+    let site = Site::start();
+    site.expect_refused(with_rests([
+        "\nContent-Length: 5\r\n\r\nhello",
+        "Content-Length: 5\r\n\nX-Other: 1\r\n\r\nhello",
+        "Content-Length: 5\r\nX-Other: 1\n\r\nX-Third: 2\r\n\r\nhello",
+        "Content-Length: 5\r\nX-Other: 1\n\nhello",
+        "Content-Length: 5\nX-Other: 1\r\n\r\nhello",
+    ]));
+    let answer = String::from_utf8(with_status_line("HTTP/1.1 200 OK")).unwrap();
+    site.expect_refused(
+        [answer.replacen("\r\n", "\n", 1), answer.replace("\r\n", "\n")].map(String::into_bytes),
+    );
+}
+
 /// Guards against an empty line that is skipped in front of the status line.
 #[test]
 fn answers_that_begin_with_an_empty_line_are_refused() {
