Read answers of targets by one HTTP client on both paths

Callers of aspenspring node got the rest of a head as the body (200, "x-oth" in place of "hello") when a single line feed stood in the head, and a success with a control byte in a chunk extension. Cause: the old path reads answers with hyper's client, under reqwest, which accepts both and shows neither the head nor the chunk lines to its user, so they can't be checked behind it.

The target thread uses the HTTP client of the mesh instead, with its own limit for bodies; that client checks statuses, framing, lines and chunks, and closes the connection after a broken answer, so the client need not be replaced any more. Other differences: paths are sent as they came (reqwest normalized them), no Accept header is added, and a call whose time ends while its connection is opened counts as not run.

The cost of the old path was not measured.

--- a/src/duty/target.rs
+++ b/src/duty/target.rs
@@ -1,27 +1,34 @@
 //! The thread that sends requests to the node's own target over HTTP.
 
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::fmt::Write;
+use std::io;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
-use reqwest::{Client, Method, Response, StatusCode};
+use bytes::Bytes;
+use http::{HeaderName, HeaderValue, Method, StatusCode, Uri};
+use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::{AbortHandle, JoinSet};
 
 use crate::call::{AttemptId, HttpAnswer};
 use crate::clock::Clock;
 use crate::duty::decider::DeciderHandle;
-use crate::framing::{FINAL_STATUSES, Framing};
+use crate::framing::Framing;
+use crate::mesh::http1::{Connection, ExchangeError, Reply};
+use crate::mesh::memory::MemoryBudget;
 use crate::node::{NodeEvent, TargetCall, TargetOutcome, header};
 
 /// The time limit for the target to acknowledge a cancellation.
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(500);
 /// The time limit for connecting to the target.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// How long an idle connection is kept; shorter than the idle timeout of targets.
-const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+/// Maximum number of idle connections.
+const IDLE_MAX: usize = 256;
+/// The port of a URL without one.
+const DEFAULT_PORT: u16 = 80;
 /// The path below a target's URL that takes cancellations.
 const CANCEL_PATH: &str = "/_aspenspring/cancel";
 /// The verdict header value with which a target states that it did not run a request.
@@ -97,35 +104,19 @@
     decider: DeciderHandle,
     body_max_bytes: usize,
 ) -> eyre::Result<JoinHandle<()>> {
-    let client = Arc::new(Mutex::new(new_client()?));
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let thread = std::thread::Builder::new().name("target".to_owned()).spawn(move || {
-        let worker = TargetWorker { client, clock, decider, body_max_bytes };
+        let worker = TargetWorker { idle: Arc::default(), clock, decider, body_max_bytes };
         runtime.block_on(worker.run(rings));
     })?;
     Ok(thread)
 }
 
-/// Creates a client that neither retries nor follows redirects, and ignores proxy settings from the
-/// environment.
-fn new_client() -> reqwest::Result<Client> {
-    Client::builder()
-        .no_proxy()
-        .redirect(reqwest::redirect::Policy::none())
-        .retry(reqwest::retry::never())
-        .referer(false)
-        .http1_only()
-        .connect_timeout(CONNECT_TIMEOUT)
-        .pool_idle_timeout(POOL_IDLE_TIMEOUT)
-        .tcp_nodelay(true)
-        .build()
-}
-
 /// The shared state of the target thread's tasks.
 #[derive(Clone)]
 struct TargetWorker {
-    /// The HTTP client, replaced after a broken answer.
-    client: Arc<Mutex<Client>>,
+    /// Idle connections, the one used last at the end.
+    idle: Arc<Mutex<Vec<IdleConnection>>>,
     /// Converts deadlines to instants.
     clock: Clock,
     /// Receives outcomes.
@@ -134,6 +125,13 @@
     body_max_bytes: usize,
 }
 
+/// A connection that can carry another request.
+struct IdleConnection {
+    /// The host and the port that it was opened to.
+    address: String,
+    connection: Connection,
+}
+
 /// A request that has been sent to the target.
 struct InFlight {
     /// Aborts the task of the exchange.
@@ -206,126 +204,177 @@
         }
     }
 
-    /// The current HTTP client.
-    fn client(&self) -> Client {
-        self.client.lock().unwrap_or_else(PoisonError::into_inner).clone()
-    }
-
-    /// Closes all connections once they are idle. An answer that the HTTP client accepts does not
-    /// end its connection, though what follows a broken one need not be the next answer.
-    fn close_connections(&self) {
-        // Creating a client fails only for invalid settings, and these are constant.
-        let Ok(client) = new_client() else { return };
-        *self.client.lock().unwrap_or_else(PoisonError::into_inner) = client;
-    }
-
     /// Sends one request and reads its answer, until the request's deadline.
     async fn exchange(&self, call: TargetCall) -> TargetOutcome {
         let deadline = self.clock.instant(call.deadline_us);
-        let Some(request) = self.build_request(&call) else { return TargetOutcome::Unreachable };
-        let sent = tokio::time::timeout_at(deadline, request.send()).await;
-        let response = match sent {
-            Ok(Ok(response)) => response,
-            Ok(Err(error)) if error.is_connect() || error.is_builder() => {
-                return TargetOutcome::Unreachable;
-            }
-            Ok(Err(_)) | Err(_) => return TargetOutcome::Broke,
-        };
-        let (Some(framing), Some(is_declined)) = (valid_framing(&response), is_declined(&response))
-        else {
-            self.close_connections();
+        let forwarded = call.request.headers.iter().map(|(name, value)| (&name[..], &value[..]));
+        let added = call.added_headers.iter().map(|(name, value)| (*name, &value[..]));
+        let url = format!("{}{}", call.url.trim_end_matches('/'), call.request.path);
+        let request = TargetRequest::new(
+            &call.request.method,
+            &url,
+            forwarded.chain(added),
+            call.request.body.clone(),
+        );
+        let Some(request) = request else { return TargetOutcome::Unreachable };
+        let opened = tokio::time::timeout_at(deadline, self.open(&request.address)).await;
+        let Ok(Ok(connection)) = opened else { return TargetOutcome::Unreachable };
+        let sent = self.send(&request, connection);
+        match tokio::time::timeout_at(deadline, sent).await {
+            Ok(Ok(reply)) => outcome_of(&request.method, reply),
+            Ok(Err(ExchangeError::BodyTooLong)) => TargetOutcome::TooLong,
             // A broken answer does not prove that the request has not run.
-            return TargetOutcome::Broke;
-        };
-        if is_declined {
-            return TargetOutcome::Declined;
-        }
-        let is_delimited =
-            framing != Framing::UntilClose || is_bodiless(&call.request.method, &response);
-        if !is_delimited {
-            // The end of such a body cannot be distinguished from a lost connection.
-            return TargetOutcome::Broke;
+            Ok(Err(_)) | Err(_) => TargetOutcome::Broke,
         }
-        let read = self.read_answer(response);
-        tokio::time::timeout_at(deadline, read).await.unwrap_or(TargetOutcome::Broke)
     }
 
-    /// Builds the request to the target; `None` for an invalid method.
-    fn build_request(&self, call: &TargetCall) -> Option<reqwest::RequestBuilder> {
-        let method = Method::from_bytes(call.request.method.as_bytes()).ok()?;
-        let url = format!("{}{}", call.url.trim_end_matches('/'), call.request.path);
-        let mut request = self.client().request(method, url);
-        for (name, value) in &call.request.headers {
-            request = request.header(name, value);
+    /// Takes an idle connection to `address`, or opens one.
+    async fn open(&self, address: &str) -> io::Result<Connection> {
+        if let Some(connection) = self.take_idle(address) {
+            return Ok(connection);
         }
-        for (name, value) in &call.added_headers {
-            request = request.header(*name, value);
+        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+        let stream = connecting.await.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        stream.set_nodelay(true)?;
+        // The maximum length of each body is the only bound on their memory.
+        let memory = MemoryBudget::new(usize::MAX);
+        Ok(Connection::new(stream, &memory, self.body_max_bytes))
+    }
+
+    /// Sends a request on a connection, and keeps the connection if it can carry another one.
+    async fn send(
+        &self,
+        request: &TargetRequest,
+        mut connection: Connection,
+    ) -> Result<Reply, ExchangeError> {
+        let head = request.head.as_bytes();
+        let reply = connection.exchange(&request.method, head, &request.body, |_| true).await?;
+        if reply.is_reusable {
+            self.keep(IdleConnection { address: request.address.clone(), connection });
         }
-        Some(request.body(call.request.body.clone()))
+        Ok(reply)
     }
 
-    /// Reads a complete answer.
-    async fn read_answer(&self, mut response: Response) -> TargetOutcome {
-        let status = response.status().as_u16();
-        let headers = forwarded_headers(&response);
-        let mut body = BytesMut::new();
-        loop {
-            match response.chunk().await {
-                Ok(Some(chunk)) => body.extend_from_slice(&chunk),
-                Ok(None) => break,
-                Err(_) => return TargetOutcome::Broke,
-            }
-            if body.len() > self.body_max_bytes {
-                return TargetOutcome::TooLong;
+    /// Takes a usable idle connection to `address`, if there is one.
+    fn take_idle(&self, address: &str) -> Option<Connection> {
+        let mut idle = self.idle();
+        while let Some(index) = idle.iter().rposition(|kept| kept.address == address) {
+            let kept = idle.remove(index);
+            if kept.connection.is_usable() {
+                return Some(kept.connection);
             }
         }
-        let body: Bytes = body.freeze();
-        TargetOutcome::Answered(HttpAnswer { status, headers, body })
+        None
+    }
+
+    /// Keeps a connection for reuse.
+    fn keep(&self, kept: IdleConnection) {
+        let mut idle = self.idle();
+        if idle.len() >= IDLE_MAX {
+            idle.remove(0);
+        }
+        idle.push(kept);
+    }
+
+    fn idle(&self) -> MutexGuard<'_, Vec<IdleConnection>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Sends the target a cancellation of a request whose result is no longer needed.
     async fn cancel(&self, url: &str, token: &str) {
         let url = format!("{}{CANCEL_PATH}", url.trim_end_matches('/'));
-        let request = self.client().post(url).header(header::CALL, token).timeout(CANCEL_TIMEOUT);
+        let headers = [(header::CALL, token)].into_iter();
+        let Some(request) = TargetRequest::new("POST", &url, headers, Bytes::new()) else { return };
+        let sent = async {
+            let Ok(connection) = self.open(&request.address).await else { return };
+            drop(self.send(&request, connection).await);
+        };
         // A target that does not support cancellation stops at the request's deadline.
-        let _ = request.send().await;
+        let _ = tokio::time::timeout(CANCEL_TIMEOUT, sent).await;
     }
 }
 
-/// Whether the target states that it did not run the request; `None` if its verdicts differ.
-fn is_declined(response: &Response) -> Option<bool> {
-    let mut verdicts = response.headers().get_all(header::VERDICT).iter();
-    let Some(verdict) = verdicts.next() else { return Some(false) };
-    verdicts.all(|other| other == verdict).then(|| verdict == NOT_RUN_VERDICT)
+/// A request to the target.
+struct TargetRequest {
+    /// The host and the port of the target.
+    address: String,
+    method: Method,
+    /// The request line and the headers, with the empty line at their end.
+    head: String,
+    body: Bytes,
+}
+
+impl TargetRequest {
+    /// Builds a request; `None` if the URL, the method or a header is invalid.
+    fn new<'a>(
+        method: &str,
+        url: &str,
+        headers: impl Iterator<Item = (&'a str, &'a str)>,
+        body: Bytes,
+    ) -> Option<Self> {
+        let method = Method::from_bytes(method.as_bytes()).ok()?;
+        let uri = url.parse::<Uri>().ok().filter(|uri| uri.scheme_str() == Some("http"))?;
+        let (authority, path) = (uri.authority()?, uri.path_and_query()?);
+        let address =
+            format!("{}:{}", authority.host(), authority.port_u16().unwrap_or(DEFAULT_PORT));
+        let mut head = format!("{method} {path} HTTP/1.1\r\nhost: {address}\r\n");
+        for (name, value) in headers {
+            HeaderName::from_bytes(name.as_bytes()).ok()?;
+            HeaderValue::from_str(value).ok()?;
+            write!(head, "{name}: {value}\r\n").ok()?;
+        }
+        let allows_no_body = matches!(method.as_str(), "GET" | "HEAD" | "DELETE" | "OPTIONS");
+        if !body.is_empty() || !allows_no_body {
+            write!(head, "content-length: {}\r\n", body.len()).ok()?;
+        }
+        head.push_str("\r\n");
+        Some(Self { address, method, head, body })
+    }
 }
 
-/// The framing of an answer whose status and fields are valid. The HTTP client accepts other
-/// statuses, and reads a body to the end of the connection if it does not know the transfer coding.
-fn valid_framing(response: &Response) -> Option<Framing> {
-    if !FINAL_STATUSES.contains(&response.status().as_u16()) {
-        return None;
+/// The outcome that a complete answer states.
+fn outcome_of(method: &Method, reply: Reply) -> TargetOutcome {
+    match is_declined(&reply) {
+        None => return TargetOutcome::Broke,
+        Some(true) => return TargetOutcome::Declined,
+        Some(false) => {}
+    }
+    if !is_delimited(method, &reply) {
+        // The end of such a body cannot be distinguished from a lost connection.
+        return TargetOutcome::Broke;
     }
-    let fields = response.headers().iter();
-    Framing::of(fields.map(|(name, value)| (name.as_str().as_bytes(), value.as_bytes()))).ok()
+    let headers = forwarded_headers(&reply);
+    TargetOutcome::Answered(HttpAnswer { status: reply.status, headers, body: reply.body })
+}
+
+/// Whether the target states that it did not run the request; `None` if its verdicts differ.
+fn is_declined(reply: &Reply) -> Option<bool> {
+    let mut verdicts = reply.values(header::VERDICT);
+    let Some(verdict) = verdicts.next() else { return Some(false) };
+    verdicts.all(|other| other == verdict).then(|| verdict == NOT_RUN_VERDICT.as_bytes())
 }
 
-/// Whether the answer has no body, whatever its fields state.
-fn is_bodiless(method: &str, response: &Response) -> bool {
-    let status = response.status();
-    method == "HEAD" || status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED
+/// Whether the body does not last until the connection ends.
+fn is_delimited(method: &Method, reply: &Reply) -> bool {
+    let has_no_body = *method == Method::HEAD
+        || reply.status == StatusCode::NO_CONTENT
+        || reply.status == StatusCode::NOT_MODIFIED;
+    let fields = reply.headers.iter().map(|(name, value)| (&name[..], &value[..]));
+    has_no_body || Framing::of(fields) != Ok(Framing::UntilClose)
 }
 
-/// The headers of an answer that are forwarded.
-fn forwarded_headers(response: &Response) -> Vec<(String, String)> {
+/// The headers of an answer that are forwarded, names in lower case.
+fn forwarded_headers(reply: &Reply) -> Vec<(String, String)> {
     let mut forwarded = Vec::new();
-    for (name, value) in response.headers() {
-        let name = name.as_str();
+    for (name, value) in &reply.headers {
+        let name = String::from_utf8_lossy(name).to_ascii_lowercase();
         let is_internal = name.starts_with(header::INTERNAL_PREFIX) || name == "content-length";
-        if is_internal || HOP_BY_HOP.contains(&name) {
+        if is_internal || HOP_BY_HOP.contains(&name.as_str()) {
             continue;
         }
+        let Ok(value) = HeaderValue::from_bytes(value) else { continue };
         let Ok(value) = value.to_str() else { continue };
-        forwarded.push((name.to_owned(), value.to_owned()));
+        forwarded.push((name, value.to_owned()));
     }
     forwarded
 }
--- a/src/mesh/http1.rs
+++ b/src/mesh/http1.rs
@@ -33,10 +33,10 @@
 const HEADERS_MAX: usize = 96;
 /// Maximum size of an answer's head, in bytes.
 const HEAD_MAX_BYTES: usize = 64 * 1024;
-/// Maximum size of an answer's body, in bytes: a node buffers whole answers.
+/// Maximum size of an answer's body, in bytes, unless another one is set: a node buffers whole answers.
 const BODY_MAX_BYTES: usize = 32 * 1024 * 1024;
-/// Maximum size of all answers of an exchange together, in bytes.
-const EXCHANGE_MAX_BYTES: usize = 2 * BODY_MAX_BYTES;
+/// Maximum size of all that is read in an exchange beside one body of the maximum size, in bytes.
+const OVERHEAD_MAX_BYTES: usize = 32 * 1024 * 1024;
 /// Maximum number of interim answers before the final one.
 const INTERIM_MAX: usize = 16;
 /// Maximum length of the line with the size and the extensions of a chunk, in bytes.
@@ -76,6 +76,9 @@
     /// The answer does not tell where its body ends.
     #[error("invalid HTTP response: {0}")]
     Framing(#[from] FramingError),
+    /// The body of the answer is longer than allowed.
+    #[error("body of the HTTP response too long")]
+    BodyTooLong,
     /// The body of the answer does not fit into memory.
     #[error("no memory for the body of the HTTP response")]
     NoMemory,
@@ -94,6 +97,7 @@
     stream: TcpStream,
     buffer: BytesMut,
     memory: MemoryBudget,
+    body_max_bytes: usize,
     usable_until: Instant,
     /// Hashes of the ids of the attempts last sent on it, oldest first.
     carried: VecDeque<u64>,
@@ -122,7 +126,7 @@
     }
 
     /// The values of all fields with a name.
-    fn values(&self, name: &str) -> impl Iterator<Item = &[u8]> {
+    pub fn values(&self, name: &str) -> impl Iterator<Item = &[u8]> {
         let is_named = move |key: &[u8]| key.eq_ignore_ascii_case(name.as_bytes());
         self.headers.iter().filter(move |(key, _)| is_named(key)).map(|(_, value)| &value[..])
     }
@@ -139,9 +143,15 @@
     /// Connects to `address`. The bodies of answers are reserved in `memory`.
     pub async fn open(address: SocketAddr, memory: &MemoryBudget) -> Result<Self, ExchangeError> {
         let stream = socket::connect(address).await.map_err(ExchangeError::Connect)?;
+        Ok(Self::new(stream, memory, BODY_MAX_BYTES))
+    }
+
+    /// A connection on a connected socket. The bodies of answers are reserved in `memory`, and each
+    /// is at most `body_max_bytes` long.
+    pub fn new(stream: TcpStream, memory: &MemoryBudget, body_max_bytes: usize) -> Self {
         let usable_until = Instant::now() + KEEP_ALIVE_DEFAULT;
         let (buffer, memory) = (BytesMut::new(), memory.clone());
-        Ok(Self { stream, buffer, memory, usable_until, carried: VecDeque::new() })
+        Self { stream, buffer, memory, body_max_bytes, usable_until, carried: VecDeque::new() }
     }
 
     /// Records that a request with this attempt id is sent on the connection.
@@ -188,7 +198,15 @@
             report_written.send(copy).ok();
             result
         };
-        let mut reader = AnswerReader::new(&mut reader, &mut self.buffer, &self.memory, written);
+        let mut reader = AnswerReader {
+            stream: &mut reader,
+            buffer: &mut self.buffer,
+            memory: &self.memory,
+            body_max_bytes: self.body_max_bytes,
+            written,
+            read_bytes: 0,
+            unyielded_bytes: 0,
+        };
         let read = reader.read_answer(method, accepts);
         let reply = write_and_read(write, read).await?;
         self.usable_until = Instant::now() + keep_alive_time(&reply);
@@ -257,6 +275,7 @@
     stream: &'a mut R,
     buffer: &'a mut BytesMut,
     memory: &'a MemoryBudget,
+    body_max_bytes: usize,
     /// Receives the result of writing the request.
     written: oneshot::Receiver<Result<(), io::ErrorKind>>,
     /// Bytes read in this exchange.
@@ -265,16 +284,7 @@
     unyielded_bytes: usize,
 }
 
-impl<'a, R: AsyncReadExt + Unpin> AnswerReader<'a, R> {
-    fn new(
-        stream: &'a mut R,
-        buffer: &'a mut BytesMut,
-        memory: &'a MemoryBudget,
-        written: oneshot::Receiver<Result<(), io::ErrorKind>>,
-    ) -> Self {
-        Self { stream, buffer, memory, written, read_bytes: 0, unyielded_bytes: 0 }
-    }
-
+impl<R: AsyncReadExt + Unpin> AnswerReader<'_, R> {
     /// Reads answers until `accepts` accepts one.
     async fn read_answer(
         &mut self,
@@ -339,8 +349,8 @@
         reply.is_reusable &= !matches!(framing, Framing::UntilClose);
         reply.body = match framing {
             Framing::Length(0) => Bytes::new(),
-            Framing::Length(length) if length > BODY_MAX_BYTES as u64 => {
-                return Err(ExchangeError::Malformed("body too long"));
+            Framing::Length(length) if length > self.body_max_bytes as u64 => {
+                return Err(ExchangeError::BodyTooLong);
             }
             Framing::Length(length) => self.read_fixed(length as usize).await?,
             Framing::Chunked => self.read_chunks().await?,
@@ -370,8 +380,8 @@
             if size == 0 {
                 return self.read_trailers().await.map(|()| body.finish());
             }
-            if size > (BODY_MAX_BYTES - body.bytes.len()) as u64 {
-                return Err(ExchangeError::Malformed("body too long"));
+            if size > (self.body_max_bytes - body.bytes.len()) as u64 {
+                return Err(ExchangeError::BodyTooLong);
             }
             let mut missing = size as usize;
             while missing > 0 {
@@ -443,8 +453,8 @@
         body.reserve(self.buffer.len())?;
         body.bytes.put(self.buffer.split());
         loop {
-            if body.bytes.len() > BODY_MAX_BYTES {
-                return Err(ExchangeError::Malformed("body too long"));
+            if body.bytes.len() > self.body_max_bytes {
+                return Err(ExchangeError::BodyTooLong);
             }
             body.reserve(READ_BYTES)?;
             body.bytes.reserve(READ_BYTES);
@@ -483,7 +493,7 @@
             return Err(ExchangeError::Broken(io::ErrorKind::UnexpectedEof.into()));
         }
         self.read_bytes += length;
-        if self.read_bytes > EXCHANGE_MAX_BYTES {
+        if self.read_bytes > self.body_max_bytes + OVERHEAD_MAX_BYTES {
             return Err(ExchangeError::Malformed("too many bytes"));
         }
         self.unyielded_bytes += length;
--- a/tests/process_site.rs
+++ b/tests/process_site.rs
@@ -168,7 +168,7 @@
 async fn broken_answers_of_a_target_are_not_passed_on() {
     let mut site = Site::start("broken", &["front"], 1);
     site.wait_until_served().await;
-    let whole = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello";
+    let whole = &b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello"[..];
     let answer = Arc::new(Mutex::new(whole.to_vec()));
     serve_bytes(&site.end_target(0), &answer);
     let mut passed_on = Vec::new();
@@ -198,6 +198,11 @@
         ("200", b"transfer-encoding: chunked\r\ncontent-length: 4\r\n\r\n5\r\nhello\r\n0\r\n\r\n"),
         ("200", b"transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n\r\n\r\n"),
         ("200", b"x other: 1\r\ncontent-length: 5\r\n\r\nhello"),
+        ("200", b"content-length: 5\r\n\nx-other: 1\r\n\r\nhello"),
+        ("200", b"content-length: 5\r\nx-other: 1\n\r\nx-third: 2\r\n\r\nhello"),
+        ("200", b"transfer-encoding: chunked\r\n\r\n5;\x01\r\nhello\r\n0\r\n\r\n"),
+        ("200", b"transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nno field\r\n\r\n"),
+        ("200", b"transfer-encoding: chunked\r\n\r\n\r\n\r\n"),
         ("200", b"\r\nhello"),
     ] {
         let broken = [format!("HTTP/1.1 {status} X\r\n").as_bytes(), rest].concat();
@@ -211,9 +216,16 @@
         }
     }
     assert!(passed_on.is_empty(), "{passed_on:#?}");
-    answer.lock().unwrap().clone_from(&whole.to_vec());
-    let (status, _, body) = site.call(0, "POST", "/confirm/1", None).await.expect("an answer");
-    assert_eq!((status, body.as_str()), (200, "hello"));
+    for valid in [
+        whole,
+        b"HTTP/1.1 200 OK\r\nx-text: \xe9\r\nx-empty:\r\ncontent-length: 5  \r\n\r\nhello",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5;a=b\r\nhello\r\n0\r\nx: y\r\n\r\n",
+        b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello",
+    ] {
+        answer.lock().unwrap().clone_from(&valid.to_vec());
+        let (status, _, body) = site.call(0, "POST", "/confirm/1", None).await.expect("an answer");
+        assert_eq!((status, body.as_str()), (200, "hello"), "{}", String::from_utf8_lossy(valid));
+    }
 }
 
 /// Guards against connections that are used again after a broken answer: what follows on them is not
