Test the limit for answers of the old path

The limit is now kept by the client that both paths share, and no test covered it on the old path. A test only; it passes on this code and was not run on the code before. The sum of the two limits of an exchange can't overflow with a limit of any size, and a check that was made twice is gone.

--- a/src/mesh/http1.rs
+++ b/src/mesh/http1.rs
@@ -493,7 +493,7 @@
             return Err(ExchangeError::Broken(io::ErrorKind::UnexpectedEof.into()));
         }
         self.read_bytes += length;
-        if self.read_bytes > self.body_max_bytes + OVERHEAD_MAX_BYTES {
+        if self.read_bytes > self.body_max_bytes.saturating_add(OVERHEAD_MAX_BYTES) {
             return Err(ExchangeError::Malformed("too many bytes"));
         }
         self.unyielded_bytes += length;
@@ -545,7 +545,7 @@
 /// Whether a line ends with a line feed alone. RFC 9112, section 2.2, allows to accept it, but a stray
 /// one may end a head early, and the rest of the head would be the body.
 fn has_single_line_feed(head: &[u8]) -> bool {
-    head.starts_with(b"\n") || head.windows(2).any(|pair| pair[1] == b'\n' && pair[0] != b'\r')
+    head.windows(2).any(|pair| pair[1] == b'\n' && pair[0] != b'\r')
 }
 
 fn parse_head(buffer: &mut BytesMut) -> Result<Option<Reply>, ExchangeError> {
--- a/tests/process_site.rs
+++ b/tests/process_site.rs
@@ -228,6 +228,26 @@
     }
 }
 
+#[tokio::test]
+async fn answers_over_the_maximum_length_are_refused_as_too_long() {
+    const LENGTH: usize = 9 << 20;
+    let mut site = Site::start("long", &["front"], 1);
+    site.wait_until_served().await;
+    let answer = Arc::new(Mutex::new(Vec::new()));
+    serve_bytes(&site.end_target(0), &answer);
+    let body = vec![b'x'; LENGTH];
+    for (fields, end) in [
+        (format!("content-length: {LENGTH}\r\n\r\n"), ""),
+        (format!("transfer-encoding: chunked\r\n\r\n{LENGTH:x}\r\n"), "\r\n0\r\n\r\n"),
+    ] {
+        let head = format!("HTTP/1.1 200 OK\r\n{fields}");
+        *answer.lock().unwrap() = [head.as_bytes(), &body, end.as_bytes()].concat();
+        let (status, verdict, _) =
+            site.call(0, "POST", "/confirm/1", None).await.expect("an answer");
+        assert_eq!((status, verdict.as_str()), (502, "may-have-run; reason=answer-too-long"));
+    }
+}
+
 /// Guards against connections that are used again after a broken answer: what follows on them is not
 /// known to begin with an answer.
 #[tokio::test]
