Share the idle connections and the framing between both paths

Found by reading the change once more; behaviour is meant to stay as it is. The old path had a pool of idle connections of its own, a copy of the one that the mesh has for its target; determined the framing of each answer a second time, though the reader knew it; repeated the rule for when a request states its length; and created a memory budget for each connection.

IdleConnections serves both, each with its own maximum (the old path closes those to an address that its target has left). Reply tells whether the body ended with the connection. http1::states_length holds the rule.

--- a/src/duty/target.rs
+++ b/src/duty/target.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderName, HeaderValue, Method, StatusCode, Uri};
+use http::{HeaderName, HeaderValue, Method, Uri};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::{AbortHandle, JoinSet};
@@ -16,8 +16,8 @@
 use crate::call::{AttemptId, HttpAnswer};
 use crate::clock::Clock;
 use crate::duty::decider::DeciderHandle;
-use crate::framing::Framing;
-use crate::mesh::http1::{Connection, ExchangeError, Reply};
+use crate::mesh::http1::{self, Connection, ExchangeError, Reply};
+use crate::mesh::idle::IdleConnections;
 use crate::mesh::memory::MemoryBudget;
 use crate::node::{NodeEvent, TargetCall, TargetOutcome, header};
 
@@ -106,7 +106,10 @@
 ) -> eyre::Result<JoinHandle<()>> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let thread = std::thread::Builder::new().name("target".to_owned()).spawn(move || {
-        let worker = TargetWorker { idle: Arc::default(), clock, decider, body_max_bytes };
+        let connections = IdleConnections::new(IDLE_MAX);
+        let idle = Arc::new(Mutex::new(IdleToTarget { address: String::new(), connections }));
+        let memory = MemoryBudget::new(usize::MAX);
+        let worker = TargetWorker { idle, memory, clock, decider, body_max_bytes };
         runtime.block_on(worker.run(rings));
     })?;
     Ok(thread)
@@ -115,8 +118,9 @@
 /// The shared state of the target thread's tasks.
 #[derive(Clone)]
 struct TargetWorker {
-    /// Idle connections, the one used last at the end.
-    idle: Arc<Mutex<Vec<IdleConnection>>>,
+    idle: Arc<Mutex<IdleToTarget>>,
+    /// The memory for bodies, without a limit: each body has one of its own.
+    memory: MemoryBudget,
     /// Converts deadlines to instants.
     clock: Clock,
     /// Receives outcomes.
@@ -125,11 +129,11 @@
     body_max_bytes: usize,
 }
 
-/// A connection that can carry another request.
-struct IdleConnection {
-    /// The host and the port that it was opened to.
+/// Idle connections to the target.
+struct IdleToTarget {
+    /// The host and the port that they were opened to.
     address: String,
-    connection: Connection,
+    connections: IdleConnections,
 }
 
 /// A request that has been sent to the target.
@@ -221,7 +225,7 @@
         let Ok(Ok(connection)) = opened else { return TargetOutcome::Unreachable };
         let sent = self.send(&request, connection);
         match tokio::time::timeout_at(deadline, sent).await {
-            Ok(Ok(reply)) => outcome_of(&request.method, reply),
+            Ok(Ok(reply)) => outcome_of(reply),
             Ok(Err(ExchangeError::BodyTooLong)) => TargetOutcome::TooLong,
             // A broken answer does not prove that the request has not run.
             Ok(Err(_)) | Err(_) => TargetOutcome::Broke,
@@ -236,9 +240,7 @@
         let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
         let stream = connecting.await.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
-        // The maximum length of each body is the only bound on their memory.
-        let memory = MemoryBudget::new(usize::MAX);
-        Ok(Connection::new(stream, &memory, self.body_max_bytes))
+        Ok(Connection::new(stream, &self.memory, self.body_max_bytes))
     }
 
     /// Sends a request on a connection, and keeps the connection if it can carry another one.
@@ -250,33 +252,31 @@
         let head = request.head.as_bytes();
         let reply = connection.exchange(&request.method, head, &request.body, |_| true).await?;
         if reply.is_reusable {
-            self.keep(IdleConnection { address: request.address.clone(), connection });
+            self.keep(&request.address, connection);
         }
         Ok(reply)
     }
 
-    /// Takes a usable idle connection to `address`, if there is one.
+    /// Takes a usable idle connection to `address`, if there is one. Closes those to another address,
+    /// as a node has one target.
     fn take_idle(&self, address: &str) -> Option<Connection> {
         let mut idle = self.idle();
-        while let Some(index) = idle.iter().rposition(|kept| kept.address == address) {
-            let kept = idle.remove(index);
-            if kept.connection.is_usable() {
-                return Some(kept.connection);
-            }
+        if idle.address != address {
+            idle.connections.clear();
+            address.clone_into(&mut idle.address);
         }
-        None
+        idle.connections.take(|_| true)
     }
 
-    /// Keeps a connection for reuse.
-    fn keep(&self, kept: IdleConnection) {
+    /// Keeps a connection to `address` for reuse.
+    fn keep(&self, address: &str, connection: Connection) {
         let mut idle = self.idle();
-        if idle.len() >= IDLE_MAX {
-            idle.remove(0);
+        if idle.address == address {
+            idle.connections.keep(connection);
         }
-        idle.push(kept);
     }
 
-    fn idle(&self) -> MutexGuard<'_, Vec<IdleConnection>> {
+    fn idle(&self) -> MutexGuard<'_, IdleToTarget> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -323,8 +323,7 @@
             HeaderValue::from_str(value).ok()?;
             write!(head, "{name}: {value}\r\n").ok()?;
         }
-        let allows_no_body = matches!(method.as_str(), "GET" | "HEAD" | "DELETE" | "OPTIONS");
-        if !body.is_empty() || !allows_no_body {
+        if http1::states_length(method.as_str(), &body) {
             write!(head, "content-length: {}\r\n", body.len()).ok()?;
         }
         head.push_str("\r\n");
@@ -333,13 +332,13 @@
 }
 
 /// The outcome that a complete answer states.
-fn outcome_of(method: &Method, reply: Reply) -> TargetOutcome {
+fn outcome_of(reply: Reply) -> TargetOutcome {
     match is_declined(&reply) {
         None => return TargetOutcome::Broke,
         Some(true) => return TargetOutcome::Declined,
         Some(false) => {}
     }
-    if !is_delimited(method, &reply) {
+    if reply.ended_with_connection {
         // The end of such a body cannot be distinguished from a lost connection.
         return TargetOutcome::Broke;
     }
@@ -354,15 +353,6 @@
     verdicts.all(|other| other == verdict).then(|| verdict == NOT_RUN_VERDICT.as_bytes())
 }
 
-/// Whether the body does not last until the connection ends.
-fn is_delimited(method: &Method, reply: &Reply) -> bool {
-    let has_no_body = *method == Method::HEAD
-        || reply.status == StatusCode::NO_CONTENT
-        || reply.status == StatusCode::NOT_MODIFIED;
-    let fields = reply.headers.iter().map(|(name, value)| (&name[..], &value[..]));
-    has_no_body || Framing::of(fields) != Ok(Framing::UntilClose)
-}
-
 /// The headers of an answer that are forwarded, names in lower case.
 fn forwarded_headers(reply: &Reply) -> Vec<(String, String)> {
     let mut forwarded = Vec::new();
--- a/src/mesh/http1.rs
+++ b/src/mesh/http1.rs
@@ -112,6 +112,8 @@
     pub headers: Vec<(Bytes, Bytes)>,
     /// The whole body.
     pub body: Bytes,
+    /// Whether the body ended with the connection, so that it may be cut short.
+    pub ended_with_connection: bool,
     /// Whether the connection can carry another exchange.
     pub is_reusable: bool,
 }
@@ -214,6 +216,12 @@
     }
 }
 
+/// Whether a request states the length of its body: without one, the length may be left out for
+/// methods that have no body.
+pub fn states_length(method: &str, body: &[u8]) -> bool {
+    !body.is_empty() || !matches!(method, "GET" | "HEAD" | "DELETE" | "OPTIONS")
+}
+
 fn hash(attempt_id: &str) -> u64 {
     let mut hasher = DefaultHasher::new();
     attempt_id.hash(&mut hasher);
@@ -346,7 +354,8 @@
         framing: Framing,
         mut reply: Reply,
     ) -> Result<Reply, ExchangeError> {
-        reply.is_reusable &= !matches!(framing, Framing::UntilClose);
+        reply.ended_with_connection = framing == Framing::UntilClose;
+        reply.is_reusable &= !reply.ended_with_connection;
         reply.body = match framing {
             Framing::Length(0) => Bytes::new(),
             Framing::Length(length) if length > self.body_max_bytes as u64 => {
@@ -577,7 +586,13 @@
         copied.push((view(header.name.as_bytes()), value));
     }
     buffer.advance(length);
-    let mut reply = Reply { status, headers: copied, body: Bytes::new(), is_reusable: is_http_11 };
+    let mut reply = Reply {
+        status,
+        headers: copied,
+        body: Bytes::new(),
+        ended_with_connection: false,
+        is_reusable: is_http_11,
+    };
     if !is_http_11 && reply.values("transfer-encoding").next().is_some() {
         return Err(ExchangeError::Malformed("transfer coding in an answer of HTTP/1.0"));
     }
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -22,6 +22,7 @@
 pub mod gate;
 pub mod header_names;
 pub mod http1;
+pub mod idle;
 pub mod inbound;
 pub mod incarnation;
 pub mod ingress;
--- a/src/mesh/receiver.rs
+++ b/src/mesh/receiver.rs
@@ -22,7 +22,7 @@
 use super::fingerprint;
 use super::frame::{CONNECTION_HEADERS, Call, CallEnd, Doubt, Header, NotRun, TargetAnswer};
 use super::gate::GateError;
-use super::http1::{Connection, ExchangeError, Reply};
+use super::http1::{self, Connection, ExchangeError, Reply};
 use super::incarnation::Incarnation;
 use super::limit_reports;
 use super::node::{CountGuard, Node};
@@ -385,9 +385,7 @@
         header_names.expected_instance.as_str(),
         instance.incarnation.id.as_bytes(),
     );
-    let allows_no_body = matches!(call.method.as_str(), "GET" | "HEAD" | "DELETE" | "OPTIONS");
-    let omits_length = call.body.is_empty() && allows_no_body;
-    if !omits_length {
+    if http1::states_length(&call.method, &call.body) {
         put_header(&mut head, "content-length", call.body.len().to_string().as_bytes());
     }
     head.put_slice(b"\r\n");
--- a/src/mesh/target.rs
+++ b/src/mesh/target.rs
@@ -14,6 +14,7 @@
 use super::frame::{Condition, Load};
 use super::gate::Gate;
 use super::http1::Connection;
+use super::idle::IdleConnections;
 use super::incarnation::Incarnation;
 use super::lives::Lives;
 use super::named_limit::{NamedLimit, NamedLimits};
@@ -81,7 +82,7 @@
     lives: RefCell<HashMap<String, Lives>>,
     /// Incarnations that are draining, have left or were replaced by one that has, oldest first.
     left: RefCell<Vec<Incarnation>>,
-    idle: RefCell<Vec<Connection>>,
+    idle: RefCell<IdleConnections>,
     /// The limits that its incarnations have named.
     limits: NamedLimits,
 }
@@ -98,7 +99,7 @@
             current: RefCell::default(),
             lives: RefCell::default(),
             left: RefCell::default(),
-            idle: RefCell::default(),
+            idle: RefCell::new(IdleConnections::new(IDLE_MAX)),
             limits: NamedLimits::default(),
         }
     }
@@ -281,24 +282,12 @@
 
     /// Takes a usable idle connection that has not carried this attempt, if there is one.
     pub fn take_idle(&self, attempt_id: &str) -> Option<Connection> {
-        let mut idle = self.idle.borrow_mut();
-        let is_new = |connection: &Connection| !connection.has_carried(attempt_id);
-        while let Some(index) = idle.iter().rposition(is_new) {
-            let connection = idle.remove(index);
-            if connection.is_usable() {
-                return Some(connection);
-            }
-        }
-        None
+        self.idle.borrow_mut().take(|connection| !connection.has_carried(attempt_id))
     }
 
     /// Keeps a connection for reuse.
     pub fn keep(&self, connection: Connection) {
-        let mut idle = self.idle.borrow_mut();
-        if idle.len() >= IDLE_MAX {
-            idle.remove(0);
-        }
-        idle.push(connection);
+        self.idle.borrow_mut().keep(connection);
     }
 
     fn set_current(&self, instance: Rc<Instance>, slots: u32) -> bool {
--- a/tests/mesh/exchange.rs
+++ b/tests/mesh/exchange.rs
@@ -163,7 +163,13 @@
 #[test]
 fn a_partially_written_request_prevents_reuse() {
     run(async {
-        let reply = || Reply { status: 400, headers: vec![], body: "".into(), is_reusable: true };
+        let reply = || Reply {
+            status: 400,
+            headers: vec![],
+            body: "".into(),
+            ended_with_connection: false,
+            is_reusable: true,
+        };
         let answer_later = async || {
             tokio::task::yield_now().await;
             Ok(reply())
